Lay out the build, the shared types and the messages

Cause: there is nothing yet to build the whole path on. Conclusion: the daemons and the decision parts can start from here.

--- /dev/null
+++ b/cmake/targets.cmake
@@ -0,0 +1,117 @@
+# Options that every target of the project is built with. The dialect and the
+# warnings are kept apart from what installed users see.
+add_library(masticwinch_options INTERFACE)
+target_compile_options(masticwinch_options INTERFACE
+  -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Werror)
+target_compile_definitions(masticwinch_options INTERFACE ASIO_STANDALONE
+  SPDLOG_FMT_EXTERNAL SPDLOG_COMPILED_LIB
+  MASTICWINCH_VERSION="${PROJECT_VERSION}")
+if(MASTICWINCH_SANITIZE)
+  target_compile_options(masticwinch_options INTERFACE
+    -fsanitize=${MASTICWINCH_SANITIZE} -fno-omit-frame-pointer)
+  target_link_options(masticwinch_options INTERFACE
+    -fsanitize=${MASTICWINCH_SANITIZE})
+endif()
+
+set(SRC ${PROJECT_SOURCE_DIR}/src)
+
+# Messages between processes and durable records; the generated code is
+# committed, tools/generate makes it anew.
+file(GLOB PROTOCOL_SOURCES CONFIGURE_DEPENDS ${SRC}/masticwinch/protocol/*.pb.cc)
+add_library(masticwinch_protocol STATIC ${PROTOCOL_SOURCES})
+add_library(masticwinch::protocol ALIAS masticwinch_protocol)
+target_include_directories(masticwinch_protocol PUBLIC
+  $<BUILD_INTERFACE:${SRC}> $<INSTALL_INTERFACE:include>)
+target_link_libraries(masticwinch_protocol PUBLIC protobuf::libprotobuf)
+
+# Decisions without I/O, for embedding in other programs.
+file(GLOB_RECURSE COORDINATION_SOURCES CONFIGURE_DEPENDS
+  ${SRC}/masticwinch/common/*.cpp ${SRC}/masticwinch/coordination/*.cpp)
+add_library(masticwinch_coordination STATIC ${COORDINATION_SOURCES})
+add_library(masticwinch::coordination ALIAS masticwinch_coordination)
+target_include_directories(masticwinch_coordination PUBLIC
+  $<BUILD_INTERFACE:${SRC}> $<INSTALL_INTERFACE:include>)
+target_link_libraries(masticwinch_coordination
+  PUBLIC masticwinch::protocol Boost::headers
+  PRIVATE $<BUILD_INTERFACE:masticwinch_options> ${XXHASH_LIBRARY} fmt::fmt)
+
+# Everything that touches the network, files or the terminal.
+file(GLOB_RECURSE DAEMON_SOURCES CONFIGURE_DEPENDS ${SRC}/masticwinch/*.cpp)
+list(REMOVE_ITEM DAEMON_SOURCES ${COORDINATION_SOURCES})
+add_library(masticwinch_daemon STATIC ${DAEMON_SOURCES})
+add_library(masticwinch::daemon ALIAS masticwinch_daemon)
+target_link_libraries(masticwinch_daemon
+  PUBLIC masticwinch::coordination masticwinch_options spdlog::spdlog
+    nlohmann_json::nlohmann_json gflags CURL::libcurl Threads::Threads
+    ${NNG_LIBRARY} ${XXHASH_LIBRARY} ${HTTP_PARSER_LIBRARY})
+
+# One folder below src/programs is one program; its name is the folder's with
+# hyphens, after the project's.
+file(GLOB PROGRAM_FOLDERS CONFIGURE_DEPENDS ${SRC}/programs/*)
+foreach(folder IN LISTS PROGRAM_FOLDERS)
+  get_filename_component(name ${folder} NAME)
+  file(GLOB PROGRAM_SOURCES CONFIGURE_DEPENDS ${folder}/*.cpp)
+  if(PROGRAM_SOURCES)
+    string(REPLACE "_" "-" program "masticwinch-${name}")
+    if(name STREQUAL "ctl")
+      set(program masticwinchctl)
+    endif()
+    add_executable(${program} ${PROGRAM_SOURCES})
+    target_link_libraries(${program} PRIVATE masticwinch::daemon)
+    list(APPEND PROGRAMS ${program})
+  endif()
+endforeach()
+
+# Unit tests mirror the source; each test case is one ctest test.
+enable_testing()
+file(GLOB_RECURSE TEST_SOURCES CONFIGURE_DEPENDS
+  ${PROJECT_SOURCE_DIR}/tests/*.cpp ${PROJECT_SOURCE_DIR}/fuzzing/*.cpp)
+if(TEST_SOURCES)
+  add_executable(masticwinch-tests ${TEST_SOURCES})
+  target_include_directories(masticwinch-tests PRIVATE ${PROJECT_SOURCE_DIR})
+  target_compile_definitions(masticwinch-tests PRIVATE
+    MASTICWINCH_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+  target_link_libraries(masticwinch-tests PRIVATE masticwinch::daemon rapidcheck)
+  # Property tests take their seed from RC_PARAMS, so that every run is equal.
+  add_test(NAME unit COMMAND masticwinch-tests "~[.]" "~[processes]")
+  set_tests_properties(unit PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261203")
+  add_test(NAME known-red COMMAND
+    ${PROJECT_SOURCE_DIR}/tools/known-red $<TARGET_FILE:masticwinch-tests>)
+endif()
+file(GLOB PROCESS_TESTS CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/processes/test_*.py)
+foreach(script IN LISTS PROCESS_TESTS)
+  get_filename_component(name ${script} NAME_WE)
+  string(REGEX REPLACE "^test_" "processes-" name ${name})
+  add_test(NAME ${name} COMMAND python3 ${script} --build ${PROJECT_BINARY_DIR})
+  set_tests_properties(${name} PROPERTIES TIMEOUT 300 RUN_SERIAL ON)
+endforeach()
+
+file(GLOB_RECURSE BENCHMARK_SOURCES CONFIGURE_DEPENDS
+  ${PROJECT_SOURCE_DIR}/benchmarks/*.cpp)
+foreach(source IN LISTS BENCHMARK_SOURCES)
+  get_filename_component(name ${source} NAME_WE)
+  string(REPLACE "_" "-" program "bench-${name}")
+  add_executable(${program} ${source})
+  target_link_libraries(${program} PRIVATE masticwinch::daemon)
+endforeach()
+
+file(GLOB EXAMPLE_SOURCES CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/examples/*.cpp)
+foreach(source IN LISTS EXAMPLE_SOURCES)
+  get_filename_component(name ${source} NAME_WE)
+  string(REPLACE "_" "-" program "example-${name}")
+  add_executable(${program} ${source})
+  target_link_libraries(${program} PRIVATE masticwinch::coordination)
+endforeach()
+
+include(GNUInstallDirs)
+install(TARGETS masticwinch_coordination masticwinch_protocol
+  EXPORT masticwinch-targets)
+install(DIRECTORY ${SRC}/masticwinch/common ${SRC}/masticwinch/coordination
+  ${SRC}/masticwinch/protocol DESTINATION include/masticwinch
+  FILES_MATCHING PATTERN "*.hpp" PATTERN "*.pb.h")
+install(EXPORT masticwinch-targets NAMESPACE masticwinch::
+  DESTINATION ${CMAKE_INSTALL_LIBDIR}/cmake/masticwinch
+  FILE masticwinch-config.cmake)
+if(PROGRAMS)
+  install(TARGETS ${PROGRAMS})
+endif()
--- /dev/null
+++ b/src/masticwinch/settings/settings_reader.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "masticwinch/common/clock.hpp"
+#include "masticwinch/common/enum_names.hpp"
+#include "masticwinch/common/result.hpp"
+#include "masticwinch/settings/settings_error.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace masticwinch {
+
+/// Inclusive range of a number in settings.
+struct SettingsRange {
+  std::int64_t Min;
+  std::int64_t Max;
+};
+
+/// Reads one JSON object of settings and collects all problems: missing and
+/// unknown keys, wrong types, values out of range. A value that has a problem
+/// reads as its default, so that reading goes on to the next key.
+class SettingsReader {
+public:
+  SettingsReader(const nlohmann::json &object, std::string path,
+                 std::vector<SettingsProblem> &problems);
+
+  /// A key that must be there.
+  std::string requiredString(const std::string &key);
+  std::int64_t requiredInteger(const std::string &key, SettingsRange range);
+
+  /// Keys with a default.
+  std::string optionalString(const std::string &key, std::string fallback);
+  std::int64_t optionalInteger(const std::string &key, SettingsRange range,
+                               std::int64_t fallback);
+  bool optionalBoolean(const std::string &key, bool fallback);
+
+  /// A duration in whole milliseconds.
+  Milliseconds optionalMilliseconds(const std::string &key, SettingsRange range,
+                                    Milliseconds fallback);
+
+  /// An enumerator by its name.
+  template <NamedEnum Enum>
+  Enum optionalEnum(const std::string &key, Enum fallback) {
+    const std::string text = optionalString(key, std::string(nameOf(fallback)));
+    if (const std::optional<Enum> value = parseEnum<Enum>(text)) {
+      return *value;
+    }
+    std::string names;
+    for (const EnumName<Enum> &it : EnumNames<Enum>::Table) {
+      names += (names.empty() ? "" : ", ") + std::string(it.Name);
+    }
+    report(key, "must be one of " + names);
+    return fallback;
+  }
+
+  /// Reads a nested object; a missing one reads as empty.
+  void object(const std::string &key,
+              const std::function<void(SettingsReader &)> &read);
+
+  /// Reads an array of objects; a missing one reads as empty.
+  void eachObject(const std::string &key,
+                  const std::function<void(SettingsReader &)> &read);
+
+  /// Records a problem with a key of this object.
+  void report(const std::string &key, std::string reason);
+
+  /// Reports every key that was not read.
+  void finish();
+
+private:
+  const nlohmann::json *find(const std::string &key);
+
+  const nlohmann::json &Object;
+  std::string Path;
+  std::vector<SettingsProblem> &Problems;
+  std::set<std::string> Known;
+};
+
+/// Reads a settings file through a function that fills a settings object from
+/// its reader. Errors: `SettingsError`.
+Result<nlohmann::json> loadSettingsFile(const std::string &file);
+
+/// Applies a reading function to a parsed file. Errors: `SettingsError`.
+template <class Settings, class Read>
+Result<Settings> readSettings(const std::string &file, Read read) {
+  Result<nlohmann::json> json = loadSettingsFile(file);
+  if (!json) {
+    return json.error();
+  }
+  std::vector<SettingsProblem> problems;
+  SettingsReader reader(json.value(), "", problems);
+  Settings settings;
+  read(reader, settings);
+  reader.finish();
+  if (!problems.empty()) {
+    return boost::leaf::new_error(SettingsError{file, std::move(problems)});
+  }
+  return settings;
+}
+
+} // namespace masticwinch
--- /dev/null
+++ b/tests/settings/test_settings_reader.cpp
@@ -0,0 +1,45 @@
+#include "masticwinch/settings/settings_reader.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace masticwinch;
+
+namespace {
+
+std::vector<SettingsProblem> problemsOf(const char *text) {
+  const nlohmann::json json = nlohmann::json::parse(text);
+  std::vector<SettingsProblem> problems;
+  SettingsReader reader(json, "", problems);
+  reader.requiredString("name");
+  reader.requiredInteger("port", {1, 65535});
+  reader.object("limits", [](SettingsReader &nested) {
+    nested.optionalMilliseconds("timeout_ms", {1, 1000}, Milliseconds(10));
+  });
+  reader.finish();
+  return problems;
+}
+
+} // namespace
+
+TEST_CASE("Sound settings have no problems", "[settings]") {
+  CHECK(problemsOf(R"({"name":"a","port":80})").empty());
+}
+
+TEST_CASE("Every problem is named with its key path", "[settings]") {
+  const auto problems = problemsOf(
+      R"({"name":3,"port":70000,"limits":{"timeout_ms":"x","more":1},"odd":1})");
+  std::vector<std::string> paths;
+  for (const SettingsProblem &it : problems) {
+    paths.push_back(it.KeyPath);
+  }
+  CHECK(paths == std::vector<std::string>{"/name", "/port",
+                                          "/limits/timeout_ms", "/limits/more",
+                                          "/odd"});
+}
+
+TEST_CASE("A number beyond 64 bits is out of range", "[settings]") {
+  const auto problems =
+      problemsOf(R"({"name":"a","port":18446744073709551615})");
+  REQUIRE(problems.size() == 1);
+  CHECK(problems[0].Reason == "must be from 1 to 65535");
+}
