Serve and call HTTP/1.1 through RESTinio and libcurl

The packages need one server and one client with the same rules: limits on headers, body and connections, no answer that is cut short passes as whole, and a call says whether any byte of its request left. libcurl resends a request when a reused connection closes before the first answer byte; a call can ask for a connection of its own, and a test shows the difference (2 against 3 requests seen by the server).

--- /dev/null
+++ b/src/masticwinch/http/http_client.cpp
@@ -0,0 +1,200 @@
+#include "masticwinch/http/http_client.hpp"
+
+#include "masticwinch/http/internal/curl_call.hpp"
+#include "masticwinch/http/internal/socket_watch.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace masticwinch {
+
+namespace {
+
+/// Idle connections that are kept over all hosts.
+constexpr long MaxIdleConnections = 1024;
+
+/// Sets libcurl up once per process.
+void initializeCurl() {
+  static const CURLcode Code = curl_global_init(CURL_GLOBAL_ALL);
+  (void)Code;
+}
+
+} // namespace
+
+using internal::CurlCall;
+using internal::SocketWatch;
+
+struct HttpClient::Implementation
+    : std::enable_shared_from_this<HttpClient::Implementation> {
+  explicit Implementation(asio::io_context &loop)
+      : Loop(loop), Timer(loop), Multi(curl_multi_init()) {
+    curl_multi_setopt(Multi, CURLMOPT_SOCKETFUNCTION, &onSocket);
+    curl_multi_setopt(Multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(Multi, CURLMOPT_TIMERFUNCTION, &onTimer);
+    curl_multi_setopt(Multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(Multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+    curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, MaxIdleConnections);
+  }
+
+  ~Implementation() {
+    for (const auto &[id, call] : Calls) {
+      curl_multi_remove_handle(Multi, call->handle());
+    }
+    Calls.clear();
+    curl_multi_cleanup(Multi);
+  }
+
+  HttpCallId start(HttpCall call, HttpCallDone done);
+  void cancel(HttpCallId id);
+
+  /// Called by libcurl when it wants to wait for a socket.
+  static int onSocket(CURL *easy, curl_socket_t socket, int what, void *self,
+                      void *);
+  /// Called by libcurl when it wants to be called after a time.
+  static int onTimer(CURLM *multi, long timeoutMs, void *self);
+
+  void setTimer(long timeoutMs);
+  void act(curl_socket_t socket, int events);
+  void finishEnded();
+  void finish(HttpCallId id, HttpCallResult result);
+  void postDone(HttpCallDone done, HttpCallResult result);
+
+  asio::io_context &Loop;
+  asio::steady_timer Timer;
+  CURLM *Multi;
+  HttpCallId LastId = 0;
+  std::map<HttpCallId, std::unique_ptr<CurlCall>> Calls;
+  std::map<curl_socket_t, std::shared_ptr<SocketWatch>> Watches;
+};
+
+HttpCallId HttpClient::Implementation::start(HttpCall call, HttpCallDone done) {
+  const HttpCallId id = ++LastId;
+  auto started = std::make_unique<CurlCall>(id, std::move(call), done);
+  if (!started->prepare()) {
+    postDone(std::move(done),
+             {HttpOutcome::NotSent, {}, false, "the call is malformed"});
+    return id;
+  }
+  if (const CURLMcode code = curl_multi_add_handle(Multi, started->handle())) {
+    postDone(std::move(done),
+             {HttpOutcome::NotSent, {}, false, curl_multi_strerror(code)});
+    return id;
+  }
+  Calls.emplace(id, std::move(started));
+  return id;
+}
+
+void HttpClient::Implementation::cancel(HttpCallId id) {
+  const auto it = Calls.find(id);
+  if (it == Calls.end()) {
+    return;
+  }
+  const std::unique_ptr<CurlCall> call = std::move(it->second);
+  Calls.erase(it);
+  const bool left = call->requestLeft();
+  // Taking a running transfer out closes its connection.
+  curl_multi_remove_handle(Multi, call->handle());
+  postDone(call->takeDone(), {HttpOutcome::Cancelled, {}, left, "cancelled"});
+}
+
+void HttpClient::Implementation::postDone(HttpCallDone done,
+                                          HttpCallResult result) {
+  asio::post(Loop, [self = weak_from_this(), done = std::move(done),
+                    result = std::move(result)]() mutable {
+    if (self.lock()) {
+      done(std::move(result));
+    }
+  });
+}
+
+int HttpClient::Implementation::onSocket(CURL *, curl_socket_t socket, int what,
+                                         void *self, void *) {
+  auto &client = *static_cast<Implementation *>(self);
+  const auto it = client.Watches.find(socket);
+  if (what == CURL_POLL_REMOVE) {
+    if (it != client.Watches.end()) {
+      it->second->release();
+      client.Watches.erase(it);
+    }
+    return 0;
+  }
+  std::shared_ptr<SocketWatch> watch;
+  if (it == client.Watches.end()) {
+    watch = std::make_shared<SocketWatch>(
+        client.Loop, socket,
+        [weak = client.weak_from_this()](curl_socket_t ready, int events) {
+          if (const auto locked = weak.lock()) {
+            locked->act(ready, events);
+          }
+        });
+    client.Watches.emplace(socket, watch);
+  } else {
+    watch = it->second;
+  }
+  watch->want(what);
+  return 0;
+}
+
+int HttpClient::Implementation::onTimer(CURLM *, long timeoutMs, void *self) {
+  static_cast<Implementation *>(self)->setTimer(timeoutMs);
+  return 0;
+}
+
+void HttpClient::Implementation::setTimer(long timeoutMs) {
+  if (timeoutMs < 0) {
+    Timer.cancel();
+    return;
+  }
+  Timer.expires_after(Milliseconds(timeoutMs));
+  Timer.async_wait([weak = weak_from_this()](const std::error_code &ec) {
+    const auto self = weak.lock();
+    if (!ec && self) {
+      self->act(CURL_SOCKET_TIMEOUT, 0);
+    }
+  });
+}
+
+void HttpClient::Implementation::act(curl_socket_t socket, int events) {
+  int running = 0;
+  curl_multi_socket_action(Multi, socket, events, &running);
+  finishEnded();
+}
+
+void HttpClient::Implementation::finishEnded() {
+  int left = 0;
+  while (const CURLMsg *message = curl_multi_info_read(Multi, &left)) {
+    if (message->msg != CURLMSG_DONE) {
+      continue;
+    }
+    const CURLcode code = message->data.result;
+    CurlCall *call = CurlCall::of(message->easy_handle);
+    finish(call->id(), call->result(code));
+  }
+}
+
+void HttpClient::Implementation::finish(HttpCallId id, HttpCallResult result) {
+  const auto it = Calls.find(id);
+  const std::unique_ptr<CurlCall> call = std::move(it->second);
+  Calls.erase(it);
+  curl_multi_remove_handle(Multi, call->handle());
+  call->takeDone()(std::move(result));
+}
+
+HttpClient::HttpClient(asio::io_context &context) {
+  initializeCurl();
+  Impl = std::make_shared<Implementation>(context);
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpCallId HttpClient::start(HttpCall call, HttpCallDone done) {
+  return Impl->start(std::move(call), std::move(done));
+}
+
+void HttpClient::cancel(HttpCallId id) { Impl->cancel(id); }
+
+} // namespace masticwinch
--- a/src/masticwinch/http/http_client.hpp
+++ b/src/masticwinch/http/http_client.hpp
@@ -26,9 +26,9 @@
   Milliseconds ConnectTimeout{1000};
   /// A longer answer fails the call.
   std::size_t MaxAnswerBytes = 1024 * 1024;
-  /// Opens a connection of its own. libcurl sends a request a second time when
-  /// a reused connection closes before the first answer byte, so every request
-  /// that must not run twice needs this.
+  /// Opens a connection for this call alone and closes it afterwards. libcurl
+  /// sends a request a second time when a reused connection closes before the
+  /// first answer byte, so every request that must not run twice needs this.
   bool FreshConnection = false;
 };
 
@@ -39,7 +39,8 @@
   /// No byte of the request left: the connection was refused or timed out.
   NotSent,
   TimedOut,
-  /// The connection closed or the answer was truncated or malformed.
+  /// The connection closed, or the answer was truncated, malformed or didn't
+  /// state its length.
   Broken,
   /// The answer was longer than allowed.
   TooLong,
@@ -61,6 +62,9 @@
   HttpOutcome Outcome = HttpOutcome::Broken;
   /// Whole only if `Outcome` is `Answered`.
   HttpResponse Response;
+  /// False only if it is certain that no byte of the request left, also for a
+  /// call that was cancelled.
+  bool RequestLeft = true;
   /// Explanation of a failure, for events.
   std::string Detail;
 };
@@ -73,6 +77,8 @@
 /// HTTP/1.1 client on an Asio event loop. All functions and callbacks run on
 /// the thread of that loop. A call that fails, times out or is cancelled closes
 /// its connection; only connections whose answer was read whole are reused.
+/// Knows no proxy, redirect, cookie or compression. Destroying the client drops
+/// the calls that still run without calling their `done`.
 class HttpClient {
 public:
   explicit HttpClient(asio::io_context &context);
@@ -89,7 +95,7 @@
 
 private:
   struct Implementation;
-  std::unique_ptr<Implementation> Impl;
+  std::shared_ptr<Implementation> Impl;
 };
 
 } // namespace masticwinch
--- a/src/masticwinch/http/http_message.hpp
+++ b/src/masticwinch/http/http_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <initializer_list>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -14,6 +15,9 @@
   std::string Value;
 };
 
+/// Whether two header names are the same but for case.
+bool equalHeaderNames(std::string_view a, std::string_view b);
+
 /// Header lines in their order.
 class HttpHeaders {
 public:
@@ -42,7 +46,8 @@
   HttpHeaders Headers;
   std::string Body;
 
-  /// Value of a query parameter, percent-decoded.
+  /// Value of the first query parameter of that name, percent-decoded; nothing
+  /// if it is missing or malformed.
   std::optional<std::string> queryValue(std::string_view name) const;
 };
 
--- /dev/null
+++ b/src/masticwinch/http/http_server.cpp
@@ -0,0 +1,499 @@
+#include "masticwinch/http/http_server.hpp"
+
+#include "masticwinch/http/percent_encoding.hpp"
+
+#include <asio.hpp>
+#include <fmt/format.h>
+#include <restinio/all.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <future>
+#include <map>
+#include <mutex>
+#include <shared_mutex>
+#include <stdexcept>
+#include <thread>
+#include <variant>
+#include <vector>
+
+namespace masticwinch {
+
+namespace {
+
+/// One request with the handler, and one that is read ahead so that a closed
+/// connection is noticed meanwhile.
+constexpr std::size_t RequestsAtOnce = 2;
+constexpr std::chrono::seconds IdleLimit{60};
+constexpr std::chrono::seconds WriteLimit{30};
+/// The handler keeps its own deadlines.
+constexpr std::chrono::hours HandlingLimit{24};
+
+const char *reasonPhrase(std::uint16_t status) {
+  switch (status) {
+  case 200:
+    return "OK";
+  case 201:
+    return "Created";
+  case 202:
+    return "Accepted";
+  case 204:
+    return "No Content";
+  case 400:
+    return "Bad Request";
+  case 404:
+    return "Not Found";
+  case 405:
+    return "Method Not Allowed";
+  case 409:
+    return "Conflict";
+  case 413:
+    return "Payload Too Large";
+  case 414:
+    return "URI Too Long";
+  case 429:
+    return "Too Many Requests";
+  case 431:
+    return "Request Header Fields Too Large";
+  case 500:
+    return "Internal Server Error";
+  case 502:
+    return "Bad Gateway";
+  case 503:
+    return "Service Unavailable";
+  case 504:
+    return "Gateway Timeout";
+  default:
+    return "Status";
+  }
+}
+
+/// Headers that the server writes itself.
+bool isOwnHeader(std::string_view name) {
+  return equalHeaderNames(name, "Content-Length") ||
+         equalHeaderNames(name, "Transfer-Encoding") ||
+         equalHeaderNames(name, "Connection");
+}
+
+bool isSafeHeader(const HttpHeader &line) {
+  const auto breaks = [](char c) {
+    return c == '\r' || c == '\n' || c == '\0';
+  };
+  return !line.Name.empty() &&
+         std::none_of(line.Name.begin(), line.Name.end(), breaks) &&
+         std::none_of(line.Value.begin(), line.Value.end(), breaks);
+}
+
+using RestinioRequest = restinio::request_handle_t;
+
+std::size_t headerBytes(const restinio::http_request_header_t &header) {
+  std::size_t bytes = 0;
+  header.for_each_field(
+      [&](const auto &it) { bytes += it.name().size() + it.value().size(); });
+  return bytes;
+}
+
+} // namespace
+
+/// State of a running server, shared with the exchanges that outlive it.
+struct HttpServer::Implementation
+    : std::enable_shared_from_this<HttpServer::Implementation> {
+  class Exchange;
+  struct Listener;
+  struct Traits;
+  using RestinioServer = restinio::http_server_t<Traits>;
+
+  struct OpenExchange {
+    /// Only for comparison.
+    const Exchange *Identity;
+    std::weak_ptr<Exchange> Pointer;
+  };
+  using ExchangeList = std::vector<OpenExchange>;
+
+  Implementation(HttpServerOptions options, HttpHandler handler)
+      : Options(std::move(options)), Handler(std::move(handler)) {}
+
+  void open();
+  void close();
+  void handle(const RestinioRequest &request);
+  void connectionClosed(std::uint64_t connection);
+  void forget(std::uint64_t connection, const Exchange *exchange);
+  static void abandonAll(const ExchangeList &exchanges, bool callerGone);
+  void write(const RestinioRequest &request, HttpResponse response,
+             HttpAnswerFault fault);
+  /// Counts an answer as being written until the result is destroyed.
+  std::shared_ptr<void> countWriting();
+  void answerWritten();
+  void waitForWrites();
+  std::optional<HttpResponse> refusal(const RestinioRequest &request) const;
+
+  const HttpServerOptions Options;
+  const HttpHandler Handler;
+  std::uint16_t BoundPort = 0;
+  std::atomic<bool> CloseAfterAnswers = false;
+
+  /// Held shared while an answer is handed over, alone while the event loop is
+  /// taken down.
+  std::shared_mutex LoopMutex;
+  std::unique_ptr<asio::io_context> Loop;
+  std::unique_ptr<RestinioServer> Server;
+  std::vector<std::thread> Threads;
+
+  std::mutex Mutex;
+  std::condition_variable Written;
+  /// Answers that are handed over and not yet written.
+  std::size_t Writing = 0;
+  /// Exchanges without an answer, by connection.
+  std::map<std::uint64_t, ExchangeList> Open;
+};
+
+/// The exchange that a handler sees.
+class HttpServer::Implementation::Exchange final : public HttpExchange {
+public:
+  Exchange(std::shared_ptr<Implementation> server, RestinioRequest handle,
+           HttpRequest request)
+      : Server(std::move(server)), Connection(handle->connection_id()),
+        Handle(std::move(handle)), Request(std::move(request)) {}
+
+  ~Exchange() override;
+
+  const HttpRequest &request() const override { return Request; }
+
+  void respond(HttpResponse response) override {
+    respondWithFault(std::move(response), {});
+  }
+
+  void respondWithFault(HttpResponse response, HttpAnswerFault fault) override;
+
+  void onCallerGone(std::function<void()> function) override;
+
+  /// The connection closed or the server stops.
+  void abandon(bool callerGone);
+
+private:
+  RestinioRequest take();
+
+  const std::shared_ptr<Implementation> Server;
+  const std::uint64_t Connection;
+  std::mutex Mutex;
+  /// Empty once answered or abandoned.
+  RestinioRequest Handle;
+  bool CallerGone = false;
+  std::function<void()> WhenGone;
+  const HttpRequest Request;
+};
+
+struct HttpServer::Implementation::Listener {
+  // The name is RESTinio's.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  void state_changed(const restinio::connection_state::notice_t &notice) {
+    if (std::holds_alternative<restinio::connection_state::closed_t>(
+            notice.cause())) {
+      Server->connectionClosed(notice.connection_id());
+    }
+  }
+
+  Implementation *Server;
+};
+
+struct HttpServer::Implementation::Traits : restinio::default_traits_t {
+  // The names are RESTinio's.
+  // NOLINTBEGIN(readability-identifier-naming)
+  using connection_state_listener_t = Listener;
+  static constexpr bool use_connection_count_limiter = true;
+  // NOLINTEND(readability-identifier-naming)
+};
+
+HttpServer::Implementation::Exchange::~Exchange() {
+  if (Handle) {
+    respond(errorResponse(500, "internal", "the request was dropped"));
+  }
+}
+
+RestinioRequest HttpServer::Implementation::Exchange::take() {
+  RestinioRequest handle;
+  {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    handle = std::move(Handle);
+    Handle.reset();
+    WhenGone = nullptr;
+  }
+  if (handle) {
+    Server->forget(Connection, this);
+  }
+  return handle;
+}
+
+void HttpServer::Implementation::Exchange::respondWithFault(
+    HttpResponse response, HttpAnswerFault fault) {
+  const std::shared_lock<std::shared_mutex> lock(Server->LoopMutex);
+  if (const RestinioRequest handle = take()) {
+    Server->write(handle, std::move(response), fault);
+  }
+}
+
+void HttpServer::Implementation::Exchange::onCallerGone(
+    std::function<void()> function) {
+  {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    if (!CallerGone) {
+      if (Handle) {
+        WhenGone = std::move(function);
+      }
+      return;
+    }
+  }
+  function();
+}
+
+void HttpServer::Implementation::Exchange::abandon(bool callerGone) {
+  RestinioRequest handle;
+  std::function<void()> function;
+  {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    handle = std::move(Handle);
+    Handle.reset();
+    function = std::move(WhenGone);
+    WhenGone = nullptr;
+    CallerGone = callerGone && handle != nullptr;
+  }
+  if (callerGone && function) {
+    function();
+  }
+}
+
+void HttpServer::Implementation::open() {
+  Loop = std::make_unique<asio::io_context>();
+  const auto limits =
+      restinio::incoming_http_msg_limits_t{}
+          .max_url_size(HardLimitFactor * Options.MaxHeaderBytes)
+          .max_field_name_size(HardLimitFactor * Options.MaxHeaderBytes)
+          .max_field_value_size(HardLimitFactor * Options.MaxHeaderBytes)
+          .max_body_size(HardLimitFactor * Options.MaxBodyBytes);
+  Server = std::make_unique<RestinioServer>(
+      restinio::external_io_context(*Loop), [&](auto &settings) {
+        settings.address(Options.Address)
+            .port(Options.Port)
+            .protocol(asio::ip::make_address(Options.Address).is_v6()
+                          ? asio::ip::tcp::v6()
+                          : asio::ip::tcp::v4())
+            .incoming_http_msg_limits(limits)
+            .max_parallel_connections(Options.MaxConnections)
+            .max_pipelined_requests(RequestsAtOnce)
+            .read_next_http_message_timelimit(IdleLimit)
+            .write_http_response_timelimit(WriteLimit)
+            .handle_request_timeout(HandlingLimit)
+            .connection_state_listener(
+                std::make_shared<Listener>(Listener{this}))
+            .socket_options_setter(
+                [](auto &it) { it.set_option(asio::ip::tcp::no_delay(true)); })
+            .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &it) {
+              BoundPort = it.local_endpoint().port();
+            })
+            .request_handler([this](const RestinioRequest &request) {
+              handle(request);
+              return restinio::request_accepted();
+            });
+      });
+  Server->open_sync();
+  for (std::size_t i = 0; i < std::max<std::size_t>(Options.Threads, 1); ++i) {
+    Threads.emplace_back([loop = Loop.get()] {
+      const auto work = asio::make_work_guard(*loop);
+      loop->run();
+    });
+  }
+}
+
+void HttpServer::Implementation::close() {
+  if (!Loop) {
+    return;
+  }
+  std::promise<void> closed;
+  asio::post(*Loop, [&] {
+    Server->close_sync();
+    closed.set_value();
+  });
+  closed.get_future().wait();
+  waitForWrites();
+  Loop->stop();
+  for (std::thread &it : Threads) {
+    it.join();
+  }
+  Threads.clear();
+
+  const std::unique_lock<std::shared_mutex> lock(LoopMutex);
+  std::map<std::uint64_t, ExchangeList> open;
+  {
+    const std::lock_guard<std::mutex> guard(Mutex);
+    open.swap(Open);
+  }
+  for (const auto &[connection, exchanges] : open) {
+    abandonAll(exchanges, false);
+  }
+  Server.reset();
+  Loop.reset();
+}
+
+std::optional<HttpResponse>
+HttpServer::Implementation::refusal(const RestinioRequest &request) const {
+  const restinio::http_request_header_t &header = request->header();
+  if (header.request_target().size() > Options.MaxHeaderBytes) {
+    return errorResponse(414, "target_too_long",
+                         "the request target is longer than allowed");
+  }
+  if (headerBytes(header) > Options.MaxHeaderBytes) {
+    return errorResponse(431, "headers_too_long",
+                         "the headers are longer than allowed");
+  }
+  if (request->body().size() > Options.MaxBodyBytes) {
+    return errorResponse(
+        413, "body_too_long",
+        fmt::format("the body is longer than {} bytes", Options.MaxBodyBytes));
+  }
+  if (!percentDecode(header.path())) {
+    return errorResponse(400, "malformed_target",
+                         "the path has a malformed percent sequence", "path");
+  }
+  if (header.connection() == restinio::http_connection_header_t::upgrade) {
+    return errorResponse(400, "upgrade_refused",
+                         "the connection can't be upgraded", "Connection");
+  }
+  return std::nullopt;
+}
+
+void HttpServer::Implementation::handle(const RestinioRequest &request) {
+  if (std::optional<HttpResponse> answer = refusal(request)) {
+    write(request, std::move(*answer), {});
+    return;
+  }
+  const restinio::http_request_header_t &header = request->header();
+  HttpRequest received;
+  received.Method = header.method().c_str();
+  received.Path = *percentDecode(header.path());
+  received.Query = std::string(header.query());
+  received.Body = request->body();
+  header.for_each_field(
+      [&](const auto &it) { received.Headers.add(it.name(), it.value()); });
+  const auto exchange = std::make_shared<Exchange>(shared_from_this(), request,
+                                                   std::move(received));
+  {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    Open[request->connection_id()].push_back({exchange.get(), exchange});
+  }
+  Handler(exchange);
+}
+
+void HttpServer::Implementation::abandonAll(const ExchangeList &exchanges,
+                                            bool callerGone) {
+  for (const OpenExchange &it : exchanges) {
+    if (const std::shared_ptr<Exchange> exchange = it.Pointer.lock()) {
+      exchange->abandon(callerGone);
+    }
+  }
+}
+
+void HttpServer::Implementation::connectionClosed(std::uint64_t connection) {
+  ExchangeList exchanges;
+  {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    const auto it = Open.find(connection);
+    if (it == Open.end()) {
+      return;
+    }
+    exchanges = std::move(it->second);
+    Open.erase(it);
+  }
+  abandonAll(exchanges, true);
+}
+
+void HttpServer::Implementation::forget(std::uint64_t connection,
+                                        const Exchange *exchange) {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  const auto it = Open.find(connection);
+  if (it == Open.end()) {
+    return;
+  }
+  std::erase_if(it->second, [&](const OpenExchange &open) {
+    return open.Identity == exchange;
+  });
+  if (it->second.empty()) {
+    Open.erase(it);
+  }
+}
+
+void HttpServer::Implementation::write(const RestinioRequest &request,
+                                       HttpResponse response,
+                                       HttpAnswerFault fault) {
+  const restinio::http_status_line_t status(
+      restinio::http_status_code_t(response.Status),
+      reasonPhrase(response.Status));
+  auto answer =
+      request->create_response<restinio::user_controlled_output_t>(status);
+  for (const HttpHeader &it : response.Headers.lines()) {
+    if (!isOwnHeader(it.Name) && isSafeHeader(it)) {
+      answer.append_header(it.Name, it.Value);
+    }
+  }
+  if (CloseAfterAnswers || fault.Truncate) {
+    answer.connection_close();
+  }
+  if (request->header().method() == restinio::http_method_head()) {
+    response.Body.clear();
+  }
+  answer.set_content_length(response.Body.size());
+  if (fault.Truncate) {
+    response.Body.resize(response.Body.size() / 2);
+  }
+  if (!response.Body.empty()) {
+    answer.set_body(std::move(response.Body));
+  }
+  answer.done([pending = countWriting()](const auto &) {});
+}
+
+std::shared_ptr<void> HttpServer::Implementation::countWriting() {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  ++Writing;
+  return std::shared_ptr<void>(this, [](void *self) {
+    static_cast<Implementation *>(self)->answerWritten();
+  });
+}
+
+void HttpServer::Implementation::answerWritten() {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  --Writing;
+  Written.notify_all();
+}
+
+void HttpServer::Implementation::waitForWrites() {
+  std::unique_lock<std::mutex> lock(Mutex);
+  Written.wait_for(lock, StopWriteLimit, [this] { return Writing == 0; });
+}
+
+HttpServer::HttpServer(HttpServerOptions options, HttpHandler handler)
+    : Impl(std::make_shared<Implementation>(std::move(options),
+                                            std::move(handler))) {}
+
+HttpServer::~HttpServer() { stop(); }
+
+void HttpServer::start() {
+  const HttpServerOptions &options = Impl->Options;
+  try {
+    Impl->open();
+  } catch (const std::exception &ex) {
+    Impl->Server.reset();
+    Impl->Loop.reset();
+    throw std::runtime_error(fmt::format(
+        "can't listen on {}:{}: {}", options.Address, options.Port, ex.what()));
+  }
+}
+
+std::uint16_t HttpServer::port() const { return Impl->BoundPort; }
+
+void HttpServer::closeConnectionsAfterAnswers() {
+  Impl->CloseAfterAnswers = true;
+}
+
+void HttpServer::stop() { Impl->close(); }
+
+} // namespace masticwinch
--- a/src/masticwinch/http/http_server.hpp
+++ b/src/masticwinch/http/http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "masticwinch/common/clock.hpp"
 #include "masticwinch/http/http_message.hpp"
 
 #include <cstdint>
@@ -44,16 +45,26 @@
   virtual void onCallerGone(std::function<void()> function) = 0;
 };
 
-using HttpHandler = std::function<void(std::shared_ptr<HttpExchange>)>;
+/// Factor from the limits that get an error answer to those that close the
+/// connection.
+inline constexpr std::size_t HardLimitFactor = 4;
 
-/// Why a server could not start.
-struct HttpServerError {
-  std::string Reason;
-};
+/// How long `HttpServer::stop` waits for answers to be written.
+inline constexpr Milliseconds StopWriteLimit{1000};
+
+using HttpHandler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
-/// HTTP/1.1 server. Requests with too long a header or body, or that are not
-/// HTTP, get an error answer or a closed connection and never reach the
-/// handler.
+/// HTTP/1.1 server. These requests never reach the handler:
+/// - a body above `MaxBodyBytes` is answered with 413, headers or a target
+/// above
+///   `MaxHeaderBytes` with 431 or 414, a malformed percent sequence with 400;
+/// - a body above `HardLimitFactor * MaxBodyBytes`, headers above that factor
+/// or
+///   above 80 KiB, and bytes that are not HTTP close the connection without an
+///   answer, since the parser gives up on them.
+/// Two requests of one connection may be with the handler at once; the answers
+/// leave in the order of the requests. A HEAD request is answered without the
+/// body.
 class HttpServer {
 public:
   HttpServer(HttpServerOptions options, HttpHandler handler);
@@ -72,12 +83,14 @@
   /// kept-alive connection go elsewhere.
   void closeConnectionsAfterAnswers();
 
-  /// Stops accepting, closes what is open and joins the threads.
+  /// Stops accepting, lets answers that were given leave for up to
+  /// `StopWriteLimit`, closes what is open and joins the threads. Not to be
+  /// called from the handler. Exchanges that are still kept drop their answers.
   void stop();
 
 private:
   struct Implementation;
-  std::unique_ptr<Implementation> Impl;
+  std::shared_ptr<Implementation> Impl;
 };
 
 } // namespace masticwinch
--- /dev/null
+++ b/tests/http/test_http_client.cpp
@@ -0,0 +1,252 @@
+#include "masticwinch/http/http_client.hpp"
+#include "masticwinch/http/http_server.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "tests/http/caller.hpp"
+#include "tests/http/raw_server.hpp"
+#include <future>
+#include <mutex>
+#include <random>
+
+using namespace masticwinch;
+using testing::Caller;
+using testing::getCall;
+using testing::RawServer;
+
+namespace {
+
+/// Answers every connection's first request with the text and closes.
+HttpCallResult callAnsweredWith(const std::string &text) {
+  RawServer server([&](asio::ip::tcp::socket &socket) {
+    RawServer::readHeaders(socket);
+    RawServer::write(socket, text);
+  });
+  Caller caller;
+  return caller.call(getCall(server.url()));
+}
+
+} // namespace
+
+TEST_CASE("A truncated answer never passes as whole", "[http][client]") {
+  const auto answer = GENERATE(
+      as<std::string>{}, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n123",
+      "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n12345",
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 9\r\n\r\n12345",
+      "HTTP/1.1 200 OK\r\nContent-Le", "HTTP/1.1 100 Continue\r\n\r\n",
+      "nonsense\r\n\r\n", "");
+  CAPTURE(answer);
+  const HttpCallResult result = callAnsweredWith(answer);
+  CHECK(result.Outcome == HttpOutcome::Broken);
+  CHECK(result.RequestLeft);
+}
+
+TEST_CASE("Whole answers of both framings are read", "[http][client]") {
+  const auto answer = GENERATE(
+      as<std::string>{}, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n12345",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\n12345\r\n0\r\n\r\n");
+  const HttpCallResult result = callAnsweredWith(answer);
+  CHECK(result.Outcome == HttpOutcome::Answered);
+  CHECK(result.Response.Status == 200);
+  CHECK(result.Response.Body == "12345");
+}
+
+TEST_CASE("A redirect is handed back, not followed", "[http][client]") {
+  const HttpCallResult result =
+      callAnsweredWith("HTTP/1.1 302 Found\r\nLocation: /elsewhere\r\n"
+                       "Content-Length: 0\r\n\r\n");
+  CHECK(result.Outcome == HttpOutcome::Answered);
+  CHECK(result.Response.Status == 302);
+}
+
+TEST_CASE("An answer longer than allowed is cut off", "[http][client]") {
+  HttpServer server({}, [](const std::shared_ptr<HttpExchange> &exchange) {
+    exchange->respond({200, {}, std::string(2000, 'x')});
+  });
+  server.start();
+  Caller caller;
+  HttpCall call =
+      getCall("http://127.0.0.1:" + std::to_string(server.port()) + "/");
+  call.MaxAnswerBytes = 1999;
+  CHECK(caller.call(call).Outcome == HttpOutcome::TooLong);
+  call.MaxAnswerBytes = 2000;
+  CHECK(caller.call(call).Outcome == HttpOutcome::Answered);
+}
+
+TEST_CASE("A refused connection means that nothing was sent",
+          "[http][client]") {
+  asio::io_context loop;
+  asio::ip::tcp::acceptor closed(loop, {asio::ip::address_v4::loopback(), 0});
+  const std::string url =
+      "http://127.0.0.1:" + std::to_string(closed.local_endpoint().port()) +
+      "/";
+  closed.close();
+  Caller caller;
+  const HttpCallResult result = caller.call(getCall(url));
+  CHECK(result.Outcome == HttpOutcome::NotSent);
+  CHECK_FALSE(result.RequestLeft);
+}
+
+TEST_CASE("A call with line breaks in a header is not sent", "[http][client]") {
+  Caller caller;
+  HttpCall call = getCall("http://127.0.0.1:1/");
+  call.Headers.add("X-Note", "a\r\nX-Other: b");
+  CHECK(caller.call(call).Outcome == HttpOutcome::NotSent);
+}
+
+TEST_CASE("A request without an answer in time may have run",
+          "[http][client]") {
+  HttpServer server({}, [](std::shared_ptr<HttpExchange> exchange) {
+    // Kept alive until the caller is gone.
+    HttpExchange &it = *exchange;
+    it.onCallerGone([exchange = std::move(exchange)] {});
+  });
+  server.start();
+  Caller caller;
+  HttpCall call =
+      getCall("http://127.0.0.1:" + std::to_string(server.port()) + "/");
+  call.Timeout = Milliseconds(50);
+  const HttpCallResult result = caller.call(call);
+  CHECK(result.Outcome == HttpOutcome::TimedOut);
+  CHECK(result.RequestLeft);
+}
+
+TEST_CASE("Cancelling a call closes its connection", "[http][client]") {
+  std::promise<void> received;
+  std::promise<void> gone;
+  HttpServer server({}, [&](std::shared_ptr<HttpExchange> exchange) {
+    HttpExchange &it = *exchange;
+    it.onCallerGone(
+        [&gone, exchange = std::move(exchange)] { gone.set_value(); });
+    received.set_value();
+  });
+  server.start();
+  Caller caller;
+  std::vector<HttpOutcome> outcomes;
+  const HttpCallId id = caller.Client.start(
+      getCall("http://127.0.0.1:" + std::to_string(server.port()) + "/"),
+      [&](const HttpCallResult &it) { outcomes.push_back(it.Outcome); });
+  auto arrival = received.get_future();
+  caller.runUntil([&] {
+    return arrival.wait_for(std::chrono::seconds(0)) ==
+           std::future_status::ready;
+  });
+
+  caller.Client.cancel(id);
+  CHECK(outcomes.empty());
+  caller.Client.cancel(id);
+  gone.get_future().wait();
+  caller.runUntil([&] { return !outcomes.empty(); });
+  caller.Loop.poll();
+  CHECK(outcomes == std::vector<HttpOutcome>{HttpOutcome::Cancelled});
+}
+
+TEST_CASE("A request on a connection of its own is never sent twice",
+          "[http][client]") {
+  std::atomic<int> requests = 0;
+  // Answers the first request and drops the connection of every later one.
+  RawServer server([&](asio::ip::tcp::socket &socket) {
+    while (!RawServer::readHeaders(socket).empty()) {
+      if (++requests > 1) {
+        return;
+      }
+      RawServer::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+  });
+  Caller caller;
+  REQUIRE(caller.call(getCall(server.url())).Outcome == HttpOutcome::Answered);
+
+  HttpCall call = getCall(server.url());
+  SECTION("own connection") {
+    call.FreshConnection = true;
+    CHECK(caller.call(call).Outcome == HttpOutcome::Broken);
+    CHECK(requests == 2);
+  }
+  SECTION("reused connection, which libcurl resends on") {
+    CHECK(caller.call(call).Outcome == HttpOutcome::Broken);
+    CHECK(requests == 3);
+  }
+}
+
+TEST_CASE("Concurrent calls each get their own answer", "[http][client]") {
+  std::mutex mutex;
+  std::vector<std::shared_ptr<HttpExchange>> waiting;
+  std::mt19937 random(20261203);
+  constexpr std::size_t Batch = 16;
+  // Answers late and out of order, a batch at a time.
+  HttpServer server({.Threads = 3}, [&](std::shared_ptr<HttpExchange> it) {
+    std::vector<std::shared_ptr<HttpExchange>> ready;
+    {
+      const std::lock_guard<std::mutex> lock(mutex);
+      waiting.push_back(std::move(it));
+      if (waiting.size() < Batch) {
+        return;
+      }
+      ready.swap(waiting);
+      std::shuffle(ready.begin(), ready.end(), random);
+    }
+    for (const auto &exchange : ready) {
+      exchange->respond({200, {}, "answer to " + exchange->request().Body});
+    }
+  });
+  server.start();
+
+  Caller caller;
+  constexpr std::size_t Calls = 64 * Batch;
+  constexpr std::size_t AtOnce = 4 * Batch;
+  std::size_t started = 0;
+  std::size_t ended = 0;
+  std::size_t wrong = 0;
+  std::function<void()> startNext = [&] {
+    if (started == Calls) {
+      return;
+    }
+    HttpCall call =
+        getCall("http://127.0.0.1:" + std::to_string(server.port()) + "/");
+    call.Method = "POST";
+    call.Body = std::to_string(started++);
+    const std::string expected = "answer to " + call.Body;
+    caller.Client.start(std::move(call), [&, expected](HttpCallResult result) {
+      ++ended;
+      wrong += result.Outcome != HttpOutcome::Answered ||
+               result.Response.Body != expected;
+      startNext();
+    });
+  };
+  for (std::size_t i = 0; i < AtOnce; ++i) {
+    startNext();
+  }
+  caller.runUntil([&] { return ended == Calls; });
+  CHECK(wrong == 0);
+}
+
+TEST_CASE("An answer that comes after its timeout reaches no later call",
+          "[http][client]") {
+  std::mutex mutex;
+  std::shared_ptr<HttpExchange> late;
+  HttpServer server({}, [&](std::shared_ptr<HttpExchange> exchange) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    if (exchange->request().Path == "/late") {
+      late = std::move(exchange);
+      return;
+    }
+    if (late) {
+      late->respond({200, {}, "late"});
+    }
+    exchange->respond({200, {}, "prompt"});
+  });
+  server.start();
+  const std::string url = "http://127.0.0.1:" + std::to_string(server.port());
+  Caller caller;
+  for (int i = 0; i < 20; ++i) {
+    HttpCall call = getCall(url + "/late");
+    call.Timeout = Milliseconds(20);
+    CHECK(caller.call(call).Outcome == HttpOutcome::TimedOut);
+    const HttpCallResult prompt = caller.call(getCall(url + "/prompt"));
+    CHECK(prompt.Outcome == HttpOutcome::Answered);
+    CHECK(prompt.Response.Body == "prompt");
+  }
+}
--- /dev/null
+++ b/tests/http/test_http_server.cpp
@@ -0,0 +1,266 @@
+#include "masticwinch/http/http_server.hpp"
+
+#include <asio.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "tests/http/caller.hpp"
+#include <future>
+
+using namespace masticwinch;
+using testing::Caller;
+using testing::getCall;
+
+namespace {
+
+/// A server that echoes what it understood of a request.
+class EchoServer {
+public:
+  explicit EchoServer(HttpServerOptions options = {})
+      : Server(std::move(options),
+               [this](const std::shared_ptr<HttpExchange> &exchange) {
+                 ++Handled;
+                 const HttpRequest &it = exchange->request();
+                 exchange->respond(
+                     {200,
+                      {{"X-Path", it.Path}, {"X-Query", it.Query}},
+                      it.Method + " " + it.Body});
+               }) {
+    Server.start();
+  }
+
+  std::string url() const {
+    return "http://127.0.0.1:" + std::to_string(Server.port());
+  }
+
+  /// Everything that the server sends back for raw bytes, until it closes.
+  std::string exchangeRaw(const std::string &text) {
+    asio::io_context loop;
+    asio::ip::tcp::socket socket(loop);
+    socket.connect({asio::ip::address_v4::loopback(), Server.port()});
+    asio::error_code ec;
+    asio::write(socket, asio::buffer(text), ec);
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), ec);
+    return answer;
+  }
+
+  std::atomic<int> Handled = 0;
+  HttpServer Server;
+};
+
+std::string errorCode(const HttpResponse &response) {
+  return nlohmann::json::parse(response.Body).at("code");
+}
+
+} // namespace
+
+TEST_CASE("A request arrives with method, decoded path, query and body",
+          "[http][server]") {
+  EchoServer server;
+  Caller caller;
+  HttpCall call = getCall(server.url() + "/a%2Fb%20c+d?x=1%26&y");
+  call.Method = GENERATE("POST", "PUT", "DELETE");
+  call.Body = std::string("body\0\r\n", 7);
+  const HttpCallResult result = caller.call(call);
+  REQUIRE(result.Outcome == HttpOutcome::Answered);
+  CHECK(result.Response.Headers.find("x-path") == "/a/b c+d");
+  CHECK(result.Response.Headers.find("X-QUERY") == "x=1%26&y");
+  CHECK(result.Response.Body == call.Method + " " + call.Body);
+}
+
+TEST_CASE("Query values are found by name and decoded", "[http][server]") {
+  HttpRequest request;
+  request.Query = "a=1&b%20c=x%3Dy&empty&bad=%zz";
+  CHECK(request.queryValue("a") == "1");
+  CHECK(request.queryValue("b c") == "x=y");
+  CHECK(request.queryValue("empty") == "");
+  CHECK_FALSE(request.queryValue("bad"));
+  CHECK_FALSE(request.queryValue("missing"));
+}
+
+TEST_CASE("Requests above a limit are refused with a JSON error",
+          "[http][server]") {
+  EchoServer server({.MaxHeaderBytes = 500, .MaxBodyBytes = 100});
+  Caller caller;
+  HttpCall call = getCall(server.url() + "/");
+
+  SECTION("body") {
+    call.Method = "POST";
+    call.Body = std::string(101, 'x');
+    const HttpCallResult result = caller.call(call);
+    CHECK(result.Response.Status == 413);
+    CHECK(errorCode(result.Response) == "body_too_long");
+  }
+  SECTION("headers") {
+    call.Headers.add("X-Long", std::string(600, 'x'));
+    const HttpCallResult result = caller.call(call);
+    CHECK(result.Response.Status == 431);
+    CHECK(errorCode(result.Response) == "headers_too_long");
+  }
+  SECTION("target") {
+    call.Url += std::string(600, 'x');
+    const HttpCallResult result = caller.call(call);
+    CHECK(result.Response.Status == 414);
+  }
+  SECTION("percent sequence") {
+    call.Url += "%g1";
+    const HttpCallResult result = caller.call(call);
+    CHECK(result.Response.Status == 400);
+    CHECK(errorCode(result.Response) == "malformed_target");
+  }
+  CHECK(server.Handled == 0);
+}
+
+TEST_CASE("Requests far above a limit or malformed close the connection",
+          "[http][server]") {
+  EchoServer server({.MaxHeaderBytes = 500, .MaxBodyBytes = 100});
+  const std::string request = GENERATE(
+      as<std::string>{}, "nonsense\r\n\r\n",
+      "POST / HTTP/1.1\r\nContent-Length: 401\r\n\r\n",
+      "POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n12345",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+      "GET / HTTP/1.1\r\nX-Long: " + std::string(2001, 'x') + "\r\n\r\n");
+  CHECK(server.exchangeRaw(request).empty());
+  CHECK(server.Handled == 0);
+}
+
+TEST_CASE("Pipelined requests are answered in their order", "[http][server]") {
+  EchoServer server;
+  std::string requests;
+  for (int i = 0; i < 5; ++i) {
+    requests += "POST / HTTP/1.1\r\nContent-Length: 1\r\n";
+    requests += (i == 4 ? "Connection: close\r\n\r\n" : "\r\n");
+    requests += std::to_string(i);
+  }
+  const std::string answers = server.exchangeRaw(requests);
+  std::size_t at = 0;
+  for (int i = 0; i < 5; ++i) {
+    at = answers.find("POST " + std::to_string(i), at);
+    REQUIRE(at != std::string::npos);
+  }
+}
+
+TEST_CASE("A truncated answer states its whole length", "[http][server]") {
+  HttpServer server({}, [](const std::shared_ptr<HttpExchange> &exchange) {
+    exchange->respondWithFault({200, {}, "0123456789"}, {.Truncate = true});
+  });
+  server.start();
+  Caller caller;
+  const HttpCallResult result = caller.call(
+      getCall("http://127.0.0.1:" + std::to_string(server.port()) + "/"));
+  CHECK(result.Outcome == HttpOutcome::Broken);
+}
+
+TEST_CASE("A handler learns once that its caller is gone", "[http][server]") {
+  std::promise<std::shared_ptr<HttpExchange>> received;
+  std::atomic<int> calls = 0;
+  std::promise<void> gone;
+  HttpServer server({}, [&](const std::shared_ptr<HttpExchange> &exchange) {
+    exchange->onCallerGone([&] {
+      if (++calls == 1) {
+        gone.set_value();
+      }
+    });
+    received.set_value(exchange);
+  });
+  server.start();
+  asio::io_context loop;
+  asio::ip::tcp::socket socket(loop);
+  socket.connect({asio::ip::address_v4::loopback(), server.port()});
+  asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  const std::shared_ptr<HttpExchange> exchange = received.get_future().get();
+
+  socket.close();
+  gone.get_future().wait();
+
+  bool called = false;
+  exchange->onCallerGone([&] { called = true; });
+  CHECK(called);
+  exchange->respond({});
+  server.stop();
+  CHECK(calls == 1);
+}
+
+TEST_CASE("A caller that got its answer is not gone", "[http][server]") {
+  std::atomic<int> calls = 0;
+  std::shared_ptr<HttpExchange> kept;
+  {
+    HttpServer server({}, [&](const std::shared_ptr<HttpExchange> &exchange) {
+      exchange->onCallerGone([&] { ++calls; });
+      exchange->respond({200, {}, "first"});
+      exchange->respond({200, {}, "second"});
+      kept = exchange;
+    });
+    server.start();
+    Caller caller;
+    const HttpCallResult result = caller.call(
+        getCall("http://127.0.0.1:" + std::to_string(server.port()) + "/"));
+    CHECK(result.Response.Body == "first");
+  }
+  CHECK(calls == 0);
+}
+
+TEST_CASE("An exchange outlives its server", "[http][server]") {
+  std::promise<std::shared_ptr<HttpExchange>> received;
+  Caller caller;
+  std::optional<HttpCallResult> result;
+  std::shared_ptr<HttpExchange> kept;
+  {
+    HttpServer server({}, [&](const std::shared_ptr<HttpExchange> &exchange) {
+      received.set_value(exchange);
+    });
+    server.start();
+    caller.Client.start(
+        getCall("http://127.0.0.1:" + std::to_string(server.port()) + "/"),
+        [&](HttpCallResult it) { result = std::move(it); });
+    auto arrival = received.get_future();
+    caller.runUntil([&] {
+      return arrival.wait_for(std::chrono::seconds(0)) ==
+             std::future_status::ready;
+    });
+    kept = arrival.get();
+  }
+  kept->respond({200, {}, "too late"});
+  kept.reset();
+  caller.runUntil([&] { return result.has_value(); });
+  CHECK(result->Outcome == HttpOutcome::Broken);
+}
+
+TEST_CASE("An answer given before the stop is delivered", "[http][server]") {
+  std::string body(300000, 'x');
+  std::promise<void> answered;
+  std::optional<HttpCallResult> result;
+  Caller caller;
+  HttpServer server({}, [&](const std::shared_ptr<HttpExchange> &exchange) {
+    exchange->respond({200, {}, body});
+    answered.set_value();
+  });
+  server.start();
+  caller.Client.start(
+      getCall("http://127.0.0.1:" + std::to_string(server.port()) + "/"),
+      [&](HttpCallResult it) { result = std::move(it); });
+  std::thread stopper([&] {
+    answered.get_future().wait();
+    server.stop();
+  });
+  caller.runUntil([&] { return result.has_value(); });
+  stopper.join();
+  CHECK(result->Outcome == HttpOutcome::Answered);
+  CHECK(result->Response.Body == body);
+}
+
+TEST_CASE("A draining server asks callers to reconnect", "[http][server]") {
+  EchoServer server;
+  server.Server.closeConnectionsAfterAnswers();
+  Caller caller;
+  const HttpCallResult result = caller.call(getCall(server.url() + "/"));
+  CHECK(result.Outcome == HttpOutcome::Answered);
+  CHECK(result.Response.Headers.find("Connection") == "close");
+}
+
+TEST_CASE("A server can't start on a port that is taken", "[http][server]") {
+  EchoServer first;
+  HttpServer second({.Port = first.Server.port()}, [](const auto &) {});
+  CHECK_THROWS_AS(second.start(), std::runtime_error);
+}
