--- /dev/null
+++ b/src/masticwinch/coordination/requests/claim_table.cpp
@@ -0,0 +1,194 @@
+#include "masticwinch/coordination/requests/claim_table.hpp"
+
+#include <algorithm>
+
+namespace masticwinch {
+namespace {
+
+/// Length prefix keeps different callers' keys apart.
+std::string nameOfClaim(const protocol::ClaimId &id) {
+  return std::to_string(id.caller().size()) + ':' + id.caller() + id.key();
+}
+
+bool sameOwner(const protocol::ClaimOwner &a, const protocol::ClaimOwner &b) {
+  return a.entry() == b.entry() && a.incarnation() == b.incarnation() &&
+         a.request() == b.request();
+}
+
+protocol::ClaimResult resultOf(const protocol::ClaimKey &change,
+                               protocol::ClaimVerdict verdict) {
+  protocol::ClaimResult result;
+  result.set_request(change.owner().request());
+  result.set_verdict(verdict);
+  return result;
+}
+
+} // namespace
+
+std::vector<protocol::ClaimResult>
+ClaimTable::apply(const protocol::ClaimBatch &batch, std::uint64_t now,
+                  const IsMember &isMember) {
+  Now = std::max(Now, now);
+  expire();
+  std::vector<protocol::ClaimResult> results;
+  for (const protocol::ClaimChange &it : batch.changes()) {
+    if (it.has_claim()) {
+      results.push_back(claim(it.claim(), isMember));
+    } else if (it.has_complete()) {
+      complete(it.complete());
+    } else if (it.has_release()) {
+      release(it.release());
+    }
+  }
+  return results;
+}
+
+protocol::ClaimResult ClaimTable::claim(const protocol::ClaimKey &change,
+                                        const IsMember &isMember) {
+  const auto found = Records.find(nameOfClaim(change.id()));
+  if (found != Records.end()) {
+    return resend(found->second, change);
+  }
+  if (!isMember(change.owner())) {
+    return resultOf(change, protocol::CLAIM_OWNER_GONE);
+  }
+  if (isOutsideWindow(change.made_at_unix_ms())) {
+    return resultOf(change, protocol::CLAIM_OUTSIDE_WINDOW);
+  }
+  if (Records.size() >= Limits.MaxClaims) {
+    return resultOf(change, protocol::CLAIM_TABLE_FULL);
+  }
+  protocol::ClaimRecord record;
+  *record.mutable_id() = change.id();
+  *record.mutable_owner() = change.owner();
+  record.set_body_hash(change.body_hash());
+  record.set_claimed_at_unix_ms(Now);
+  record.set_state(protocol::CLAIM_IN_PROGRESS);
+  insert(std::move(record));
+  return resultOf(change, protocol::CLAIM_GRANTED);
+}
+
+protocol::ClaimResult
+ClaimTable::resend(Remembered &found, const protocol::ClaimKey &change) const {
+  const protocol::ClaimRecord &record = found.Record;
+  if (record.body_hash() != change.body_hash()) {
+    return resultOf(change, protocol::CLAIM_BODY_DIFFERS);
+  }
+  if (record.state() == protocol::CLAIM_IN_PROGRESS &&
+      sameOwner(record.owner(), change.owner())) {
+    return resultOf(change, protocol::CLAIM_GRANTED);
+  }
+  protocol::ClaimResult result = resultOf(change, record.state());
+  if (record.has_answer()) {
+    *result.mutable_answer() = record.answer();
+  }
+  return result;
+}
+
+ClaimTable::Remembered *
+ClaimTable::findOwned(const protocol::ClaimId &id,
+                      const protocol::ClaimOwner &owner) {
+  const auto found = Records.find(nameOfClaim(id));
+  if (found == Records.end() ||
+      found->second.Record.state() == protocol::CLAIM_ANSWERED ||
+      !sameOwner(found->second.Record.owner(), owner)) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+void ClaimTable::complete(const protocol::CompleteKey &change) {
+  Remembered *found = findOwned(change.id(), change.owner());
+  if (found == nullptr) {
+    return;
+  }
+  if (!change.has_answer()) {
+    found->Record.set_state(protocol::CLAIM_UNKNOWN);
+    return;
+  }
+  found->Record.set_state(protocol::CLAIM_ANSWERED);
+  protocol::StoredAnswer &answer = *found->Record.mutable_answer();
+  answer = change.answer();
+  if (answer.body().size() > Limits.MaxAnswerBytes ||
+      AnswerBytes + answer.body().size() > Limits.MaxTotalAnswerBytes) {
+    answer.clear_body();
+    answer.set_not_kept(true);
+  }
+  AnswerBytes += answer.body().size();
+}
+
+void ClaimTable::release(const protocol::ReleaseKey &change) {
+  if (findOwned(change.id(), change.owner()) != nullptr) {
+    erase(nameOfClaim(change.id()));
+  }
+}
+
+void ClaimTable::ownerGone(const std::string &entry,
+                           std::uint64_t incarnation) {
+  for (auto &[name, it] : Records) {
+    const protocol::ClaimOwner &owner = it.Record.owner();
+    if (it.Record.state() == protocol::CLAIM_IN_PROGRESS &&
+        owner.entry() == entry && owner.incarnation() <= incarnation) {
+      it.Record.set_state(protocol::CLAIM_UNKNOWN);
+    }
+  }
+}
+
+bool ClaimTable::isOutsideWindow(std::uint64_t madeAt) const {
+  if (madeAt == 0) {
+    return false;
+  }
+  return madeAt + Limits.WindowMillis <= Now ||
+         madeAt > Now + Limits.MaxClockSkewMillis;
+}
+
+void ClaimTable::insert(protocol::ClaimRecord record) {
+  std::string name = nameOfClaim(record.id());
+  const Order place = NextPlace++;
+  AnswerBytes += record.answer().body().size();
+  Places.emplace(place, name);
+  Records.emplace(std::move(name), Remembered{std::move(record), place});
+}
+
+void ClaimTable::erase(const std::string &name) {
+  const auto found = Records.find(name);
+  AnswerBytes -= found->second.Record.answer().body().size();
+  Places.erase(found->second.Place);
+  Records.erase(found);
+}
+
+/// A key made within the allowed skew ahead of the leader's clock must be
+/// remembered until its own time is too old.
+void ClaimTable::expire() {
+  const std::uint64_t kept = Limits.WindowMillis + Limits.MaxClockSkewMillis;
+  while (!Places.empty()) {
+    const std::string name = Places.begin()->second;
+    const protocol::ClaimRecord &record = Records.at(name).Record;
+    if (record.claimed_at_unix_ms() + kept > Now) {
+      return;
+    }
+    erase(name);
+  }
+}
+
+std::vector<protocol::ClaimRecord> ClaimTable::snapshot() const {
+  std::vector<protocol::ClaimRecord> records;
+  records.reserve(Places.size());
+  for (const auto &[place, name] : Places) {
+    records.push_back(Records.at(name).Record);
+  }
+  return records;
+}
+
+void ClaimTable::restore(const std::vector<protocol::ClaimRecord> &records,
+                         std::uint64_t lastTime) {
+  Now = lastTime;
+  Records.clear();
+  Places.clear();
+  AnswerBytes = 0;
+  for (const protocol::ClaimRecord &it : records) {
+    insert(it);
+  }
+}
+
+} // namespace masticwinch
--- /dev/null
+++ b/src/masticwinch/coordination/requests/dispatcher_routing.cpp
@@ -0,0 +1,241 @@
+#include "masticwinch/coordination/requests/dispatcher.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace masticwinch {
+namespace {
+
+/// Most slots that are asked for at a time, by class.
+constexpr std::size_t MaxShortage = 64;
+
+constexpr std::uint16_t FirstServerError = 500;
+
+std::uint32_t shortageOf(std::size_t waiting) {
+  return static_cast<std::uint32_t>(std::min(waiting, MaxShortage));
+}
+
+} // namespace
+
+void Dispatcher::pump(SteadyTime now) {
+  if (Fenced) {
+    return;
+  }
+  if (Queue.size() > 0) {
+    exchangeOwnSlots(shortage(), now);
+  }
+  const auto eligible = [this, now](const FairQueue::Flow &,
+                                    RequestNumber number) {
+    return canDispatch(number, now);
+  };
+  while (const std::optional<RequestNumber> number = Queue.pop(eligible)) {
+    RequestRecord &record = Records.at(*number);
+    dequeued(record);
+    dispatch(record, *choose(record, false, now), now);
+  }
+  if (Queue.size() == 0) {
+    exchangeOwnSlots({}, now);
+    send(Owner.tick(now));
+  }
+  send(Holder.dueDemands(shortage(), now));
+}
+
+/// A request that is sent again may not be able to use a slot that is granted
+/// for it, so as many more are asked for as it was sent to upstreams.
+SlotShortage Dispatcher::shortage() const {
+  const bool urgent = Queue.urgentSize() > 0;
+  return {shortageOf(Queue.urgentSize() + (urgent ? TriedByWaiting : 0)),
+          shortageOf(Queue.patientSize() + (urgent ? 0 : TriedByWaiting))};
+}
+
+/// Takes slots of the upstreams that this entry VM owns, and gives back those
+/// that it doesn't use.
+void Dispatcher::exchangeOwnSlots(SlotShortage want, SteadyTime now) {
+  const std::string &self = Options.Self.Name;
+  const protocol::SlotDemand demand = Holder.demandTo(self, want, now);
+  if (const std::optional<protocol::SlotGrant> grant =
+          Owner.demand(Options.Self, demand, now)) {
+    Holder.grant(self, *grant);
+  }
+}
+
+bool Dispatcher::canDispatch(RequestNumber number, SteadyTime now) const {
+  const RequestRecord &record = Records.at(number);
+  const auto running = ProfileAtUpstreams.find(record.Arrival.Profile);
+  if (running != ProfileAtUpstreams.end() &&
+      running->second >= record.Rules.Concurrency) {
+    return false;
+  }
+  return choose(record, false, now) != nullptr;
+}
+
+/// The upstream with a free slot that is best for a request: one that it was
+/// not sent to before, in this data centre, with the lowest expected cost.
+const UpstreamEntry *Dispatcher::choose(const RequestRecord &record,
+                                        bool onlyUntried,
+                                        SteadyTime now) const {
+  const UpstreamEntry *best = nullptr;
+  std::tuple<bool, bool, double> bestRank;
+  const bool patient = !record.Rules.Urgent;
+  for (const auto &[name, it] : Config.upstreams()) {
+    const std::uint32_t inUse = Holder.inUse(name);
+    const bool tried = record.Tried.contains(name);
+    if ((onlyUntried && tried) || !Holder.hasFree(name, patient, now) ||
+        !Health.mayUse(name, inUse, now) ||
+        (!record.Arrival.Service.empty() &&
+         it.Upstream.service() != record.Arrival.Service)) {
+      continue;
+    }
+    const std::tuple<bool, bool, double> rank{
+        tried, it.Upstream.data_center() != Options.DataCenter,
+        Health.score(name, inUse)};
+    if (best == nullptr || rank < bestRank) {
+      best = &it;
+      bestRank = rank;
+    }
+  }
+  if (best != nullptr && std::get<0>(bestRank) &&
+      !everyOtherFailed(record, now)) {
+    return nullptr;
+  }
+  return best;
+}
+
+/// Whether no upstream is left that the request wasn't sent to.
+bool Dispatcher::everyOtherFailed(const RequestRecord &record,
+                                  SteadyTime now) const {
+  return std::all_of(Config.upstreams().begin(), Config.upstreams().end(),
+                     [&](const auto &it) {
+                       return record.Tried.contains(it.first) ||
+                              !Health.mayUse(it.first, 0, now) ||
+                              (!record.Arrival.Service.empty() &&
+                               it.second.Upstream.service() !=
+                                   record.Arrival.Service);
+                     });
+}
+
+void Dispatcher::dispatch(RequestRecord &record, const UpstreamEntry &upstream,
+                          SteadyTime now) {
+  const std::string &name = upstream.Upstream.name();
+  const bool patient = !record.Rules.Urgent;
+  const Milliseconds horizon = Holder.take(name, patient);
+  const DispatchNumber number = ++LastDispatch;
+  Dispatches[number] = {
+      record.Number,          name,    upstream.Upstream.incarnation(),
+      record.Arrival.Profile, patient, now};
+  ProfileAtUpstreams[record.Arrival.Profile] += 1;
+  if (record.Attempts == 0) {
+    Budget.firstSent();
+  }
+  record.Attempts += 1;
+  record.Stage = RequestStage::Dispatched;
+  record.Tried.insert(name);
+  record.Running.push_back(number);
+  const bool mayHedge = record.repeatable() && record.Running.size() == 1 &&
+                        record.Rules.HedgeAfter > Milliseconds(0);
+  record.HedgeAt.reset();
+  if (mayHedge) {
+    record.HedgeAt = now + record.Rules.HedgeAfter;
+  }
+  const auto left = std::chrono::ceil<Milliseconds>(record.DeadlineAt - now);
+  Effects.emplace_back(
+      StartDispatch{number, record.Number, name, upstream.Upstream.address(),
+                    std::min(left, horizon), Holder.expiryOf(name),
+                    !record.repeatable(), record.Attempts});
+  setTimer(record);
+}
+
+/// Sends a slow repeatable request to a second upstream, if nothing waits.
+void Dispatcher::hedge(RequestRecord &record, SteadyTime now) {
+  record.HedgeAt.reset();
+  if (Fenced || Queue.size() > 0 || record.Running.size() != 1 ||
+      record.Attempts >= record.Rules.MaxAttempts) {
+    return;
+  }
+  SlotShortage one{record.Rules.Urgent ? 1U : 0U,
+                   record.Rules.Urgent ? 0U : 1U};
+  exchangeOwnSlots(one, now);
+  const UpstreamEntry *upstream = choose(record, true, now);
+  if (upstream != nullptr && Budget.take()) {
+    dispatch(record, *upstream, now);
+  }
+}
+
+/// A failure counts against the upstream, unless the request has failed at
+/// another one already: then the request is to blame.
+void Dispatcher::learn(const Dispatch &dispatch, DispatchResult result,
+                       const AnswerPointer &answer, SteadyTime now) {
+  if (!Config.upstreams().contains(dispatch.Upstream)) {
+    Health.forget(dispatch.Upstream);
+    return;
+  }
+  RequestRecord &record = Records.at(dispatch.Request);
+  const bool hadReply = record.Stage == RequestStage::Done;
+  if (result == DispatchResult::Cancelled && hadReply &&
+      now < record.DeadlineAt) {
+    return;
+  }
+  if (result == DispatchResult::Answered && answer->Status < FirstServerError) {
+    Health.succeeded(dispatch.Upstream, now - dispatch.StartedAt);
+    return;
+  }
+  if (!record.FirstFailure.empty() &&
+      record.FirstFailure != dispatch.Upstream &&
+      result == DispatchResult::Broken) {
+    Health.pardon(record.FirstFailure);
+    return;
+  }
+  record.FirstFailure = dispatch.Upstream;
+  Health.failed(dispatch.Upstream, now);
+}
+
+void Dispatcher::peerSent(const EntryIncarnation &from,
+                          const protocol::RequestPeerMessage &message,
+                          SteadyTime now) {
+  PeerMessage reply{from.Name, {}};
+  if (message.has_demand()) {
+    if (const auto grant = Owner.demand(from, message.demand(), now)) {
+      *reply.Message.mutable_grant() = *grant;
+      Effects.emplace_back(std::move(reply));
+    }
+  } else if (message.has_grant()) {
+    Holder.grant(from.Name, message.grant());
+  } else if (message.has_handover()) {
+    *reply.Message.mutable_handover_reply() =
+        Owner.handover(message.handover(), now);
+    Effects.emplace_back(std::move(reply));
+  } else if (message.has_handover_reply()) {
+    Owner.handoverReply(from.Name, message.handover_reply());
+  }
+  pump(now);
+}
+
+void Dispatcher::configure(const std::vector<protocol::ConfigItem> &items,
+                           SteadyTime now) {
+  for (const protocol::ConfigItem &it : items) {
+    const auto &upstreams = Config.upstreams();
+    const auto known = upstreams.find(it.upstream().name());
+    const bool isNew =
+        it.has_upstream() &&
+        (known == upstreams.end() ||
+         known->second.Upstream.incarnation() != it.upstream().incarnation());
+    if (isNew) {
+      Health.reset(it.upstream().name());
+    }
+    Config.apply(it);
+    if (it.has_upstream() && !upstreams.contains(it.upstream().name())) {
+      Health.forget(it.upstream().name());
+    }
+  }
+  Holder.configure(Config);
+  send(Owner.configure(Config, now));
+  pump(now);
+}
+
+void Dispatcher::send(std::vector<PeerMessage> messages) {
+  for (PeerMessage &it : messages) {
+    Effects.emplace_back(std::move(it));
+  }
+}
+
+} // namespace masticwinch
--- /dev/null
+++ b/src/masticwinch/coordination/requests/request_config.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "masticwinch/coordination/requests/request_rules.hpp"
+#include "masticwinch/protocol/cell.pb.h"
+
+#include <map>
+#include <string>
+
+namespace masticwinch {
+
+/// An upstream with the configuration revision that its incarnation is known
+/// since.
+struct UpstreamEntry {
+  protocol::Upstream Upstream;
+  std::uint64_t Revision = 0;
+};
+
+/// The part of the cell's configuration that requests depend on. Items never
+/// go back: one with a lower revision than the known one is ignored.
+class RequestConfig {
+public:
+  void apply(const protocol::ConfigItem &item);
+
+  /// Upstreams that may get work, by name.
+  const std::map<std::string, UpstreamEntry> &upstreams() const {
+    return Upstreams;
+  }
+
+  /// Entry VMs of the cell, those that are leaving too, by name.
+  const std::map<std::string, protocol::EntryMember> &entries() const {
+    return Entries;
+  }
+
+  /// The profile's policy; nothing if it is unknown or retired.
+  const protocol::RequestPolicy *findPolicy(const std::string &profile) const;
+
+  /// Rules of a profile for one of the entry VMs that are not leaving.
+  RequestRules rulesFor(const protocol::RequestPolicy &policy) const;
+
+  bool hasUrgentProfile() const { return UrgentProfiles > 0; }
+
+  /// Longest deadline of any profile.
+  Milliseconds longestDeadline() const;
+
+  std::uint64_t revision() const { return Revision; }
+
+  /// Revision of the last change to the set of entry VMs.
+  std::uint64_t entriesRevision() const { return EntriesRevision; }
+
+private:
+  void applyProfile(const protocol::ConfigItem &item);
+  void applyUpstream(const protocol::ConfigItem &item);
+  void applyEntry(const protocol::ConfigItem &item);
+  void countProfiles();
+
+  std::map<std::string, std::uint64_t> ItemRevisions;
+  std::map<std::string, UpstreamEntry> Upstreams;
+  std::map<std::string, protocol::EntryMember> Entries;
+  std::map<std::string, protocol::RequestPolicy> Policies;
+  std::size_t UrgentProfiles = 0;
+  Milliseconds LongestDeadline{0};
+  std::uint64_t Revision = 0;
+  std::uint64_t EntriesRevision = 0;
+};
+
+} // namespace masticwinch
--- /dev/null
+++ b/src/masticwinch/coordination/requests/slot_holder.cpp
@@ -0,0 +1,226 @@
+#include "masticwinch/coordination/requests/slot_holder.hpp"
+
+#include "masticwinch/coordination/requests/rendezvous.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticwinch {
+namespace {
+
+std::uint32_t minus(std::uint32_t a, std::uint32_t b) {
+  return a > b ? a - b : 0;
+}
+
+} // namespace
+
+SlotHolder::SlotHolder(EntryIncarnation self, SlotTiming timing)
+    : Self(std::move(self)), Timing(timing) {}
+
+void SlotHolder::configure(const RequestConfig &config) {
+  Horizon = config.longestDeadline();
+  for (auto &[name, held] : Upstreams) {
+    held.Present = config.upstreams().contains(name);
+  }
+  for (const auto &[name, entry] : config.upstreams()) {
+    Held &held = Upstreams[name];
+    if (held.Upstream.incarnation() != entry.Upstream.incarnation()) {
+      held = Held{};
+    }
+    held.Upstream = entry.Upstream;
+    held.Owner = ownerOf(name, config.entries());
+  }
+  std::erase_if(Upstreams, [](const auto &it) {
+    return !it.second.Present && it.second.InUse == 0;
+  });
+  std::erase_if(Owners, [&config](const auto &it) {
+    return !config.entries().contains(it.first);
+  });
+  for (const auto &[name, member] : config.entries()) {
+    Owners[name];
+  }
+}
+
+bool SlotHolder::hasFree(const std::string &upstream, bool patient,
+                         SteadyTime now) const {
+  const auto found = Upstreams.find(upstream);
+  if (found == Upstreams.end()) {
+    return false;
+  }
+  const Held &held = found->second;
+  return held.Present && held.Expiry > now && held.InUse < held.Slots &&
+         (!patient || held.PatientInUse < held.Patient);
+}
+
+std::uint32_t SlotHolder::usable(SteadyTime now) const {
+  std::uint32_t sum = 0;
+  for (const auto &[name, held] : Upstreams) {
+    sum += held.Expiry > now ? held.Slots : held.InUse;
+  }
+  return sum;
+}
+
+Milliseconds SlotHolder::take(const std::string &upstream, bool patient) {
+  Held &held = Upstreams.at(upstream);
+  held.InUse += 1;
+  held.PatientInUse += patient ? 1 : 0;
+  held.Peak = std::max(held.Peak, held.InUse);
+  return held.Horizon;
+}
+
+void SlotHolder::giveBack(const std::string &upstream,
+                          std::uint64_t incarnation, bool patient) {
+  const auto found = Upstreams.find(upstream);
+  if (found == Upstreams.end() ||
+      found->second.Upstream.incarnation() != incarnation) {
+    return;
+  }
+  found->second.InUse = minus(found->second.InUse, 1);
+  found->second.PatientInUse =
+      minus(found->second.PatientInUse, patient ? 1 : 0);
+}
+
+std::uint32_t SlotHolder::inUse(const std::string &upstream) const {
+  const auto found = Upstreams.find(upstream);
+  return found == Upstreams.end() ? 0 : found->second.InUse;
+}
+
+std::uint32_t SlotHolder::idleOf(const Held &held) {
+  return minus(held.Slots, held.InUse);
+}
+
+/// Gives up what isn't used; a renewal keeps what was used since the last one.
+void SlotHolder::lower(Held &held, bool keepPeak, SteadyTime now) {
+  const bool keep = keepPeak && held.Present && held.Expiry > now;
+  const std::uint32_t wanted = keep ? held.Peak : held.InUse;
+  held.Slots = std::max(held.InUse, std::min(held.Slots, wanted));
+  held.Patient = keep ? std::min(held.Patient, held.Slots) : held.PatientInUse;
+  held.Peak = held.InUse;
+}
+
+protocol::SlotDemand SlotHolder::demandTo(const std::string &owner,
+                                          SlotShortage want, SteadyTime now) {
+  Owner &state = Owners[owner];
+  const bool keepPeak = owner != Self.Name && !state.Contended;
+  protocol::SlotDemand demand;
+  for (auto &[name, held] : Upstreams) {
+    if (held.Owner != owner || (!held.Known && held.Slots == 0)) {
+      continue;
+    }
+    lower(held, keepPeak, now);
+    held.Known = true;
+    protocol::SlotHolding &out = *demand.add_holdings();
+    out.set_upstream(name);
+    out.set_incarnation(held.Upstream.incarnation());
+    out.set_slots(held.Slots);
+    out.set_patient_slots(held.Patient);
+  }
+  state.Sequence += 1;
+  state.Index = 0;
+  state.SentAt = now;
+  state.Horizon = Horizon;
+  state.Asked = want;
+  demand.set_sequence(state.Sequence);
+  demand.set_want_urgent(want.Urgent);
+  demand.set_want_patient(want.Patient);
+  demand.set_horizon_ms(static_cast<std::uint32_t>(Horizon.count()));
+  return demand;
+}
+
+void SlotHolder::grant(const std::string &owner,
+                       const protocol::SlotGrant &grant) {
+  const auto known = Owners.find(owner);
+  if (known == Owners.end() || grant.holder_incarnation() != Self.Incarnation ||
+      grant.sequence() != known->second.Sequence ||
+      grant.index() <= known->second.Index) {
+    return;
+  }
+  Owner &state = known->second;
+  state.Index = grant.index();
+  state.FreeSlots = grant.free_slots();
+  state.Contended = grant.contended();
+  for (auto &[name, held] : Upstreams) {
+    held.Known = held.Known && (held.Owner != owner || held.Slots > 0);
+  }
+  for (const protocol::SlotHolding &it : grant.holdings()) {
+    const auto found = Upstreams.find(it.upstream());
+    if (found == Upstreams.end() || found->second.Owner != owner ||
+        found->second.Upstream.incarnation() != it.incarnation()) {
+      continue;
+    }
+    Held &held = found->second;
+    state.Asked.Urgent =
+        minus(state.Asked.Urgent, minus(it.slots(), held.Slots));
+    held.Slots = std::max(it.slots(), held.InUse);
+    held.Patient = std::max(it.patient_slots(), held.PatientInUse);
+    held.Expiry = state.SentAt + Milliseconds(grant.lease_ms());
+    held.Horizon = state.Horizon;
+    held.Known = true;
+  }
+}
+
+bool SlotHolder::hasKnown(const std::string &owner) const {
+  return std::any_of(Upstreams.begin(), Upstreams.end(), [&](const auto &it) {
+    return it.second.Owner == owner && (it.second.Known || it.second.Slots > 0);
+  });
+}
+
+bool SlotHolder::hasIdle(const std::string &owner) const {
+  return std::any_of(Upstreams.begin(), Upstreams.end(), [&](const auto &it) {
+    return it.second.Owner == owner && idleOf(it.second) > 0;
+  });
+}
+
+bool SlotHolder::renewalIsDue(const std::string &name, const Owner &owner,
+                              SteadyTime now) const {
+  return owner.SentAt + Timing.Renewal <= now && hasKnown(name);
+}
+
+/// Asks for no more than the owner is known to have free, and for one at least.
+SlotShortage SlotHolder::shareOf(SlotShortage shortage,
+                                 const Owner &owner) const {
+  const std::uint32_t limit = std::max<std::uint32_t>(owner.FreeSlots, 1);
+  SlotShortage share;
+  share.Urgent = std::min(shortage.Urgent, limit);
+  share.Patient = std::min(shortage.Patient, limit - share.Urgent);
+  return share;
+}
+
+std::vector<PeerMessage> SlotHolder::dueDemands(SlotShortage shortage,
+                                                SteadyTime now) {
+  SlotShortage missing = shortage;
+  std::vector<std::pair<std::uint32_t, std::string>> askable;
+  std::vector<std::pair<std::string, SlotShortage>> due;
+  for (const auto &[name, owner] : Owners) {
+    if (name == Self.Name) {
+      continue;
+    }
+    if (owner.Asked.any() && owner.SentAt + Timing.Renewal > now) {
+      missing.Urgent = minus(missing.Urgent, owner.Asked.Urgent);
+      missing.Patient = minus(missing.Patient, owner.Asked.Patient);
+      continue;
+    }
+    askable.emplace_back(owner.FreeSlots, name);
+  }
+  std::sort(askable.rbegin(), askable.rend());
+  for (const auto &[free, name] : askable) {
+    const Owner &owner = Owners.at(name);
+    const SlotShortage share = shareOf(missing, owner);
+    const bool returns = owner.Contended && !shortage.any() && hasIdle(name);
+    if (!share.any() && !returns && !renewalIsDue(name, owner, now)) {
+      continue;
+    }
+    missing.Urgent -= share.Urgent;
+    missing.Patient -= share.Patient;
+    due.emplace_back(name, share);
+  }
+  std::vector<PeerMessage> out;
+  for (const auto &[name, share] : due) {
+    PeerMessage message{name, {}};
+    *message.Message.mutable_demand() = demandTo(name, share, now);
+    out.push_back(std::move(message));
+  }
+  return out;
+}
+
+} // namespace masticwinch
--- /dev/null
+++ b/src/masticwinch/coordination/requests/slot_holder.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "masticwinch/coordination/requests/request_config.hpp"
+#include "masticwinch/coordination/requests/slot_owner.hpp"
+#include "masticwinch/coordination/requests/slot_timing.hpp"
+#include "masticwinch/protocol/requests.pb.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace masticwinch {
+
+/// How many requests wait for a slot, by class.
+struct SlotShortage {
+  std::uint32_t Urgent = 0;
+  std::uint32_t Patient = 0;
+
+  bool any() const { return Urgent + Patient > 0; }
+};
+
+/// The slots that this entry VM holds under lease, and which of them it uses. A
+/// slot stays in use until its dispatch has ended at the upstream or its
+/// connection is closed.
+class SlotHolder {
+public:
+  SlotHolder(EntryIncarnation self, SlotTiming timing);
+
+  void configure(const RequestConfig &config);
+
+  /// Whether a slot of the upstream is free for a dispatch that starts now.
+  bool hasFree(const std::string &upstream, bool patient, SteadyTime now) const;
+
+  /// Free slots of any upstream, by class.
+  std::uint32_t usable(SteadyTime now) const;
+
+  /// Uses a free slot; gives the longest time that the dispatch may take.
+  Milliseconds take(const std::string &upstream, bool patient);
+  void giveBack(const std::string &upstream, std::uint64_t incarnation,
+                bool patient);
+
+  std::uint32_t inUse(const std::string &upstream) const;
+
+  /// When the lease on the upstream's slots ends.
+  SteadyTime expiryOf(const std::string &upstream) const {
+    return Upstreams.at(upstream).Expiry;
+  }
+
+  /// The demand to state to an owner now. From here on no more is used than the
+  /// demand says, until the owner's grant.
+  protocol::SlotDemand demandTo(const std::string &owner, SlotShortage want,
+                                SteadyTime now);
+
+  /// Takes in a grant; one that is not for the last demand is ignored.
+  void grant(const std::string &owner, const protocol::SlotGrant &grant);
+
+  /// Demands to other entry VMs that are due: for slots that are missing here,
+  /// renewals, and returns of slots that others wait for.
+  std::vector<PeerMessage> dueDemands(SlotShortage shortage, SteadyTime now);
+
+private:
+  struct Held {
+    protocol::Upstream Upstream;
+    std::string Owner;
+    std::uint32_t Slots = 0;
+    std::uint32_t Patient = 0;
+    SteadyTime Expiry{};
+    Milliseconds Horizon{0};
+    std::uint32_t InUse = 0;
+    std::uint32_t PatientInUse = 0;
+    /// Most used at a time since the last demand.
+    std::uint32_t Peak = 0;
+    bool Present = true;
+    /// The owner may count slots for this entry VM.
+    bool Known = false;
+  };
+  struct Owner {
+    std::uint64_t Sequence = 0;
+    std::uint32_t Index = 0;
+    SteadyTime SentAt{};
+    Milliseconds Horizon{0};
+    bool Answered = true;
+    bool Contended = false;
+    std::uint32_t FreeSlots = 1;
+    SlotShortage Asked;
+  };
+
+  static std::uint32_t idleOf(const Held &held);
+  void lower(Held &held, bool keepPeak, SteadyTime now);
+  bool hasKnown(const std::string &owner) const;
+  bool hasIdle(const std::string &owner) const;
+  bool renewalIsDue(const std::string &name, const Owner &owner,
+                    SteadyTime now) const;
+  SlotShortage shareOf(SlotShortage shortage, const Owner &owner) const;
+
+  EntryIncarnation Self;
+  SlotTiming Timing;
+  Milliseconds Horizon{0};
+  std::map<std::string, Held> Upstreams;
+  std::map<std::string, Owner> Owners;
+};
+
+} // namespace masticwinch
--- /dev/null
+++ b/src/masticwinch/coordination/requests/slot_owner.cpp
@@ -0,0 +1,370 @@
+#include "masticwinch/coordination/requests/slot_owner.hpp"
+
+#include "masticwinch/coordination/requests/rendezvous.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticwinch {
+namespace {
+
+constexpr Milliseconds HandoverRepeat{100};
+
+/// One slot is kept for urgent work when there is any.
+constexpr std::uint32_t UrgentReserve = 1;
+
+std::uint32_t patientLimit(std::uint32_t slots, bool hasUrgent) {
+  return hasUrgent && slots > UrgentReserve ? slots - UrgentReserve : slots;
+}
+
+Milliseconds millisUntil(SteadyTime then, SteadyTime now) {
+  return std::chrono::ceil<Milliseconds>(std::max(then - now, {}));
+}
+
+} // namespace
+
+SlotOwner::SlotOwner(std::string self, SlotTiming timing)
+    : Self(std::move(self)), Timing(timing) {}
+
+std::vector<PeerMessage> SlotOwner::configure(const RequestConfig &config,
+                                              SteadyTime now) {
+  if (Suspended) {
+    return {};
+  }
+  EntriesRevision = config.entriesRevision();
+  LongestDeadline = std::max(LongestDeadline, config.longestDeadline());
+  DataCenters.clear();
+  for (const auto &[name, it] : config.entries()) {
+    DataCenters[name] = it.data_center();
+  }
+  releaseLost(config, now);
+  for (const auto &[name, it] : config.upstreams()) {
+    if (ownerOf(name, config.entries()) == Self) {
+      adopt(config, it, now);
+    }
+  }
+  return tick(now);
+}
+
+/// No other owner can have granted slots of an upstream that announced itself
+/// after the last change to the set of entry VMs.
+bool SlotOwner::isFresh(const RequestConfig &config,
+                        const UpstreamEntry &entry) const {
+  return entry.Revision > config.entriesRevision();
+}
+
+void SlotOwner::adopt(const RequestConfig &config, const UpstreamEntry &entry,
+                      SteadyTime now) {
+  const protocol::Upstream &upstream = entry.Upstream;
+  const auto found = Pools.find(upstream.name());
+  const bool known =
+      found != Pools.end() &&
+      found->second.Upstream.incarnation() == upstream.incarnation();
+  Pool &pool = Pools[upstream.name()];
+  if (!known) {
+    pool = Pool{};
+    const Milliseconds wait =
+        Timing.ServingLease + Timing.Lease + LongestDeadline + Timing.Margin;
+    pool.ReadyAt = isFresh(config, entry) ? now : now + wait;
+    pool.Since = EntriesRevision;
+  }
+  pool.Upstream = upstream;
+  pool.PatientLimit = patientLimit(upstream.slots(), config.hasUrgentProfile());
+}
+
+/// Pools that have another owner now are handed over, if this entry VM knew all
+/// their reservations.
+void SlotOwner::releaseLost(const RequestConfig &config, SteadyTime now) {
+  for (auto it = Pools.begin(); it != Pools.end();) {
+    Pool &pool = it->second;
+    if (keepsPool(config, pool, now)) {
+      ++it;
+      continue;
+    }
+    const std::string owner = ownerOf(it->first, config.entries());
+    if (owner != Self && !owner.empty() && pool.ReadyAt <= now) {
+      PendingHandover &pending = Handovers[owner];
+      pending.Message.set_revision(EntriesRevision);
+      *pending.Message.add_ledgers() = ledgerOf(pool, now);
+      pending.GiveUpAt = now + Timing.ServingLease;
+      pending.DueAt = now;
+    }
+    it = Pools.erase(it);
+  }
+}
+
+/// The pool of an upstream that is gone is kept without slots while something
+/// may still run there: the same incarnation may announce itself again.
+bool SlotOwner::keepsPool(const RequestConfig &config, Pool &pool,
+                          SteadyTime now) {
+  const std::string &name = pool.Upstream.name();
+  if (ownerOf(name, config.entries()) != Self) {
+    return false;
+  }
+  if (config.upstreams().contains(name)) {
+    return true;
+  }
+  pool.Upstream.set_slots(0);
+  return useOf(pool, now).Slots > 0;
+}
+
+protocol::SlotLedger SlotOwner::ledgerOf(const Pool &pool, SteadyTime now) {
+  protocol::SlotLedger ledger;
+  ledger.set_upstream(pool.Upstream.name());
+  ledger.set_incarnation(pool.Upstream.incarnation());
+  for (const auto &[holder, it] : pool.Reservations) {
+    if (it.Until <= now || it.Slots == 0) {
+      continue;
+    }
+    protocol::SlotReservation &out = *ledger.add_reservations();
+    out.set_holder(holder.Name);
+    out.set_incarnation(holder.Incarnation);
+    out.set_slots(it.Slots);
+    out.set_patient_slots(it.Patient);
+    out.set_remaining_ms(
+        static_cast<std::uint32_t>(millisUntil(it.Until, now).count()));
+  }
+  return ledger;
+}
+
+protocol::SlotHandoverReply
+SlotOwner::handover(const protocol::SlotHandover &handover, SteadyTime now) {
+  protocol::SlotHandoverReply reply;
+  if (Suspended || handover.revision() > EntriesRevision) {
+    return reply;
+  }
+  reply.set_revision(handover.revision());
+  for (const protocol::SlotLedger &it : handover.ledgers()) {
+    const auto found = Pools.find(it.upstream());
+    if (found == Pools.end() || found->second.ReadyAt <= now ||
+        found->second.Since != handover.revision() ||
+        found->second.Upstream.incarnation() != it.incarnation()) {
+      continue;
+    }
+    Pool &pool = found->second;
+    for (const protocol::SlotReservation &in : it.reservations()) {
+      const EntryIncarnation holder{in.holder(), in.incarnation()};
+      if (!pool.Reservations.contains(holder)) {
+        reserve(pool, holder, {in.slots(), in.patient_slots()},
+                now + Milliseconds(in.remaining_ms()) + Timing.Margin);
+      }
+    }
+    pool.ReadyAt = now;
+  }
+  return reply;
+}
+
+void SlotOwner::handoverReply(const std::string &from,
+                              const protocol::SlotHandoverReply &reply) {
+  const auto found = Handovers.find(from);
+  if (found != Handovers.end() &&
+      found->second.Message.revision() == reply.revision()) {
+    Handovers.erase(found);
+  }
+}
+
+std::optional<protocol::SlotGrant>
+SlotOwner::demand(const EntryIncarnation &holder,
+                  const protocol::SlotDemand &demand, SteadyTime now) {
+  if (Suspended) {
+    return std::nullopt;
+  }
+  Holder &state = Holders[holder];
+  if (demand.sequence() <= state.Sequence) {
+    return std::nullopt;
+  }
+  state.Sequence = demand.sequence();
+  state.Index = 0;
+  state.WantUrgent = demand.want_urgent();
+  state.WantPatient = demand.want_patient();
+  state.Horizon = Milliseconds(demand.horizon_ms());
+  state.DataCenter = DataCenters[holder.Name];
+  state.DemandedAt = now;
+  takeHoldings(holder, state, demand);
+  grantWanted(holder, state, now);
+  return grantFor(holder, state, now);
+}
+
+/// The holder uses no more than it states from the demand on, since it ignores
+/// grants under older sequences.
+void SlotOwner::takeHoldings(const EntryIncarnation &name, const Holder &holder,
+                             const protocol::SlotDemand &demand) {
+  for (const protocol::SlotHolding &it : demand.holdings()) {
+    const auto found = Pools.find(it.upstream());
+    if (found == Pools.end() ||
+        found->second.Upstream.incarnation() != it.incarnation()) {
+      continue;
+    }
+    reserve(found->second, name, {it.slots(), it.patient_slots()},
+            reservationEnd(holder));
+  }
+}
+
+/// A reservation never ends earlier than it was promised, since the holder may
+/// have dispatched under the earlier promise.
+void SlotOwner::reserve(Pool &pool, const EntryIncarnation &name, PoolUse use,
+                        SteadyTime until) {
+  Reservation &reservation = pool.Reservations[name];
+  reservation.Slots = use.Slots;
+  reservation.Patient = use.Patient;
+  reservation.Until = std::max(reservation.Until, until);
+}
+
+SteadyTime SlotOwner::reservationEnd(const Holder &holder) const {
+  return holder.DemandedAt + Timing.Lease + holder.Horizon + Timing.Margin;
+}
+
+std::uint32_t SlotOwner::grantWanted(const EntryIncarnation &name,
+                                     Holder &holder, SteadyTime now) {
+  std::uint32_t granted = 0;
+  while (holder.WantUrgent > 0 && grantOne(name, holder, false, now)) {
+    --holder.WantUrgent;
+    ++granted;
+  }
+  while (holder.WantPatient > 0 && grantOne(name, holder, true, now)) {
+    --holder.WantPatient;
+    ++granted;
+  }
+  return granted;
+}
+
+bool SlotOwner::grantOne(const EntryIncarnation &name, const Holder &holder,
+                         bool patient, SteadyTime now) {
+  Pool *pool = bestPool(holder, patient, now);
+  if (pool == nullptr) {
+    return false;
+  }
+  const Reservation held = pool->Reservations[name];
+  PoolUse use;
+  if (held.Until > now) {
+    use = {held.Slots, held.Patient};
+  }
+  const bool patientMay = useOf(*pool, now).Patient < pool->PatientLimit;
+  use.Slots += 1;
+  use.Patient += patientMay ? 1 : 0;
+  reserve(*pool, name, use, reservationEnd(holder));
+  return true;
+}
+
+/// The pool with the most free slots, those in the holder's data centre first.
+SlotOwner::Pool *SlotOwner::bestPool(const Holder &holder, bool patient,
+                                     SteadyTime now) {
+  Pool *best = nullptr;
+  std::pair<bool, std::uint32_t> bestRank;
+  for (auto &[name, pool] : Pools) {
+    const PoolUse use = useOf(pool, now);
+    if (pool.ReadyAt > now || use.Slots >= pool.Upstream.slots() ||
+        (patient && use.Patient >= pool.PatientLimit)) {
+      continue;
+    }
+    const std::pair<bool, std::uint32_t> rank{
+        pool.Upstream.data_center() == holder.DataCenter,
+        pool.Upstream.slots() - use.Slots};
+    if (best == nullptr || rank > bestRank) {
+      best = &pool;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+SlotOwner::PoolUse SlotOwner::useOf(const Pool &pool, SteadyTime now) {
+  PoolUse use;
+  for (const auto &[holder, it] : pool.Reservations) {
+    if (it.Until > now) {
+      use.Slots += it.Slots;
+      use.Patient += it.Patient;
+    }
+  }
+  return use;
+}
+
+protocol::SlotGrant SlotOwner::grantFor(const EntryIncarnation &name,
+                                        Holder &holder, SteadyTime now) {
+  protocol::SlotGrant grant;
+  grant.set_sequence(holder.Sequence);
+  grant.set_index(++holder.Index);
+  grant.set_holder_incarnation(name.Incarnation);
+  grant.set_lease_ms(static_cast<std::uint32_t>(Timing.Lease.count()));
+  std::uint32_t free = 0;
+  for (const auto &[upstream, pool] : Pools) {
+    const std::uint32_t used = useOf(pool, now).Slots;
+    free += pool.ReadyAt <= now && used < pool.Upstream.slots()
+                ? pool.Upstream.slots() - used
+                : 0;
+    const auto found = pool.Reservations.find(name);
+    if (found == pool.Reservations.end() || found->second.Until <= now ||
+        found->second.Slots == 0) {
+      continue;
+    }
+    protocol::SlotHolding &out = *grant.add_holdings();
+    out.set_upstream(upstream);
+    out.set_incarnation(pool.Upstream.incarnation());
+    out.set_slots(found->second.Slots);
+    out.set_patient_slots(found->second.Patient);
+  }
+  grant.set_free_slots(free);
+  grant.set_contended(someoneElseWaits(name, now));
+  return grant;
+}
+
+bool SlotOwner::someoneElseWaits(const EntryIncarnation &name,
+                                 SteadyTime now) const {
+  return std::any_of(Holders.begin(), Holders.end(), [&](const auto &it) {
+    return it.first != name && it.second.DemandedAt + Timing.Lease > now &&
+           it.second.WantUrgent + it.second.WantPatient > 0;
+  });
+}
+
+std::vector<PeerMessage> SlotOwner::tick(SteadyTime now) {
+  if (Suspended) {
+    return {};
+  }
+  std::vector<PeerMessage> out = dueHandovers(now);
+  for (auto &[name, holder] : Holders) {
+    if (name.Name == Self || holder.DemandedAt + Timing.Lease <= now ||
+        grantWanted(name, holder, now) == 0) {
+      continue;
+    }
+    PeerMessage message{name.Name, {}};
+    *message.Message.mutable_grant() = grantFor(name, holder, now);
+    out.push_back(std::move(message));
+  }
+  return out;
+}
+
+std::vector<PeerMessage> SlotOwner::dueHandovers(SteadyTime now) {
+  std::vector<PeerMessage> out;
+  std::erase_if(Handovers,
+                [now](const auto &it) { return it.second.GiveUpAt <= now; });
+  for (auto &[owner, pending] : Handovers) {
+    if (pending.DueAt > now) {
+      continue;
+    }
+    pending.DueAt = now + HandoverRepeat;
+    PeerMessage message{owner, {}};
+    *message.Message.mutable_handover() = pending.Message;
+    out.push_back(std::move(message));
+  }
+  return out;
+}
+
+/// Reservations still count if the set of entry VMs didn't change meanwhile:
+/// then nobody else was the owner.
+std::vector<PeerMessage> SlotOwner::resume(const RequestConfig &config,
+                                           SteadyTime now) {
+  if (Suspended && config.entriesRevision() != EntriesRevision) {
+    Pools.clear();
+    Handovers.clear();
+  }
+  Suspended = false;
+  return configure(config, now);
+}
+
+std::uint32_t SlotOwner::reservedOf(const std::string &upstream,
+                                    SteadyTime now) const {
+  const auto found = Pools.find(upstream);
+  return found == Pools.end() ? 0 : useOf(found->second, now).Slots;
+}
+
+} // namespace masticwinch
--- /dev/null
+++ b/src/masticwinch/coordination/requests/slot_owner.hpp
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "masticwinch/coordination/requests/request_config.hpp"
+#include "masticwinch/coordination/requests/slot_timing.hpp"
+#include "masticwinch/protocol/requests.pb.h"
+
+#include <compare>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace masticwinch {
+
+/// A message of this entry VM to another.
+struct PeerMessage {
+  std::string To;
+  protocol::RequestPeerMessage Message;
+};
+
+/// One incarnation of an entry VM.
+struct EntryIncarnation {
+  std::string Name;
+  std::uint64_t Incarnation = 0;
+
+  auto operator<=>(const EntryIncarnation &) const = default;
+};
+
+/// Grants leases on the slots of the upstreams that this entry VM owns. The
+/// leases of one upstream never exceed its slots in sum: a reservation ends
+/// only when its holder lowered it, or when its lease and the longest dispatch
+/// under it have passed. A new owner grants nothing until the former one handed
+/// over its reservations, or until these must all have ended.
+class SlotOwner {
+public:
+  SlotOwner(std::string self, SlotTiming timing);
+
+  /// Takes in a changed configuration; gives the messages that hand over what
+  /// this entry VM no longer owns.
+  std::vector<PeerMessage> configure(const RequestConfig &config,
+                                     SteadyTime now);
+
+  /// Answers a holder's demand; nothing for an outdated one.
+  std::optional<protocol::SlotGrant> demand(const EntryIncarnation &holder,
+                                            const protocol::SlotDemand &demand,
+                                            SteadyTime now);
+
+  /// Takes in the reservations of a former owner.
+  protocol::SlotHandoverReply handover(const protocol::SlotHandover &handover,
+                                       SteadyTime now);
+  void handoverReply(const std::string &from,
+                     const protocol::SlotHandoverReply &reply);
+
+  /// Grants freed slots to waiting holders and repeats handovers.
+  std::vector<PeerMessage> tick(SteadyTime now);
+
+  /// Grants nothing from now on: this entry VM may no longer be the owner.
+  void suspend() { Suspended = true; }
+
+  /// Goes on under a configuration that is known to be current.
+  std::vector<PeerMessage> resume(const RequestConfig &config, SteadyTime now);
+
+  /// Slots of one upstream that are reserved, for checks.
+  std::uint32_t reservedOf(const std::string &upstream, SteadyTime now) const;
+
+private:
+  struct Reservation {
+    std::uint32_t Slots = 0;
+    std::uint32_t Patient = 0;
+    /// When the holder and its dispatches must have ended.
+    SteadyTime Until{};
+  };
+  struct Pool {
+    protocol::Upstream Upstream;
+    std::uint32_t PatientLimit = 0;
+    std::map<EntryIncarnation, Reservation> Reservations;
+    /// Before it, only what holders have already is confirmed.
+    SteadyTime ReadyAt{};
+    /// Revision of the entry VMs under which this one became the owner.
+    std::uint64_t Since = 0;
+  };
+  struct Holder {
+    std::uint64_t Sequence = 0;
+    std::uint32_t Index = 0;
+    std::uint32_t WantUrgent = 0;
+    std::uint32_t WantPatient = 0;
+    std::string DataCenter;
+    Milliseconds Horizon{0};
+    SteadyTime DemandedAt{};
+  };
+  struct PendingHandover {
+    protocol::SlotHandover Message;
+    SteadyTime DueAt{};
+    SteadyTime GiveUpAt{};
+  };
+  struct PoolUse {
+    std::uint32_t Slots = 0;
+    std::uint32_t Patient = 0;
+  };
+
+  bool isFresh(const RequestConfig &config, const UpstreamEntry &entry) const;
+  void adopt(const RequestConfig &config, const UpstreamEntry &entry,
+             SteadyTime now);
+  void releaseLost(const RequestConfig &config, SteadyTime now);
+  bool keepsPool(const RequestConfig &config, Pool &pool, SteadyTime now);
+  static void reserve(Pool &pool, const EntryIncarnation &name, PoolUse use,
+                      SteadyTime until);
+  static protocol::SlotLedger ledgerOf(const Pool &pool, SteadyTime now);
+  static PoolUse useOf(const Pool &pool, SteadyTime now);
+  std::vector<PeerMessage> dueHandovers(SteadyTime now);
+  void takeHoldings(const EntryIncarnation &name, const Holder &holder,
+                    const protocol::SlotDemand &demand);
+  std::uint32_t grantWanted(const EntryIncarnation &name, Holder &holder,
+                            SteadyTime now);
+  bool grantOne(const EntryIncarnation &name, const Holder &holder,
+                bool patient, SteadyTime now);
+  Pool *bestPool(const Holder &holder, bool patient, SteadyTime now);
+  protocol::SlotGrant grantFor(const EntryIncarnation &name, Holder &holder,
+                               SteadyTime now);
+  SteadyTime reservationEnd(const Holder &holder) const;
+  bool someoneElseWaits(const EntryIncarnation &name, SteadyTime now) const;
+
+  std::string Self;
+  SlotTiming Timing;
+  std::map<std::string, Pool> Pools;
+  std::map<EntryIncarnation, Holder> Holders;
+  std::map<std::string, std::string> DataCenters;
+  std::map<std::string, PendingHandover> Handovers;
+  Milliseconds LongestDeadline{0};
+  std::uint64_t EntriesRevision = 0;
+  bool Suspended = false;
+};
+
+} // namespace masticwinch
--- /dev/null
+++ b/src/masticwinch/coordination/requests/slot_timing.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "masticwinch/common/clock.hpp"
+
+namespace masticwinch {
+
+/// Times that the leases of upstream slots depend on; equal on all entry VMs.
+struct SlotTiming {
+  /// How long a grant lasts, from the sending of its demand.
+  Milliseconds Lease{1000};
+  /// Added on the granting side for clock drift and for the closing of
+  /// connections after a timeout.
+  Milliseconds Margin{250};
+  /// How long an entry VM may serve after it last heard from the leader.
+  Milliseconds ServingLease{3000};
+  /// How often a holder renews.
+  Milliseconds Renewal{300};
+};
+
+} // namespace masticwinch
--- /dev/null
+++ b/tests/coordination/requests/test_dispatcher.cpp
@@ -0,0 +1,275 @@
+#include <catch2/catch.hpp>
+
+#include "tests/coordination/requests/dispatcher_fixture.hpp"
+
+using namespace masticwinch;
+using namespace masticwinch::testing;
+
+namespace {
+
+const auto Lookup =
+    std::make_pair(std::string("lookup"), policyOf(protocol::URGENT, true));
+const auto Billed =
+    std::make_pair(std::string("billed"), policyOf(protocol::URGENT, false));
+const auto Sheet =
+    std::make_pair(std::string("sheet"), policyOf(protocol::PATIENT, true));
+
+} // namespace
+
+TEST_CASE("An answered request gets its answer", "[requests][dispatcher]") {
+  DispatcherFixture f({Lookup});
+  f.arrive("lookup");
+  REQUIRE(f.Starts.size() == 1);
+
+  f.end(f.Starts[0].Number, DispatchResult::Answered);
+
+  REQUIRE(f.Replies.size() == 1);
+  CHECK(f.Replies[0].Outcome == RequestOutcome::Answered);
+  CHECK(f.Replies[0].Whole->Body == "body");
+  CHECK(f.Replies[0].Attempts == 1);
+  CHECK(f.Machine.idle());
+}
+
+TEST_CASE("A request that isn't repeatable is sent once when bytes left",
+          "[requests][dispatcher]") {
+  const auto result =
+      GENERATE(DispatchResult::Broken, DispatchResult::TimedOut);
+  DispatcherFixture f({Billed});
+  f.arrive("billed");
+  CHECK(f.Starts.at(0).FreshConnection);
+
+  f.end(f.Starts.at(0).Number, result);
+  f.advance(Milliseconds(500));
+
+  CHECK(f.Starts.size() == 1);
+  REQUIRE(f.Replies.size() == 1);
+  CHECK(f.Replies[0].Outcome == RequestOutcome::Unknown);
+}
+
+TEST_CASE("A request that proved not run is sent to another upstream",
+          "[requests][dispatcher]") {
+  const auto result =
+      GENERATE(DispatchResult::NotSent, DispatchResult::RefusedNotRun);
+  DispatcherFixture f({Billed});
+  f.arrive("billed");
+  f.end(f.Starts.at(0).Number, result);
+  CHECK(f.Replies.empty());
+
+  f.advance(Milliseconds(100));
+
+  REQUIRE(f.Starts.size() == 2);
+  CHECK(f.Starts[0].Upstream != f.Starts[1].Upstream);
+}
+
+TEST_CASE("A request that no upstream took ends as not run at once",
+          "[requests][dispatcher]") {
+  DispatcherFixture f({Billed});
+  f.arrive("billed");
+  for (std::size_t i = 0; i < 3; ++i) {
+    f.advance(Milliseconds(100));
+    REQUIRE(f.Starts.size() == i + 1);
+    f.end(f.Starts[i].Number, DispatchResult::NotSent);
+  }
+  REQUIRE(f.Replies.size() == 1);
+  CHECK(f.Replies[0].Outcome == RequestOutcome::NotRun);
+  CHECK(f.Replies[0].RetryAfter > Milliseconds(0));
+  CHECK(f.Replies[0].Attempts == 3);
+}
+
+TEST_CASE("Slots are never exceeded and stay counted after a timeout",
+          "[requests][dispatcher]") {
+  DispatcherFixture f({Billed}, 1, 1);
+  f.arrive("billed");
+  f.advance(Milliseconds(600));
+  f.arrive("billed");
+  f.advance(Milliseconds(400));
+  CHECK(f.Cancels.size() == 1);
+  CHECK(f.Replies.size() == 1);
+  CHECK(f.Starts.size() == 1);
+
+  f.end(f.Cancels.at(0), DispatchResult::Cancelled);
+
+  CHECK(f.Starts.size() == 2);
+}
+
+TEST_CASE("A claim is granted before its request is sent",
+          "[requests][dispatcher]") {
+  DispatcherFixture f({Billed});
+  const RequestNumber number = f.arrive("billed", "k");
+  CHECK(f.Starts.empty());
+  REQUIRE(f.Claims.size() == 1);
+
+  SECTION("granted") {
+    f.claim(number, protocol::CLAIM_GRANTED);
+    REQUIRE(f.Starts.size() == 1);
+    f.end(f.Starts[0].Number, DispatchResult::Answered);
+    CHECK(f.Claims.at(1).complete().answer().body() == "body");
+  }
+  SECTION("granted after the caller left") {
+    f.Machine.callerGone(number, f.now());
+    f.claim(number, protocol::CLAIM_GRANTED);
+    CHECK(f.Starts.empty());
+    CHECK(f.Replies.empty());
+    CHECK(f.Claims.at(1).has_release());
+  }
+  SECTION("granted after the deadline") {
+    f.advance(Milliseconds(1000));
+    CHECK(f.Replies.at(0).Outcome == RequestOutcome::Unknown);
+    f.claim(number, protocol::CLAIM_GRANTED);
+    CHECK(f.Starts.empty());
+    CHECK(f.Claims.at(1).has_release());
+  }
+  SECTION("in progress elsewhere") {
+    f.claim(number, protocol::CLAIM_IN_PROGRESS);
+    CHECK(f.Starts.empty());
+    CHECK(f.Replies.at(0).Reason == RefusalReason::InProgress);
+    CHECK(f.Replies.at(0).Outcome == RequestOutcome::Unknown);
+  }
+  CHECK((f.Machine.idle() || !f.Starts.empty()));
+}
+
+TEST_CASE("What waits ends as not run when the serving lease is lost",
+          "[requests][dispatcher]") {
+  DispatcherFixture f({Billed}, 1, 1);
+  f.arrive("billed");
+  f.arrive("billed");
+  f.Machine.fence(f.now());
+  f.collect();
+  REQUIRE(f.Replies.size() == 1);
+  CHECK(f.Replies[0].Outcome == RequestOutcome::NotRun);
+
+  f.arrive("billed");
+  CHECK(f.Replies.at(1).Reason == RefusalReason::NotServing);
+  f.end(f.Starts.at(0).Number, DispatchResult::Answered);
+  CHECK(f.Replies.at(2).Outcome == RequestOutcome::Answered);
+  CHECK(f.Starts.size() == 1);
+}
+
+TEST_CASE("Lookups find a slot while patient work waits",
+          "[requests][dispatcher]") {
+  DispatcherFixture f({Lookup, Sheet}, 1, 4);
+  for (int i = 0; i < 10; ++i) {
+    f.arrive("sheet");
+  }
+  CHECK(f.Starts.size() == 3);
+
+  const RequestNumber lookup = f.arrive("lookup");
+
+  REQUIRE(f.Starts.size() == 4);
+  CHECK(f.Starts[3].Request == lookup);
+}
+
+TEST_CASE("Patient work gets its turn among lookups",
+          "[requests][dispatcher]") {
+  DispatcherFixture f({Lookup, Sheet}, 1, 1);
+  const RequestNumber first = f.arrive("lookup");
+  const RequestNumber sheet = f.arrive("sheet");
+  for (int i = 0; i < 20; ++i) {
+    f.arrive("lookup");
+  }
+  REQUIRE(f.Starts.at(0).Request == first);
+  bool served = false;
+  for (std::size_t i = 0; i < 10 && !served; ++i) {
+    f.end(f.Starts.at(i).Number, DispatchResult::Answered);
+    served = f.Starts.at(i + 1).Request == sheet;
+  }
+  CHECK(served);
+}
+
+TEST_CASE("A full queue refuses with a time to come back",
+          "[requests][dispatcher]") {
+  auto small = Billed;
+  small.second.set_queue_length(1);
+  DispatcherFixture f({small}, 1, 1);
+  f.arrive("billed");
+  f.arrive("billed");
+  f.arrive("billed");
+  REQUIRE(f.Replies.size() == 1);
+  CHECK(f.Replies[0].Reason == RefusalReason::QueueFull);
+  CHECK(f.Replies[0].Outcome == RequestOutcome::NotRun);
+  CHECK(f.Replies[0].RetryAfter > Milliseconds(0));
+}
+
+TEST_CASE("A rate limit refuses until its time has come",
+          "[requests][dispatcher]") {
+  auto limited = Billed;
+  limited.second.set_rate_per_second(1);
+  DispatcherFixture f({limited}, 1, 8);
+  f.arrive("billed");
+  f.arrive("billed");
+  REQUIRE(f.Replies.size() == 1);
+  CHECK(f.Replies[0].Reason == RefusalReason::RateLimit);
+  f.advance(f.Replies[0].RetryAfter);
+  f.arrive("billed");
+  CHECK(f.Starts.size() == 2);
+}
+
+TEST_CASE("A request that can't meet its deadline is refused early",
+          "[requests][dispatcher]") {
+  DispatcherFixture f({Billed}, 1, 1);
+  f.arrive("billed");
+  f.Clock.advance(Milliseconds(400));
+  f.end(f.Starts.at(0).Number, DispatchResult::Answered);
+  for (int i = 0; i < 5; ++i) {
+    f.arrive("billed");
+  }
+  REQUIRE(f.Replies.size() >= 2);
+  CHECK(f.Replies[1].Reason == RefusalReason::DeadlineUnmeetable);
+}
+
+TEST_CASE("An upstream that fails at once draws no more load",
+          "[requests][dispatcher]") {
+  DispatcherFixture f({Lookup}, 4, 8);
+  std::size_t toBroken = 0;
+  for (int i = 0; i < 100; ++i) {
+    f.arrive("lookup");
+    const StartDispatch start = f.Starts.back();
+    const bool broken = start.Upstream == "u0";
+    toBroken += broken ? 1 : 0;
+    f.Clock.advance(Milliseconds(broken ? 0 : 5));
+    f.end(start.Number,
+          broken ? DispatchResult::Broken : DispatchResult::Answered);
+  }
+  CHECK(f.Machine.counts(f.now()).Ejected == 1);
+  CHECK(toBroken < 20);
+}
+
+TEST_CASE("A slow repeatable request is sent to a second upstream",
+          "[requests][dispatcher]") {
+  auto hedged = Lookup;
+  hedged.second.set_hedge_after_ms(50);
+  DispatcherFixture f({hedged});
+  f.arrive("lookup");
+  f.advance(Milliseconds(50));
+  REQUIRE(f.Starts.size() == 2);
+  CHECK(f.Starts[0].Upstream != f.Starts[1].Upstream);
+
+  f.end(f.Starts[1].Number, DispatchResult::Answered);
+  CHECK(f.Replies.size() == 1);
+  CHECK(f.Cancels == std::vector<DispatchNumber>{f.Starts[0].Number});
+}
+
+TEST_CASE("A caller that leaves cancels what hasn't started",
+          "[requests][dispatcher]") {
+  DispatcherFixture f({Billed}, 1, 1);
+  f.arrive("billed");
+  const RequestNumber waiting = f.arrive("billed");
+  f.Machine.callerGone(waiting, f.now());
+  f.end(f.Starts.at(0).Number, DispatchResult::Answered);
+  CHECK(f.Starts.size() == 1);
+  CHECK(f.Replies.size() == 1);
+  CHECK(f.Machine.idle());
+}
+
+TEST_CASE("An unknown profile and a stop refuse clearly",
+          "[requests][dispatcher]") {
+  DispatcherFixture f({Billed});
+  f.arrive("other");
+  CHECK(f.Replies.at(0).Reason == RefusalReason::UnknownProfile);
+  f.arrive("billed");
+  f.Machine.drain();
+  f.arrive("billed");
+  CHECK(f.Replies.at(1).Reason == RefusalReason::Draining);
+  f.end(f.Starts.at(0).Number, DispatchResult::Answered);
+  CHECK(f.Replies.at(2).Outcome == RequestOutcome::Answered);
+}
