Add the pure decision core of placement

Placement had only its messages. This adds the account of resources in integers (the one place that changes a reservation), worker leases bound to the worker's own clock reading so that calls held up anywhere are harmless, three policies as templates, fair shares with quotas, gangs with reservation and backfill, preemption by checkpoint, learnt sizes, ejection of bad VMs, back-off of bad jobs, drain, takeover by a new leader and explain. Performance is not measured yet.

--- /dev/null
+++ b/src/masticwinch/coordination/placement/internal/gang_planner.cpp
@@ -0,0 +1,219 @@
+#include "masticwinch/coordination/placement/internal/gang_planner.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+
+namespace masticwinch::placement::internal {
+
+namespace {
+
+/// VMs that a plan looks at, so that it stays short in large cells.
+constexpr std::uint32_t MostPlanned = 2048;
+constexpr std::size_t MostUrgentReservations = 32;
+constexpr std::size_t MostPatientReservations = 1;
+
+/// How many times the amount fits.
+std::int64_t timesIn(const Resources &amount, const Resources &room) {
+  std::int64_t times = std::numeric_limits<std::int32_t>::max();
+  const auto limit = [&](std::int64_t each, std::int64_t all) {
+    if (each > 0) {
+      times = std::min(times, std::max<std::int64_t>(0, all) / each);
+    }
+  };
+  limit(amount.MilliProcessors, room.MilliProcessors);
+  limit(amount.MemoryMib, room.MemoryMib);
+  limit(amount.Accelerators, room.Accelerators);
+  return times;
+}
+
+} // namespace
+
+bool preemptOn(PlacerState &state, WorkerIndex vm, const Resources &amount) {
+  Resources coming = state.Account.free(vm);
+  std::vector<TaskIndex> victims;
+  for (const TaskIndex it : state.Workers[vm].Attempts) {
+    if (state.Attempts[it].State == AttemptState::Stopping) {
+      coming += state.Attempts[it].Amount;
+    } else if (state.Attempts[it].CountsReclaimable) {
+      victims.push_back(it);
+    }
+  }
+  // Those that can go on from a checkpoint first, then the youngest.
+  const auto cost = [&](TaskIndex it) {
+    const Attempt &attempt = state.Attempts[it];
+    return std::pair(!state.Jobs[attempt.Job].Terms.Checkpoint,
+                     state.Now - attempt.StartedAt);
+  };
+  std::sort(victims.begin(), victims.end(),
+            [&](TaskIndex a, TaskIndex b) { return cost(a) < cost(b); });
+  for (const TaskIndex it : victims) {
+    if (amount.fitsIn(coming)) {
+      break;
+    }
+    coming += state.Attempts[it].Amount;
+    state.orderStop(it, StopReason::Preempted);
+  }
+  return amount.fitsIn(coming);
+}
+
+std::vector<WorkerIndex>
+GangPlanner::fitAll(JobIndex job, const Resources &amount, std::size_t tasks) {
+  VmChooser chooser(State);
+  std::vector<WorkerIndex> vms;
+  while (vms.size() < tasks) {
+    const WorkerIndex vm = chooser.choose(job, amount);
+    if (vm == NoIndex || !State.Account.tryReserve(vm, amount)) {
+      break;
+    }
+    State.countDomain(State.Jobs[job], vm, true);
+    vms.push_back(vm);
+  }
+  for (const WorkerIndex vm : vms) {
+    State.Account.release(vm, amount);
+    State.countDomain(State.Jobs[job], vm, false);
+  }
+  if (vms.size() < tasks) {
+    vms.clear();
+  }
+  return vms;
+}
+
+bool GangPlanner::mayReserve(const Job &job) const {
+  const Tier tier = job.Terms.InTier;
+  const auto same = static_cast<std::size_t>(std::count_if(
+      State.Reservations.begin(), State.Reservations.end(),
+      [&](auto &it) { return State.Jobs[it.first].Terms.InTier == tier; }));
+  const std::size_t most =
+      tier == Tier::Urgent ? MostUrgentReservations : MostPatientReservations;
+  return same < most;
+}
+
+void GangPlanner::reserve(JobIndex index, const Resources &amount,
+                          std::size_t tasks) {
+  const Job &job = State.Jobs[index];
+  if (State.Reservations.contains(index) || !mayReserve(job)) {
+    return;
+  }
+  std::vector<Opening> found = openings(job, amount, tasks);
+  if (found.size() < tasks || found[tasks - 1].From == SteadyTime::max()) {
+    return;
+  }
+  found.resize(tasks);
+  Reservation &reservation = State.Reservations[index];
+  reservation.MadeAt = State.Now;
+  reservation.StartsAt = found.back().From;
+  for (const Opening &it : found) {
+    if (State.Workers[it.Vm].ReservedFor == NoIndex) {
+      State.keepFor(index, it.Vm);
+    }
+  }
+  State.Jobs[index].Reason = WaitReason::Reservation;
+  State.notice(PlacementEvent::GangReserved, index);
+  if (job.Terms.InTier == Tier::Urgent) {
+    clearFor(amount, found);
+  }
+}
+
+std::vector<GangPlanner::Opening> GangPlanner::openings(const Job &job,
+                                                        const Resources &amount,
+                                                        std::size_t tasks) {
+  const WorkerIndex count = State.Account.size();
+  const auto most = static_cast<WorkerIndex>(std::min<std::size_t>(
+      count, std::max<std::size_t>(MostPlanned, 4 * tasks)));
+  const bool whole = most == count;
+  const auto start =
+      static_cast<WorkerIndex>(whole ? 0 : State.Random() % count);
+  std::vector<Opening> found;
+  for (WorkerIndex it = 0; it < most; ++it) {
+    const WorkerIndex vm = (start + it) % count;
+    const Worker &worker = State.Workers[vm];
+    const bool usable = worker.Lease.heard() && !worker.Silent &&
+                        !worker.Draining && worker.ReservedFor == NoIndex &&
+                        worker.Failures.EjectedUntil <= State.Now;
+    if (usable && amount.fitsIn(State.Account.capacity(vm))) {
+      openingsOn(vm, amount, job.Terms.InTier == Tier::Urgent, found);
+    }
+  }
+  std::sort(found.begin(), found.end());
+  return found;
+}
+
+void GangPlanner::openingsOn(WorkerIndex vm, const Resources &amount,
+                             bool urgent, std::vector<Opening> &out) const {
+  struct End {
+    SteadyTime At;
+    Resources Amount;
+  };
+  std::vector<End> ends;
+  for (const TaskIndex it : State.Workers[vm].Attempts) {
+    const Attempt &attempt = State.Attempts[it];
+    const bool preempted = urgent && attempt.CountsReclaimable;
+    const SteadyTime end = preempted ? State.Now + State.Settings.StopGrace
+                                     : State.expectedEnd(attempt);
+    if (end != SteadyTime::max()) {
+      ends.push_back({end, attempt.Amount});
+    }
+  }
+  std::sort(ends.begin(), ends.end(),
+            [](const End &a, const End &b) { return a.At < b.At; });
+  Resources room = State.Account.free(vm);
+  std::int64_t fits = timesIn(amount, room);
+  for (std::int64_t it = 0; it < fits; ++it) {
+    out.push_back({State.Now, vm});
+  }
+  for (const End &end : ends) {
+    room += end.Amount;
+    const std::int64_t more = timesIn(amount, room);
+    for (; fits < more; ++fits) {
+      out.push_back({end.At, vm});
+    }
+  }
+}
+
+void GangPlanner::clearFor(const Resources &amount,
+                           const std::vector<Opening> &chosen) {
+  std::map<WorkerIndex, std::int64_t> perVm;
+  for (const Opening &it : chosen) {
+    ++perVm[it.Vm];
+  }
+  for (const auto &[vm, tasks] : perVm) {
+    preemptOn(State, vm, amount * tasks);
+  }
+}
+
+bool GangPlanner::stopBackfilled(const Reservation &reservation) {
+  bool any = false;
+  for (const WorkerIndex vm : reservation.Vms) {
+    const std::vector<TaskIndex> attempts = State.Workers[vm].Attempts;
+    for (const TaskIndex it : attempts) {
+      const Attempt &attempt = State.Attempts[it];
+      if (attempt.Backfilled && attempt.State != AttemptState::Stopping) {
+        State.orderStop(it, StopReason::Preempted);
+        any = true;
+      }
+    }
+  }
+  return any;
+}
+
+void GangPlanner::review() {
+  std::vector<JobIndex> failed;
+  for (auto &[job, reservation] : State.Reservations) {
+    const SteadyTime late =
+        reservation.StartsAt + State.Settings.BackfillOverrun;
+    if (State.Now < late) {
+      continue;
+    }
+    if (stopBackfilled(reservation)) {
+      reservation.StartsAt = State.Now;
+    } else {
+      failed.push_back(job);
+    }
+  }
+  for (const JobIndex it : failed) {
+    State.dropReservation(it);
+  }
+}
+
+} // namespace masticwinch::placement::internal
--- /dev/null
+++ b/src/masticwinch/coordination/placement/internal/reconciler.cpp
@@ -0,0 +1,334 @@
+#include "masticwinch/coordination/placement/internal/reconciler.hpp"
+
+#include <algorithm>
+
+namespace masticwinch::placement::internal {
+
+TaskIndex Reconciler::findAttempt(WorkerIndex vm, std::uint64_t number) const {
+  for (const TaskIndex it : State.Workers[vm].Attempts) {
+    if (State.Attempts[it].Number == number) {
+      return it;
+    }
+  }
+  return NoIndex;
+}
+
+void Reconciler::takeAnswer(WorkerIndex vm, std::uint64_t sequence,
+                            const WorkerAnswer &answer) {
+  Worker &worker = State.Workers[vm];
+  const LeaseNews news =
+      worker.Lease.answered(sequence, answer.Reading, State.Now);
+  if (news == LeaseNews::Outdated) {
+    return;
+  }
+  worker.Silent = false;
+  worker.Forgetting.clear();
+  std::vector<std::uint64_t> reported;
+  for (const TaskReport &it : answer.Tasks) {
+    reported.push_back(it.Id.Number);
+    takeReport(vm, it);
+  }
+  const bool renewed = news == LeaseNews::NewIncarnation;
+  closeUnreported(vm, sequence, renewed, reported);
+  if (renewed) {
+    std::erase_if(worker.Orphans, [&](const auto &it) {
+      return std::find(reported.begin(), reported.end(), it.first) ==
+             reported.end();
+    });
+    takeCapacity(vm);
+    State.notice(PlacementEvent::WorkerHeard, NoIndex, 0, 0, vm);
+  }
+  State.refreshOffer(vm);
+  scheduleNextCall(vm);
+}
+
+void Reconciler::takeCapacity(WorkerIndex vm) {
+  Worker &worker = State.Workers[vm];
+  const bool holds = State.Account.reserved(vm).fitsIn(worker.Announced);
+  if (holds && worker.Announced != State.Account.capacity(vm)) {
+    State.Account.setCapacity(vm, worker.Announced);
+    State.LargestVm = maxOf(State.LargestVm, worker.Announced);
+    State.judgeAllRunnable();
+  }
+}
+
+void Reconciler::callFailed(WorkerIndex vm, std::uint64_t sequence) {
+  Worker &worker = State.Workers[vm];
+  worker.Lease.failed(sequence);
+  worker.Silent = true;
+  for (AttemptId &it : worker.Forgetting) {
+    State.forget(vm, std::move(it));
+  }
+  worker.Forgetting.clear();
+  State.refreshOffer(vm);
+  if (worker.Lease.heard() && worker.Lease.ranOut(State.Now)) {
+    loseWorker(vm);
+  }
+  const SteadyTime retry = State.Now + State.Settings.Lease.RenewEvery;
+  const SteadyTime end = worker.Lease.endsBy() + Milliseconds(1);
+  worker.NextCall = SteadyTime::max();
+  State.callAt(vm, end > State.Now ? std::min(retry, end) : retry);
+}
+
+void Reconciler::loseWorker(WorkerIndex vm) {
+  Worker &worker = State.Workers[vm];
+  worker.Lease.forget();
+  State.notice(PlacementEvent::WorkerLost, NoIndex, 0, 0, vm);
+  while (!worker.Attempts.empty()) {
+    lose(worker.Attempts.back());
+  }
+  State.refreshOffer(vm);
+}
+
+void Reconciler::takeReport(WorkerIndex vm, const TaskReport &report) {
+  const TaskIndex index = findAttempt(vm, report.Id.Number);
+  if (index == NoIndex) {
+    takeUnknown(vm, report);
+    return;
+  }
+  const Attempt &attempt = State.Attempts[index];
+  if (attempt.Job == NoIndex) {
+    if (report.State != ReportedState::Running) {
+      endAndForget(index, TaskState::Waiting);
+    }
+    return;
+  }
+  const Job &job = State.Jobs[attempt.Job];
+  if (report.Used.MemoryMib > 0 || report.Used.MilliProcessors > 0) {
+    State.Learners[job.Learner].observeUsage(report.Used);
+  }
+  switch (report.State) {
+  case ReportedState::Running:
+    State.confirmRunning(index, State.Now);
+    break;
+  case ReportedState::Finished:
+    finished(index);
+    break;
+  case ReportedState::Failed:
+    failed(index);
+    break;
+  case ReportedState::Stopped:
+    stopped(index, report.Checkpoint);
+    break;
+  }
+}
+
+void Reconciler::endWithRecord(TaskIndex index, TaskState end) {
+  const Attempt attempt = State.Attempts[index];
+  State.recordEnd(attempt.Job, attempt.Task, end, attempt.Vm, attempt.Number);
+  State.closeAttempt(index, end);
+}
+
+void Reconciler::endAndForget(TaskIndex index, TaskState next) {
+  const Attempt attempt = State.Attempts[index];
+  State.forget(attempt.Vm, State.idOf(attempt));
+  State.closeAttempt(index, next);
+  if (attempt.Job == NoIndex) {
+    State.Workers[attempt.Vm].Orphans.erase(attempt.Number);
+  }
+}
+
+void Reconciler::finished(TaskIndex index) {
+  const Attempt attempt = State.Attempts[index];
+  Job &job = State.Jobs[attempt.Job];
+  State.Failures.succeeded(job.Failures, State.Workers[attempt.Vm].Failures);
+  State.notice(PlacementEvent::TaskFinished, attempt.Job, attempt.Task,
+               attempt.Number, attempt.Vm);
+  if (job.Terms.Kind == JobKind::Service) {
+    endAndForget(index, TaskState::Waiting);
+    return;
+  }
+  if (attempt.CountsRunning) {
+    State.Learners[job.Learner].observeFinish(
+        std::chrono::duration_cast<Milliseconds>(State.Now -
+                                                 attempt.StartedAt));
+  }
+  job.Checkpoints.erase(attempt.Task);
+  endWithRecord(index, TaskState::Finished);
+}
+
+void Reconciler::failed(TaskIndex index) {
+  const Attempt attempt = State.Attempts[index];
+  Job &job = State.Jobs[attempt.Job];
+  State.notice(PlacementEvent::TaskFailed, attempt.Job, attempt.Task,
+               attempt.Number, attempt.Vm);
+  if (attempt.Stop != StopReason::None) {
+    stopped(index, "");
+    return;
+  }
+  Worker &worker = State.Workers[attempt.Vm];
+  if (!job.Terms.PerTask.fitsIn(attempt.Amount)) {
+    State.Learners[job.Learner].observeShortfall();
+  } else {
+    const bool ejected = worker.Failures.EjectedUntil > State.Now;
+    const auto mayEject =
+        static_cast<std::size_t>(State.Settings.Failures.MostEjectedPercent);
+    State.Failures.failed(
+        job.Failures, attempt.Job, worker.Failures, attempt.Vm,
+        State.Ejected * 100 <= State.Workers.size() * mayEject, State.Now);
+    if (!ejected && worker.Failures.EjectedUntil > State.Now) {
+      ++State.Ejected;
+      State.EjectedVms.emplace(worker.Failures.EjectedUntil, attempt.Vm);
+      State.notice(PlacementEvent::WorkerEjected, NoIndex, 0, 0, attempt.Vm);
+    }
+  }
+  if (!job.Terms.Repeatable) {
+    endWithRecord(index, TaskState::Failed);
+  } else {
+    endAndForget(index, TaskState::Waiting);
+    State.holdBack(attempt.Job);
+  }
+  restartGang(attempt.Job);
+}
+
+void Reconciler::stopped(TaskIndex index, const std::string &checkpoint) {
+  const Attempt attempt = State.Attempts[index];
+  Job &job = State.Jobs[attempt.Job];
+  if (!checkpoint.empty()) {
+    job.Checkpoints[attempt.Task] = checkpoint;
+  }
+  if (job.Terms.Cancelled) {
+    State.notice(PlacementEvent::TaskCancelled, attempt.Job, attempt.Task,
+                 attempt.Number, attempt.Vm);
+    endAndForget(index, TaskState::Cancelled);
+    return;
+  }
+  if (attempt.Stop == StopReason::Replaced) {
+    State.notice(PlacementEvent::TaskReplaced, attempt.Job, attempt.Task,
+                 attempt.Number, attempt.Vm);
+    endWithRecord(index, TaskState::Replaced);
+    return;
+  }
+  if (job.Terms.Repeatable || !checkpoint.empty()) {
+    State.notice(PlacementEvent::TaskWaits, attempt.Job, attempt.Task,
+                 attempt.Number, attempt.Vm);
+    endAndForget(index, TaskState::Waiting);
+  } else {
+    endWithRecord(index, TaskState::Failed);
+  }
+  restartGang(attempt.Job);
+}
+
+void Reconciler::lose(TaskIndex index) {
+  const Attempt attempt = State.Attempts[index];
+  if (attempt.Job == NoIndex) {
+    State.closeAttempt(index, TaskState::Waiting);
+    State.Workers[attempt.Vm].Orphans.erase(attempt.Number);
+    return;
+  }
+  const Job &job = State.Jobs[attempt.Job];
+  const bool mayHaveRun = attempt.ToldIn != 0;
+  if (job.Terms.Repeatable || !mayHaveRun) {
+    State.notice(PlacementEvent::TaskWaits, attempt.Job, attempt.Task,
+                 attempt.Number, attempt.Vm);
+    State.closeAttempt(index, TaskState::Waiting);
+  } else {
+    State.notice(PlacementEvent::TaskUnknown, attempt.Job, attempt.Task,
+                 attempt.Number, attempt.Vm);
+    endWithRecord(index, TaskState::Unknown);
+  }
+  restartGang(attempt.Job);
+}
+
+void Reconciler::restartGang(JobIndex index) {
+  Job &job = State.Jobs[index];
+  const bool gang = job.Terms.Kind == JobKind::Gang;
+  if (gang && !job.Restarting && !job.Ended && !job.Attempts.empty()) {
+    job.Restarting = true;
+    State.RestartingGangs.push_back(index);
+  }
+}
+
+void Reconciler::closeUnreported(WorkerIndex vm, std::uint64_t sequence,
+                                 bool renewed,
+                                 const std::vector<std::uint64_t> &reported) {
+  const std::vector<TaskIndex> attempts = State.Workers[vm].Attempts;
+  for (const TaskIndex it : attempts) {
+    const Attempt &attempt = State.Attempts[it];
+    const bool told = attempt.ToldIn != 0 && attempt.ToldIn <= sequence;
+    if (attempt.Vm != vm || !told ||
+        std::find(reported.begin(), reported.end(), attempt.Number) !=
+            reported.end()) {
+      continue;
+    }
+    const bool onlyThisCall = attempt.ToldIn == sequence;
+    const bool neverRan = !attempt.CountsRunning && (!renewed || onlyThisCall);
+    if (neverRan && attempt.Job != NoIndex) {
+      State.closeAttempt(it, TaskState::Waiting);
+    } else {
+      lose(it);
+    }
+  }
+}
+
+void Reconciler::scheduleNextCall(WorkerIndex vm) {
+  Worker &worker = State.Workers[vm];
+  SteadyTime next =
+      std::min(worker.NextCall, State.Now + State.Settings.Lease.RenewEvery);
+  for (const TaskIndex it : worker.Attempts) {
+    const Attempt &attempt = State.Attempts[it];
+    if (attempt.State == AttemptState::Stopping) {
+      next = std::min(next, State.Now + State.Settings.PollStopping);
+    } else if (attempt.State == AttemptState::Starting) {
+      next = State.Now;
+    }
+  }
+  worker.NextCall = SteadyTime::max();
+  State.callAt(vm, next);
+}
+
+std::vector<WorkerCall> Reconciler::makeDueCalls() {
+  std::vector<WorkerCall> calls;
+  while (!State.CallTimes.empty() && State.CallTimes.top().first <= State.Now) {
+    const WorkerIndex vm = State.CallTimes.top().second;
+    State.CallTimes.pop();
+    const Worker &worker = State.Workers[vm];
+    if (worker.NextCall <= State.Now && !worker.Lease.callUnderWay()) {
+      calls.push_back(makeCall(vm));
+    }
+  }
+  return calls;
+}
+
+WorkerCall Reconciler::makeCall(WorkerIndex vm) {
+  Worker &worker = State.Workers[vm];
+  worker.NextCall = SteadyTime::max();
+  WorkerCall call;
+  call.Worker = vm;
+  call.Name = worker.Description.Name;
+  call.Address = worker.Description.Address;
+  call.Grant =
+      worker.Lease.nextCall(State.Epoch, State.Settings.Lease, State.Now);
+  if (call.Grant.Incarnation == 0) {
+    return call;
+  }
+  for (const TaskIndex it : worker.Attempts) {
+    Attempt &attempt = State.Attempts[it];
+    if (attempt.Job == NoIndex) {
+      continue;
+    }
+    if (attempt.State == AttemptState::Starting) {
+      attempt.ToldIn =
+          attempt.ToldIn == 0 ? call.Grant.Sequence : attempt.ToldIn;
+      const auto &saved = State.Jobs[attempt.Job].Checkpoints;
+      const auto checkpoint = saved.find(attempt.Task);
+      call.Starts.push_back(
+          {State.idOf(attempt), attempt.Amount,
+           checkpoint == saved.end() ? std::string() : checkpoint->second});
+    } else if (attempt.State == AttemptState::Stopping) {
+      const bool save = State.Jobs[attempt.Job].Terms.Checkpoint &&
+                        attempt.Stop != StopReason::Cancelled;
+      call.Stops.push_back(
+          {State.idOf(attempt), save, State.Settings.StopGrace});
+    }
+  }
+  for (const auto &[number, id] : worker.Orphans) {
+    call.Stops.push_back({id, false, State.Settings.StopGrace});
+  }
+  worker.Forgetting = std::move(worker.ToForget);
+  worker.ToForget.clear();
+  call.Forgets = worker.Forgetting;
+  return call;
+}
+
+} // namespace masticwinch::placement::internal
--- /dev/null
+++ b/src/masticwinch/coordination/placement/internal/scheduler.cpp
@@ -0,0 +1,249 @@
+#include "masticwinch/coordination/placement/internal/scheduler.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <queue>
+
+namespace masticwinch::placement::internal {
+
+namespace {
+
+/// Tasks that a job starts before the next team has its turn.
+constexpr std::uint32_t TasksPerTurn = 8;
+
+} // namespace
+
+void Scheduler::run() {
+  Started = 0;
+  OverQuota.clear();
+  if (State.fcfs()) {
+    runInOrder();
+  } else {
+    runFairly(Tier::Urgent);
+    runFairly(Tier::Patient);
+  }
+  State.Dirty = Started >= State.Settings.StartsPerStep;
+}
+
+void Scheduler::runInOrder() {
+  while (Started < State.Settings.StartsPerStep) {
+    const auto &teams = State.Queue.teams(Tier::Urgent);
+    if (teams.empty()) {
+      return;
+    }
+    const JobIndex job = teams.begin()->second.begin()->second.begin()->Job;
+    const Verdict verdict = place(job);
+    if (verdict != Verdict::Placed) {
+      note(job, verdict);
+      return;
+    }
+  }
+}
+
+void Scheduler::runFairly(Tier tier) {
+  using Turn = std::pair<std::int64_t, TeamIndex>;
+  std::priority_queue<Turn, std::vector<Turn>, std::greater<>> turns;
+  const auto shareOf = [&](TeamIndex team) {
+    return State.Teams.weightedShare(team, State.Account.totalCapacity());
+  };
+  for (const auto &[team, classes] : State.Queue.teams(tier)) {
+    turns.emplace(shareOf(team), team);
+  }
+  while (!turns.empty() && Started < State.Settings.StartsPerStep) {
+    const TeamIndex team = turns.top().second;
+    turns.pop();
+    if (serveTeam(tier, team)) {
+      turns.emplace(shareOf(team), team);
+    }
+  }
+}
+
+bool Scheduler::serveTeam(Tier tier, TeamIndex team) {
+  const JobIndex job = firstJob(tier, team);
+  if (job == NoIndex) {
+    return false;
+  }
+  const RequestClass requestClass = State.Jobs[job].Slot.Class;
+  const Verdict verdict = place(job);
+  if (verdict == Verdict::NoRoom) {
+    NoRoomIn.resize(std::max<std::size_t>(NoRoomIn.size(), requestClass + 1));
+    NoRoomIn[requestClass] = State.Generation;
+  } else if (verdict == Verdict::OverQuota) {
+    OverQuota.emplace(team, requestClass);
+  }
+  note(job, verdict);
+  return true;
+}
+
+bool Scheduler::blocked(TeamIndex team, RequestClass requestClass) const {
+  const bool noRoom = requestClass < NoRoomIn.size() &&
+                      NoRoomIn[requestClass] == State.Generation;
+  return noRoom || OverQuota.contains({team, requestClass});
+}
+
+JobIndex Scheduler::firstJob(Tier tier, TeamIndex team) const {
+  const auto &teams = State.Queue.teams(tier);
+  const auto classes = teams.find(team);
+  QueuePosition best;
+  if (classes == teams.end()) {
+    return NoIndex;
+  }
+  for (const auto &[requestClass, jobs] : classes->second) {
+    if (blocked(team, requestClass)) {
+      continue;
+    }
+    const QueuePosition &head = *jobs.begin();
+    if (best.Job == NoIndex || head < best) {
+      best = head;
+    }
+  }
+  return best.Job;
+}
+
+void Scheduler::note(JobIndex index, Verdict verdict) {
+  Job &job = State.Jobs[index];
+  if (verdict == Verdict::OverQuota) {
+    job.Reason = WaitReason::TeamQuota;
+  } else if (verdict == Verdict::NoRoom) {
+    const bool kept = State.Reservations.contains(index);
+    job.Reason = State.Workers.empty() ? WaitReason::NoWorkers
+                 : kept                ? WaitReason::Reservation
+                                       : WaitReason::Capacity;
+  }
+}
+
+Scheduler::Verdict Scheduler::place(JobIndex job) {
+  return State.Jobs[job].Terms.Kind == JobKind::Gang ? placeGang(job)
+                                                     : placeTasks(job);
+}
+
+bool Scheduler::takeWaiting(Job &job, std::uint32_t &task) {
+  while (!job.Waiting.empty()) {
+    task = job.Waiting.back();
+    job.Waiting.pop_back();
+    if (job.Tasks[task] == TaskState::Waiting) {
+      return true;
+    }
+  }
+  return false;
+}
+
+Scheduler::Verdict Scheduler::placeTasks(JobIndex index) {
+  const Resources amount = State.amountFor(State.Jobs[index]);
+  Verdict verdict = Verdict::Placed;
+  std::uint32_t task = 0;
+  for (std::uint32_t it = 0; it < TasksPerTurn; ++it) {
+    if (!takeWaiting(State.Jobs[index], task)) {
+      break;
+    }
+    if (!State.Teams.hasRoom(State.Jobs[index].Team, amount)) {
+      verdict = Verdict::OverQuota;
+    }
+    const WorkerIndex vm =
+        verdict == Verdict::Placed ? Chooser.choose(index, amount) : NoIndex;
+    if (vm == NoIndex) {
+      State.Jobs[index].Waiting.push_back(task);
+      verdict = verdict == Verdict::Placed ? Verdict::NoRoom : verdict;
+      break;
+    }
+    start(index, task, vm, amount);
+  }
+  if (verdict == Verdict::NoRoom) {
+    makeRoom(index, amount);
+  } else if (State.Jobs[index].Waiting.empty()) {
+    State.dropReservation(index);
+  }
+  State.refreshQueue(index);
+  return verdict;
+}
+
+Scheduler::Verdict Scheduler::placeGang(JobIndex index) {
+  Job &job = State.Jobs[index];
+  job.Restarting = false;
+  std::erase_if(job.Waiting, [&](std::uint32_t task) {
+    return job.Tasks[task] != TaskState::Waiting;
+  });
+  const Resources amount = State.amountFor(job);
+  const std::size_t tasks = job.Waiting.size();
+  if (!State.Teams.hasRoom(job.Team,
+                           amount * static_cast<std::int64_t>(tasks))) {
+    return Verdict::OverQuota;
+  }
+  const std::vector<WorkerIndex> vms = Gangs.fitAll(index, amount, tasks);
+  if (vms.size() < tasks) {
+    if (reserves(job)) {
+      Gangs.reserve(index, amount, tasks);
+    }
+    return Verdict::NoRoom;
+  }
+  const std::vector<std::uint32_t> waiting = std::move(job.Waiting);
+  job.Waiting.clear();
+  for (std::size_t it = 0; it < waiting.size(); ++it) {
+    start(index, waiting[it], vms[it], amount);
+  }
+  State.dropReservation(index);
+  State.refreshQueue(index);
+  return Verdict::Placed;
+}
+
+void Scheduler::start(JobIndex index, std::uint32_t task, WorkerIndex vm,
+                      const Resources &amount) {
+  constexpr std::uint32_t EpochShift = 32;
+  const std::uint64_t number =
+      (State.Epoch << EpochShift) | ++State.LastAttempt;
+  const TaskIndex attempt = State.openAttempt(index, task, vm, amount, number);
+  if (attempt == NoIndex) {
+    throw AccountError("a chosen VM has no room");
+  }
+  const JobIndex keeper = State.Workers[vm].ReservedFor;
+  State.Attempts[attempt].Backfilled = keeper != NoIndex && keeper != index;
+  State.notice(PlacementEvent::TaskPlaced, index, task, number, vm);
+  ++Started;
+  if (State.Jobs[index].Terms.Repeatable) {
+    State.orderStart(attempt);
+    return;
+  }
+  State.Attempts[attempt].State = AttemptState::Recording;
+  State.Records.push_back(
+      {{State.Jobs[index].Terms.Id, task, TaskState::Active}, vm, number});
+}
+
+bool Scheduler::preempts(const Job &job) const {
+  const bool allowed = withPolicy(job.Terms.Policy, [](const auto &policy) {
+    return std::decay_t<decltype(policy)>::Preempts;
+  });
+  return allowed && job.Terms.InTier == Tier::Urgent;
+}
+
+bool Scheduler::reserves(const Job &job) const {
+  return withPolicy(job.Terms.Policy, [](const auto &policy) {
+    return std::decay_t<decltype(policy)>::Reserves;
+  });
+}
+
+void Scheduler::makeRoom(JobIndex index, const Resources &amount) {
+  const Job &job = State.Jobs[index];
+  if (!preempts(job)) {
+    return;
+  }
+  const auto kept = State.Reservations.find(index);
+  const std::size_t have =
+      kept == State.Reservations.end() ? 0 : kept->second.Vms.size();
+  const std::size_t want =
+      std::min<std::size_t>(job.Waiting.size(), State.Settings.StartsPerStep);
+  for (std::size_t it = have; it < want; ++it) {
+    WorkerIndex from =
+        static_cast<WorkerIndex>(State.Random() % State.Account.size());
+    WorkerIndex vm = State.Account.findReclaimable(from, amount);
+    vm = vm == NoIndex ? State.Account.findReclaimable(0, amount) : vm;
+    if (vm == NoIndex) {
+      return;
+    }
+    State.keepFor(index, vm);
+    Reservation &reservation = State.Reservations[index];
+    reservation.StartsAt = State.Now + State.Settings.StopGrace;
+    preemptOn(State, vm, amount);
+  }
+}
+
+} // namespace masticwinch::placement::internal
--- /dev/null
+++ b/src/masticwinch/coordination/placement/internal/scheduler.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "masticwinch/coordination/placement/internal/gang_planner.hpp"
+#include "masticwinch/coordination/placement/internal/placer_state.hpp"
+#include "masticwinch/coordination/placement/internal/vm_chooser.hpp"
+
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace masticwinch::placement::internal {
+
+/// Goes through the waiting jobs in their order and starts what fits.
+class Scheduler {
+public:
+  explicit Scheduler(PlacerState &state)
+      : State(state), Chooser(state), Gangs(state) {}
+
+  /// One round; starts at most `Settings.StartsPerStep` tasks or one gang more.
+  void run();
+
+private:
+  enum class Verdict : std::uint8_t { Placed, NoRoom, OverQuota };
+
+  void runInOrder();
+  void runFairly(Tier tier);
+  bool serveTeam(Tier tier, TeamIndex team);
+  JobIndex firstJob(Tier tier, TeamIndex team) const;
+  bool blocked(TeamIndex team, RequestClass requestClass) const;
+  Verdict place(JobIndex job);
+  Verdict placeGang(JobIndex job);
+  Verdict placeTasks(JobIndex job);
+  void note(JobIndex job, Verdict verdict);
+  void start(JobIndex job, std::uint32_t task, WorkerIndex vm,
+             const Resources &amount);
+  void makeRoom(JobIndex job, const Resources &amount);
+  bool takeWaiting(Job &job, std::uint32_t &task);
+  bool preempts(const Job &job) const;
+  bool reserves(const Job &job) const;
+
+  PlacerState &State;
+  VmChooser Chooser;
+  GangPlanner Gangs;
+  std::uint32_t Started = 0;
+  /// For each class, the generation in which it last found no room.
+  std::vector<std::uint64_t> NoRoomIn;
+  std::set<std::pair<TeamIndex, RequestClass>> OverQuota;
+};
+
+} // namespace masticwinch::placement::internal
--- /dev/null
+++ b/src/masticwinch/coordination/placement/internal/tables.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "masticwinch/coordination/placement/failure_monitor.hpp"
+#include "masticwinch/coordination/placement/placer_types.hpp"
+#include "masticwinch/coordination/placement/waiting_queue.hpp"
+#include "masticwinch/coordination/placement/worker_lease.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace masticwinch::placement::internal {
+
+/// Why an attempt was told to stop.
+enum class StopReason : std::uint8_t {
+  None,
+  Cancelled,
+  Preempted,
+  Drained,
+  /// Another task of the service took its place.
+  Replaced,
+  /// Its gang is started anew.
+  GangRestart,
+  /// The placer doesn't know its job, or has the task elsewhere.
+  Orphan,
+};
+
+/// One attempt that holds resources of a VM.
+struct Attempt {
+  std::uint64_t Number = 0;
+  /// `NoIndex` for an attempt of an unknown job.
+  JobIndex Job = NoIndex;
+  std::uint32_t Task = 0;
+  WorkerIndex Vm = NoIndex;
+  /// Positions in the lists of the VM and of the job.
+  std::uint32_t AtVm = 0;
+  std::uint32_t AtJob = 0;
+  AttemptState State = AttemptState::Starting;
+  StopReason Stop = StopReason::None;
+  bool CountsReclaimable = false;
+  bool CountsRunning = false;
+  bool Backfilled = false;
+  Resources Amount;
+  SteadyTime StartedAt{};
+  /// Sequence of the first call that told the worker; 0 before.
+  std::uint64_t ToldIn = 0;
+};
+
+/// Tasks of a job by rack and data centre, for spreading.
+struct DomainCounts {
+  std::unordered_map<std::uint32_t, std::uint32_t> Racks;
+  std::unordered_map<std::uint32_t, std::uint32_t> DataCenters;
+};
+
+struct Job {
+  JobTerms Terms;
+  TeamIndex Team = NoIndex;
+  std::uint32_t Learner = 0;
+  QueueSlot Slot;
+  bool Queued = false;
+  bool SetAside = false;
+  bool Ended = false;
+  /// Accepted under an earlier leader and not yet released for placement.
+  bool Withheld = false;
+  /// A gang whose attempts are all to stop before it starts anew.
+  bool Restarting = false;
+  WaitReason Reason = WaitReason::None;
+  std::vector<TaskState> Tasks;
+  std::vector<std::uint32_t> Waiting;
+  std::vector<TaskIndex> Attempts;
+  std::uint32_t Running = 0;
+  std::uint32_t Finished = 0;
+  std::uint32_t Failed = 0;
+  std::uint32_t Unknown = 0;
+  /// Tasks in an end state, of any kind.
+  std::uint32_t EndedTasks = 0;
+  JobFailures Failures;
+  std::unique_ptr<DomainCounts> Domains;
+  std::map<std::uint32_t, std::string> Checkpoints;
+  /// Not repeatable tasks that an earlier leader may have started.
+  std::vector<std::uint32_t> MayHaveRun;
+};
+
+struct Worker {
+  WorkerDescription Description;
+  std::uint32_t Rack = 0;
+  std::uint32_t DataCenter = 0;
+  WorkerLease Lease;
+  VmFailures Failures;
+  bool Draining = false;
+  /// The last call brought no answer.
+  bool Silent = false;
+  JobIndex ReservedFor = NoIndex;
+  SteadyTime NextCall{};
+  std::vector<TaskIndex> Attempts;
+  std::vector<AttemptId> ToForget;
+  /// In the call under way; told again if it fails.
+  std::vector<AttemptId> Forgetting;
+  /// Attempts of unknown jobs that run here, by number.
+  std::map<std::uint64_t, AttemptId> Orphans;
+  /// Capacity of the next incarnation, as announced.
+  Resources Announced;
+};
+
+/// A record that waits to be durable.
+struct PendingRecord {
+  TaskRecord Record;
+  WorkerIndex Vm = NoIndex;
+  std::uint64_t Attempt = 0;
+};
+
+/// VMs kept for one job.
+struct Reservation {
+  std::vector<WorkerIndex> Vms;
+  /// When the job is expected to start.
+  SteadyTime StartsAt{};
+  SteadyTime MadeAt{};
+};
+
+} // namespace masticwinch::placement::internal
--- /dev/null
+++ b/src/masticwinch/coordination/placement/internal/vm_chooser.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "masticwinch/coordination/placement/internal/placer_state.hpp"
+
+namespace masticwinch::placement::internal {
+
+/// Chooses the VM of one task.
+class VmChooser {
+public:
+  explicit VmChooser(PlacerState &state) : State(state) {}
+
+  /// The best VM with room under the job's policy; `NoIndex` if there is none.
+  WorkerIndex choose(JobIndex job, const Resources &amount);
+
+  /// A VM kept for the job that has room.
+  WorkerIndex chooseKept(JobIndex job, const Resources &amount) const;
+
+  /// A VM kept for another job, where this one would end before that starts.
+  WorkerIndex chooseBackfill(JobIndex job, const Resources &amount) const;
+
+private:
+  template <PlacementPolicy Policy>
+  WorkerIndex chooseBy(const Policy &policy, const Job &job,
+                       const Resources &amount);
+  Candidate candidate(const Job &job, WorkerIndex vm,
+                      const Resources &amount) const;
+  bool rackFull(const Job &job, WorkerIndex vm) const;
+
+  PlacerState &State;
+};
+
+} // namespace masticwinch::placement::internal
--- /dev/null
+++ b/src/masticwinch/coordination/placement/job_progress.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+namespace google::protobuf {
+template <class Element> class RepeatedPtrField;
+}
+
+namespace masticwinch::protocol {
+class JobProgress;
+class TaskOutcomes;
+class TaskRange;
+} // namespace masticwinch::protocol
+
+namespace masticwinch::placement {
+
+using TaskRanges = google::protobuf::RepeatedPtrField<protocol::TaskRange>;
+
+/// Adds a task to sorted ranges, joining neighbours. Idempotent.
+void addTask(TaskRanges &ranges, std::uint32_t task);
+
+/// Whether one of the sorted ranges holds the task.
+bool holdsTask(const TaskRanges &ranges, std::uint32_t task);
+
+/// The tasks of all ranges.
+std::vector<std::uint32_t> tasksOf(const TaskRanges &ranges);
+
+/// Merges outcomes into what is durable about a job. Idempotent; a task that
+/// has ended keeps its first outcome.
+void applyOutcomes(protocol::JobProgress &progress,
+                   const protocol::TaskOutcomes &outcomes);
+
+} // namespace masticwinch::placement
--- /dev/null
+++ b/src/masticwinch/coordination/placement/usage_learner.cpp
@@ -0,0 +1,68 @@
+#include "masticwinch/coordination/placement/usage_learner.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace masticwinch::placement {
+
+namespace {
+
+constexpr std::uint32_t MostFinishedNeeded = 1U << 20U;
+constexpr std::uint32_t RunTimesNeeded = 8;
+constexpr std::int64_t AveragingWeight = 8;
+
+/// A quarter above the highest usage seen, within the bounds.
+std::int64_t withMargin(std::int64_t peak, std::int64_t declared,
+                        std::int64_t limit, bool mayShrink) {
+  const std::int64_t wanted = peak + peak / 4;
+  const std::int64_t low = mayShrink ? 1 : declared;
+  return std::clamp(wanted, low, std::max(declared, limit));
+}
+
+} // namespace
+
+void UsageLearner::observeUsage(const Resources &used) {
+  Peak = maxOf(Peak, used);
+}
+
+void UsageLearner::observeFinish(Milliseconds runTime) {
+  Finished = std::min(Finished + 1, MostFinishedNeeded);
+  const std::int64_t sample = runTime.count();
+  if (Finished == 1) {
+    MeanRunMs = sample;
+    return;
+  }
+  const std::int64_t error = sample - MeanRunMs;
+  MeanRunMs += error / AveragingWeight;
+  DeviationMs += (std::abs(error) - DeviationMs) / AveragingWeight;
+}
+
+void UsageLearner::observeShortfall() {
+  Finished = 0;
+  FinishedNeeded = std::min(2 * FinishedNeeded, MostFinishedNeeded);
+}
+
+Resources UsageLearner::amountFor(const Resources &declared,
+                                  const Resources &limit) const {
+  const bool mayShrink = Finished >= FinishedNeeded;
+  Resources amount = declared;
+  if (Peak.MilliProcessors > 0) {
+    amount.MilliProcessors =
+        withMargin(Peak.MilliProcessors, declared.MilliProcessors,
+                   limit.MilliProcessors, mayShrink);
+  }
+  if (Peak.MemoryMib > 0) {
+    amount.MemoryMib = withMargin(Peak.MemoryMib, declared.MemoryMib,
+                                  limit.MemoryMib, mayShrink);
+  }
+  return amount;
+}
+
+Milliseconds UsageLearner::runTimeFor(Milliseconds declared) const {
+  if (Finished < RunTimesNeeded) {
+    return declared;
+  }
+  return Milliseconds(MeanRunMs + 2 * DeviationMs);
+}
+
+} // namespace masticwinch::placement
--- /dev/null
+++ b/tests/placement/fake_worker.hpp
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "masticwinch/coordination/placement/placer_types.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace masticwinch::placement {
+
+/// The worker's side of the lease protocol, as the platform promises it.
+class FakeWorker {
+public:
+  struct Task {
+    AttemptId Id;
+    Resources Amount;
+    ReportedState State = ReportedState::Running;
+    std::string Checkpoint;
+    Resources Used;
+    SteadyTime StartedAt{};
+  };
+
+  FakeWorker(WorkerDescription description, std::uint64_t firstClockMs)
+      : Self(std::move(description)), FirstClockMs(firstClockMs) {}
+
+  const WorkerDescription &description() const { return Self; }
+  const std::vector<Task> &tasks() const { return Tasks; }
+  std::vector<Task> &tasks() { return Tasks; }
+
+  /// Ends what runs once the lease has passed.
+  void advance(SteadyTime now) {
+    if (LeaseEndMs != 0 && clockMs(now) >= LeaseEndMs) {
+      LeaseEndMs = 0;
+      ++Incarnation;
+      for (Task &it : Tasks) {
+        if (it.State == ReportedState::Running) {
+          it.State = ReportedState::Stopped;
+        }
+      }
+    }
+  }
+
+  /// Loses everything, as a process that starts anew.
+  void restart() {
+    Incarnation += 1000;
+    LeaseEndMs = 0;
+    Tasks.clear();
+    Epoch = Sequence = 0;
+  }
+
+  /// Answers a call; nothing if the call's epoch is too old.
+  std::optional<WorkerAnswer> take(const WorkerCall &call, SteadyTime now) {
+    advance(now);
+    const LeaseGrant &grant = call.Grant;
+    if (grant.Epoch < Epoch) {
+      return std::nullopt;
+    }
+    if (grant.Epoch > Epoch) {
+      Epoch = grant.Epoch;
+      Sequence = 0;
+    }
+    const std::uint64_t end = grant.ClockMs + grant.LeaseMs;
+    const bool valid = grant.Sequence > Sequence &&
+                       grant.Incarnation == Incarnation && end > clockMs(now);
+    Sequence = std::max(Sequence, grant.Sequence);
+    if (valid) {
+      LeaseEndMs = std::max(LeaseEndMs, end);
+      obey(call, now);
+    }
+    return answer(now);
+  }
+
+  WorkerAnswer answer(SteadyTime now) const {
+    WorkerAnswer it{{Incarnation, clockMs(now)}, {}};
+    for (const Task &task : Tasks) {
+      it.Tasks.push_back(
+          {task.Id, task.State, 0, task.Checkpoint, task.Amount, task.Used});
+    }
+    return it;
+  }
+
+  /// Sum of what running tasks were given.
+  Resources given() const {
+    Resources sum;
+    for (const Task &it : Tasks) {
+      if (it.State == ReportedState::Running) {
+        sum += it.Amount;
+      }
+    }
+    return sum;
+  }
+
+  /// Called when a task begins to run.
+  std::function<void(const Task &)> OnStart;
+
+private:
+  std::uint64_t clockMs(SteadyTime now) const {
+    const auto since =
+        std::chrono::duration_cast<Milliseconds>(now.time_since_epoch());
+    return FirstClockMs + static_cast<std::uint64_t>(since.count());
+  }
+
+  Task *find(const AttemptId &id) {
+    for (Task &it : Tasks) {
+      if (it.Id.Number == id.Number) {
+        return &it;
+      }
+    }
+    return nullptr;
+  }
+
+  void obey(const WorkerCall &call, SteadyTime now) {
+    for (const AttemptId &it : call.Forgets) {
+      std::erase_if(Tasks, [&](const Task &task) {
+        return task.Id.Number == it.Number &&
+               task.State != ReportedState::Running;
+      });
+    }
+    for (const StopOrder &it : call.Stops) {
+      Task *task = find(it.Id);
+      if (task != nullptr && task->State == ReportedState::Running) {
+        task->State = ReportedState::Stopped;
+        task->Checkpoint = it.Checkpoint ? "saved" : "";
+      }
+    }
+    for (const StartOrder &it : call.Starts) {
+      if (find(it.Id) != nullptr ||
+          !(given() + it.Amount).fitsIn(Self.Capacity)) {
+        continue;
+      }
+      Tasks.push_back({it.Id, it.Amount, ReportedState::Running, "", {}, now});
+      if (OnStart) {
+        OnStart(Tasks.back());
+      }
+    }
+  }
+
+  WorkerDescription Self;
+  std::uint64_t FirstClockMs;
+  std::uint64_t Incarnation = 1;
+  std::uint64_t Epoch = 0;
+  std::uint64_t Sequence = 0;
+  std::uint64_t LeaseEndMs = 0;
+  std::vector<Task> Tasks;
+};
+
+} // namespace masticwinch::placement
