Put seeded open-loop load on a cell with masticwinch-load

Waiting time could not be measured: a closed loop would slow down with the system and hide it. No figure of the system was measured yet.

--- /dev/null
+++ b/src/masticwinch/load/load_request.cpp
@@ -0,0 +1,93 @@
+#include "masticwinch/load/load_request.hpp"
+
+#include "masticwinch/load/load_plan.hpp"
+
+#include <fmt/format.h>
+
+#include <random>
+
+namespace masticwinch {
+
+namespace {
+
+constexpr const char *OutcomeHeader = "Masticwinch-Outcome";
+constexpr const char *NotRunOutcome = "not-run";
+constexpr std::uint16_t FirstSuccess = 200;
+constexpr std::uint16_t FirstRedirect = 300;
+
+LoadOutcome judgeAnswer(const LoadStream &stream, const std::string &body,
+                        const HttpResponse &response) {
+  if (response.Status >= FirstSuccess && response.Status < FirstRedirect) {
+    const bool own = !stream.ExpectEcho || response.Body == body;
+    return own ? LoadOutcome::Answered : LoadOutcome::WrongAnswer;
+  }
+  return response.Headers.find(OutcomeHeader) == NotRunOutcome
+             ? LoadOutcome::NotRun
+             : LoadOutcome::ErrorStatus;
+}
+
+} // namespace
+
+std::string makeLoadBody(const LoadStream &stream, std::uint64_t seed,
+                         std::uint64_t number) {
+  std::string body = fmt::format("{}-{}-{};", stream.Name, seed, number);
+  std::mt19937_64 random(seed ^ number);
+  while (body.size() < stream.BodyBytes) {
+    body += fmt::format("{:016x}", random());
+  }
+  body.resize(std::max(stream.BodyBytes, body.find(';') + 1));
+  return body;
+}
+
+HttpCall makeLoadCall(const LoadStream &stream, const std::string &target,
+                      const std::string &key, const std::string &body) {
+  constexpr std::size_t SpareAnswerBytes = 64 * 1024;
+  HttpCall call;
+  call.Method = stream.Method;
+  call.Url = target + stream.Path;
+  call.Headers = stream.Headers;
+  if (stream.IdempotencyKey) {
+    call.Headers.add("Idempotency-Key", key);
+  }
+  call.Body = body;
+  call.Timeout = stream.Timeout;
+  call.ConnectTimeout = stream.Timeout;
+  call.MaxAnswerBytes = body.size() + SpareAnswerBytes;
+  call.FreshConnection = stream.FreshConnection;
+  return call;
+}
+
+LoadOutcome judgeLoadCall(const LoadStream &stream, const std::string &body,
+                          const HttpCallResult &result) {
+  switch (result.Outcome) {
+  case HttpOutcome::Answered:
+    return judgeAnswer(stream, body, result.Response);
+  case HttpOutcome::NotSent:
+    return LoadOutcome::NotSent;
+  case HttpOutcome::TimedOut:
+    return result.RequestLeft ? LoadOutcome::TimedOut : LoadOutcome::NotSent;
+  case HttpOutcome::Broken:
+  case HttpOutcome::TooLong:
+  case HttpOutcome::Cancelled:
+    break;
+  }
+  return LoadOutcome::Broken;
+}
+
+bool mayResend(const LoadStream &stream, LoadOutcome outcome) {
+  switch (outcome) {
+  case LoadOutcome::Answered:
+  case LoadOutcome::WrongAnswer:
+    return false;
+  case LoadOutcome::NotRun:
+  case LoadOutcome::NotSent:
+    return true;
+  case LoadOutcome::ErrorStatus:
+  case LoadOutcome::TimedOut:
+  case LoadOutcome::Broken:
+    return stream.IdempotencyKey;
+  }
+  return false;
+}
+
+} // namespace masticwinch
--- a/src/masticwinch/program/command_line.cpp
+++ b/src/masticwinch/program/command_line.cpp
@@ -39,4 +39,9 @@
   gflags::HandleCommandLineHelpFlags();
 }
 
+int reportFailure(const std::string &reason) {
+  std::fprintf(stderr, "%s\n", reason.c_str());
+  return EXIT_FAILURE;
+}
+
 } // namespace masticwinch
--- a/src/masticwinch/program/command_line.hpp
+++ b/src/masticwinch/program/command_line.hpp
@@ -11,4 +11,7 @@
 void parseCommandLine(const std::string &usage, const std::string &flagFiles,
                       int &argc, char **&argv);
 
+/// Prints why the program can't go on; returns the exit code 1.
+int reportFailure(const std::string &reason);
+
 } // namespace masticwinch
--- a/src/masticwinch/timeline/timeline_writers.cpp
+++ b/src/masticwinch/timeline/timeline_writers.cpp
@@ -1,6 +1,7 @@
 #include "masticwinch/timeline/timeline_writers.hpp"
 
 #include "masticwinch/events/event_log.hpp"
+#include "masticwinch/markup/escape_markup.hpp"
 #include "masticwinch/timeline/internal/timeline_page.hpp"
 
 #include <fmt/format.h>
@@ -37,23 +38,6 @@
   return text;
 }
 
-std::string escapeHtml(const std::string &text) {
-  std::string out;
-  for (char c : text) {
-    switch (c) {
-    case '<':
-      out += "&lt;";
-      break;
-    case '&':
-      out += "&amp;";
-      break;
-    default:
-      out += c;
-    }
-  }
-  return out;
-}
-
 } // namespace
 
 void TextTimelineWriter::write(const EventRecord &record) {
@@ -73,7 +57,7 @@
 HtmlTimelineWriter::HtmlTimelineWriter(std::ostream &out, std::string title,
                                        std::uint64_t limit)
     : Out(out), Limit(limit) {
-  const std::string escaped = escapeHtml(title);
+  const std::string escaped = escapeMarkup(title);
   Out << internal::TimelinePageStart << "<title>" << escaped
       << "</title></head><body><h1>" << escaped << "</h1>"
       << internal::TimelinePageBody;
--- a/src/programs/timeline/main.cpp
+++ b/src/programs/timeline/main.cpp
@@ -114,11 +114,6 @@
   return EXIT_SUCCESS;
 }
 
-int fail(const std::string &reason) {
-  std::cerr << reason << '\n';
-  return EXIT_FAILURE;
-}
-
 } // namespace
 
 } // namespace masticwinch
@@ -129,13 +124,13 @@
   parseCommandLine(Usage, "programs/timeline", argc, argv);
   const std::vector<std::string> paths(argv + 1, argv + argc);
   if (paths.empty()) {
-    return fail("name a folder or a file; --help explains");
+    return reportFailure("name a folder or a file; --help explains");
   }
   return boost::leaf::try_handle_all(
       [&] { return run(paths); },
-      [](const TimelineError &error) { return fail(error.Reason); },
+      [](const TimelineError &error) { return reportFailure(error.Reason); },
       [](const FlagError &error) {
-        return fail("--" + error.Flag + " " + error.Reason);
+        return reportFailure("--" + error.Flag + " " + error.Reason);
       },
-      [] { return fail("failed"); });
+      [] { return reportFailure("failed"); });
 }
