Apply each batch of claim changes once, in order

Cause: a late copy of a batch would claim a key again that was released since, and nobody would end that claim.

--- /dev/null
+++ b/src/masticwinch/coordination/requests/claim_client.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "masticwinch/coordination/requests/request_effects.hpp"
+#include "masticwinch/coordination/requests/slot_owner.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace masticwinch {
+
+/// Sends the claim changes of one entry VM to the replicated state in batches,
+/// one at a time; a batch is sent again until it is answered.
+class ClaimClient {
+public:
+  /// Most changes in a batch.
+  static constexpr std::size_t MaxBatch = 256;
+
+  ClaimClient(EntryIncarnation self, Milliseconds resendAfter);
+
+  void add(const ChangeClaim &change) { Waiting.push_back(change.Change); }
+
+  /// The batch to send now, if one is due.
+  std::optional<protocol::ClaimBatch> due(SteadyTime now);
+
+  /// The batch could not be delivered: it is due again.
+  void lost(std::uint64_t number);
+
+  /// The batch of that number was applied; false for one that isn't awaited.
+  bool answered(std::uint64_t number);
+
+  /// Whether nothing waits for an answer.
+  bool idle() const { return Waiting.empty() && !Sent; }
+
+private:
+  EntryIncarnation Self;
+  Milliseconds ResendAfter;
+  std::deque<protocol::ClaimChange> Waiting;
+  std::optional<protocol::ClaimBatch> Sent;
+  SteadyTime ResendAt{};
+  std::uint64_t LastNumber = 0;
+};
+
+} // namespace masticwinch
--- a/src/masticwinch/coordination/requests/claim_table.cpp
+++ b/src/masticwinch/coordination/requests/claim_table.cpp
@@ -30,17 +30,33 @@
                   const IsMember &isMember) {
   Now = std::max(Now, now);
   expire();
-  std::vector<protocol::ClaimResult> results;
+  protocol::ClaimSender &sender = Senders[batch.entry()];
+  const auto place = std::make_pair(batch.incarnation(), batch.number());
+  const auto last = std::make_pair(sender.incarnation(), sender.number());
+  if (place > last) {
+    sender.set_entry(batch.entry());
+    sender.set_incarnation(batch.incarnation());
+    sender.set_number(batch.number());
+    sender.clear_results();
+    applyChanges(batch, isMember, sender);
+  } else if (place < last) {
+    return {};
+  }
+  return {sender.results().begin(), sender.results().end()};
+}
+
+void ClaimTable::applyChanges(const protocol::ClaimBatch &batch,
+                              const IsMember &isMember,
+                              protocol::ClaimSender &sender) {
   for (const protocol::ClaimChange &it : batch.changes()) {
     if (it.has_claim()) {
-      results.push_back(claim(it.claim(), isMember));
+      *sender.add_results() = claim(it.claim(), isMember);
     } else if (it.has_complete()) {
       complete(it.complete());
     } else if (it.has_release()) {
       release(it.release());
     }
   }
-  return results;
 }
 
 protocol::ClaimResult ClaimTable::claim(const protocol::ClaimKey &change,
@@ -171,24 +187,28 @@
   }
 }
 
-std::vector<protocol::ClaimRecord> ClaimTable::snapshot() const {
-  std::vector<protocol::ClaimRecord> records;
-  records.reserve(Places.size());
+void ClaimTable::save(protocol::CellSnapshot &snapshot) const {
   for (const auto &[place, name] : Places) {
-    records.push_back(Records.at(name).Record);
+    *snapshot.add_claims() = Records.at(name).Record;
   }
-  return records;
+  for (const auto &[entry, sender] : Senders) {
+    *snapshot.add_claim_senders() = sender;
+  }
+  snapshot.set_claims_at_unix_ms(Now);
 }
 
-void ClaimTable::restore(const std::vector<protocol::ClaimRecord> &records,
-                         std::uint64_t lastTime) {
-  Now = lastTime;
+void ClaimTable::restore(const protocol::CellSnapshot &snapshot) {
   Records.clear();
   Places.clear();
+  Senders.clear();
   AnswerBytes = 0;
-  for (const protocol::ClaimRecord &it : records) {
+  Now = snapshot.claims_at_unix_ms();
+  for (const protocol::ClaimRecord &it : snapshot.claims()) {
     insert(it);
   }
+  for (const protocol::ClaimSender &it : snapshot.claim_senders()) {
+    Senders[it.entry()] = it;
+  }
 }
 
 } // namespace masticwinch
--- a/src/masticwinch/coordination/requests/claim_table.hpp
+++ b/src/masticwinch/coordination/requests/claim_table.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "masticwinch/protocol/requests.pb.h"
+#include "masticwinch/protocol/cell.pb.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -37,7 +37,9 @@
   using IsMember = std::function<bool(const protocol::ClaimOwner &)>;
 
   /// Applies the changes in order and gives the results of its claims. `now` is
-  /// the leader's wall time in milliseconds. Only members can claim.
+  /// the leader's wall time in milliseconds. Only members can claim. A batch
+  /// that was applied before isn't applied again; its results are given if it
+  /// was its sender's last.
   std::vector<protocol::ClaimResult> apply(const protocol::ClaimBatch &batch,
                                            std::uint64_t now,
                                            const IsMember &isMember);
@@ -48,12 +50,9 @@
 
   std::size_t size() const { return Records.size(); }
 
-  /// Records in the order of their claims.
-  std::vector<protocol::ClaimRecord> snapshot() const;
-  /// Highest time that changes were applied at.
-  std::uint64_t lastTime() const { return Now; }
-  void restore(const std::vector<protocol::ClaimRecord> &records,
-               std::uint64_t lastTime);
+  /// Writes the table's part of a snapshot of the cell.
+  void save(protocol::CellSnapshot &snapshot) const;
+  void restore(const protocol::CellSnapshot &snapshot);
 
 private:
   using Order = std::uint64_t;
@@ -62,6 +61,8 @@
     Order Place = 0;
   };
 
+  void applyChanges(const protocol::ClaimBatch &batch, const IsMember &isMember,
+                    protocol::ClaimSender &sender);
   protocol::ClaimResult claim(const protocol::ClaimKey &change,
                               const IsMember &isMember);
   protocol::ClaimResult resend(Remembered &found,
@@ -80,6 +81,8 @@
   std::uint64_t Now = 0;
   Order NextPlace = 1;
   std::size_t AnswerBytes = 0;
+  /// Last applied batch of each entry VM, by name.
+  std::map<std::string, protocol::ClaimSender> Senders;
   std::unordered_map<std::string, Remembered> Records;
   /// Names by the order of their claims, for expiry and snapshots.
   std::map<Order, std::string> Places;
--- a/tests/coordination/requests/test_claim_table.cpp
+++ b/tests/coordination/requests/test_claim_table.cpp
@@ -30,11 +30,14 @@
                                     .MaxClaims = 3,
                                     .MaxAnswerBytes = 4}};
   std::uint64_t Now = Start;
+  std::uint64_t Batches = 0;
 
   std::vector<protocol::ClaimResult>
   apply(const protocol::ClaimChange &change) {
     protocol::ClaimBatch batch;
     *batch.add_changes() = change;
+    batch.set_entry("sender");
+    batch.set_number(++Batches);
     return Table.apply(batch, Now, [](const protocol::ClaimOwner &it) {
       return it.entry() != "stranger";
     });
@@ -144,6 +147,24 @@
   }
 }
 
+TEST_CASE("A batch that comes again changes nothing", "[requests][claims]") {
+  ClaimTable table;
+  protocol::ClaimBatch first;
+  first.set_entry("a");
+  first.set_number(1);
+  *first.add_changes()->mutable_claim()->mutable_id() = idOf("c", "k");
+  protocol::ClaimBatch second = first;
+  second.set_number(2);
+  *second.mutable_changes(0)->mutable_release()->mutable_id() = idOf("c", "k");
+  const auto anyone = [](const protocol::ClaimOwner &) { return true; };
+  REQUIRE(table.apply(first, Start, anyone).size() == 1);
+  CHECK(table.apply(first, Start, anyone).size() == 1);
+  table.apply(second, Start, anyone);
+
+  CHECK(table.apply(first, Start, anyone).empty());
+  CHECK(table.size() == 0);
+}
+
 TEST_CASE("Only members of the cell claim", "[requests][claims]") {
   Fixture f;
   CHECK(f.claim(idOf("c", "k"), owner("stranger", 1)).verdict() ==
@@ -187,8 +208,11 @@
   f.complete(idOf("c", "1"), owner("a", 1), "x");
   f.Now += 500;
   f.claim(idOf("c", "2"), owner("a", 2));
+  protocol::CellSnapshot snapshot;
+  f.Table.save(snapshot);
   Fixture g;
-  g.Table.restore(f.Table.snapshot(), f.Table.lastTime());
+  g.Table.restore(snapshot);
+  g.Batches = f.Batches;
   g.Now = f.Now = Start + 1200;
 
   for (const char *key : {"1", "2", "3"}) {
