Put the thin path in place: control, entry, commands and leases

Cause: callers, upstreams and operators need one running path that everything else is measured against. Change: the replicated state with its commands, a synced log for a single control VM, messages over nng, entry VMs that serve under a lease, announced upstreams, the operators' HTTP interface and a forwarder with equal slot shares. A cell with several control VMs is refused until the log is replicated. Measured: it builds; the path has not run yet.

--- /dev/null
+++ b/src/masticwinch/control/cell_service.hpp
@@ -0,0 +1,313 @@
+#pragma once
+
+#include "masticwinch/common/clock.hpp"
+#include "masticwinch/control/command_log.hpp"
+#include "masticwinch/control/control_event.hpp"
+#include "masticwinch/coordination/cell/cell_state.hpp"
+#include "masticwinch/coordination/cell/entry_leases.hpp"
+#include "masticwinch/coordination/cell/upstream_renewals.hpp"
+#include "masticwinch/events/event_log.hpp"
+#include "masticwinch/protocol/envelope.pb.h"
+
+#include <concepts>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace masticwinch::control {
+
+/// Sends messages to other processes.
+template <class Sender>
+concept MessageSender = requires(Sender sender, const std::string &address,
+                                 protocol::Envelope envelope) {
+  sender.send(address, std::move(envelope));
+};
+
+struct CellServiceOptions {
+  cell::EntryLeaseOptions EntryLeases;
+  /// An upstream that did not renew for this long is taken off the
+  /// configuration.
+  Milliseconds UpstreamLapse{5000};
+};
+
+/// Answers commands, queries and hellos of the other processes from the
+/// replicated state. Runs on the control thread.
+template <CommandLog Log, MessageSender Sender> class CellService {
+public:
+  CellService(Log &log, Sender &sender, const Clock &clock, EventLog &events,
+              CellServiceOptions options)
+      : Commands(log), Outbox(sender), Time(clock), Events(events),
+        Leases(options.EntryLeases), Renewals(options.UpstreamLapse) {}
+
+  /// Called when this process becomes the leader.
+  void becomeLeader() {
+    Leases.becomeLeader(Time.now());
+    Renewals.becomeLeader(Time.now());
+    Pending.clear();
+    Proposed.clear();
+    Events.write(ControlEvent::LeaderStarted,
+                 {{"version", State.configuration().revision()}});
+  }
+
+  /// Applies a committed record and answers whoever waits for it.
+  void applied(LogPosition position, const std::string &record) {
+    protocol::Command command;
+    if (!command.ParseFromString(record)) {
+      Events.write(ControlEvent::RecordUnreadable, {{"index", position.Index}});
+      return;
+    }
+    const std::uint64_t before = State.configuration().revision();
+    const protocol::CommandResult result = State.apply(command);
+    Events.write(ControlEvent::CommandApplied,
+                 {{"index", position.Index},
+                  {"request", command.request_id()},
+                  {"author", command.author()},
+                  {"result", protocol::ResultCode_Name(result.code())},
+                  {"version", result.revision()},
+                  {"job", result.job()}});
+    answer(position, result);
+    if (State.configuration().revision() != before) {
+      pushConfiguration();
+    }
+  }
+
+  /// Takes in a message of another process; kinds that are not for the leader
+  /// are ignored.
+  void receive(const protocol::Envelope &envelope) {
+    if (envelope.has_command_request()) {
+      takeCommand(envelope);
+    } else if (envelope.has_query_request()) {
+      takeQuery(envelope);
+    } else if (envelope.has_entry_hello()) {
+      takeHello(envelope);
+    }
+  }
+
+  /// Takes silent entry VMs and upstreams off the configuration.
+  void tick() {
+    if (!Commands.isLeader()) {
+      return;
+    }
+    const SteadyTime now = Time.now();
+    for (const cell::LapsedEntry &it :
+         Leases.lapsed(State.configuration(), now)) {
+      protocol::Command command;
+      command.mutable_leave_entry()->set_name(it.Name);
+      command.mutable_leave_entry()->set_incarnation(it.Incarnation);
+      command.mutable_leave_entry()->set_lapsed(true);
+      proposeOnce(std::move(command));
+    }
+    for (const cell::LapsedUpstream &it :
+         Renewals.lapsed(State.configuration(), now)) {
+      protocol::Command command;
+      command.mutable_leave_upstream()->set_name(it.Name);
+      command.mutable_leave_upstream()->set_incarnation(it.Incarnation);
+      command.mutable_leave_upstream()->set_lapsed(true);
+      proposeOnce(std::move(command));
+    }
+  }
+
+  const cell::CellState &state() const { return State; }
+  cell::CellState &state() { return State; }
+
+private:
+  struct Waiting {
+    std::string Address;
+    std::uint64_t Call = 0;
+  };
+
+  struct EntryAddress {
+    std::string Address;
+    std::uint64_t Revision = 0;
+  };
+
+  void takeCommand(const protocol::Envelope &envelope) {
+    const protocol::CommandRequest &request = envelope.command_request();
+    if (waitsForEarlierLease(request.command())) {
+      refuseCommand(envelope);
+      return;
+    }
+    protocol::Command command = request.command();
+    command.set_at_unix_ms(unixMillis());
+    const auto position = Commands.propose(command.SerializeAsString());
+    if (!position) {
+      refuseCommand(envelope);
+      return;
+    }
+    Pending[*position] = {envelope.reply_address(), request.call()};
+  }
+
+  /// Whether a new incarnation of an entry VM has to wait until the lease of
+  /// the earlier one has run out.
+  bool waitsForEarlierLease(const protocol::Command &command) const {
+    if (!command.has_join_entry()) {
+      return false;
+    }
+    const protocol::EntryMember &joining = command.join_entry().entry();
+    const protocol::ConfigItem *held = State.configuration().findPresent(
+        {cell::ConfigKind::Entry, joining.name()});
+    return held != nullptr &&
+           held->entry().incarnation() < joining.incarnation() &&
+           Leases.mayServe(held->entry(), Time.now());
+  }
+
+  void refuseCommand(const protocol::Envelope &envelope) {
+    protocol::Envelope reply;
+    protocol::CommandReply *body = reply.mutable_command_reply();
+    body->set_call(envelope.command_request().call());
+    body->set_leader_hint(Commands.leaderAddress());
+    Outbox.send(envelope.reply_address(), std::move(reply));
+  }
+
+  void takeQuery(const protocol::Envelope &envelope) {
+    const protocol::QueryRequest &request = envelope.query_request();
+    protocol::Envelope reply;
+    protocol::QueryReply *body = reply.mutable_query_reply();
+    body->set_call(request.call());
+    body->set_leader_hint(Commands.leaderAddress());
+    if (Commands.isLeader()) {
+      body->set_taken(true);
+      answerQuery(request, *body);
+    }
+    Outbox.send(envelope.reply_address(), std::move(reply));
+  }
+
+  void answerQuery(const protocol::QueryRequest &request,
+                   protocol::QueryReply &reply) {
+    if (request.has_in_force()) {
+      *reply.mutable_in_force() =
+          Leases.inForce(State.configuration(), Time.now());
+    } else if (request.has_profile_history()) {
+      *reply.mutable_profile_history() =
+          State.profileHistory(request.profile_history().name());
+    } else if (request.has_configuration()) {
+      answerConfiguration(request.configuration(),
+                          *reply.mutable_configuration());
+    }
+  }
+
+  void answerConfiguration(const protocol::ConfigurationQuery &query,
+                           protocol::ConfigurationReply &reply) const {
+    const cell::Configuration &configuration = State.configuration();
+    reply.set_revision(configuration.revision());
+    const auto kind = parseEnum<cell::ConfigKind>(query.kind());
+    if (!kind) {
+      return;
+    }
+    for (const protocol::ConfigItem *it : configuration.present(*kind)) {
+      if (query.name().empty() || cell::keyOf(*it).Name == query.name()) {
+        *reply.add_items() = *it;
+      }
+    }
+  }
+
+  void takeHello(const protocol::Envelope &envelope) {
+    const protocol::EntryHello &hello = envelope.entry_hello();
+    const bool leads = Commands.isLeader();
+    const bool member = leads && isMember(hello);
+    if (member) {
+      Leases.hello(hello, Time.now());
+      Addresses[hello.name()] = {envelope.reply_address(), hello.revision()};
+    }
+    if (leads) {
+      Renewals.renew(hello, Time.now());
+    }
+    sendUpdate(envelope.reply_address(), hello, leads, member);
+  }
+
+  bool isMember(const protocol::EntryHello &hello) const {
+    const protocol::ConfigItem *item = State.configuration().findPresent(
+        {cell::ConfigKind::Entry, hello.name()});
+    return item != nullptr &&
+           item->entry().incarnation() == hello.incarnation();
+  }
+
+  void sendUpdate(const std::string &address, const protocol::EntryHello &hello,
+                  bool leads, bool member) {
+    protocol::Envelope reply;
+    protocol::EntryUpdate *update = reply.mutable_entry_update();
+    update->set_sequence(hello.sequence());
+    update->set_leader(leads);
+    update->set_leader_hint(Commands.leaderAddress());
+    update->set_member(member);
+    if (leads) {
+      addChanges(*update, hello.revision());
+    }
+    if (member) {
+      update->set_lease_ms(
+          static_cast<std::uint32_t>(Leases.options().Lease.count()));
+    }
+    Outbox.send(address, std::move(reply));
+  }
+
+  void addChanges(protocol::EntryUpdate &update, std::uint64_t since) const {
+    update.set_revision(State.configuration().revision());
+    for (const protocol::ConfigItem *it :
+         State.configuration().changesSince(since)) {
+      *update.add_items() = *it;
+    }
+  }
+
+  /// Sends what changed to every entry VM that said hello, without waiting for
+  /// the next hello. It extends no lease.
+  void pushConfiguration() {
+    if (!Commands.isLeader()) {
+      return;
+    }
+    for (auto &it : Addresses) {
+      protocol::Envelope envelope;
+      protocol::EntryUpdate *update = envelope.mutable_entry_update();
+      update->set_leader(true);
+      update->set_member(true);
+      addChanges(*update, it.second.Revision);
+      Outbox.send(it.second.Address, std::move(envelope));
+    }
+  }
+
+  void answer(LogPosition position, const protocol::CommandResult &result) {
+    Proposed.clear();
+    const auto it = Pending.find(position);
+    if (it == Pending.end()) {
+      return;
+    }
+    protocol::Envelope reply;
+    protocol::CommandReply *body = reply.mutable_command_reply();
+    body->set_call(it->second.Call);
+    body->set_taken(true);
+    *body->mutable_result() = result;
+    Outbox.send(it->second.Address, std::move(reply));
+    Pending.erase(it);
+  }
+
+  /// Proposes a command of the leader itself unless the same one is already
+  /// on its way.
+  void proposeOnce(protocol::Command command) {
+    const std::string content = command.SerializeAsString();
+    if (!Proposed.insert(content).second) {
+      return;
+    }
+    command.set_at_unix_ms(unixMillis());
+    Commands.propose(command.SerializeAsString());
+  }
+
+  std::uint64_t unixMillis() const {
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(
+                                          Time.systemNow().time_since_epoch())
+                                          .count());
+  }
+
+  Log &Commands;
+  Sender &Outbox;
+  const Clock &Time;
+  EventLog &Events;
+  cell::CellState State;
+  cell::EntryLeases Leases;
+  cell::UpstreamRenewals Renewals;
+  std::map<LogPosition, Waiting> Pending;
+  std::map<std::string, EntryAddress> Addresses;
+  std::set<std::string> Proposed;
+};
+
+} // namespace masticwinch::control
--- /dev/null
+++ b/src/masticwinch/control/control_daemon.cpp
@@ -0,0 +1,122 @@
+#include "masticwinch/control/control_daemon.hpp"
+
+#include "masticwinch/control/local_log.hpp"
+#include "masticwinch/http/http_server.hpp"
+#include "masticwinch/operators/operators_api.hpp"
+#include "masticwinch/peers/cell_client.hpp"
+#include "masticwinch/peers/mailbox.hpp"
+#include "masticwinch/programs/daemon_options.hpp"
+#include "masticwinch/programs/incarnation.hpp"
+#include "masticwinch/programs/stop_signals.hpp"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <cstdlib>
+#include <stdexcept>
+
+namespace masticwinch::control {
+
+namespace {
+
+/// Exit status after a second stop signal.
+constexpr int StoppedAtOnce = 143;
+
+constexpr Milliseconds TickInterval{500};
+
+} // namespace
+
+struct ControlDaemon::Implementation {
+  using Service = CellService<LocalLog, peers::Mailbox>;
+
+  explicit Implementation(const ControlSettings &settings)
+      : Settings(settings), Incarnation(programs::newIncarnation(Time)),
+        Events(
+            {settings.Process.Name, Incarnation, settings.Process.EventsFile},
+            Time),
+        Mailbox(
+            programs::mailboxOptions(settings.Process, Incarnation),
+            [this](protocol::Envelope envelope) {
+              asio::post(Context,
+                         [this, it = std::move(envelope)] { receive(it); });
+            },
+            Events),
+        Client(Context, Mailbox, {programs::addressesOf(settings.Members)}),
+        Log(settings.DataFolder,
+            [this](LogPosition position, const std::string &record) {
+              asio::post(Context, [this, position, record] {
+                State.applied(position, record);
+              });
+            }),
+        State(Log, Mailbox, Time, Events, settings.Service),
+        Api(Context, Client,
+            {[] { return true; }, [] { return std::string(); }}),
+        Server(programs::serverOptions(settings.Operators),
+               [this](std::shared_ptr<HttpExchange> it) { Api.handle(it); }),
+        Ticker(Context),
+        Signals(
+            Context, [this] { stop(); }, [] { std::_Exit(StoppedAtOnce); }) {}
+
+  void receive(const protocol::Envelope &envelope) {
+    State.receive(envelope);
+    Client.receive(envelope);
+  }
+
+  void scheduleTick() {
+    Ticker.expires_after(TickInterval);
+    Ticker.async_wait([this](const std::error_code &ec) {
+      if (!ec) {
+        State.tick();
+        scheduleTick();
+      }
+    });
+  }
+
+  ExitCode run() {
+    if (Settings.Members.size() != 1) {
+      throw std::runtime_error("a cell with several control VMs needs the "
+                               "replicated log, which is not there yet");
+    }
+    asio::post(Context, [this] { State.becomeLeader(); });
+    Mailbox.start();
+    Server.start();
+    scheduleTick();
+    Events.write(ControlEvent::Started,
+                 {{"address", Settings.Process.InternalAddress}});
+    Context.run();
+    return ExitCode::Success;
+  }
+
+  void stop() {
+    Events.write(ControlEvent::Stopping);
+    Server.stop();
+    Mailbox.stop();
+    Events.write(ControlEvent::Stopped);
+    Context.stop();
+  }
+
+  const ControlSettings &Settings;
+  OperatingSystemClock Time;
+  std::uint64_t Incarnation;
+  EventLog Events;
+  asio::io_context Context{1};
+  peers::Mailbox Mailbox;
+  peers::CellClient Client;
+  LocalLog Log;
+  Service State;
+  operators::OperatorsApi Api;
+  HttpServer Server;
+  asio::steady_timer Ticker;
+  StopSignals Signals;
+};
+
+ControlDaemon::ControlDaemon(const ControlSettings &settings)
+    : Impl(std::make_unique<Implementation>(settings)) {}
+
+ControlDaemon::~ControlDaemon() = default;
+
+ExitCode ControlDaemon::run() { return Impl->run(); }
+
+} // namespace masticwinch::control
--- /dev/null
+++ b/src/masticwinch/control/control_settings.cpp
@@ -0,0 +1,53 @@
+#include "masticwinch/control/control_settings.hpp"
+
+#include <algorithm>
+
+namespace masticwinch::control {
+
+namespace {
+
+constexpr SettingsRange LeaseRange{200, 10'000};
+constexpr SettingsRange LapseRange{1'000, 600'000};
+
+void readLeases(SettingsReader &reader, CellServiceOptions &service) {
+  cell::EntryLeaseOptions &leases = service.EntryLeases;
+  leases.Lease =
+      reader.optionalMilliseconds("entry_lease_ms", LeaseRange, leases.Lease);
+  leases.DriftBound = reader.optionalMilliseconds("drift_bound_ms", {0, 5'000},
+                                                  leases.DriftBound);
+  leases.Lapse =
+      reader.optionalMilliseconds("entry_lapse_ms", LapseRange, leases.Lapse);
+  service.UpstreamLapse = reader.optionalMilliseconds(
+      "upstream_lapse_ms", LapseRange, service.UpstreamLapse);
+  if (leases.Lapse <= leases.Lease + leases.DriftBound) {
+    reader.report("entry_lapse_ms",
+                  "must be longer than entry_lease_ms and drift_bound_ms");
+  }
+}
+
+} // namespace
+
+Result<ControlSettings> loadControlSettings(const std::string &file) {
+  return readSettings<ControlSettings>(
+      file, [](SettingsReader &reader, ControlSettings &settings) {
+        settings.Process = programs::readProcess(reader);
+        settings.DataFolder = reader.requiredString("data_folder");
+        settings.Members = programs::readPeers(reader, "members");
+        settings.Operators = programs::readHttp(reader, "operators");
+        reader.object("leases", [&](SettingsReader &nested) {
+          readLeases(nested, settings.Service);
+        });
+        const bool listed =
+            std::any_of(settings.Members.begin(), settings.Members.end(),
+                        [&](const programs::PeerSettings &it) {
+                          return it.Name == settings.Process.Name &&
+                                 it.Address == settings.Process.InternalAddress;
+                        });
+        if (!listed) {
+          reader.report("members",
+                        "must list this process by name and internal_address");
+        }
+      });
+}
+
+} // namespace masticwinch::control
--- /dev/null
+++ b/src/masticwinch/control/control_settings.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "masticwinch/common/result.hpp"
+#include "masticwinch/control/cell_service.hpp"
+#include "masticwinch/programs/endpoint_settings.hpp"
+
+#include <string>
+#include <vector>
+
+namespace masticwinch::control {
+
+/// Settings of one control process; docs/settings.md describes the file.
+struct ControlSettings {
+  programs::ProcessSettings Process;
+  std::string DataFolder;
+  std::vector<programs::PeerSettings> Members;
+  programs::HttpSettings Operators;
+  CellServiceOptions Service;
+};
+
+/// Reads and checks a settings file. Errors: `SettingsError`.
+Result<ControlSettings> loadControlSettings(const std::string &file);
+
+} // namespace masticwinch::control
--- /dev/null
+++ b/src/masticwinch/coordination/cell/cell_state.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "masticwinch/coordination/cell/configuration.hpp"
+#include "masticwinch/coordination/cell/remembered_results.hpp"
+#include "masticwinch/protocol/cell.pb.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+namespace masticwinch::cell {
+
+/// The replicated state of the cell. Every replica applies the same commands in
+/// the same order and holds the same state; nothing here reads a clock or a
+/// random number.
+class CellState {
+public:
+  /// Applies one command and returns its result. A command that carries an
+  /// author and a request id that were seen before changes nothing: the same
+  /// command gets the first result again, another one is refused.
+  protocol::CommandResult apply(const protocol::Command &command);
+
+  /// The whole state, for a snapshot.
+  protocol::CellSnapshot snapshot() const;
+
+  /// Replaces the state by a snapshot's.
+  void restore(const protocol::CellSnapshot &snapshot);
+
+  const Configuration &configuration() const { return Config; }
+
+  /// Versions of a profile that are still kept, oldest first.
+  protocol::ProfileHistory profileHistory(const std::string &name) const;
+
+  /// Accepted jobs by id.
+  const std::map<std::string, protocol::JobRecord> &jobs() const {
+    return Jobs;
+  }
+
+private:
+  protocol::CommandResult change(const protocol::Command &command);
+  protocol::CommandResult putProfile(const protocol::Command &command);
+  protocol::CommandResult retireProfile(const protocol::Command &command);
+  protocol::CommandResult storeProfile(const protocol::Command &command,
+                                       protocol::Profile profile);
+  protocol::CommandResult setVmPolicy(const protocol::VmPolicy &vm);
+  protocol::CommandResult putTeam(const protocol::Team &team);
+  protocol::CommandResult announceUpstream(const protocol::Upstream &upstream);
+  protocol::CommandResult leaveUpstream(const protocol::LeaveUpstream &leave);
+  protocol::CommandResult joinEntry(const protocol::EntryMember &entry);
+  protocol::CommandResult leaveEntry(const protocol::LeaveEntry &leave);
+  protocol::CommandResult submitJob(const protocol::Command &command);
+  protocol::CommandResult cancelJob(const protocol::CancelJob &cancel);
+  protocol::CommandResult accepted(std::uint64_t version = 0) const;
+
+  static constexpr std::size_t MaxHistory = 32;
+
+  Configuration Config;
+  RememberedResults Remembered;
+  std::map<std::string, std::deque<protocol::Profile>> Histories;
+  std::map<std::string, protocol::JobRecord> Jobs;
+  std::uint64_t NextJob = 1;
+};
+
+} // namespace masticwinch::cell
--- /dev/null
+++ b/src/masticwinch/coordination/cell/spec_validation.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "masticwinch/protocol/cell.pb.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace masticwinch::cell {
+
+/// A field that was refused and why.
+struct FieldProblem {
+  std::string Field;
+  std::string Reason;
+};
+
+inline constexpr std::size_t MaxNameLength = 128;
+inline constexpr std::uint32_t MaxTasksPerJob = 100'000;
+inline constexpr std::uint32_t MaxTasksPerGang = 10'000;
+inline constexpr std::uint32_t MaxDurationMs = 24 * 60 * 60 * 1000;
+inline constexpr std::uint32_t MaxWeight = 10'000;
+inline constexpr std::uint32_t MaxAttempts = 10;
+inline constexpr std::int64_t MaxMilliProcessors = 10'000'000;
+inline constexpr std::int64_t MaxMemoryMib = 100'000'000;
+inline constexpr std::int64_t MaxAccelerators = 10'000;
+inline constexpr std::size_t MaxPayloadBytes = 64 * 1024;
+/// Longest time that a service or batch task may state as its run time.
+inline constexpr std::uint64_t MaxRunTimeMs = 366ULL * 24 * 60 * 60 * 1000;
+
+/// Checks a name: 1 to 128 letters, digits, dots, hyphens and underscores.
+std::optional<FieldProblem> checkName(std::string_view field,
+                                      std::string_view name);
+
+/// Checks amounts of a task: none negative or absurd, some processor.
+std::optional<FieldProblem> checkResources(std::string_view field,
+                                           const protocol::Resources &amounts);
+
+/// Checks a profile before it is accepted.
+std::optional<FieldProblem> checkProfile(const protocol::ProfileSpec &spec);
+
+/// Checks a job's own fields together with the policy that it will run under.
+std::optional<FieldProblem> checkJob(const protocol::JobSpec &spec,
+                                     const protocol::TaskPolicy &policy);
+
+} // namespace masticwinch::cell
--- /dev/null
+++ b/src/masticwinch/entry/entry_daemon.cpp
@@ -0,0 +1,182 @@
+#include "masticwinch/entry/entry_daemon.hpp"
+
+#include "masticwinch/callers/request_forwarder.hpp"
+#include "masticwinch/events/event_log.hpp"
+#include "masticwinch/http/http_client.hpp"
+#include "masticwinch/http/http_server.hpp"
+#include "masticwinch/operators/operators_api.hpp"
+#include "masticwinch/peers/cell_client.hpp"
+#include "masticwinch/peers/entry_session.hpp"
+#include "masticwinch/peers/mailbox.hpp"
+#include "masticwinch/programs/daemon_options.hpp"
+#include "masticwinch/programs/incarnation.hpp"
+#include "masticwinch/programs/stop_signals.hpp"
+#include "masticwinch/upstreams/upstream_api.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <cstdlib>
+
+namespace masticwinch::entry {
+
+enum class EntryDaemonEvent : std::uint8_t { Started, Stopping, Stopped };
+
+} // namespace masticwinch::entry
+
+namespace masticwinch {
+
+template <> struct EnumNames<entry::EntryDaemonEvent> {
+  static constexpr std::array<EnumName<entry::EntryDaemonEvent>, 3> Table{{
+      {entry::EntryDaemonEvent::Started, "entry_started"},
+      {entry::EntryDaemonEvent::Stopping, "entry_stopping"},
+      {entry::EntryDaemonEvent::Stopped, "entry_stopped"},
+  }};
+};
+
+} // namespace masticwinch
+
+namespace masticwinch::entry {
+
+namespace {
+
+/// Exit status after a second stop signal.
+constexpr int StoppedAtOnce = 143;
+
+constexpr Milliseconds DrainPoll{20};
+
+} // namespace
+
+struct EntryDaemon::Implementation {
+  explicit Implementation(const EntrySettings &settings)
+      : Settings(settings), Incarnation(programs::newIncarnation(Time)),
+        Events(
+            {settings.Process.Name, Incarnation, settings.Process.EventsFile},
+            Time),
+        Mailbox(
+            programs::mailboxOptions(settings.Process, Incarnation),
+            [this](protocol::Envelope envelope) {
+              asio::post(Context,
+                         [this, it = std::move(envelope)] { receive(it); });
+            },
+            Events),
+        Client(Context, Mailbox, {programs::addressesOf(settings.Controls)}),
+        Session(Context, Time, Mailbox, Client, Events,
+                {settings.Process.Name, settings.Process.DataCenter,
+                 Incarnation, settings.HelloInterval}),
+        Traffic(Context), Forwarder(Session, Traffic, Time, Events),
+        Upstreams(Client, Session),
+        Api(Context, Client,
+            {[this] { return !Stopping && Session.mayServe(); },
+             [] { return std::string(); }}),
+        Operators(programs::serverOptions(settings.Operators),
+                  [this](std::shared_ptr<HttpExchange> it) { Api.handle(it); }),
+        Callers(programs::serverOptions(settings.Callers),
+                [this](std::shared_ptr<HttpExchange> it) { takeCaller(it); }),
+        Timer(Context),
+        Signals(
+            Context, [this] { stop(); }, [] { std::_Exit(StoppedAtOnce); }) {}
+
+  void receive(const protocol::Envelope &envelope) {
+    Session.receive(envelope);
+    Client.receive(envelope);
+  }
+
+  void takeCaller(const std::shared_ptr<HttpExchange> &exchange) {
+    const HttpRequest &request = exchange->request();
+    RouteMatch match;
+    if (matchRoute("/v1/services/{}/**", request.Path, match)) {
+      asio::post(Context, [this, exchange, match] {
+        Forwarder.forward(exchange, match);
+      });
+    } else if (matchRoute("/v1/upstreams/{}/announce", request.Path, match)) {
+      asio::post(Context, [this, exchange, match] {
+        Upstreams.announce(exchange, match);
+      });
+    } else if (matchRoute("/v1/upstreams/{}/leave", request.Path, match)) {
+      asio::post(Context,
+                 [this, exchange, match] { Upstreams.leave(exchange, match); });
+    } else if (request.Path == "/health" || request.Path == "/v1/jobs") {
+      Api.handle(exchange);
+    } else {
+      exchange->respond(errorResponse(404, "not_found", "no such path"));
+    }
+  }
+
+  ExitCode run() {
+    Mailbox.start();
+    Session.start();
+    Operators.start();
+    Callers.start();
+    Events.write(EntryDaemonEvent::Started,
+                 {{"address", Settings.Process.InternalAddress}});
+    Context.run();
+    return ExitCode::Success;
+  }
+
+  /// The health check fails first; requests are taken until the balancer has
+  /// had its time; then those in progress end.
+  void stop() {
+    Events.write(EntryDaemonEvent::Stopping);
+    Stopping = true;
+    Callers.closeConnectionsAfterAnswers();
+    after(Settings.BalancerDelay, [this] {
+      Forwarder.drain();
+      awaitIdle();
+    });
+  }
+
+  void awaitIdle() {
+    if (Forwarder.pending() > 0) {
+      after(DrainPoll, [this] { awaitIdle(); });
+      return;
+    }
+    Session.leave([this] { finish(); });
+  }
+
+  void finish() {
+    Callers.stop();
+    Operators.stop();
+    Mailbox.stop();
+    Events.write(EntryDaemonEvent::Stopped);
+    Context.stop();
+  }
+
+  void after(Milliseconds delay, std::function<void()> function) {
+    Timer.expires_after(delay);
+    Timer.async_wait(
+        [function = std::move(function)](const std::error_code &ec) {
+          if (!ec) {
+            function();
+          }
+        });
+  }
+
+  const EntrySettings &Settings;
+  OperatingSystemClock Time;
+  std::uint64_t Incarnation;
+  EventLog Events;
+  asio::io_context Context{1};
+  peers::Mailbox Mailbox;
+  peers::CellClient Client;
+  peers::EntrySession Session;
+  HttpClient Traffic;
+  callers::RequestForwarder Forwarder;
+  upstreams::UpstreamApi Upstreams;
+  operators::OperatorsApi Api;
+  HttpServer Operators;
+  HttpServer Callers;
+  asio::steady_timer Timer;
+  StopSignals Signals;
+  bool Stopping = false;
+};
+
+EntryDaemon::EntryDaemon(const EntrySettings &settings)
+    : Impl(std::make_unique<Implementation>(settings)) {}
+
+EntryDaemon::~EntryDaemon() = default;
+
+ExitCode EntryDaemon::run() { return Impl->run(); }
+
+} // namespace masticwinch::entry
--- /dev/null
+++ b/src/masticwinch/entry/entry_settings.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "masticwinch/common/clock.hpp"
+#include "masticwinch/common/result.hpp"
+#include "masticwinch/programs/endpoint_settings.hpp"
+
+#include <string>
+#include <vector>
+
+namespace masticwinch::entry {
+
+/// Settings of one entry process; docs/settings.md describes the file.
+struct EntrySettings {
+  programs::ProcessSettings Process;
+  std::vector<programs::PeerSettings> Controls;
+  programs::HttpSettings Callers;
+  programs::HttpSettings Operators;
+  /// Time between hellos to the leader.
+  Milliseconds HelloInterval{500};
+  /// Time that a stopping process leaves the balancer to notice that its
+  /// health check fails, before it stops taking requests.
+  Milliseconds BalancerDelay{500};
+};
+
+/// Reads and checks a settings file. Errors: `SettingsError`.
+Result<EntrySettings> loadEntrySettings(const std::string &file);
+
+} // namespace masticwinch::entry
--- /dev/null
+++ b/src/masticwinch/programs/endpoint_settings.cpp
@@ -0,0 +1,64 @@
+#include "masticwinch/programs/endpoint_settings.hpp"
+
+#include <set>
+
+namespace masticwinch::programs {
+
+namespace {
+
+constexpr SettingsRange PortRange{0, 65'535};
+constexpr SettingsRange ThreadRange{1, 64};
+
+void checkInternalAddress(SettingsReader &reader, const std::string &key,
+                          const std::string &address) {
+  if (!address.empty() && !address.starts_with("tcp://")) {
+    reader.report(key, "must be tcp://IP:PORT");
+  }
+}
+
+} // namespace
+
+ProcessSettings readProcess(SettingsReader &reader) {
+  ProcessSettings process;
+  process.Cluster = reader.requiredString("cluster");
+  process.Name = reader.requiredString("name");
+  process.DataCenter = reader.requiredString("data_center");
+  process.EventsFile = reader.optionalString("events_file", "");
+  process.InternalAddress = reader.requiredString("internal_address");
+  checkInternalAddress(reader, "internal_address", process.InternalAddress);
+  return process;
+}
+
+std::vector<PeerSettings> readPeers(SettingsReader &reader,
+                                    const std::string &key) {
+  std::vector<PeerSettings> peers;
+  std::set<std::string> names;
+  reader.eachObject(key, [&](SettingsReader &nested) {
+    PeerSettings peer;
+    peer.Name = nested.requiredString("name");
+    peer.Address = nested.requiredString("address");
+    checkInternalAddress(nested, "address", peer.Address);
+    if (!names.insert(peer.Name).second) {
+      nested.report("name", "is listed twice");
+    }
+    peers.push_back(std::move(peer));
+  });
+  if (peers.empty()) {
+    reader.report(key, "must list at least one process");
+  }
+  return peers;
+}
+
+HttpSettings readHttp(SettingsReader &reader, const std::string &key) {
+  HttpSettings http;
+  reader.object(key, [&](SettingsReader &nested) {
+    http.Address = nested.optionalString("address", "127.0.0.1");
+    http.Port =
+        static_cast<std::uint16_t>(nested.requiredInteger("port", PortRange));
+    http.Threads = static_cast<std::size_t>(
+        nested.optionalInteger("threads", ThreadRange, 1));
+  });
+  return http;
+}
+
+} // namespace masticwinch::programs
--- /dev/null
+++ b/src/masticwinch/upstreams/announcement.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "masticwinch/coordination/cell/spec_validation.hpp"
+
+namespace masticwinch::upstreams {
+
+/// Limits of what an upstream may announce.
+inline constexpr std::uint32_t MaxSlots = 1024;
+inline constexpr std::uint32_t MaxConnections = 65'536;
+
+/// Checks an announcement: names, `host:port` address, slots and connections.
+std::optional<cell::FieldProblem>
+checkAnnouncement(const protocol::Upstream &upstream);
+
+} // namespace masticwinch::upstreams
--- /dev/null
+++ b/tests/coordination/cell/test_entry_leases.cpp
@@ -0,0 +1,98 @@
+#include "masticwinch/coordination/cell/cell_state.hpp"
+#include "masticwinch/coordination/cell/entry_leases.hpp"
+#include "masticwinch/coordination/cell/serving_lease.hpp"
+#include "masticwinch/coordination/cell/upstream_renewals.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "tests/coordination/cell/commands.hpp"
+
+using namespace masticwinch;
+using namespace masticwinch::tests;
+using namespace masticwinch::cell;
+
+namespace {
+
+const EntryLeaseOptions Options;
+const SteadyTime Start{};
+
+protocol::EntryHello hello(const std::string &name, std::uint64_t revision) {
+  protocol::EntryHello message;
+  message.set_name(name);
+  message.set_incarnation(1);
+  message.set_revision(revision);
+  return message;
+}
+
+} // namespace
+
+TEST_CASE("A silent entry VM holds a change back until its lease is over",
+          "[cell][leases]") {
+  CellState state;
+  state.apply(joinEntry("entry-1", 1));
+  state.apply(joinEntry("entry-2", 1));
+  EntryLeases leases(Options);
+  leases.becomeLeader(Start);
+  leases.hello(hello("entry-1", 2), Start);
+  leases.hello(hello("entry-2", 2), Start);
+  state.apply(putProfile("sheet", 0));
+  const SteadyTime end = Start + Options.Lease + Options.DriftBound;
+  leases.hello(hello("entry-1", 3), end);
+
+  CHECK(leases.inForce(state.configuration(), end).in_force_revision() == 2);
+  CHECK(leases.inForce(state.configuration(), end + Milliseconds(1))
+            .in_force_revision() == 3);
+}
+
+TEST_CASE("A new leader waits for leases that an earlier one granted",
+          "[cell][leases]") {
+  CellState state;
+  state.apply(joinEntry("entry-1", 1));
+  EntryLeases leases(Options);
+  leases.becomeLeader(Start);
+
+  CHECK(leases.inForce(state.configuration(), Start).in_force_revision() == 0);
+  CHECK(leases.mayServe(
+      state.configuration().present(ConfigKind::Entry)[0]->entry(), Start));
+}
+
+TEST_CASE("An entry VM's lease ends before the leader counts it as over",
+          "[cell][leases]") {
+  ServingLease lease;
+  const std::uint64_t sequence = lease.helloSent(Start);
+  CHECK_FALSE(lease.valid(Start));
+
+  lease.granted(sequence, Options.Lease);
+
+  CHECK(lease.valid(Start + Options.Lease - Milliseconds(1)));
+  CHECK_FALSE(lease.valid(Start + Options.Lease));
+}
+
+TEST_CASE("A repeated grant does not extend the lease", "[cell][leases]") {
+  ServingLease lease;
+  const std::uint64_t first = lease.helloSent(Start);
+  const std::uint64_t second = lease.helloSent(Start + Milliseconds(500));
+  lease.granted(second, Options.Lease);
+  lease.granted(first, Options.Lease);
+  lease.granted(second, Options.Lease);
+  lease.granted(0, Milliseconds(60'000));
+
+  CHECK_FALSE(lease.valid(Start + Milliseconds(500) + Options.Lease));
+}
+
+TEST_CASE("An upstream lapses when its renewals stop", "[cell][upstreams]") {
+  CellState state;
+  state.apply(announce("runner", 2));
+  UpstreamRenewals renewals(Milliseconds(5000));
+  renewals.becomeLeader(Start);
+  CHECK(renewals.lapsed(state.configuration(), Start).empty());
+  protocol::EntryHello late;
+  late.add_renewals()->set_name("runner");
+  late.mutable_renewals(0)->set_incarnation(1);
+  renewals.renew(late, Start + Milliseconds(4000));
+
+  const auto lapsed =
+      renewals.lapsed(state.configuration(), Start + Milliseconds(5001));
+  REQUIRE(lapsed.size() == 1);
+  CHECK(lapsed[0].Incarnation == 2);
+}
