--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -93,6 +93,7 @@
   string(REPLACE "_" "-" program "bench-${name}")
   add_executable(${program} ${source})
   target_link_libraries(${program} PRIVATE masticwinch::daemon)
+  target_include_directories(${program} PRIVATE ${PROJECT_SOURCE_DIR})
 endforeach()
 
 file(GLOB EXAMPLE_SOURCES CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/examples/*.cpp)
