Replicate a log among three or five control VMs

Cause: the control state must survive the loss of VMs and never revert. Fuzzing runs it over memory disks and a faulty network against the list of accepted commands.

--- /dev/null
+++ b/fuzzing/replication/replica_group.hpp
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "masticwinch/coordination/replication/replica.hpp"
+
+#include "fuzzing/replication/memory_disk.hpp"
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace masticwinch::fuzzing {
+
+/// What the group must never do; the text says what was seen.
+struct Violation {
+  std::string Text;
+};
+
+/// Faults of the network between replicas.
+struct NetworkFaults {
+  /// In thousandths.
+  unsigned LossPermille = 0;
+  unsigned DuplicatePermille = 0;
+  Milliseconds MaxDelay{10};
+  /// Pairs of sender and receiver between which all is lost.
+  std::set<std::pair<std::size_t, std::size_t>> Cut;
+};
+
+/// Replicas over memory disks and a faulty network in virtual time, checked
+/// against the list of accepted commands. Throws `Violation`.
+class ReplicaGroup {
+public:
+  ReplicaGroup(std::size_t count, std::uint64_t seed,
+               replication::ReplicaOptions options);
+
+  /// Lets virtual time pass.
+  void run(Milliseconds time);
+
+  std::size_t size() const { return Nodes.size(); }
+  NetworkFaults &network() { return Faults; }
+
+  /// Asks a node for a command; false if it did not take it.
+  bool propose(std::size_t node, const std::string &command);
+  void read(std::size_t node);
+  void transfer(std::size_t node);
+  void removeMember(std::size_t leader, std::size_t node);
+
+  /// Stops a node; what was not synced is lost.
+  void crash(std::size_t node);
+  void restart(std::size_t node);
+  /// Restarts a node on an empty disk, as a new replica.
+  void wipe(std::size_t node);
+  /// Restarts a node after one of its stored entries was damaged.
+  void flipBit(std::size_t node, std::size_t position);
+  void pause(std::size_t node) { Nodes[node].Paused = true; }
+  void resume(std::size_t node) { Nodes[node].Paused = false; }
+  void compact(std::size_t node);
+
+  /// Ends all faults of the network, restarts and resumes all nodes.
+  void healAll();
+
+  /// True if enough voters hold what they ever acknowledged, even without one
+  /// more.
+  bool canLose(std::size_t node) const;
+
+  /// The node that leads in the highest term; nothing if none does.
+  std::optional<std::size_t> leader() const;
+  const replication::Replica &replica(std::size_t node) const {
+    return *Nodes[node].Machine;
+  }
+  bool isUp(std::size_t node) const { return Nodes[node].Machine != nullptr; }
+
+  /// Commands accepted so far, by index of the log.
+  const std::map<std::uint64_t, std::string> &accepted() const {
+    return Accepted;
+  }
+  /// Commands that a node has applied.
+  const std::string &applied(std::size_t node) const {
+    return Nodes[node].Applied;
+  }
+  /// Role, term, log and membership of every node, for failures.
+  std::string describeNodes() const;
+  std::size_t confirmedReads() const { return ConfirmedReads; }
+
+  /// Message by message account of the session, when asked for.
+  std::vector<std::string> Transcript;
+  bool KeepTranscript = false;
+
+private:
+  struct Node {
+    replication::ReplicaId Id;
+    MemoryDisk Disk;
+    std::unique_ptr<replication::Replica> Machine;
+    std::optional<replication::WriteBatch> Writing;
+    SteadyTime WriteDone;
+    bool Paused = false;
+    /// Rate of the node's clock, in thousandths.
+    std::int64_t ClockPermille = 1000;
+    /// Applied commands, joined; what a snapshot carries.
+    std::string Applied;
+    std::uint64_t AppliedIndex = 0;
+  };
+  struct Packet {
+    SteadyTime Due;
+    std::size_t From;
+    std::size_t To;
+    protocol::ReplicationMessage Message;
+  };
+  struct AskedRead {
+    std::size_t Node;
+    std::uint64_t AcceptedIndex;
+  };
+
+  SteadyTime localTime(const Node &node) const;
+  replication::ReplicaId newId();
+  void start(Node &node);
+  void step();
+  void deliver();
+  void stepNode(std::size_t index);
+  void collect(std::size_t index);
+  void apply(Node &node, const protocol::LogEntry &entry);
+  void route(std::size_t from, const replication::OutgoingMessage &message);
+  std::optional<std::size_t> nodeOf(replication::ReplicaId id) const;
+  bool chance(unsigned permille);
+  void checkLeaders();
+  void maintainMembership();
+  void record(std::size_t from, std::size_t to,
+              const protocol::ReplicationMessage &message);
+
+  replication::ReplicaOptions Options;
+  std::mt19937_64 Engine;
+  SteadyTime Now{};
+  std::vector<Node> Nodes;
+  std::vector<Packet> Packets;
+  NetworkFaults Faults;
+  std::map<std::uint64_t, std::string> Accepted;
+  std::map<std::uint64_t, replication::ReplicaId> LeaderOfTerm;
+  std::map<std::uint64_t, AskedRead> AskedReads;
+  std::uint64_t NextRead = 1;
+  std::size_t ConfirmedReads = 0;
+};
+
+} // namespace masticwinch::fuzzing
--- /dev/null
+++ b/src/masticwinch/coordination/replication/replica.cpp
@@ -0,0 +1,227 @@
+#include "masticwinch/coordination/replication/replica.hpp"
+
+#include <algorithm>
+
+namespace masticwinch::replication {
+
+Replica::Replica(ReplicaOptions options, ReplicaId self,
+                 RecoveredState recovered, std::mt19937_64 engine,
+                 SteadyTime now)
+    : Options(options), Self(self), Engine(engine), Log(recovered),
+      Hard(recovered.Hard), LastSnapshot(recovered.LastSnapshot),
+      LastLeaderContact(now), Assembly(options.MaxSnapshotBytes) {
+  CommitIndex = LastSnapshot ? LastSnapshot->Index : 0;
+  HandedOutIndex = CommitIndex;
+  NextToWrite = Log.lastIndex() + 1;
+  PersistedIndex = Log.lastIndex();
+  Out.Restore = LastSnapshot;
+  if (Hard.Repairing) {
+    RepairNonce = std::max<std::uint64_t>(1, Engine());
+    note(ReplicaEventKind::RepairStarted);
+  }
+  resetElectionTimer(now);
+}
+
+std::uint64_t Replica::snapshotIndex() const {
+  return LastSnapshot ? LastSnapshot->Index : 0;
+}
+
+void Replica::note(ReplicaEventKind kind, std::string detail) {
+  Out.Events.push_back({kind, Hard.Term, Log.lastIndex(), std::move(detail)});
+}
+
+SteadyTime Replica::nextTick() const {
+  return CurrentRole == Role::Leader ? HeartbeatDue : ElectionDeadline;
+}
+
+void Replica::tick(SteadyTime now) {
+  if (CurrentRole == Role::Leader) {
+    leaderTick(now);
+    return;
+  }
+  if (now < ElectionDeadline) {
+    return;
+  }
+  if (Log.membership().isVoter(Self) && !repairing()) {
+    startPreVote(now);
+  } else {
+    resetElectionTimer(now);
+  }
+}
+
+void Replica::receive(const protocol::ReplicationMessage &message,
+                      SteadyTime now) {
+  using Body = protocol::ReplicationMessage;
+  const ReplicaId from{message.from_high(), message.from_low()};
+  if (message.to_low() != Self.Low || from == Self ||
+      message.body_case() == Body::BODY_NOT_SET) {
+    refuse(from, "not for this replica");
+    return;
+  }
+  stepDownIfCutOff(now);
+  if (!acceptTerm(message, from, now)) {
+    return;
+  }
+  switch (message.body_case()) {
+  case Body::kVoteRequest:
+    return handleVoteRequest(message, from, now);
+  case Body::kVoteReply:
+    return handleVoteReply(message, from, now);
+  case Body::kAppendRequest:
+    return handleAppend(message, from, now);
+  case Body::kAppendReply:
+    return handleAppendReply(message, from, now);
+  case Body::kSnapshotChunk:
+    return handleSnapshotChunk(message.snapshot_chunk(), from, now);
+  case Body::kSnapshotReply:
+    return handleSnapshotReply(message.snapshot_reply(), from, now);
+  case Body::kTransferRequest:
+    return handleTransferRequest(from, now);
+  case Body::BODY_NOT_SET:
+    return;
+  }
+}
+
+void Replica::refuse(ReplicaId from, std::string_view why) {
+  note(ReplicaEventKind::MessageRefused, from.text() + ": " + std::string(why));
+}
+
+protocol::ReplicationMessage Replica::makeMessage() const {
+  protocol::ReplicationMessage message;
+  message.set_from_high(Self.High);
+  message.set_from_low(Self.Low);
+  message.set_term(Hard.Term);
+  return message;
+}
+
+void Replica::send(ReplicaId to, protocol::ReplicationMessage message) {
+  message.set_to_low(to.Low);
+  const Member *member = Log.membership().find(to);
+  Out.Messages.push_back(
+      {to, member ? member->Address : std::string(), std::move(message)});
+}
+
+void Replica::sendAfterSync(ReplicaId to,
+                            protocol::ReplicationMessage message) {
+  if (!dirty() && !InFlight) {
+    send(to, std::move(message));
+    return;
+  }
+  message.set_to_low(to.Low);
+  const std::uint64_t sequence = dirty() ? NextSequence : InFlight->Sequence;
+  Held.push_back({sequence, {to, {}, std::move(message)}});
+}
+
+bool Replica::dirty() const {
+  return HardDirty || UnwrittenSnapshot || NextToWrite <= Log.lastIndex();
+}
+
+bool Replica::hardStateUnsynced() const {
+  return HardDirty || (InFlight && InFlight->HasHard);
+}
+
+void Replica::persisted(std::uint64_t sequence, SteadyTime now) {
+  if (!InFlight || InFlight->Sequence != sequence) {
+    return;
+  }
+  PersistedIndex = std::max(PersistedIndex, InFlight->LastIndex);
+  if (InFlight->NewSnapshot) {
+    const std::uint64_t index = InFlight->NewSnapshot->Index;
+    Log.discardThrough(index > Options.KeptEntries ? index - Options.KeptEntries
+                                                   : 0);
+  }
+  InFlight.reset();
+  releaseHeld(sequence);
+  if (stepDownIfCutOff(now)) {
+    return;
+  }
+  if (CurrentRole == Role::Candidate && !hardStateUnsynced()) {
+    Votes.insert(Self);
+    countVotes(now);
+  } else if (CurrentRole == Role::Leader) {
+    advanceCommit(now);
+  }
+}
+
+void Replica::releaseHeld(std::uint64_t sequence) {
+  std::vector<HeldMessage> held = std::move(Held);
+  Held.clear();
+  for (HeldMessage &it : held) {
+    if (it.Message.Message.term() != Hard.Term) {
+      continue;
+    }
+    if (it.Sequence > sequence) {
+      Held.push_back(std::move(it));
+    } else {
+      send(it.Message.To, std::move(it.Message.Message));
+    }
+  }
+}
+
+void Replica::truncateFrom(std::uint64_t index) {
+  Log.truncateFrom(index);
+  NextToWrite = std::min(NextToWrite, index);
+  PersistedIndex = std::min(PersistedIndex, index - 1);
+  if (InFlight) {
+    InFlight->LastIndex = std::min(InFlight->LastIndex, index - 1);
+  }
+}
+
+void Replica::compact(std::uint64_t index, std::string data) {
+  const auto term = Log.termAt(index);
+  if (!term || index > HandedOutIndex || index <= snapshotIndex()) {
+    return;
+  }
+  auto snapshot = std::make_shared<Snapshot>();
+  snapshot->Index = index;
+  snapshot->Term = *term;
+  snapshot->Members = Log.membershipAt(index);
+  snapshot->Checksum = snapshotChecksum(data);
+  snapshot->Data = std::move(data);
+  LastSnapshot = snapshot;
+  UnwrittenSnapshot = std::move(snapshot);
+}
+
+void Replica::handOutWrite() {
+  if (InFlight || !dirty()) {
+    return;
+  }
+  WriteBatch batch;
+  batch.Sequence = NextSequence++;
+  batch.NewSnapshot = std::move(UnwrittenSnapshot);
+  UnwrittenSnapshot.reset();
+  batch.ResetLog = std::exchange(ResetStoredLog, false);
+  if (batch.NewSnapshot && batch.NewSnapshot->Index > Options.KeptEntries) {
+    batch.DiscardThrough = batch.NewSnapshot->Index - Options.KeptEntries;
+  }
+  if (std::exchange(HardDirty, false)) {
+    batch.Hard = Hard;
+  }
+  for (; NextToWrite <= Log.lastIndex(); ++NextToWrite) {
+    batch.Entries.push_back(Log.at(NextToWrite));
+  }
+  InFlight = InFlightWrite{batch.Sequence, Log.lastIndex(),
+                           batch.Hard.has_value(), batch.NewSnapshot};
+  Out.Write = std::move(batch);
+}
+
+void Replica::handOutCommitted() {
+  while (HandedOutIndex < CommitIndex) {
+    ++HandedOutIndex;
+    Out.Committed.push_back(Log.at(HandedOutIndex));
+  }
+}
+
+Effects Replica::takeEffects(SteadyTime now) {
+  if (CurrentRole == Role::Leader) {
+    progressTransfer(now);
+  }
+  if (CurrentRole == Role::Leader) {
+    flushAppends(now);
+  }
+  handOutWrite();
+  handOutCommitted();
+  return std::exchange(Out, {});
+}
+
+} // namespace masticwinch::replication
--- /dev/null
+++ b/src/masticwinch/coordination/replication/replica.hpp
@@ -0,0 +1,238 @@
+#pragma once
+
+#include "masticwinch/common/result.hpp"
+#include "masticwinch/coordination/replication/effects.hpp"
+#include "masticwinch/coordination/replication/peer_progress.hpp"
+#include "masticwinch/coordination/replication/replica_log.hpp"
+#include "masticwinch/coordination/replication/replica_options.hpp"
+#include "masticwinch/coordination/replication/snapshot_assembly.hpp"
+
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+
+namespace masticwinch::replication {
+
+/// One replica of a replicated log with a stable leader, as a state machine
+/// without I/O. Inputs are messages, ticks, finished syncs and requests, each
+/// with the time at which it is handled; `takeEffects` then gives what has to
+/// be done. Used from one thread.
+class Replica {
+public:
+  /// Starts from what storage holds. The engine's seed decides the randomised
+  /// election timeouts.
+  Replica(ReplicaOptions options, ReplicaId self, RecoveredState recovered,
+          std::mt19937_64 engine, SteadyTime now);
+
+  /// Handles time that has passed; due at `nextTick` at the latest.
+  void tick(SteadyTime now);
+
+  /// Handles a message. One that is malformed or not meant for this replica
+  /// changes nothing.
+  void receive(const protocol::ReplicationMessage &message, SteadyTime now);
+
+  /// Reports that a write batch is synced.
+  void persisted(std::uint64_t sequence, SteadyTime now);
+
+  /// Proposes a command and returns the index that it gets. It is accepted once
+  /// `Effects::Committed` hands out that index with the same term. Errors:
+  /// `ReplicationError`.
+  Result<std::uint64_t> propose(std::string command, SteadyTime now);
+
+  /// Asks for a confirmation that this replica is the leader, after which its
+  /// applied state reflects all that was accepted before the request.
+  void read(std::uint64_t id, SteadyTime now);
+
+  /// Adds a replica as learner. Errors: `ReplicationError`.
+  Result<std::uint64_t> addLearner(Member member, SteadyTime now);
+
+  /// Makes a learner that has caught up a voter. Errors: `ReplicationError`.
+  Result<std::uint64_t> promote(ReplicaId id, SteadyTime now);
+
+  /// Removes a replica. Errors: `ReplicationError`.
+  Result<std::uint64_t> remove(ReplicaId id, SteadyTime now);
+
+  /// Hands leadership to the voter that is furthest ahead. Errors:
+  /// `ReplicationError`.
+  Result<ReplicaId> transferLeadership(SteadyTime now);
+
+  /// Gives the application's state after the committed entry at `index`, so
+  /// that the log up to it can be dropped.
+  void compact(std::uint64_t index, std::string data);
+
+  /// What has to be done since the last call.
+  Effects takeEffects(SteadyTime now);
+
+  /// Time of the next tick.
+  SteadyTime nextTick() const;
+
+  Role role() const { return CurrentRole; }
+  std::uint64_t term() const { return Hard.Term; }
+  std::optional<ReplicaId> leader() const { return Leader; }
+  std::uint64_t commitIndex() const { return CommitIndex; }
+  std::uint64_t lastIndex() const { return Log.lastIndex(); }
+  std::uint64_t snapshotIndex() const;
+  const Membership &membership() const { return Log.membership(); }
+  bool repairing() const { return RepairNonce != 0; }
+  ReplicaId self() const { return Self; }
+
+  /// True while no other replica can be leader: a quorum answered a heartbeat
+  /// sent less than the shortest election timeout ago, less the clock drift.
+  /// To be asked with a fresh time right before an answer leaves.
+  bool holdsLease(SteadyTime now) const;
+
+  /// True once an entry of the leader's own term is committed.
+  bool isReadyLeader() const;
+
+  /// How far another replica is; null unless leader.
+  const PeerProgress *progressOf(ReplicaId id) const;
+
+private:
+  struct HeldMessage {
+    std::uint64_t Sequence = 0;
+    OutgoingMessage Message;
+  };
+  struct InFlightWrite {
+    std::uint64_t Sequence = 0;
+    std::uint64_t LastIndex = 0;
+    bool HasHard = false;
+    std::shared_ptr<const Snapshot> NewSnapshot;
+  };
+  struct PendingRead {
+    std::uint64_t Id = 0;
+    std::uint64_t Round = 0;
+  };
+  struct RoundTime {
+    std::uint64_t Round = 0;
+    SteadyTime SentAt;
+  };
+  struct Transfer {
+    ReplicaId Target;
+    SteadyTime Deadline;
+    bool Asked = false;
+  };
+
+  // replica.cpp
+  void note(ReplicaEventKind kind, std::string detail = {});
+  protocol::ReplicationMessage makeMessage() const;
+  void send(ReplicaId to, protocol::ReplicationMessage message);
+  void sendAfterSync(ReplicaId to, protocol::ReplicationMessage message);
+  bool dirty() const;
+  bool hardStateUnsynced() const;
+  void releaseHeld(std::uint64_t sequence);
+  void handOutWrite();
+  void handOutCommitted();
+  void truncateFrom(std::uint64_t index);
+
+  // replica_election.cpp
+  void becomeFollower(std::uint64_t term, std::optional<ReplicaId> leader,
+                      SteadyTime now);
+  void resetElectionTimer(SteadyTime now);
+  void startPreVote(SteadyTime now);
+  void startElection(bool transfer, SteadyTime now);
+  void askForVotes(bool preVote, bool transfer);
+  void countVotes(SteadyTime now);
+  bool heardFromLeader(SteadyTime now) const;
+  bool isUpToDate(const protocol::VoteRequest &request) const;
+  bool acceptTerm(const protocol::ReplicationMessage &message, ReplicaId from,
+                  SteadyTime now);
+  void handleVoteRequest(const protocol::ReplicationMessage &message,
+                         ReplicaId from, SteadyTime now);
+  void handleVoteReply(const protocol::ReplicationMessage &message,
+                       ReplicaId from, SteadyTime now);
+  void handleTransferRequest(ReplicaId from, SteadyTime now);
+
+  // replica_leader.cpp
+  void becomeLeader(SteadyTime now);
+  void leaderTick(SteadyTime now);
+  void beginRound(SteadyTime now);
+  void syncPeers();
+  std::uint64_t appendOwn(protocol::LogEntryKind kind, std::string data);
+  void flushAppends(SteadyTime now);
+  void sendAppend(ReplicaId id, PeerProgress &peer, bool heartbeat,
+                  SteadyTime now);
+  void fillEntries(protocol::AppendRequest &request, PeerProgress &peer) const;
+  void sendSnapshotChunk(ReplicaId id, PeerProgress &peer, SteadyTime now);
+  void handleAppendReply(const protocol::ReplicationMessage &message,
+                         ReplicaId from, SteadyTime now);
+  void handleSnapshotReply(const protocol::SnapshotReply &reply, ReplicaId from,
+                           SteadyTime now);
+  void advanceCommit(SteadyTime now);
+  void confirmReads();
+  void failReads();
+  bool readsWaitForRound() const;
+  void progressTransfer(SteadyTime now);
+  std::uint64_t quorumValue(std::uint64_t PeerProgress::*field,
+                            std::uint64_t own) const;
+  std::optional<SteadyTime> quorumHeardAt(SteadyTime now) const;
+  bool stepDownIfCutOff(SteadyTime now);
+
+  // replica_requests.cpp
+  Result<std::uint64_t> changeMembership(Membership next, SteadyTime now);
+  std::optional<ReplicationError> refusal() const;
+  void stepDownIfRemoved(SteadyTime now);
+
+  // replica_follower.cpp
+  void followLeader(ReplicaId leader, SteadyTime now);
+  void handleAppend(const protocol::ReplicationMessage &message, ReplicaId from,
+                    SteadyTime now);
+  bool isWellFormed(const protocol::AppendRequest &request) const;
+  bool conflictsWithCommitted(const protocol::AppendRequest &request) const;
+  bool agreesAt(const protocol::AppendRequest &request) const;
+  std::uint64_t retryIndex(const protocol::AppendRequest &request) const;
+  void appendEntries(const protocol::AppendRequest &request);
+  void replyToAppend(ReplicaId to, const protocol::AppendRequest &request,
+                     bool accepted, std::uint64_t index);
+  void progressRepair(const protocol::AppendRequest &request,
+                      std::uint64_t match);
+  void refuse(ReplicaId from, std::string_view why);
+  void handleSnapshotChunk(const protocol::SnapshotChunk &chunk, ReplicaId from,
+                           SteadyTime now);
+  void installSnapshot(std::shared_ptr<const Snapshot> snapshot);
+
+  ReplicaOptions Options;
+  ReplicaId Self;
+  std::mt19937_64 Engine;
+  ReplicaLog Log;
+  HardState Hard;
+  bool HardDirty = false;
+  Role CurrentRole = Role::Follower;
+  std::optional<ReplicaId> Leader;
+  std::uint64_t CommitIndex = 0;
+  /// Last index handed out in `Effects::Committed`.
+  std::uint64_t HandedOutIndex = 0;
+  std::shared_ptr<const Snapshot> LastSnapshot;
+
+  // Writing.
+  std::uint64_t NextSequence = 1;
+  std::uint64_t NextToWrite = 1;
+  std::uint64_t PersistedIndex = 0;
+  std::optional<InFlightWrite> InFlight;
+  std::shared_ptr<const Snapshot> UnwrittenSnapshot;
+  bool ResetStoredLog = false;
+  std::vector<HeldMessage> Held;
+
+  // Election.
+  SteadyTime LastLeaderContact;
+  SteadyTime ElectionDeadline;
+  std::set<ReplicaId> Votes;
+
+  // Follower.
+  std::uint64_t RepairNonce = 0;
+  SnapshotAssembly Assembly;
+
+  // Leader.
+  std::map<ReplicaId, PeerProgress> Peers;
+  SteadyTime LeaderSince;
+  SteadyTime HeartbeatDue;
+  std::uint64_t TermStartIndex = 0;
+  std::uint64_t Round = 0;
+  std::deque<RoundTime> Rounds;
+  std::vector<PendingRead> PendingReads;
+  std::optional<Transfer> Handover;
+
+  Effects Out;
+};
+
+} // namespace masticwinch::replication
--- /dev/null
+++ b/src/masticwinch/coordination/replication/replica_leader.cpp
@@ -0,0 +1,265 @@
+#include "masticwinch/coordination/replication/replica.hpp"
+
+#include <algorithm>
+
+namespace masticwinch::replication {
+
+void Replica::becomeLeader(SteadyTime now) {
+  CurrentRole = Role::Leader;
+  Leader = Self;
+  Votes.clear();
+  Peers.clear();
+  PendingReads.clear();
+  LeaderSince = now;
+  Round = 0;
+  Rounds.clear();
+  note(ReplicaEventKind::RoleChanged, Self.text());
+  TermStartIndex = appendOwn(protocol::NO_OPERATION, {});
+  syncPeers();
+  beginRound(now);
+}
+
+/// Keeps one progress for each other replica of the membership.
+void Replica::syncPeers() {
+  const Membership &membership = Log.membership();
+  std::erase_if(Peers,
+                [&](const auto &it) { return !membership.find(it.first); });
+  for (const Member &it : membership.Members) {
+    if (it.Id != Self) {
+      const auto [peer, added] = Peers.try_emplace(it.Id);
+      if (added) {
+        peer->second.Next = TermStartIndex;
+      }
+    }
+  }
+}
+
+std::uint64_t Replica::appendOwn(protocol::LogEntryKind kind,
+                                 std::string data) {
+  protocol::LogEntry entry;
+  entry.set_index(Log.lastIndex() + 1);
+  entry.set_term(Hard.Term);
+  entry.set_kind(kind);
+  entry.set_data(std::move(data));
+  Log.append(std::move(entry));
+  return Log.lastIndex();
+}
+
+void Replica::leaderTick(SteadyTime now) {
+  if (!stepDownIfCutOff(now) && now >= HeartbeatDue) {
+    beginRound(now);
+  }
+}
+
+void Replica::beginRound(SteadyTime now) {
+  ++Round;
+  Rounds.push_back({Round, now});
+  HeartbeatDue = now + Options.HeartbeatInterval;
+  for (auto &[id, peer] : Peers) {
+    sendAppend(id, peer, true, now);
+    if (peer.Sending && now - peer.ChunkSentAt >= Options.HeartbeatInterval) {
+      sendSnapshotChunk(id, peer, now);
+    }
+  }
+}
+
+void Replica::flushAppends(SteadyTime now) {
+  if (readsWaitForRound()) {
+    beginRound(now);
+  }
+  for (auto &[id, peer] : Peers) {
+    while (!peer.Sending && peer.Next <= Log.lastIndex() &&
+           peer.Next - peer.Match <= Options.MaxEntriesInFlight) {
+      sendAppend(id, peer, false, now);
+    }
+  }
+}
+
+void Replica::sendAppend(ReplicaId id, PeerProgress &peer, bool heartbeat,
+                         SteadyTime now) {
+  if (!peer.Sending && peer.Next < Log.firstIndex()) {
+    peer.Sending = LastSnapshot;
+    peer.SnapshotOffset = 0;
+    sendSnapshotChunk(id, peer, now);
+    if (!heartbeat) {
+      return;
+    }
+  }
+  protocol::ReplicationMessage message = makeMessage();
+  protocol::AppendRequest *request = message.mutable_append_request();
+  request->set_round(Round);
+  request->set_commit_index(CommitIndex);
+  if (peer.RepairNonce != 0) {
+    request->set_repair_nonce(peer.RepairNonce);
+    request->set_last_index(Log.lastIndex());
+  }
+  if (!peer.Sending) {
+    request->set_prev_index(peer.Next - 1);
+    request->set_prev_term(Log.termAt(peer.Next - 1).value_or(0));
+    fillEntries(*request, peer);
+  }
+  send(id, std::move(message));
+}
+
+void Replica::fillEntries(protocol::AppendRequest &request,
+                          PeerProgress &peer) const {
+  std::size_t bytes = 0;
+  while (peer.Next <= Log.lastIndex() && bytes < Options.MaxMessageBytes &&
+         peer.Next - peer.Match <= Options.MaxEntriesInFlight) {
+    const protocol::LogEntry &entry = Log.at(peer.Next);
+    *request.add_entries() = entry;
+    bytes += entry.data().size();
+    ++peer.Next;
+  }
+}
+
+void Replica::sendSnapshotChunk(ReplicaId id, PeerProgress &peer,
+                                SteadyTime now) {
+  const Snapshot &snapshot = *peer.Sending;
+  const std::uint64_t total = snapshot.Data.size();
+  const std::uint64_t lastChunk = total > Options.SnapshotChunkBytes
+                                      ? total - Options.SnapshotChunkBytes
+                                      : 0;
+  const std::uint64_t offset = peer.SnapshotOffset < total
+                                   ? peer.SnapshotOffset
+                                   : std::min(lastChunk, peer.SnapshotOffset);
+  protocol::ReplicationMessage message = makeMessage();
+  protocol::SnapshotChunk *chunk = message.mutable_snapshot_chunk();
+  chunk->set_index(snapshot.Index);
+  chunk->set_term(snapshot.Term);
+  *chunk->mutable_membership() = snapshot.Members.toMessage();
+  chunk->set_total_bytes(total);
+  chunk->set_checksum(snapshot.Checksum);
+  chunk->set_offset(offset);
+  chunk->set_data(snapshot.Data.substr(offset, Options.SnapshotChunkBytes));
+  chunk->set_data_checksum(snapshotChecksum(chunk->data()));
+  peer.ChunkSentAt = now;
+  send(id, std::move(message));
+}
+
+void Replica::handleSnapshotReply(const protocol::SnapshotReply &reply,
+                                  ReplicaId from, SteadyTime now) {
+  const auto it = Peers.find(from);
+  if (CurrentRole != Role::Leader || it == Peers.end()) {
+    return;
+  }
+  PeerProgress &peer = it->second;
+  if (!peer.Sending || peer.Sending->Index != reply.index() ||
+      peer.Sending->Checksum != reply.checksum() ||
+      reply.next_offset() > peer.Sending->Data.size()) {
+    return;
+  }
+  if (reply.next_offset() != peer.SnapshotOffset) {
+    peer.SnapshotOffset = reply.next_offset();
+    sendSnapshotChunk(from, peer, now);
+  }
+}
+
+void Replica::handleAppendReply(const protocol::ReplicationMessage &message,
+                                ReplicaId from, SteadyTime now) {
+  const protocol::AppendReply &reply = message.append_reply();
+  const auto it = Peers.find(from);
+  if (CurrentRole != Role::Leader || it == Peers.end()) {
+    return;
+  }
+  if (reply.round() > Round || reply.match_index() > Log.lastIndex()) {
+    return refuse(from, "an answer to what was never sent");
+  }
+  PeerProgress &peer = it->second;
+  peer.Round = std::max(peer.Round, reply.round());
+  peer.RepairNonce = reply.repair_nonce();
+  if (reply.accepted()) {
+    peer.Match = std::max(peer.Match, reply.match_index());
+    peer.Next = std::max(peer.Next, peer.Match + 1);
+    if (peer.Sending && peer.Match >= peer.Sending->Index) {
+      peer.Sending.reset();
+      peer.Next = peer.Match + 1;
+    }
+  } else if (reply.repair_nonce() != 0) {
+    peer.Match = std::min(peer.Match, reply.match_index());
+    peer.Next = reply.match_index() + 1;
+  } else if (reply.match_index() >= peer.Match) {
+    peer.Next = reply.match_index() + 1;
+  }
+  advanceCommit(now);
+  confirmReads();
+}
+
+std::uint64_t Replica::quorumValue(std::uint64_t PeerProgress::*field,
+                                   std::uint64_t own) const {
+  std::vector<std::uint64_t> values;
+  for (const Member &it : Log.membership().Members) {
+    if (it.Learner) {
+      continue;
+    }
+    const auto peer = Peers.find(it.Id);
+    values.push_back(peer == Peers.end() ? own : peer->second.*field);
+  }
+  if (values.empty()) {
+    return 0;
+  }
+  std::sort(values.begin(), values.end(), std::greater<>());
+  return values[Log.membership().quorum() - 1];
+}
+
+void Replica::advanceCommit(SteadyTime now) {
+  const std::uint64_t index = quorumValue(&PeerProgress::Match, PersistedIndex);
+  if (index > CommitIndex && Log.termAt(index) == Hard.Term) {
+    CommitIndex = index;
+    confirmReads();
+    stepDownIfRemoved(now);
+  }
+}
+
+std::optional<SteadyTime> Replica::quorumHeardAt(SteadyTime now) const {
+  if (Peers.empty()) {
+    return now;
+  }
+  const std::uint64_t round = quorumValue(&PeerProgress::Round, Round);
+  for (const RoundTime &it : Rounds) {
+    if (it.Round == round) {
+      return it.SentAt;
+    }
+  }
+  return std::nullopt;
+}
+
+/// A leader that no quorum has answered for the longest election timeout is no
+/// longer one.
+bool Replica::stepDownIfCutOff(SteadyTime now) {
+  if (CurrentRole != Role::Leader) {
+    return false;
+  }
+  const SteadyTime heard = quorumHeardAt(now).value_or(LeaderSince);
+  while (Rounds.size() > 1 && Rounds.front().SentAt < heard) {
+    Rounds.pop_front();
+  }
+  if (now - heard <= Options.ElectionTimeoutMax) {
+    return false;
+  }
+  note(ReplicaEventKind::QuorumLost);
+  becomeFollower(Hard.Term, std::nullopt, now);
+  return true;
+}
+
+bool Replica::holdsLease(SteadyTime now) const {
+  if (CurrentRole != Role::Leader || !isReadyLeader() ||
+      (Handover && Handover->Asked)) {
+    return false;
+  }
+  const auto heard = quorumHeardAt(now);
+  const auto length =
+      Options.ElectionTimeoutMin * (1000 - Options.ClockDriftPermille) / 1000;
+  return heard && now - *heard < length;
+}
+
+bool Replica::isReadyLeader() const {
+  return CurrentRole == Role::Leader && CommitIndex >= TermStartIndex;
+}
+
+const PeerProgress *Replica::progressOf(ReplicaId id) const {
+  const auto it = Peers.find(id);
+  return it == Peers.end() ? nullptr : &it->second;
+}
+
+} // namespace masticwinch::replication
--- /dev/null
+++ b/src/masticwinch/coordination/replication/replica_requests.cpp
@@ -0,0 +1,166 @@
+#include "masticwinch/coordination/replication/replica.hpp"
+
+#include <algorithm>
+
+namespace masticwinch::replication {
+
+std::optional<ReplicationError> Replica::refusal() const {
+  if (CurrentRole != Role::Leader) {
+    return ReplicationError::NotLeader;
+  }
+  if (Handover) {
+    return ReplicationError::Transferring;
+  }
+  if (Log.lastIndex() - CommitIndex >= Options.MaxUncommittedEntries) {
+    return ReplicationError::Overloaded;
+  }
+  return std::nullopt;
+}
+
+Result<std::uint64_t> Replica::propose(std::string command, SteadyTime now) {
+  stepDownIfCutOff(now);
+  if (const auto refused = refusal()) {
+    return boost::leaf::new_error(*refused);
+  }
+  if (command.size() > Options.MaxEntryBytes) {
+    return boost::leaf::new_error(ReplicationError::TooLarge);
+  }
+  return appendOwn(protocol::COMMAND, std::move(command));
+}
+
+void Replica::read(std::uint64_t id, SteadyTime now) {
+  stepDownIfCutOff(now);
+  if (CurrentRole != Role::Leader) {
+    Out.Reads.push_back({id, false});
+    return;
+  }
+  PendingReads.push_back({id, Round + 1});
+  confirmReads();
+}
+
+bool Replica::readsWaitForRound() const {
+  return !PendingReads.empty() && PendingReads.back().Round > Round;
+}
+
+void Replica::confirmReads() {
+  if (!isReadyLeader()) {
+    return;
+  }
+  const std::uint64_t round =
+      Peers.empty() ? Round + 1 : quorumValue(&PeerProgress::Round, Round);
+  std::erase_if(PendingReads, [&](const PendingRead &it) {
+    if (it.Round > round) {
+      return false;
+    }
+    Out.Reads.push_back({it.Id, true});
+    return true;
+  });
+}
+
+void Replica::failReads() {
+  for (const PendingRead &it : PendingReads) {
+    Out.Reads.push_back({it.Id, false});
+  }
+  PendingReads.clear();
+}
+
+Result<ReplicaId> Replica::transferLeadership(SteadyTime now) {
+  if (const auto refused = refusal()) {
+    return boost::leaf::new_error(*refused);
+  }
+  std::optional<ReplicaId> target;
+  for (const auto &[id, peer] : Peers) {
+    const bool better = !target || peer.Match > Peers.at(*target).Match;
+    if (better && Log.membership().isVoter(id) && peer.RepairNonce == 0) {
+      target = id;
+    }
+  }
+  if (!target) {
+    return boost::leaf::new_error(ReplicationError::NoTarget);
+  }
+  Handover = Transfer{*target, now + Options.ElectionTimeoutMax, false};
+  return *target;
+}
+
+/// Asks the target to start an election once it holds the whole log. A request
+/// that was sent may arrive late, so that the leader can't count on its lease
+/// any more in this term: if nothing comes of it, it steps down.
+void Replica::progressTransfer(SteadyTime now) {
+  if (!Handover) {
+    return;
+  }
+  const PeerProgress *peer = progressOf(Handover->Target);
+  if (now >= Handover->Deadline || !peer) {
+    const bool asked = Handover->Asked;
+    Handover.reset();
+    if (asked) {
+      becomeFollower(Hard.Term, std::nullopt, now);
+    }
+    return;
+  }
+  if (!Handover->Asked && peer->Match == Log.lastIndex()) {
+    Handover->Asked = true;
+    protocol::ReplicationMessage message = makeMessage();
+    message.mutable_transfer_request();
+    send(Handover->Target, std::move(message));
+  }
+}
+
+Result<std::uint64_t> Replica::addLearner(Member member, SteadyTime now) {
+  Membership next = Log.membership();
+  if (next.find(member.Id)) {
+    return boost::leaf::new_error(ReplicationError::BadChange);
+  }
+  member.Learner = true;
+  next.Members.push_back(std::move(member));
+  return changeMembership(std::move(next), now);
+}
+
+Result<std::uint64_t> Replica::promote(ReplicaId id, SteadyTime now) {
+  Membership next = Log.membership();
+  const PeerProgress *peer = progressOf(id);
+  const bool caughtUp =
+      peer && peer->Match >= CommitIndex && peer->RepairNonce == 0;
+  if (!caughtUp || next.isVoter(id)) {
+    return boost::leaf::new_error(ReplicationError::BadChange);
+  }
+  for (Member &it : next.Members) {
+    it.Learner = it.Learner && it.Id != id;
+  }
+  return changeMembership(std::move(next), now);
+}
+
+Result<std::uint64_t> Replica::remove(ReplicaId id, SteadyTime now) {
+  Membership next = Log.membership();
+  const std::size_t before = next.Members.size();
+  std::erase_if(next.Members, [&](const Member &it) { return it.Id == id; });
+  if (next.Members.size() == before || next.voterCount() == 0) {
+    return boost::leaf::new_error(ReplicationError::BadChange);
+  }
+  return changeMembership(std::move(next), now);
+}
+
+Result<std::uint64_t> Replica::changeMembership(Membership next,
+                                                SteadyTime now) {
+  stepDownIfCutOff(now);
+  if (const auto refused = refusal()) {
+    return boost::leaf::new_error(*refused);
+  }
+  if (!isReadyLeader() || Log.membershipIndex() > CommitIndex) {
+    return boost::leaf::new_error(ReplicationError::ChangePending);
+  }
+  const std::uint64_t index =
+      appendOwn(protocol::MEMBERSHIP, next.toMessage().SerializeAsString());
+  syncPeers();
+  note(ReplicaEventKind::MembershipChanged);
+  return index;
+}
+
+void Replica::stepDownIfRemoved(SteadyTime now) {
+  const bool committed = Log.membershipIndex() <= CommitIndex;
+  if (committed && !Log.membership().isVoter(Self)) {
+    becomeFollower(Hard.Term, std::nullopt, now);
+  }
+}
+
+} // namespace masticwinch::replication
