--- a/src/masticwinch/http/http_server.cpp
+++ b/src/masticwinch/http/http_server.cpp
@@ -117,6 +117,7 @@
   void open();
   void close();
   void handle(const RestinioRequest &request);
+  void connectionOpened();
   void connectionClosed(std::uint64_t connection);
   void forget(std::uint64_t connection, const Exchange *exchange);
   static void abandonAll(const ExchangeList &exchanges, bool callerGone);
@@ -140,8 +141,9 @@
   std::unique_ptr<RestinioServer> Server;
   std::vector<std::thread> Threads;
 
-  std::mutex Mutex;
+  mutable std::mutex Mutex;
   std::condition_variable Written;
+  HttpConnectionCounts Connections;
   /// Answers that are handed over and not yet written.
   std::size_t Writing = 0;
   /// Exchanges without an answer, by connection.
@@ -188,8 +190,10 @@
   // The name is RESTinio's.
   // NOLINTNEXTLINE(readability-identifier-naming)
   void state_changed(const restinio::connection_state::notice_t &notice) {
-    if (std::holds_alternative<restinio::connection_state::closed_t>(
-            notice.cause())) {
+    using namespace restinio::connection_state;
+    if (std::holds_alternative<accepted_t>(notice.cause())) {
+      Server->connectionOpened();
+    } else if (std::holds_alternative<closed_t>(notice.cause())) {
       Server->connectionClosed(notice.connection_id());
     }
   }
@@ -393,10 +397,17 @@
   }
 }
 
+void HttpServer::Implementation::connectionOpened() {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  ++Connections.Open;
+  Connections.Most = std::max(Connections.Most, Connections.Open);
+}
+
 void HttpServer::Implementation::connectionClosed(std::uint64_t connection) {
   ExchangeList exchanges;
   {
     const std::lock_guard<std::mutex> lock(Mutex);
+    --Connections.Open;
     const auto it = Open.find(connection);
     if (it == Open.end()) {
       return;
@@ -490,6 +501,11 @@
 
 std::uint16_t HttpServer::port() const { return Impl->BoundPort; }
 
+HttpConnectionCounts HttpServer::connections() const {
+  const std::lock_guard<std::mutex> lock(Impl->Mutex);
+  return Impl->Connections;
+}
+
 void HttpServer::closeConnectionsAfterAnswers() {
   Impl->CloseAfterAnswers = true;
 }
--- a/src/masticwinch/http/http_server.hpp
+++ b/src/masticwinch/http/http_server.hpp
@@ -23,6 +23,12 @@
   std::size_t MaxConnections = 4096;
 };
 
+/// How many connections a server has and had at once.
+struct HttpConnectionCounts {
+  std::size_t Open = 0;
+  std::size_t Most = 0;
+};
+
 /// Faults that a stand-in puts into an answer on purpose.
 struct HttpAnswerFault {
   /// States the whole length, sends half of the body and closes.
@@ -79,6 +85,9 @@
   /// The port that is bound, after `start`.
   std::uint16_t port() const;
 
+  /// Counts since the start; safe from any thread.
+  HttpConnectionCounts connections() const;
+
   /// Answers from now on close their connection, so that callers with a
   /// kept-alive connection go elsewhere.
   void closeConnectionsAfterAnswers();
--- /dev/null
+++ b/src/masticwinch/stand_in/worker_stand_in.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "masticwinch/http/http_server.hpp"
+#include "masticwinch/stand_in/announcer.hpp"
+#include "masticwinch/stand_in/line_file.hpp"
+#include "masticwinch/stand_in/worker_settings.hpp"
+#include "masticwinch/stand_in/worker_tasks.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+
+namespace masticwinch {
+
+/// Stands in for the platform's agent on a worker VM: runs tasks by waiting,
+/// under leases, and records every start and stop. State is kept on the event
+/// loop's thread.
+class WorkerStandIn {
+public:
+  WorkerStandIn(asio::io_context &loop, WorkerSettings settings,
+                const Clock &clock, EventLog &events);
+
+  /// Listens and announces. Throws `std::runtime_error`.
+  void start();
+
+  /// Stops all tasks and calls `done`.
+  void stop(const std::function<void()> &done);
+
+private:
+  void receive(HttpExchange &exchange);
+  HttpResponse renewLease(const HttpRequest &request);
+  HttpResponse applyLease(const LeaseRequest &lease);
+  void operate(HttpExchange &exchange);
+  HttpResponse stats() const;
+  void advance();
+  void schedule();
+  void writeRecords();
+
+  asio::io_context &Loop;
+  const WorkerSettings Settings;
+  const Clock &Time;
+  EventLog &Events;
+  LineFile TaskLines;
+  Announcer Announcements;
+  WorkerTasks Tasks;
+  asio::steady_timer Timer;
+  HttpServer Server;
+  HttpServer Operators;
+};
+
+} // namespace masticwinch
