Serve the first metrics of entry and control daemons

The operators' port answered /metrics with nothing. Both daemons now register processor time, memory, mailbox traffic, configuration revision, leadership and serving state; the page is made on the control thread.

--- a/src/masticwinch/control/control_daemon.cpp
+++ b/src/masticwinch/control/control_daemon.cpp
@@ -2,9 +2,12 @@
 
 #include "masticwinch/control/local_log.hpp"
 #include "masticwinch/http/http_server.hpp"
+#include "masticwinch/metrics/metric_registry.hpp"
+#include "masticwinch/metrics/process_metrics.hpp"
 #include "masticwinch/operators/operators_api.hpp"
 #include "masticwinch/peers/cell_client.hpp"
 #include "masticwinch/peers/mailbox.hpp"
+#include "masticwinch/peers/mailbox_metrics.hpp"
 #include "masticwinch/programs/daemon_options.hpp"
 #include "masticwinch/programs/incarnation.hpp"
 #include "masticwinch/programs/stop_signals.hpp"
@@ -52,12 +55,30 @@
             }),
         State(Log, Mailbox, Time, Events, settings.Service),
         Api(Context, Client,
-            {[] { return true; }, [] { return std::string(); }}),
+            {[] { return true; }, [this] { return Metrics.text(); }}),
         Server(programs::serverOptions(settings.Operators),
                [this](std::shared_ptr<HttpExchange> it) { Api.handle(it); }),
         Ticker(Context),
         Signals(
-            Context, [this] { stop(); }, [] { std::_Exit(StoppedAtOnce); }) {}
+            Context, [this] { stop(); }, [] { std::_Exit(StoppedAtOnce); }) {
+    registerMetrics();
+  }
+
+  /// The pages are made on the control thread, so they may read its state.
+  void registerMetrics() {
+    registerProcessMetrics(Metrics);
+    peers::registerMailboxMetrics(Metrics, Mailbox);
+    Metrics.observedGauge(
+        {"masticwinch_leader", "1 while this control VM leads the cell."},
+        [this] { return Log.isLeader() ? 1.0 : 0.0; });
+    Metrics.observedGauge(
+        {"masticwinch_configuration_revision",
+         "Revision of the configuration that is committed here."},
+        [this] { return double(State.state().configuration().revision()); });
+    Metrics.observedGauge(
+        {"masticwinch_jobs", "Jobs in the replicated state."},
+        [this] { return double(State.state().jobs().size()); });
+  }
 
   void receive(const protocol::Envelope &envelope) {
     State.receive(envelope);
@@ -101,6 +122,7 @@
   OperatingSystemClock Time;
   std::uint64_t Incarnation;
   EventLog Events;
+  MetricRegistry Metrics;
   asio::io_context Context{1};
   peers::Mailbox Mailbox;
   peers::CellClient Client;
--- a/src/masticwinch/entry/entry_daemon.cpp
+++ b/src/masticwinch/entry/entry_daemon.cpp
@@ -4,10 +4,13 @@
 #include "masticwinch/events/event_log.hpp"
 #include "masticwinch/http/http_client.hpp"
 #include "masticwinch/http/http_server.hpp"
+#include "masticwinch/metrics/metric_registry.hpp"
+#include "masticwinch/metrics/process_metrics.hpp"
 #include "masticwinch/operators/operators_api.hpp"
 #include "masticwinch/peers/cell_client.hpp"
 #include "masticwinch/peers/entry_session.hpp"
 #include "masticwinch/peers/mailbox.hpp"
+#include "masticwinch/peers/mailbox_metrics.hpp"
 #include "masticwinch/programs/daemon_options.hpp"
 #include "masticwinch/programs/incarnation.hpp"
 #include "masticwinch/programs/stop_signals.hpp"
@@ -69,14 +72,33 @@
         Upstreams(Client, Session),
         Api(Context, Client,
             {[this] { return !Stopping && Session.mayServe(); },
-             [] { return std::string(); }}),
+             [this] { return Metrics.text(); }}),
         Operators(programs::serverOptions(settings.Operators),
                   [this](std::shared_ptr<HttpExchange> it) { Api.handle(it); }),
         Callers(programs::serverOptions(settings.Callers),
                 [this](std::shared_ptr<HttpExchange> it) { takeCaller(it); }),
         Timer(Context),
         Signals(
-            Context, [this] { stop(); }, [] { std::_Exit(StoppedAtOnce); }) {}
+            Context, [this] { stop(); }, [] { std::_Exit(StoppedAtOnce); }) {
+    registerMetrics();
+  }
+
+  /// The pages are made on the control thread, so they may read its state.
+  void registerMetrics() {
+    registerProcessMetrics(Metrics);
+    peers::registerMailboxMetrics(Metrics, Mailbox);
+    Metrics.observedGauge({"masticwinch_entry_serving",
+                           "1 while this entry VM may take new work."},
+                          [this] { return Session.mayServe() ? 1.0 : 0.0; });
+    Metrics.observedGauge(
+        {"masticwinch_configuration_revision",
+         "Revision of the configuration that is in use here."},
+        [this] { return double(Session.configuration().revision()); });
+    Metrics.observedGauge(
+        {"masticwinch_requests_pending",
+         "Callers' requests that have not been answered yet."},
+        [this] { return double(Forwarder.pending()); });
+  }
 
   void receive(const protocol::Envelope &envelope) {
     Session.receive(envelope);
@@ -157,6 +179,7 @@
   OperatingSystemClock Time;
   std::uint64_t Incarnation;
   EventLog Events;
+  MetricRegistry Metrics;
   asio::io_context Context{1};
   peers::Mailbox Mailbox;
   peers::CellClient Client;
--- a/src/masticwinch/load/load_request.cpp
+++ b/src/masticwinch/load/load_request.cpp
@@ -1,5 +1,6 @@
 #include "masticwinch/load/load_request.hpp"
 
+#include "masticwinch/callers/outcome.hpp"
 #include "masticwinch/load/load_plan.hpp"
 
 #include <fmt/format.h>
@@ -10,8 +11,6 @@
 
 namespace {
 
-constexpr const char *OutcomeHeader = "Masticwinch-Outcome";
-constexpr const char *NotRunOutcome = "not-run";
 constexpr std::uint16_t FirstSuccess = 200;
 constexpr std::uint16_t FirstRedirect = 300;
 
@@ -21,7 +20,8 @@
     const bool own = !stream.ExpectEcho || response.Body == body;
     return own ? LoadOutcome::Answered : LoadOutcome::WrongAnswer;
   }
-  return response.Headers.find(OutcomeHeader) == NotRunOutcome
+  return response.Headers.find(callers::OutcomeHeader) ==
+                 nameOf(callers::Outcome::NotRun)
              ? LoadOutcome::NotRun
              : LoadOutcome::ErrorStatus;
 }
@@ -47,7 +47,7 @@
   call.Url = target + stream.Path;
   call.Headers = stream.Headers;
   if (stream.IdempotencyKey) {
-    call.Headers.add("Idempotency-Key", key);
+    call.Headers.add(callers::IdempotencyKeyHeader, key);
   }
   call.Body = body;
   call.Timeout = stream.Timeout;
--- a/src/masticwinch/metrics/process_metrics.cpp
+++ b/src/masticwinch/metrics/process_metrics.cpp
@@ -43,19 +43,4 @@
       [] { return double(readProcessUsage().ResidentBytes); });
 }
 
-MessageMetrics::MessageMetrics(MetricRegistry &registry)
-    : SentBytes(registry.counter({"masticwinch_messages_sent_bytes_total",
-                                  "Bytes of messages sent to own processes."})),
-      ReceivedBytes(
-          registry.counter({"masticwinch_messages_received_bytes_total",
-                            "Bytes of messages received from own processes."})),
-      SentMessages(registry.counter({"masticwinch_messages_sent_total",
-                                     "Messages sent to own processes."})),
-      ReceivedMessages(
-          registry.counter({"masticwinch_messages_received_total",
-                            "Messages received from own processes."})),
-      DroppedMessages(registry.counter(
-          {"masticwinch_messages_dropped_total",
-           "Messages to own processes given up before they were sent."})) {}
-
 } // namespace masticwinch
--- a/src/masticwinch/metrics/process_metrics.hpp
+++ b/src/masticwinch/metrics/process_metrics.hpp
@@ -4,7 +4,6 @@
 
 namespace masticwinch {
 
-class Counter;
 class MetricRegistry;
 
 /// What this process has used so far.
@@ -20,17 +19,4 @@
 /// Registers processor time and resident memory of this process.
 void registerProcessMetrics(MetricRegistry &registry);
 
-/// Traffic between the system's own processes, in bytes of encoded messages
-/// without the overhead of the transport.
-struct MessageMetrics {
-  explicit MessageMetrics(MetricRegistry &registry);
-
-  Counter &SentBytes;
-  Counter &ReceivedBytes;
-  Counter &SentMessages;
-  Counter &ReceivedMessages;
-  /// Messages that were given up before they were sent.
-  Counter &DroppedMessages;
-};
-
 } // namespace masticwinch
--- /dev/null
+++ b/src/masticwinch/peers/mailbox_metrics.cpp
@@ -0,0 +1,41 @@
+#include "masticwinch/peers/mailbox_metrics.hpp"
+
+#include "masticwinch/metrics/metric_registry.hpp"
+#include "masticwinch/peers/mailbox.hpp"
+
+namespace masticwinch::peers {
+
+namespace {
+
+void observe(MetricRegistry &registry, const Mailbox &mailbox,
+             const MetricInfo &info, std::uint64_t MailboxTraffic::*count) {
+  registry.observedCounter(
+      info, [&mailbox, count] { return double(mailbox.traffic().*count); });
+}
+
+} // namespace
+
+void registerMailboxMetrics(MetricRegistry &registry, const Mailbox &mailbox) {
+  observe(registry, mailbox,
+          {"masticwinch_messages_sent_bytes_total",
+           "Bytes of messages sent to own processes."},
+          &MailboxTraffic::SentBytes);
+  observe(registry, mailbox,
+          {"masticwinch_messages_received_bytes_total",
+           "Bytes of messages received from own processes."},
+          &MailboxTraffic::ReceivedBytes);
+  observe(
+      registry, mailbox,
+      {"masticwinch_messages_sent_total", "Messages sent to own processes."},
+      &MailboxTraffic::SentMessages);
+  observe(registry, mailbox,
+          {"masticwinch_messages_received_total",
+           "Messages received from own processes."},
+          &MailboxTraffic::ReceivedMessages);
+  observe(registry, mailbox,
+          {"masticwinch_messages_dropped_total",
+           "Messages to own processes given up before they were sent."},
+          &MailboxTraffic::DroppedMessages);
+}
+
+} // namespace masticwinch::peers
--- a/src/masticwinch/program/command_line.cpp
+++ b/src/masticwinch/programs/tool_command_line.cpp
@@ -1,4 +1,4 @@
-#include "masticwinch/program/command_line.hpp"
+#include "masticwinch/programs/tool_command_line.hpp"
 
 #include <fmt/format.h>
 #include <gflags/gflags.h>
--- a/src/programs/load/main.cpp
+++ b/src/programs/load/main.cpp
@@ -1,6 +1,6 @@
 #include "masticwinch/load/load_generator.hpp"
 #include "masticwinch/load/load_report.hpp"
-#include "masticwinch/program/command_line.hpp"
+#include "masticwinch/programs/tool_command_line.hpp"
 #include "masticwinch/settings/settings_error.hpp"
 
 #include <asio/io_context.hpp>
--- a/src/programs/timeline/main.cpp
+++ b/src/programs/timeline/main.cpp
@@ -1,4 +1,4 @@
-#include "masticwinch/program/command_line.hpp"
+#include "masticwinch/programs/tool_command_line.hpp"
 #include "masticwinch/timeline/event_merge.hpp"
 #include "masticwinch/timeline/timeline_writers.hpp"
 
--- a/tests/load/test_load_request.cpp
+++ b/tests/load/test_load_request.cpp
@@ -39,7 +39,7 @@
         LoadOutcome::WrongAnswer);
   CHECK(judgeLoadCall(stream, "a", answer(503, "a")) ==
         LoadOutcome::ErrorStatus);
-  const HttpHeaders notRun{{"Masticwinch-Outcome", "not-run"}};
+  const HttpHeaders notRun{{"Masticwinch-Outcome", "not_run"}};
   CHECK(judgeLoadCall(stream, "a", answer(503, "", notRun)) ==
         LoadOutcome::NotRun);
   stream.ExpectEcho = false;
--- a/tests/metrics/test_metric_registry.cpp
+++ b/tests/metrics/test_metric_registry.cpp
@@ -1,6 +1,9 @@
+#include "masticwinch/events/event_log.hpp"
 #include "masticwinch/metrics/metric_registry.hpp"
-#include "masticwinch/metrics/metrics_page.hpp"
 #include "masticwinch/metrics/process_metrics.hpp"
+#include "masticwinch/peers/mailbox.hpp"
+#include "masticwinch/peers/mailbox_metrics.hpp"
+#include "masticwinch/protocol/envelope.pb.h"
 
 #include <catch2/catch.hpp>
 
@@ -107,12 +110,24 @@
 TEST_CASE("A process reports its own cost", "[metrics]") {
   MetricRegistry registry;
   registerProcessMetrics(registry);
-  MessageMetrics messages(registry);
-  messages.SentBytes.add(10);
+  const std::string text = registry.text();
   CHECK(readProcessUsage().ResidentBytes > 0);
-  const HttpResponse page = metricsResponse(registry);
-  CHECK(page.Status == 200);
-  CHECK(page.Body.find("\nmasticwinch_messages_sent_bytes_total 10\n") !=
+  CHECK(text.find("\nprocess_cpu_seconds_total ") != std::string::npos);
+  CHECK(text.find("\nprocess_resident_memory_bytes ") != std::string::npos);
+}
+
+TEST_CASE("A mailbox reports its traffic", "[metrics]") {
+  const OperatingSystemClock clock;
+  EventLog events({"p", 1, "/dev/null"}, clock);
+  peers::Mailbox mailbox(
+      {"cell", "p", 1, "tcp://127.0.0.1:0"}, [](const protocol::Envelope &) {},
+      events);
+  MetricRegistry registry;
+  peers::registerMailboxMetrics(registry, mailbox);
+  mailbox.send("tcp://127.0.0.1:1", {});
+  const peers::MailboxTraffic traffic = mailbox.traffic();
+  CHECK(traffic.SentMessages + traffic.DroppedMessages == 1);
+  CHECK(registry.text().find("\nmasticwinch_messages_sent_bytes_total " +
+                             std::to_string(traffic.SentBytes) + "\n") !=
         std::string::npos);
-  CHECK(page.Body.find("process_cpu_seconds_total") != std::string::npos);
 }
