--- a/src/programs/ctl/main.cpp
+++ b/src/programs/ctl/main.cpp
@@ -1,6 +1,6 @@
 #include "masticwinch/ctl/ctl_command.hpp"
 #include "masticwinch/operators/request_id.hpp"
-#include "masticwinch/program/command_line.hpp"
+#include "masticwinch/programs/tool_command_line.hpp"
 
 #include <gflags/gflags.h>
 
