--- a/src/masticwinch/coordination/placement/internal/reconciler.cpp
+++ b/src/masticwinch/coordination/placement/internal/reconciler.cpp
@@ -253,8 +253,10 @@
     }
     const bool onlyThisCall = attempt.ToldIn == sequence;
     const bool neverRan = !attempt.CountsRunning && (!renewed || onlyThisCall);
-    if (neverRan && attempt.Job != NoIndex) {
+    const JobIndex job = attempt.Job;
+    if (neverRan && job != NoIndex) {
       State.closeAttempt(it, TaskState::Waiting);
+      restartGang(job);
     } else {
       lose(it);
     }
--- a/tests/placement/fake_worker.hpp
+++ b/tests/placement/fake_worker.hpp
@@ -23,8 +23,12 @@
     SteadyTime StartedAt{};
   };
 
-  FakeWorker(WorkerDescription description, std::uint64_t firstClockMs)
-      : Self(std::move(description)), FirstClockMs(firstClockMs) {}
+  /// The worker's clock begins at `firstClockMs` and gains that many
+  /// millionths on the placer's.
+  FakeWorker(WorkerDescription description, std::uint64_t firstClockMs,
+             std::int64_t gainMillionths = 0)
+      : Self(std::move(description)), FirstClockMs(firstClockMs),
+        GainMillionths(gainMillionths) {}
 
   const WorkerDescription &description() const { return Self; }
   const std::vector<Task> &tasks() const { return Tasks; }
@@ -100,7 +104,8 @@
   std::uint64_t clockMs(SteadyTime now) const {
     const auto since =
         std::chrono::duration_cast<Milliseconds>(now.time_since_epoch());
-    return FirstClockMs + static_cast<std::uint64_t>(since.count());
+    const std::int64_t gained = since.count() * GainMillionths / 1'000'000;
+    return FirstClockMs + static_cast<std::uint64_t>(since.count() + gained);
   }
 
   Task *find(const AttemptId &id) {
@@ -140,6 +145,7 @@
 
   WorkerDescription Self;
   std::uint64_t FirstClockMs;
+  std::int64_t GainMillionths;
   std::uint64_t Incarnation = 1;
   std::uint64_t Epoch = 0;
   std::uint64_t Sequence = 0;
