--- a/tests/placement/fake_cell.hpp
+++ b/tests/placement/fake_cell.hpp
@@ -180,7 +180,7 @@
   };
 
   void settle() {
-    for (int round = 0; round < 4; ++round) {
+    for (int round = 0; round < 6; ++round) {
       const StepEffects effects = Leader->step(Now);
       Notices.insert(Notices.end(), effects.Notices.begin(),
                      effects.Notices.end());
@@ -205,10 +205,12 @@
       return;
     }
     const auto answer = place.Machine.take(call, Now);
-    if (answer && place.State == Link::Whole) {
+    if (place.State != Link::Whole) {
+      Leader->workerFailed(keyOf(call), Now);
+    } else if (answer) {
       Leader->workerAnswered(keyOf(call), *answer, Now);
     } else {
-      Leader->workerFailed(keyOf(call), Now);
+      Leader->workerRefused(keyOf(call), Now);
     }
   }
 
