--- a/src/masticwinch/storage/replica_storage.cpp
+++ b/src/masticwinch/storage/replica_storage.cpp
@@ -12,7 +12,6 @@
 
 namespace masticwinch::storage {
 
-using replication::HardState;
 using replication::Membership;
 using replication::ReplicaId;
 using replication::Snapshot;
