--- /dev/null
+++ b/benchmarks/placement.cpp
@@ -0,0 +1,254 @@
+#include "benchmarks/capacity_measure.hpp"
+#include "benchmarks/placement_fleet.hpp"
+#include "benchmarks/placement_surge.hpp"
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace masticwinch;
+using namespace masticwinch::placement;
+
+namespace {
+
+using Wall = std::chrono::steady_clock;
+
+void figure(const std::string &name, double value, const char *unit) {
+  std::printf("figure=%s value=%.6g unit=%s\n", name.c_str(), value, unit);
+}
+
+double quantile(std::vector<double> values, double share) {
+  if (values.empty()) {
+    return 0;
+  }
+  const auto place = static_cast<std::size_t>(share * double(values.size()));
+  const std::size_t index = std::min(place, values.size() - 1);
+  std::nth_element(values.begin(),
+                   values.begin() + static_cast<std::ptrdiff_t>(index),
+                   values.end());
+  return values[index];
+}
+
+double microsecondsSince(Wall::time_point begin) {
+  return std::chrono::duration<double, std::micro>(Wall::now() - begin).count();
+}
+
+/// A placer at a steady state: every VM holds 25 tasks, a fifth of them of
+/// services; those of batch jobs end and new ones come at a given rate.
+class SteadyLoad {
+public:
+  explicit SteadyLoad(std::size_t vms)
+      : Vms(vms), Leader({}, 1, Now),
+        Machines(Leader, [this](const auto &id) { return runTime(id); }) {}
+
+  void fill() {
+    const double before = capacity::heapBytes();
+    Machines.announce(Vms, bench::VmCapacity, Now);
+    settle();
+    const double announced = capacity::heapBytes();
+    constexpr std::size_t TasksPerVm = 25;
+    constexpr std::uint32_t TasksPerJob = 25;
+    for (std::size_t it = 0; it < Vms * TasksPerVm / TasksPerJob; ++it) {
+      submit(it % 5 == 0, TasksPerJob);
+    }
+    while (Leader.waitingJobs() > 0) {
+      settle();
+    }
+    const double tasks = double(Leader.activeAttempts());
+    const std::string size = std::to_string(Vms);
+    figure("memory_per_worker_" + size, (announced - before) / double(Vms),
+           "bytes");
+    figure("memory_per_task_" + size,
+           (capacity::heapBytes() - announced) / tasks, "bytes");
+    figure("tasks_running_" + size, tasks, "tasks");
+  }
+
+  /// Lets batch tasks end and start at the rate for a while; every step that
+  /// starts something counts, whole, as the decision time of each start.
+  void measure(double startsPerSecond, std::chrono::seconds time,
+               const std::string &prefix = "") {
+    constexpr Milliseconds Tick{10};
+    std::vector<double> perStart;
+    std::vector<double> steps;
+    double owed = 0;
+    double busy = 0;
+    std::size_t starts = 0;
+    const SteadyTime end = Now + time;
+    while (Now < end) {
+      Now += Tick;
+      owed += startsPerSecond * 0.010;
+      for (; owed >= 1; --owed) {
+        submit(false, 1);
+      }
+      const auto inputs = Wall::now();
+      Machines.advance(Now);
+      const double inputTime = microsecondsSince(inputs);
+      busy += inputTime;
+      for (int round = 0; round < 4; ++round) {
+        const std::size_t before = Leader.activeAttempts();
+        const auto begin = Wall::now();
+        const StepEffects effects = Leader.step(Now);
+        const double took = microsecondsSince(begin);
+        const std::size_t started = Leader.activeAttempts() - before;
+        steps.push_back(took / 1000);
+        // A task waits for the whole step that decides on it.
+        perStart.insert(perStart.end(), started, took);
+        starts += started;
+        const auto answers = Wall::now();
+        finish(effects);
+        busy += took + microsecondsSince(answers);
+        if (effects.Calls.empty() && effects.Records.empty()) {
+          break;
+        }
+      }
+    }
+    report(prefix, perStart, steps, double(starts), busy);
+  }
+
+  /// Cancels half of the batch jobs at once.
+  void measureCancellations() {
+    std::vector<double> each;
+    for (std::size_t it = 0; it < Submitted; it += 2) {
+      const std::string id = fmt::format("job-{}", it);
+      const auto begin = Wall::now();
+      Leader.cancelJob(id, Now);
+      each.push_back(microsecondsSince(begin));
+    }
+    const auto begin = Wall::now();
+    for (int it = 0; it < 200; ++it) {
+      Now += Milliseconds(10);
+      settle();
+    }
+    const double settled = microsecondsSince(begin);
+    const std::string size = std::to_string(Vms);
+    double sum = settled;
+    for (const double it : each) {
+      sum += it;
+    }
+    figure("cancellation_p99_" + size, quantile(each, 0.99), "us");
+    figure("cancellations_per_second_" + size, 1e6 * double(each.size()) / sum,
+           "jobs/s");
+  }
+
+  double p99() const { return DecisionP99; }
+
+  /// Fills the cell and puts as many jobs again into the queue, then lets the
+  /// running tasks end at the rate, so that every end starts a waiting task.
+  void measureBacklog(double startsPerSecond) {
+    const std::string size = std::to_string(Vms);
+    const double before = capacity::heapBytes();
+    const std::size_t jobs = 7 * Vms + std::size_t(20 * startsPerSecond);
+    for (std::size_t it = 0; it < jobs; ++it) {
+      submit(false, 1);
+    }
+    figure("memory_per_job_" + size,
+           (capacity::heapBytes() - before) / double(jobs), "bytes");
+    measure(0, std::chrono::seconds(10), "backlog_");
+    figure("backlog_jobs_waiting_" + size, double(Leader.waitingJobs()),
+           "jobs");
+  }
+
+private:
+  static constexpr Milliseconds BriefRunTime{2'000};
+
+  Milliseconds runTime(const AttemptId &id) {
+    return Brief.contains(id.Job) ? BriefRunTime : std::chrono::hours(1);
+  }
+
+  void submit(bool service, std::uint32_t tasks) {
+    JobTerms terms;
+    terms.Id = fmt::format("job-{}", Submitted++);
+    terms.Profile = service ? "service" : fmt::format("p{}", Submitted % 40);
+    terms.Team = fmt::format("team-{}", Submitted % 1200);
+    terms.Kind = service ? JobKind::Service : JobKind::Batch;
+    terms.Policy = service ? PolicyName::Spread : PolicyName::Pack;
+    terms.Tasks = tasks;
+    terms.PerTask = {1'000, 4'096, 0};
+    terms.ExpectedRunTime = BriefRunTime;
+    if (tasks == 1) {
+      Brief.insert(terms.Id);
+    }
+    Leader.addJob(terms, {}, false, Now);
+  }
+
+  bool finish(const StepEffects &effects) {
+    if (!effects.Records.empty()) {
+      Leader.recorded(effects.Records.Id, Now);
+    }
+    for (const WorkerCall &it : effects.Calls) {
+      Machines.answer(it, Now);
+    }
+    return !effects.Calls.empty() || !effects.Records.empty();
+  }
+
+  void settle() {
+    while (finish(Leader.step(Now))) {
+    }
+  }
+
+  void report(const std::string &prefix, const std::vector<double> &perStart,
+              const std::vector<double> &steps, double starts, double busy) {
+    const std::string size = std::to_string(Vms);
+    const double p99 = quantile(perStart, 0.99) / 1000;
+    DecisionP99 = prefix.empty() ? p99 : DecisionP99;
+    figure(prefix + "decision_p50_" + size, quantile(perStart, 0.50) / 1000,
+           "ms");
+    figure(prefix + "decision_p99_" + size, p99, "ms");
+    figure(prefix + "step_p99_" + size, quantile(steps, 0.99), "ms");
+    figure(prefix + "starts_" + size, starts, "tasks");
+    figure(prefix + "decisions_per_second_" + size, 1e6 * starts / busy, "1/s");
+  }
+
+  std::size_t Vms;
+  SteadyTime Now = SteadyTime() + std::chrono::hours(1);
+  Placer Leader;
+  bench::Fleet Machines;
+  std::size_t Submitted = 0;
+  std::set<std::string> Brief;
+  double DecisionP99 = 0;
+};
+
+double measureSize(std::size_t vms, double startsPerSecond) {
+  SteadyLoad load(vms);
+  load.fill();
+  load.measure(startsPerSecond, std::chrono::seconds(10));
+  load.measureBacklog(startsPerSecond);
+  load.measureCancellations();
+  return load.p99();
+}
+
+void printResult(const bench::Surge &surge, PolicyName policy,
+                 std::uint64_t seed) {
+  const bench::SurgeResult result = bench::SurgeRun(surge, policy).run();
+  const std::string name =
+      fmt::format("{}_{}_seed{}", surge.Name, nameOf(policy), seed);
+  for (const auto &[profile, waits] : result.WaitMs) {
+    figure(name + "_wait_p50_" + profile, quantile(waits, 0.50), "ms");
+    figure(name + "_wait_p99_" + profile, quantile(waits, 0.99), "ms");
+  }
+  figure(name + "_packing", 100 * result.Packing, "%");
+  figure(name + "_makespan_over_bound",
+         100 * (result.MakespanMs / result.LowerBoundMs - 1), "%");
+  figure(name + "_preemptions", double(result.Preemptions), "tasks");
+  figure(name + "_control_time", result.ControlMs, "ms");
+}
+
+} // namespace
+
+int main() {
+  const double small = measureSize(50, 100);
+  const double middle = measureSize(1'000, 1'700);
+  const double large = measureSize(16'000, 1'700);
+  figure("decision_p99_growth_50_to_16000", large / small, "ratio");
+  figure("decision_p99_growth_1000_to_16000", large / middle, "ratio");
+  for (const std::uint64_t seed : {1U, 2U}) {
+    for (const PolicyName policy :
+         {PolicyName::FirstFit, PolicyName::Pack, PolicyName::Spread}) {
+      printResult(bench::mondaySheets(seed), policy, seed);
+      printResult(bench::nightlyRenders(seed), policy, seed);
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/benchmarks/placement_fleet.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "masticwinch/coordination/placement/placer.hpp"
+
+#include <fmt/format.h>
+
+#include <functional>
+#include <queue>
+#include <unordered_map>
+#include <vector>
+
+namespace masticwinch::bench {
+
+/// Workers at the placer's interface that answer at once. Each task runs for
+/// the time that the owner of the fleet says.
+class Fleet {
+public:
+  using RunTime = std::function<Milliseconds(const placement::AttemptId &)>;
+
+  Fleet(placement::Placer &placer, RunTime runTime)
+      : Leader(placer), TimeOf(std::move(runTime)) {}
+
+  void announce(std::size_t count, const placement::Resources &capacity,
+                SteadyTime now) {
+    Workers.resize(count);
+    for (std::size_t it = 0; it < count; ++it) {
+      const std::size_t rack = it / 8;
+      Leader.announceWorker({fmt::format("vm-{}", it), "",
+                             fmt::format("rack-{}", rack),
+                             fmt::format("dc-{}", rack % 37), capacity},
+                            now);
+    }
+  }
+
+  /// Ends the tasks whose time has come and tells the placer to look.
+  void advance(SteadyTime now) {
+    while (!Ends.empty() && Ends.top().At <= now) {
+      const End end = Ends.top();
+      Ends.pop();
+      for (placement::TaskReport &it : Workers[end.Vm].Tasks) {
+        const bool runs = it.State == placement::ReportedState::Running;
+        if (it.Id.Number == end.Attempt && runs) {
+          it.State = placement::ReportedState::Finished;
+          Leader.pokeWorker(fmt::format("vm-{}", end.Vm), now);
+        }
+      }
+    }
+  }
+
+  void answer(const placement::WorkerCall &call, SteadyTime now) {
+    placement::WorkerAnswer &state = Workers[call.Worker];
+    state.Reading = {1, static_cast<std::uint64_t>(now.time_since_epoch() /
+                                                   Milliseconds(1))};
+    for (const placement::AttemptId &it : call.Forgets) {
+      std::erase_if(state.Tasks, [&](const placement::TaskReport &task) {
+        return task.Id.Number == it.Number;
+      });
+      BeganAt.erase(it.Number);
+    }
+    for (const placement::StopOrder &it : call.Stops) {
+      stop(state, it, now);
+    }
+    for (const placement::StartOrder &it : call.Starts) {
+      placement::TaskReport task;
+      task.Id = it.Id;
+      task.Given = it.Amount;
+      const Milliseconds done(
+          it.ResumeCheckpoint.empty() ? 0 : std::stoll(it.ResumeCheckpoint));
+      BeganAt[it.Id.Number] = now - done;
+      Ends.push({now + TimeOf(it.Id) - done, call.Worker, it.Id.Number});
+      state.Tasks.push_back(std::move(task));
+    }
+    Leader.workerAnswered(placement::keyOf(call), state, now);
+  }
+
+private:
+  struct End {
+    SteadyTime At;
+    placement::WorkerIndex Vm = 0;
+    std::uint64_t Attempt = 0;
+    bool operator>(const End &other) const { return At > other.At; }
+  };
+
+  /// A checkpoint is the time that the task has run, in milliseconds.
+  void stop(placement::WorkerAnswer &state, const placement::StopOrder &order,
+            SteadyTime now) {
+    for (placement::TaskReport &it : state.Tasks) {
+      const bool runs = it.State == placement::ReportedState::Running;
+      if (it.Id.Number == order.Id.Number && runs) {
+        it.State = placement::ReportedState::Stopped;
+        const auto ran = (now - BeganAt[it.Id.Number]) / Milliseconds(1);
+        it.Checkpoint = order.Checkpoint ? std::to_string(ran) : "";
+      }
+    }
+  }
+
+  placement::Placer &Leader;
+  RunTime TimeOf;
+  std::vector<placement::WorkerAnswer> Workers;
+  std::unordered_map<std::uint64_t, SteadyTime> BeganAt;
+  std::priority_queue<End, std::vector<End>, std::greater<>> Ends;
+};
+
+} // namespace masticwinch::bench
--- a/src/masticwinch/coordination/placement/failure_monitor.cpp
+++ b/src/masticwinch/coordination/placement/failure_monitor.cpp
@@ -46,6 +46,10 @@
     job.HeldUntil = now + job.Pause.next(Terms);
     return;
   }
+  // What was started before the ejection says nothing new about the VM.
+  if (vm.EjectedUntil > now) {
+    return;
+  }
   const bool newJob = vm.FailedJobs.insert(jobId);
   vm.Failures += newJob || job.EverSucceeded ? 1 : 0;
   const bool vmToBlame = vm.Failures >= Terms.FailuresToEject || vm.OnTrial;
--- a/src/masticwinch/coordination/placement/internal/gang_planner.cpp
+++ b/src/masticwinch/coordination/placement/internal/gang_planner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <tuple>
 
 namespace masticwinch::placement::internal {
 
@@ -29,29 +30,56 @@
 
 } // namespace
 
-bool preemptOn(PlacerState &state, WorkerIndex vm, const Resources &amount) {
-  Resources coming = state.Account.free(vm);
-  std::vector<TaskIndex> victims;
+namespace {
+
+/// Tasks to stop on the VM so that the amount becomes free, cheapest first.
+std::vector<TaskIndex> victimsOn(const PlacerState &state, WorkerIndex vm,
+                                 const Resources &amount, Resources &coming) {
+  std::vector<TaskIndex> candidates;
+  coming = state.Account.free(vm);
   for (const TaskIndex it : state.Workers[vm].Attempts) {
     if (state.Attempts[it].State == AttemptState::Stopping) {
       coming += state.Attempts[it].Amount;
     } else if (state.Attempts[it].CountsReclaimable) {
-      victims.push_back(it);
+      candidates.push_back(it);
     }
   }
-  // Those that can go on from a checkpoint first, then the youngest.
+  // Those that can go on from a checkpoint first, then the smallest, then the
+  // youngest.
   const auto cost = [&](TaskIndex it) {
     const Attempt &attempt = state.Attempts[it];
-    return std::pair(!state.Jobs[attempt.Job].Terms.Checkpoint,
-                     state.Now - attempt.StartedAt);
+    return std::tuple(!state.Jobs[attempt.Job].Terms.Checkpoint,
+                      attempt.Amount.MilliProcessors,
+                      state.Now - attempt.StartedAt);
   };
-  std::sort(victims.begin(), victims.end(),
+  std::sort(candidates.begin(), candidates.end(),
             [&](TaskIndex a, TaskIndex b) { return cost(a) < cost(b); });
-  for (const TaskIndex it : victims) {
+  std::vector<TaskIndex> victims;
+  for (const TaskIndex it : candidates) {
     if (amount.fitsIn(coming)) {
       break;
     }
     coming += state.Attempts[it].Amount;
+    victims.push_back(it);
+  }
+  return victims;
+}
+
+} // namespace
+
+std::int64_t preemptionCost(const PlacerState &state, WorkerIndex vm,
+                            const Resources &amount) {
+  Resources coming;
+  Resources stopped;
+  for (const TaskIndex it : victimsOn(state, vm, amount, coming)) {
+    stopped += state.Attempts[it].Amount;
+  }
+  return dominantShare(stopped, state.Account.capacity(vm));
+}
+
+bool preemptOn(PlacerState &state, WorkerIndex vm, const Resources &amount) {
+  Resources coming;
+  for (const TaskIndex it : victimsOn(state, vm, amount, coming)) {
     state.orderStop(it, StopReason::Preempted);
   }
   return amount.fitsIn(coming);
--- a/src/masticwinch/coordination/placement/internal/gang_planner.hpp
+++ b/src/masticwinch/coordination/placement/internal/gang_planner.hpp
@@ -41,6 +41,11 @@
   PlacerState &State;
 };
 
+/// How much would have to be stopped on the VM for the amount, as the dominant
+/// share of the VM in millionths.
+std::int64_t preemptionCost(const PlacerState &state, WorkerIndex vm,
+                            const Resources &amount);
+
 /// Stops preemptible tasks on the VM until the amount is or becomes free.
 /// Returns whether it will.
 bool preemptOn(PlacerState &state, WorkerIndex vm, const Resources &amount);
--- a/src/masticwinch/coordination/placement/internal/scheduler.cpp
+++ b/src/masticwinch/coordination/placement/internal/scheduler.cpp
@@ -9,7 +9,10 @@
 namespace {
 
 /// Tasks that a job starts before the next team has its turn.
-constexpr std::uint32_t TasksPerTurn = 8;
+constexpr std::uint32_t TasksPerTurn = 4;
+
+/// VMs among which the one to preempt on is chosen.
+constexpr std::uint32_t PreemptionSamples = 8;
 
 } // namespace
 
@@ -221,6 +224,26 @@
   });
 }
 
+WorkerIndex Scheduler::cheapestToClear(const Resources &amount) {
+  WorkerIndex best = NoIndex;
+  std::int64_t bestCost = 0;
+  for (std::uint32_t it = 0; it < PreemptionSamples; ++it) {
+    const auto from =
+        static_cast<WorkerIndex>(State.Random() % State.Account.size());
+    WorkerIndex vm = State.Account.findReclaimable(from, amount);
+    vm = vm == NoIndex ? State.Account.findReclaimable(0, amount) : vm;
+    if (vm == NoIndex) {
+      return NoIndex;
+    }
+    const std::int64_t cost = preemptionCost(State, vm, amount);
+    if (best == NoIndex || cost < bestCost) {
+      best = vm;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
 void Scheduler::makeRoom(JobIndex index, const Resources &amount) {
   const Job &job = State.Jobs[index];
   if (!preempts(job)) {
@@ -232,10 +255,7 @@
   const std::size_t want =
       std::min<std::size_t>(job.Waiting.size(), State.Settings.StartsPerStep);
   for (std::size_t it = have; it < want; ++it) {
-    WorkerIndex from =
-        static_cast<WorkerIndex>(State.Random() % State.Account.size());
-    WorkerIndex vm = State.Account.findReclaimable(from, amount);
-    vm = vm == NoIndex ? State.Account.findReclaimable(0, amount) : vm;
+    const WorkerIndex vm = cheapestToClear(amount);
     if (vm == NoIndex) {
       return;
     }
--- a/src/masticwinch/coordination/placement/internal/scheduler.hpp
+++ b/src/masticwinch/coordination/placement/internal/scheduler.hpp
@@ -33,6 +33,7 @@
   void note(JobIndex job, Verdict verdict);
   void start(JobIndex job, std::uint32_t task, WorkerIndex vm,
              const Resources &amount);
+  WorkerIndex cheapestToClear(const Resources &amount);
   void makeRoom(JobIndex job, const Resources &amount);
   bool takeWaiting(Job &job, std::uint32_t &task);
   bool preempts(const Job &job) const;
