Fuzz claims, slots and retries over several entry VMs

Cause: the promises to callers must hold over several entry VMs at once, with a network that loses, doubles and reorders and with entry VMs and upstreams that die in between. The claim table is part of the replicated state; an entry VM can be a leaving member. Conclusion: slots belong to an upstream's name and the lease is checked at each event.

--- /dev/null
+++ b/fuzzing/requests/fuzz_requests.cpp
@@ -0,0 +1,72 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "fuzzing/requests/request_world.hpp"
+
+namespace rc {
+
+using masticwinch::fuzzing::Step;
+using masticwinch::fuzzing::StepKind;
+
+template <> struct Arbitrary<Step> {
+  static Gen<Step> arbitrary() {
+    const auto kind = gen::weightedElement<StepKind>({
+        {12, StepKind::Send},
+        {10, StepKind::SendKeyed},
+        {10, StepKind::Resend},
+        {3, StepKind::CallerLeaves},
+        {60, StepKind::Deliver},
+        {4, StepKind::Duplicate},
+        {3, StepKind::Drop},
+        {20, StepKind::Advance},
+        {30, StepKind::Hello},
+        {15, StepKind::SendClaims},
+        {8, StepKind::UpstreamReceives},
+        {10, StepKind::UpstreamAnswers},
+        {2, StepKind::UpstreamRefuses},
+        {2, StepKind::UpstreamUnreachable},
+        {3, StepKind::AnswerBreaks},
+        {1, StepKind::UpstreamRestarts},
+        {1, StepKind::UpstreamLeaves},
+        {2, StepKind::EntryDies},
+        {3, StepKind::EntryStarts},
+        {2, StepKind::EntryLapses},
+        {2, StepKind::EntryLeaves},
+    });
+    return gen::build<Step>(
+        gen::set(&Step::Kind, kind),
+        gen::set(&Step::A, gen::inRange<std::uint8_t>(0, 255)),
+        gen::set(&Step::B, gen::inRange<std::uint8_t>(0, 255)));
+  }
+};
+
+} // namespace rc
+
+using namespace masticwinch::fuzzing;
+
+namespace {
+
+constexpr int StepsInSession = 400;
+
+std::vector<Step> anySteps() {
+  return *rc::gen::resize(StepsInSession,
+                          rc::gen::arbitrary<std::vector<Step>>());
+}
+
+} // namespace
+
+TEST_CASE("Promises to callers hold over several entry VMs under faults",
+          "[requests][fuzzing]") {
+  CHECK(rc::check([] { runSession(anySteps()); }));
+}
+
+TEST_CASE("Promises to callers hold in 100,000 sessions",
+          "[.long][requests-long]") {
+  constexpr int Sessions = 100'000;
+  rc::detail::TestParams params = rc::detail::configuration().testParams;
+  params.maxSuccess = Sessions;
+  const auto result = rc::detail::checkTestable(
+      [] { runSession(anySteps()); }, rc::detail::TestMetadata{}, params);
+  rc::detail::printResultMessage(result, std::cerr);
+  CHECK(result.template is<rc::detail::SuccessResult>());
+}
--- /dev/null
+++ b/fuzzing/requests/request_world.cpp
@@ -0,0 +1,534 @@
+#include "fuzzing/requests/request_world.hpp"
+
+#include <algorithm>
+
+namespace masticwinch::fuzzing {
+namespace {
+
+constexpr std::size_t EntryCount = 3;
+constexpr std::size_t UpstreamCount = 3;
+constexpr std::uint32_t SlotsEach = 2;
+constexpr Milliseconds ClaimResend{200};
+constexpr Milliseconds Settling{100};
+constexpr int SettlingRounds = 100;
+
+protocol::RequestPolicy policy(protocol::WorkClass workClass, bool repeatable,
+                               std::uint32_t hedgeAfter) {
+  protocol::RequestPolicy out;
+  out.set_work_class(workClass);
+  out.set_repeatable(repeatable);
+  out.set_deadline_ms(2000);
+  out.set_hedge_after_ms(hedgeAfter);
+  return out;
+}
+
+} // namespace
+
+std::ostream &operator<<(std::ostream &out, const Step &step) {
+  return out << nameOf(step.Kind) << ' ' << int{step.A} << ' ' << int{step.B};
+}
+
+RequestWorld::RequestWorld() {
+  constexpr std::uint32_t HedgeAfterMillis = 50;
+  protocol::Profile &billed = *change("profile/billed").mutable_profile();
+  billed.set_name("billed");
+  *billed.mutable_spec()->mutable_requests() =
+      policy(protocol::URGENT, false, 0);
+  protocol::Profile &lookup = *change("profile/lookup").mutable_profile();
+  lookup.set_name("lookup");
+  *lookup.mutable_spec()->mutable_requests() =
+      policy(protocol::PATIENT, true, HedgeAfterMillis);
+  Nodes.resize(EntryCount);
+  for (std::size_t i = 0; i < EntryCount; ++i) {
+    Nodes[i].Name = "e" + std::to_string(i);
+    entryStarts(static_cast<std::uint8_t>(i));
+  }
+  for (std::size_t i = 0; i < UpstreamCount; ++i) {
+    announce("u" + std::to_string(i));
+  }
+}
+
+std::uint64_t RequestWorld::wallMillis() const {
+  constexpr std::uint64_t Start = 1'000'000;
+  return Start +
+         static_cast<std::uint64_t>(
+             std::chrono::duration_cast<Milliseconds>(now().time_since_epoch())
+                 .count());
+}
+
+protocol::ConfigItem &RequestWorld::change(const std::string &name) {
+  protocol::ConfigItem &item = Config[name];
+  item.set_revision(++Revision);
+  return item;
+}
+
+RequestWorld::Node *RequestWorld::aliveNode(std::uint8_t choice) {
+  Node &node = Nodes[choice % Nodes.size()];
+  return node.Machine == nullptr ? nullptr : &node;
+}
+
+RequestWorld::Node *RequestWorld::findNode(const std::string &name,
+                                           std::uint64_t incarnation) {
+  for (Node &it : Nodes) {
+    if (it.Name == name && it.Incarnation == incarnation &&
+        it.Machine != nullptr) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+void RequestWorld::post(std::function<void()> message) {
+  Network.push_back(std::move(message));
+}
+
+void RequestWorld::deliver(std::size_t place, bool keep) {
+  const std::function<void()> message = Network[place];
+  if (!keep) {
+    Network.erase(Network.begin() + static_cast<std::ptrdiff_t>(place));
+  }
+  message();
+}
+
+void RequestWorld::advance(Milliseconds by) {
+  Clock.advance(by);
+  for (std::size_t i = Connections.size(); i-- > 0;) {
+    if (i < Connections.size() && Connections[i].TimeoutAt <= now()) {
+      end(i, DispatchResult::TimedOut);
+    }
+  }
+  for (Node &it : Nodes) {
+    if (it.Machine == nullptr) {
+      continue;
+    }
+    it.Machine->tick(now());
+    collect(it);
+  }
+}
+
+void RequestWorld::collect(Node &node) {
+  for (const RequestEffect &it : node.Machine->takeEffects()) {
+    carryOut(node, it);
+  }
+}
+
+void RequestWorld::carryOut(Node &node, const RequestEffect &effect) {
+  if (const auto *start = std::get_if<StartDispatch>(&effect)) {
+    startDispatch(node, *start);
+  } else if (const auto *cancel = std::get_if<CancelDispatch>(&effect)) {
+    cancelDispatch(node, cancel->Number);
+  } else if (const auto *reply = std::get_if<ReplyToCaller>(&effect)) {
+    Oracle.replied(node.Requests.at(reply->Request), *reply);
+  } else if (const auto *claim = std::get_if<ChangeClaim>(&effect)) {
+    node.Claims->add(*claim);
+  } else {
+    sendPeer(node, std::get<PeerMessage>(effect));
+  }
+}
+
+void RequestWorld::startDispatch(Node &node, const StartDispatch &start) {
+  const RunningUpstream &upstream = Upstreams.at(start.Upstream);
+  RequestOracle::require(now() < start.StartBefore,
+                         "a dispatch started after its slot's lease");
+  RequestOracle::require(upstream.Announced ||
+                             upstream.GoneSince + SlotTiming{}.ServingLease >=
+                                 now(),
+                         "a leaving upstream got new work");
+  const ArrivalId arrival = node.Requests.at(start.Request);
+  Connections.push_back({node.Name, node.Incarnation, start.Number, arrival,
+                         Sent.at(arrival - 1).Logical, start.Upstream,
+                         upstream.Incarnation, now() + start.Timeout});
+  checkSlots();
+}
+
+void RequestWorld::checkSlots() const {
+  for (const auto &it : Upstreams) {
+    const RunningUpstream &upstream = it.second;
+    const auto used = std::count_if(
+        Connections.begin(), Connections.end(), [&](const Connection &open) {
+          return open.Upstream == it.first &&
+                 open.UpstreamIncarnation == upstream.Incarnation;
+        });
+    Oracle.slotsUsed(it.first, static_cast<std::size_t>(used), upstream.Slots);
+  }
+}
+
+void RequestWorld::cancelDispatch(Node &node, DispatchNumber number) {
+  const std::string name = node.Name;
+  const std::uint64_t incarnation = node.Incarnation;
+  post([this, name, incarnation, number] {
+    for (std::size_t i = 0; i < Connections.size(); ++i) {
+      if (Connections[i].Node == name &&
+          Connections[i].Incarnation == incarnation &&
+          Connections[i].Number == number) {
+        end(i, DispatchResult::Cancelled);
+        return;
+      }
+    }
+  });
+}
+
+void RequestWorld::sendPeer(const Node &node, const PeerMessage &message) {
+  const EntryIncarnation from{node.Name, node.Incarnation};
+  post([this, from, message] {
+    for (Node &it : Nodes) {
+      if (it.Name == message.To && it.Machine != nullptr) {
+        it.Machine->peerSent(from, message.Message, now());
+        collect(it);
+      }
+    }
+  });
+}
+
+void RequestWorld::send(std::uint8_t choice, const Arrived &request) {
+  Node *node = aliveNode(choice);
+  if (node == nullptr) {
+    return;
+  }
+  Sent.push_back(request);
+  const ArrivalId id = Oracle.sent(request.Logical, !request.Billed);
+  RequestArrival arrival;
+  arrival.Profile = request.Billed ? "billed" : "lookup";
+  arrival.Caller = "caller";
+  arrival.Key = request.Key;
+  const RequestNumber number =
+      node->Machine->arrived(std::move(arrival), now());
+  node->Requests[number] = id;
+  collect(*node);
+}
+
+void RequestWorld::callerLeaves(std::uint8_t choice) {
+  Node *node = aliveNode(choice);
+  if (node == nullptr || node->Requests.empty()) {
+    return;
+  }
+  const auto [number, id] = *node->Requests.rbegin();
+  if (Oracle.waits(id)) {
+    Oracle.callerGone(id);
+    node->Machine->callerGone(number, now());
+    collect(*node);
+  }
+}
+
+void RequestWorld::hello(Node &node) {
+  const SteadyTime sentAt = now();
+  const std::string name = node.Name;
+  const std::uint64_t incarnation = node.Incarnation;
+  post(
+      [this, name, incarnation, sentAt] { update(name, incarnation, sentAt); });
+}
+
+/// The leader answers a hello with the whole configuration and a lease.
+void RequestWorld::update(const std::string &name, std::uint64_t incarnation,
+                          SteadyTime helloAt) {
+  const protocol::ConfigItem &member = Config.at("entry/" + name);
+  Node *node = findNode(name, incarnation);
+  if (node == nullptr || !node->Member ||
+      member.entry().incarnation() != incarnation) {
+    return;
+  }
+  node->LeaseEnd = now() + SlotTiming{}.ServingLease;
+  std::vector<protocol::ConfigItem> items;
+  for (const auto &[key, item] : Config) {
+    items.push_back(item);
+  }
+  post([this, name, incarnation, helloAt, items] {
+    Node *to = findNode(name, incarnation);
+    if (to == nullptr) {
+      return;
+    }
+    to->Machine->configure(items, now());
+    to->ServingUntil =
+        std::max(to->ServingUntil, helloAt + SlotTiming{}.ServingLease);
+    to->Machine->serveUntil(to->ServingUntil, now());
+    collect(*to);
+  });
+}
+
+void RequestWorld::sendClaims(Node &node) {
+  if (const auto batch = node.Claims->due(now())) {
+    post([this, batch = *batch] { applyClaims(batch); });
+  }
+}
+
+void RequestWorld::applyClaims(const protocol::ClaimBatch &batch) {
+  const std::vector<protocol::ClaimResult> results = Table.apply(
+      batch, wallMillis(), [this](const protocol::ClaimOwner &owner) {
+        const protocol::ConfigItem &item = Config.at("entry/" + owner.entry());
+        return !item.removed() &&
+               item.entry().incarnation() == owner.incarnation();
+      });
+  post([this, results, entry = batch.entry(), number = batch.number(),
+        incarnation = batch.incarnation()] {
+    Node *node = findNode(entry, incarnation);
+    if (node == nullptr || !node->Claims->answered(number)) {
+      return;
+    }
+    for (const protocol::ClaimResult &it : results) {
+      node->Machine->claimAnswered(it, now());
+    }
+    collect(*node);
+  });
+}
+
+RequestWorld::Connection *RequestWorld::chooseConnection(std::uint8_t choice) {
+  return Connections.empty() ? nullptr
+                             : &Connections[choice % Connections.size()];
+}
+
+void RequestWorld::receive(Connection &connection) {
+  const RunningUpstream &upstream = Upstreams.at(connection.Upstream);
+  if (connection.Received ||
+      connection.UpstreamIncarnation != upstream.Incarnation) {
+    return;
+  }
+  connection.Received = true;
+  Oracle.ran(connection.Arrival);
+}
+
+std::size_t RequestWorld::placeOf(const Connection &connection) const {
+  return static_cast<std::size_t>(&connection - Connections.data());
+}
+
+void RequestWorld::end(std::size_t place, DispatchResult result) {
+  const Connection ended = Connections[place];
+  Connections.erase(Connections.begin() + static_cast<std::ptrdiff_t>(place));
+  Node *node = findNode(ended.Node, ended.Incarnation);
+  if (node == nullptr) {
+    return;
+  }
+  AnswerPointer answer;
+  if (result == DispatchResult::Answered) {
+    answer = std::make_shared<const Answer>(
+        Answer{200, "text/plain", RequestOracle::bodyOf(ended.Logical)});
+  }
+  node->Machine->dispatchEnded(ended.Number, result, answer, now());
+  collect(*node);
+}
+
+void RequestWorld::announce(const std::string &name) {
+  RunningUpstream &running = Upstreams[name];
+  running.Incarnation = ++LastIncarnation;
+  running.Slots = SlotsEach;
+  running.Announced = true;
+  protocol::ConfigItem &item = change("upstream/" + name);
+  item.set_removed(false);
+  protocol::Upstream &out = *item.mutable_upstream();
+  out.set_returning(!out.name().empty());
+  out.set_name(name);
+  out.set_incarnation(running.Incarnation);
+  out.set_slots(SlotsEach);
+}
+
+void RequestWorld::upstreamRestarts(std::uint8_t choice, bool again) {
+  const std::string name = "u" + std::to_string(choice % UpstreamCount);
+  RunningUpstream &running = Upstreams.at(name);
+  if (running.Announced && !again) {
+    running.Announced = false;
+    running.GoneSince = now();
+    change("upstream/" + name).set_removed(true);
+    return;
+  }
+  if (again) {
+    announce(name);
+    for (std::size_t i = Connections.size(); i-- > 0;) {
+      if (i < Connections.size() && Connections[i].Upstream == name &&
+          Connections[i].UpstreamIncarnation != running.Incarnation) {
+        end(i, DispatchResult::Broken);
+      }
+    }
+  }
+}
+
+void RequestWorld::entryDies(Node &node) {
+  for (const auto &[number, id] : node.Requests) {
+    Oracle.entryDied(id);
+  }
+  node.Requests.clear();
+  node.Machine.reset();
+  std::erase_if(Connections, [&node](const Connection &it) {
+    return it.Node == node.Name && !it.Received;
+  });
+}
+
+void RequestWorld::entryStarts(std::uint8_t choice) {
+  Node &node = Nodes[choice % Nodes.size()];
+  if (node.Machine != nullptr) {
+    return;
+  }
+  if (node.Incarnation != 0) {
+    Table.ownerGone(node.Name, node.Incarnation);
+  }
+  node.Incarnation = ++LastIncarnation;
+  DispatcherOptions options;
+  options.Self = {node.Name, node.Incarnation};
+  options.Seed = node.Incarnation;
+  node.Machine = std::make_unique<Dispatcher>(options);
+  node.Claims = std::make_unique<ClaimClient>(options.Self, ClaimResend);
+  node.ServingUntil = SteadyTime{};
+  node.Member = true;
+  node.Leaving = false;
+  protocol::ConfigItem &item = change("entry/" + node.Name);
+  item.set_removed(false);
+  protocol::EntryMember &out = *item.mutable_entry();
+  out.set_name(node.Name);
+  out.set_incarnation(node.Incarnation);
+  out.set_leaving(false);
+}
+
+void RequestWorld::entryLapses(std::uint8_t choice) {
+  Node &node = Nodes[choice % Nodes.size()];
+  if (node.Member && node.LeaseEnd < now() &&
+      (node.Machine == nullptr || node.ServingUntil < now())) {
+    removeEntry(node);
+  }
+}
+
+void RequestWorld::removeEntry(Node &node) {
+  node.Member = false;
+  change("entry/" + node.Name).set_removed(true);
+  Table.ownerGone(node.Name, node.Incarnation);
+}
+
+void RequestWorld::entryLeaves(Node &node) {
+  if (!node.Leaving && node.Member) {
+    node.Leaving = true;
+    node.Machine->drain();
+    change("entry/" + node.Name).mutable_entry()->set_leaving(true);
+  } else if (node.Leaving && node.Member && node.Machine->idle() &&
+             node.Claims->idle()) {
+    entryDies(node);
+    removeEntry(node);
+  }
+}
+
+void RequestWorld::apply(const Step &step) {
+  Node *node = aliveNode(step.A);
+  Connection *connection = chooseConnection(step.A);
+  const std::size_t place = connection == nullptr ? 0 : placeOf(*connection);
+  switch (step.Kind) {
+  case StepKind::Send:
+    send(step.A, {++LastLogical, "", step.B % 2 == 0});
+    break;
+  case StepKind::SendKeyed:
+    ++LastLogical;
+    send(step.A, {LastLogical, "k" + std::to_string(LastLogical), true});
+    break;
+  case StepKind::Resend:
+    if (!Sent.empty() && !Sent[step.B % Sent.size()].Key.empty()) {
+      send(step.A, Arrived(Sent[step.B % Sent.size()]));
+    }
+    break;
+  case StepKind::CallerLeaves:
+    callerLeaves(step.A);
+    break;
+  case StepKind::Deliver:
+  case StepKind::Duplicate:
+    if (!Network.empty()) {
+      deliver(step.A % Network.size(), step.Kind == StepKind::Duplicate);
+    }
+    break;
+  case StepKind::Drop:
+    if (!Network.empty()) {
+      Network.erase(Network.begin() +
+                    static_cast<std::ptrdiff_t>(step.A % Network.size()));
+    }
+    break;
+  case StepKind::Advance:
+    advance(Milliseconds(1 + step.A * (step.B % 4 == 0 ? 10 : 1)));
+    break;
+  case StepKind::Hello:
+    if (node != nullptr) {
+      hello(*node);
+    }
+    break;
+  case StepKind::SendClaims:
+    if (node != nullptr) {
+      sendClaims(*node);
+    }
+    break;
+  case StepKind::UpstreamReceives:
+    if (connection != nullptr) {
+      receive(*connection);
+    }
+    break;
+  case StepKind::UpstreamAnswers:
+    if (connection != nullptr) {
+      receive(*connection);
+      if (connection->Received) {
+        end(place, DispatchResult::Answered);
+      }
+    }
+    break;
+  case StepKind::UpstreamRefuses:
+  case StepKind::UpstreamUnreachable:
+    if (connection != nullptr && !connection->Received) {
+      end(place, step.Kind == StepKind::UpstreamRefuses
+                     ? DispatchResult::RefusedNotRun
+                     : DispatchResult::NotSent);
+    }
+    break;
+  case StepKind::AnswerBreaks:
+    if (connection != nullptr) {
+      end(place, DispatchResult::Broken);
+    }
+    break;
+  case StepKind::UpstreamRestarts:
+    upstreamRestarts(step.A, true);
+    break;
+  case StepKind::UpstreamLeaves:
+    upstreamRestarts(step.A, false);
+    break;
+  case StepKind::EntryDies:
+    if (node != nullptr) {
+      entryDies(*node);
+    }
+    break;
+  case StepKind::EntryStarts:
+    entryStarts(step.A);
+    break;
+  case StepKind::EntryLapses:
+    entryLapses(step.A);
+    break;
+  case StepKind::EntryLeaves:
+    if (node != nullptr) {
+      entryLeaves(*node);
+    }
+    break;
+  }
+}
+
+void RequestWorld::settle() {
+  for (int round = 0; round < SettlingRounds; ++round) {
+    for (Node &it : Nodes) {
+      if (it.Machine != nullptr) {
+        hello(it);
+        sendClaims(it);
+      }
+    }
+    while (!Network.empty()) {
+      deliver(0, false);
+    }
+    while (!Connections.empty()) {
+      receive(Connections[0]);
+      end(0, Connections[0].Received ? DispatchResult::Answered
+                                     : DispatchResult::Broken);
+    }
+    advance(Settling);
+  }
+  Oracle.ended();
+  for (const Node &it : Nodes) {
+    RequestOracle::require(it.Machine == nullptr || it.Machine->idle(),
+                           "a request is left over");
+  }
+}
+
+void runSession(const std::vector<Step> &steps) {
+  RequestWorld world;
+  for (const Step &it : steps) {
+    world.apply(it);
+  }
+  world.settle();
+}
+
+} // namespace masticwinch::fuzzing
--- /dev/null
+++ b/fuzzing/requests/request_world.hpp
@@ -0,0 +1,186 @@
+#pragma once
+
+#include "masticwinch/common/manual_clock.hpp"
+#include "masticwinch/coordination/requests/claim_client.hpp"
+#include "masticwinch/coordination/requests/claim_table.hpp"
+#include "masticwinch/coordination/requests/dispatcher.hpp"
+
+#include "fuzzing/requests/request_oracle.hpp"
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace masticwinch::fuzzing {
+
+/// One step of a session. The numbers choose among what there is.
+enum class StepKind : std::uint8_t {
+  Send,
+  SendKeyed,
+  Resend,
+  CallerLeaves,
+  Deliver,
+  Duplicate,
+  Drop,
+  Advance,
+  Hello,
+  SendClaims,
+  UpstreamReceives,
+  UpstreamAnswers,
+  UpstreamRefuses,
+  UpstreamUnreachable,
+  AnswerBreaks,
+  UpstreamRestarts,
+  UpstreamLeaves,
+  EntryDies,
+  EntryStarts,
+  EntryLapses,
+  EntryLeaves,
+};
+
+} // namespace masticwinch::fuzzing
+
+template <> struct masticwinch::EnumNames<masticwinch::fuzzing::StepKind> {
+  using Kind = masticwinch::fuzzing::StepKind;
+  static constexpr std::array<EnumName<Kind>, 21> Table{{
+      {Kind::Send, "send"},
+      {Kind::SendKeyed, "send_keyed"},
+      {Kind::Resend, "resend"},
+      {Kind::CallerLeaves, "caller_leaves"},
+      {Kind::Deliver, "deliver"},
+      {Kind::Duplicate, "duplicate"},
+      {Kind::Drop, "drop"},
+      {Kind::Advance, "advance"},
+      {Kind::Hello, "hello"},
+      {Kind::SendClaims, "send_claims"},
+      {Kind::UpstreamReceives, "upstream_receives"},
+      {Kind::UpstreamAnswers, "upstream_answers"},
+      {Kind::UpstreamRefuses, "upstream_refuses"},
+      {Kind::UpstreamUnreachable, "upstream_unreachable"},
+      {Kind::AnswerBreaks, "answer_breaks"},
+      {Kind::UpstreamRestarts, "upstream_restarts"},
+      {Kind::UpstreamLeaves, "upstream_leaves"},
+      {Kind::EntryDies, "entry_dies"},
+      {Kind::EntryStarts, "entry_starts"},
+      {Kind::EntryLapses, "entry_lapses"},
+      {Kind::EntryLeaves, "entry_leaves"},
+  }};
+};
+
+namespace masticwinch::fuzzing {
+
+struct Step {
+  StepKind Kind = StepKind::Advance;
+  std::uint8_t A = 0;
+  std::uint8_t B = 0;
+};
+
+std::ostream &operator<<(std::ostream &out, const Step &step);
+
+/// Several entry VMs' dispatchers with a replicated claim table, a network that
+/// loses, doubles and reorders, upstreams that fail, and callers that resend.
+/// Throws `PromiseBroken` as soon as a promise is.
+class RequestWorld {
+public:
+  RequestWorld();
+
+  void apply(const Step &step);
+
+  /// Ends the faults, lets everything run out, and checks what must be then.
+  void settle();
+
+private:
+  struct Node {
+    std::string Name;
+    std::uint64_t Incarnation = 0;
+    std::unique_ptr<Dispatcher> Machine;
+    std::unique_ptr<ClaimClient> Claims;
+    /// End of the serving lease, on the node's side.
+    SteadyTime ServingUntil{};
+    /// Earliest time that the leader may say it lapsed.
+    SteadyTime LeaseEnd{};
+    std::map<RequestNumber, ArrivalId> Requests;
+    bool Member = false;
+    bool Leaving = false;
+  };
+  struct Connection {
+    std::string Node;
+    std::uint64_t Incarnation = 0;
+    DispatchNumber Number = 0;
+    ArrivalId Arrival = 0;
+    std::uint64_t Logical = 0;
+    std::string Upstream;
+    std::uint64_t UpstreamIncarnation = 0;
+    SteadyTime TimeoutAt{};
+    bool Received = false;
+  };
+  struct RunningUpstream {
+    std::uint64_t Incarnation = 0;
+    std::uint32_t Slots = 0;
+    bool Announced = false;
+    SteadyTime GoneSince{};
+  };
+  struct Arrived {
+    std::uint64_t Logical = 0;
+    std::string Key;
+    bool Billed = false;
+  };
+
+  SteadyTime now() const { return Clock.now(); }
+  std::uint64_t wallMillis() const;
+  Node *aliveNode(std::uint8_t choice);
+  Node *findNode(const std::string &name, std::uint64_t incarnation);
+
+  void post(std::function<void()> message);
+  void deliver(std::size_t place, bool keep);
+  void advance(Milliseconds by);
+  void collect(Node &node);
+  void carryOut(Node &node, const RequestEffect &effect);
+  void startDispatch(Node &node, const StartDispatch &start);
+  void cancelDispatch(Node &node, DispatchNumber number);
+  void sendPeer(const Node &node, const PeerMessage &message);
+
+  void send(std::uint8_t node, const Arrived &request);
+  void callerLeaves(std::uint8_t choice);
+  void hello(Node &node);
+  void update(const std::string &name, std::uint64_t incarnation,
+              SteadyTime helloAt);
+  void sendClaims(Node &node);
+  void applyClaims(const protocol::ClaimBatch &batch);
+  Connection *chooseConnection(std::uint8_t choice);
+  void receive(Connection &connection);
+  void end(std::size_t place, DispatchResult result);
+  void upstreamRestarts(std::uint8_t choice, bool announce);
+  void announce(const std::string &name);
+  void entryDies(Node &node);
+  void entryStarts(std::uint8_t choice);
+  void entryLapses(std::uint8_t choice);
+  void entryLeaves(Node &node);
+  void removeEntry(Node &node);
+  protocol::ConfigItem &change(const std::string &name);
+  void checkSlots() const;
+  std::size_t placeOf(const Connection &connection) const;
+
+  ManualClock Clock;
+  RequestOracle Oracle;
+  ClaimTable Table;
+  std::vector<Node> Nodes;
+  std::map<std::string, RunningUpstream> Upstreams;
+  std::vector<Connection> Connections;
+  std::vector<std::function<void()>> Network;
+  std::vector<Arrived> Sent;
+  /// Newest item of each name, as the leader knows it.
+  std::map<std::string, protocol::ConfigItem> Config;
+  std::uint64_t Revision = 0;
+  std::uint64_t LastLogical = 0;
+  std::uint64_t LastIncarnation = 0;
+};
+
+/// Runs one session.
+void runSession(const std::vector<Step> &steps);
+
+} // namespace masticwinch::fuzzing
--- a/src/masticwinch/coordination/cell/cell_state.cpp
+++ b/src/masticwinch/coordination/cell/cell_state.cpp
@@ -116,6 +116,8 @@
     return submitJob(command);
   case protocol::Command::kCancelJob:
     return cancelJob(command.cancel_job());
+  case protocol::Command::kClaimBatch:
+    return changeClaims(command);
   default:
     break;
   }
@@ -242,6 +244,7 @@
   protocol::ConfigItem item;
   *item.mutable_upstream() = upstream;
   item.mutable_upstream()->set_leaving(false);
+  item.mutable_upstream()->set_returning(held != nullptr);
   Config.put(std::move(item));
   return accepted();
 }
@@ -291,17 +294,35 @@
                    "has left",
                    "incarnation");
   }
-  if (held != nullptr && !held->removed() &&
-      held->entry().incarnation() == entry.incarnation()) {
+  const bool member = held != nullptr && !held->removed() &&
+                      held->entry().incarnation() == entry.incarnation();
+  if (member && !entry.leaving()) {
     return accepted();
   }
   protocol::ConfigItem item;
   *item.mutable_entry() = entry;
-  item.mutable_entry()->set_leaving(false);
+  item.mutable_entry()->set_leaving(member && entry.leaving());
   Config.put(std::move(item));
+  Claims.ownerGone(entry.name(), entry.incarnation() - 1);
   return accepted();
 }
 
+protocol::CommandResult
+CellState::changeClaims(const protocol::Command &command) {
+  const auto isMember = [this](const protocol::ClaimOwner &owner) {
+    const protocol::ConfigItem *held =
+        Config.findPresent({ConfigKind::Entry, owner.entry()});
+    return held != nullptr &&
+           held->entry().incarnation() == owner.incarnation();
+  };
+  protocol::CommandResult result = accepted();
+  for (protocol::ClaimResult &it :
+       Claims.apply(command.claim_batch(), command.at_unix_ms(), isMember)) {
+    *result.add_claims() = std::move(it);
+  }
+  return result;
+}
+
 protocol::CommandResult
 CellState::leaveEntry(const protocol::LeaveEntry &leave) {
   const protocol::ConfigItem *held =
@@ -317,6 +338,7 @@
   item.mutable_entry()->set_leaving(!leave.lapsed());
   item.set_removed(true);
   Config.put(std::move(item));
+  Claims.ownerGone(leave.name(), leave.incarnation());
   return accepted();
 }
 
@@ -390,6 +412,7 @@
     *snapshot.add_jobs() = it.second;
   }
   snapshot.set_next_job(NextJob);
+  Claims.save(snapshot);
   for (const auto &it : Histories) {
     *snapshot.add_histories() = profileHistory(it.first);
   }
@@ -407,6 +430,7 @@
     Jobs[it.id()] = it;
   }
   NextJob = std::max<std::uint64_t>(1, snapshot.next_job());
+  Claims.restore(snapshot);
   for (const protocol::ProfileHistory &it : snapshot.histories()) {
     Histories[it.name()].assign(it.versions().begin(), it.versions().end());
   }
--- a/src/masticwinch/coordination/cell/cell_state.hpp
+++ b/src/masticwinch/coordination/cell/cell_state.hpp
@@ -2,6 +2,7 @@
 
 #include "masticwinch/coordination/cell/configuration.hpp"
 #include "masticwinch/coordination/cell/remembered_results.hpp"
+#include "masticwinch/coordination/requests/claim_table.hpp"
 #include "masticwinch/protocol/cell.pb.h"
 
 #include <cstdint>
@@ -50,6 +51,7 @@
   protocol::CommandResult joinEntry(const protocol::EntryMember &entry);
   protocol::CommandResult leaveEntry(const protocol::LeaveEntry &leave);
   protocol::CommandResult submitJob(const protocol::Command &command);
+  protocol::CommandResult changeClaims(const protocol::Command &command);
   protocol::CommandResult cancelJob(const protocol::CancelJob &cancel);
   protocol::CommandResult accepted(std::uint64_t version = 0) const;
 
@@ -58,6 +60,7 @@
   Configuration Config;
   RememberedResults Remembered;
   std::map<std::string, std::deque<protocol::Profile>> Histories;
+  ClaimTable Claims;
   std::map<std::string, protocol::JobRecord> Jobs;
   std::uint64_t NextJob = 1;
 };
--- a/src/masticwinch/coordination/placement/internal/placer_state.cpp
+++ b/src/masticwinch/coordination/placement/internal/placer_state.cpp
@@ -131,10 +131,8 @@
 
 void PlacerState::removeJob(JobIndex job) {
   dropReservation(job);
-  WithheldJobs.erase(job);
   JobsById.erase(Jobs[job].Terms.Id);
   Jobs[job] = Job{};
-  Jobs[job].Ended = true;
   FreeJobs.push_back(job);
 }
 
@@ -232,7 +230,6 @@
   countDomain(job, closed.Vm, false);
   job.Running -= closed.CountsRunning ? 1 : 0;
   settleTask(closed.Job, closed.Task, next);
-  refreshQueue(closed.Job);
 }
 
 void PlacerState::settleTask(JobIndex index, std::uint32_t task,
--- a/src/masticwinch/coordination/placement/placer_types.hpp
+++ b/src/masticwinch/coordination/placement/placer_types.hpp
@@ -95,14 +95,7 @@
 };
 
 /// State of an attempt as its worker reports it.
-enum class ReportedState : std::uint8_t {
-  Running,
-  Finished,
-  Failed,
-  Stopped,
-  /// It never ran: the worker had no room, or another attempt was there.
-  Refused,
-};
+enum class ReportedState : std::uint8_t { Running, Finished, Failed, Stopped };
 
 /// What a worker says of one attempt.
 struct TaskReport {
@@ -247,9 +240,8 @@
 
 template <> struct EnumNames<placement::ReportedState> {
   using Kind = placement::ReportedState;
-  static constexpr std::array<EnumName<Kind>, 5> Table{{
+  static constexpr std::array<EnumName<Kind>, 4> Table{{
       {Kind::Running, "running"},
-      {Kind::Refused, "refused"},
       {Kind::Finished, "finished"},
       {Kind::Failed, "failed"},
       {Kind::Stopped, "stopped"},
--- a/src/masticwinch/coordination/requests/dispatcher.cpp
+++ b/src/masticwinch/coordination/requests/dispatcher.cpp
@@ -13,6 +13,7 @@
       Budget(Options.RetryShare, Options.RetryBurst), Random(Options.Seed) {}
 
 RequestNumber Dispatcher::arrived(RequestArrival arrival, SteadyTime now) {
+  checkLease(now);
   const RequestNumber number = ++LastRequest;
   RequestRecord &record = Records[number];
   record.Number = number;
@@ -179,13 +180,14 @@
 
 void Dispatcher::dispatchEnded(DispatchNumber number, DispatchResult result,
                                AnswerPointer answer, SteadyTime now) {
+  checkLease(now);
   const auto ended = Dispatches.find(number);
   if (ended == Dispatches.end()) {
     return;
   }
   const Dispatch dispatch = ended->second;
   Dispatches.erase(ended);
-  Holder.giveBack(dispatch.Upstream, dispatch.Incarnation, dispatch.Patient);
+  Holder.giveBack(dispatch.Upstream, dispatch.Patient);
   ProfileAtUpstreams[dispatch.Profile] -= 1;
   learn(dispatch, result, answer, now);
   RequestRecord &record = Records.at(dispatch.Request);
@@ -256,6 +258,7 @@
 }
 
 void Dispatcher::tick(SteadyTime now) {
+  checkLease(now);
   while (!Timers.empty() && Timers.begin()->first <= now) {
     const RequestNumber number = Timers.begin()->second;
     Timers.erase(Timers.begin());
@@ -287,11 +290,15 @@
   if (Timers.empty()) {
     return std::nullopt;
   }
-  return Timers.begin()->first;
+  const SteadyTime due = Timers.begin()->first;
+  return Queue.size() > 0 && !Fenced
+             ? std::min(due, PumpedAt + Options.Slots.DemandInterval)
+             : due;
 }
 
 void Dispatcher::fence(SteadyTime now) {
   Fenced = true;
+  ServingUntil = now;
   Owner.suspend();
   refuseWaiting(RefusalReason::NotServing, now);
 }
@@ -310,15 +317,21 @@
   }
 }
 
-void Dispatcher::unfence(SteadyTime now) {
-  if (!Fenced) {
-    return;
+void Dispatcher::serveUntil(SteadyTime end, SteadyTime now) {
+  ServingUntil = std::max(ServingUntil, end);
+  if (Fenced && now < ServingUntil) {
+    Fenced = false;
+    send(Owner.resume(Config, now));
   }
-  Fenced = false;
-  send(Owner.resume(Config, now));
   pump(now);
 }
 
+void Dispatcher::checkLease(SteadyTime now) {
+  if (!Fenced && ServingUntil <= now) {
+    fence(now);
+  }
+}
+
 DispatcherCounts Dispatcher::counts(SteadyTime now) const {
   return {Queue.size(), Dispatches.size(), Health.ejectedCount(),
           Holder.usable(now)};
--- a/src/masticwinch/coordination/requests/dispatcher.hpp
+++ b/src/masticwinch/coordination/requests/dispatcher.hpp
@@ -75,11 +75,13 @@
   void configure(const std::vector<protocol::ConfigItem> &items,
                  SteadyTime now);
 
-  /// This entry VM may no longer serve, as its lease ran out; what waits ends.
+  /// This entry VM may no longer serve; what waits ends. Happens by itself when
+  /// the time to serve is over.
   void fence(SteadyTime now);
 
-  /// It may serve; the configuration that was given is current.
-  void unfence(SteadyTime now);
+  /// This entry VM may serve until that time; the configuration that was given
+  /// is current. An earlier end than known before is ignored.
+  void serveUntil(SteadyTime end, SteadyTime now);
 
   /// Refuses new requests from now on; those that are here go on.
   void drain() { Draining = true; }
@@ -107,7 +109,6 @@
   struct Dispatch {
     RequestNumber Request = 0;
     std::string Upstream;
-    std::uint64_t Incarnation = 0;
     std::string Profile;
     bool Patient = false;
     SteadyTime StartedAt{};
@@ -140,6 +141,7 @@
   void setTimer(RequestRecord &record);
   void timerFired(RequestRecord &record, SteadyTime now);
   void refuseWaiting(RefusalReason reason, SteadyTime now);
+  void checkLease(SteadyTime now);
 
   // Routing: dispatcher_routing.cpp.
   void pump(SteadyTime now);
@@ -175,6 +177,8 @@
   std::vector<RequestEffect> Effects;
   RequestNumber LastRequest = 0;
   DispatchNumber LastDispatch = 0;
+  SteadyTime PumpedAt{};
+  SteadyTime ServingUntil{};
   bool Fenced = true;
   bool Draining = false;
 };
--- a/src/masticwinch/coordination/requests/dispatcher_routing.cpp
+++ b/src/masticwinch/coordination/requests/dispatcher_routing.cpp
@@ -18,9 +18,11 @@
 } // namespace
 
 void Dispatcher::pump(SteadyTime now) {
+  checkLease(now);
   if (Fenced) {
     return;
   }
+  PumpedAt = now;
   if (Queue.size() > 0) {
     exchangeOwnSlots(shortage(), now);
   }
@@ -120,9 +122,8 @@
   const bool patient = !record.Rules.Urgent;
   const Milliseconds horizon = Holder.take(name, patient);
   const DispatchNumber number = ++LastDispatch;
-  Dispatches[number] = {
-      record.Number,          name,    upstream.Upstream.incarnation(),
-      record.Arrival.Profile, patient, now};
+  Dispatches[number] = {record.Number, name, record.Arrival.Profile, patient,
+                        now};
   ProfileAtUpstreams[record.Arrival.Profile] += 1;
   if (record.Attempts == 0) {
     Budget.firstSent();
@@ -192,6 +193,7 @@
 void Dispatcher::peerSent(const EntryIncarnation &from,
                           const protocol::RequestPeerMessage &message,
                           SteadyTime now) {
+  checkLease(now);
   PeerMessage reply{from.Name, {}};
   if (message.has_demand()) {
     if (const auto grant = Owner.demand(from, message.demand(), now)) {
--- a/src/masticwinch/coordination/requests/slot_holder.cpp
+++ b/src/masticwinch/coordination/requests/slot_holder.cpp
@@ -24,10 +24,6 @@
   }
   for (const auto &[name, entry] : config.upstreams()) {
     Held &held = Upstreams[name];
-    if (held.Upstream.incarnation() != entry.Upstream.incarnation()) {
-      held = Held{};
-    }
-    held.Upstream = entry.Upstream;
     held.Owner = ownerOf(name, config.entries());
   }
   std::erase_if(Upstreams, [](const auto &it) {
@@ -68,11 +64,9 @@
   return held.Horizon;
 }
 
-void SlotHolder::giveBack(const std::string &upstream,
-                          std::uint64_t incarnation, bool patient) {
+void SlotHolder::giveBack(const std::string &upstream, bool patient) {
   const auto found = Upstreams.find(upstream);
-  if (found == Upstreams.end() ||
-      found->second.Upstream.incarnation() != incarnation) {
+  if (found == Upstreams.end()) {
     return;
   }
   found->second.InUse = minus(found->second.InUse, 1);
@@ -111,7 +105,6 @@
     held.Known = true;
     protocol::SlotHolding &out = *demand.add_holdings();
     out.set_upstream(name);
-    out.set_incarnation(held.Upstream.incarnation());
     out.set_slots(held.Slots);
     out.set_patient_slots(held.Patient);
   }
@@ -144,8 +137,7 @@
   }
   for (const protocol::SlotHolding &it : grant.holdings()) {
     const auto found = Upstreams.find(it.upstream());
-    if (found == Upstreams.end() || found->second.Owner != owner ||
-        found->second.Upstream.incarnation() != it.incarnation()) {
+    if (found == Upstreams.end() || found->second.Owner != owner) {
       continue;
     }
     Held &held = found->second;
@@ -200,6 +192,9 @@
       missing.Patient = minus(missing.Patient, owner.Asked.Patient);
       continue;
     }
+    if (owner.SentAt + Timing.DemandInterval > now && owner.Sequence > 0) {
+      continue;
+    }
     askable.emplace_back(owner.FreeSlots, name);
   }
   std::sort(askable.rbegin(), askable.rend());
--- a/src/masticwinch/coordination/requests/slot_holder.hpp
+++ b/src/masticwinch/coordination/requests/slot_holder.hpp
@@ -22,7 +22,9 @@
 
 /// The slots that this entry VM holds under lease, and which of them it uses. A
 /// slot stays in use until its dispatch has ended at the upstream or its
-/// connection is closed.
+/// connection is closed. Slots belong to an upstream's name: they outlast its
+/// restarts, since work may reach the new incarnation that was meant for the
+/// former one.
 class SlotHolder {
 public:
   SlotHolder(EntryIncarnation self, SlotTiming timing);
@@ -37,8 +39,7 @@
 
   /// Uses a free slot; gives the longest time that the dispatch may take.
   Milliseconds take(const std::string &upstream, bool patient);
-  void giveBack(const std::string &upstream, std::uint64_t incarnation,
-                bool patient);
+  void giveBack(const std::string &upstream, bool patient);
 
   std::uint32_t inUse(const std::string &upstream) const;
 
@@ -61,7 +62,6 @@
 
 private:
   struct Held {
-    protocol::Upstream Upstream;
     std::string Owner;
     std::uint32_t Slots = 0;
     std::uint32_t Patient = 0;
--- a/src/masticwinch/coordination/requests/slot_owner.cpp
+++ b/src/masticwinch/coordination/requests/slot_owner.cpp
@@ -10,6 +10,9 @@
 
 constexpr Milliseconds HandoverRepeat{100};
 
+/// Longer than any reservation lasts.
+constexpr Milliseconds KeptAfterLeaving{600'000};
+
 /// One slot is kept for urgent work when there is any.
 constexpr std::uint32_t UrgentReserve = 1;
 
@@ -46,29 +49,29 @@
   return tick(now);
 }
 
-/// No other owner can have granted slots of an upstream that announced itself
-/// after the last change to the set of entry VMs.
+/// Nobody can have sent work yet to an upstream that announced itself for the
+/// first time, after the last change to the set of entry VMs.
 bool SlotOwner::isFresh(const RequestConfig &config,
                         const UpstreamEntry &entry) const {
-  return entry.Revision > config.entriesRevision();
+  return entry.Revision > config.entriesRevision() &&
+         !entry.Upstream.returning();
 }
 
+/// Slots that were reserved at a former incarnation still count: their holders
+/// may not know of the new one and send work to its address.
 void SlotOwner::adopt(const RequestConfig &config, const UpstreamEntry &entry,
                       SteadyTime now) {
   const protocol::Upstream &upstream = entry.Upstream;
-  const auto found = Pools.find(upstream.name());
-  const bool known =
-      found != Pools.end() &&
-      found->second.Upstream.incarnation() == upstream.incarnation();
-  Pool &pool = Pools[upstream.name()];
-  if (!known) {
-    pool = Pool{};
+  const auto [place, added] = Pools.try_emplace(upstream.name());
+  Pool &pool = place->second;
+  if (added) {
     const Milliseconds wait =
         Timing.ServingLease + Timing.Lease + LongestDeadline + Timing.Margin;
     pool.ReadyAt = isFresh(config, entry) ? now : now + wait;
     pool.Since = EntriesRevision;
   }
   pool.Upstream = upstream;
+  pool.GoneSince.reset();
   pool.PatientLimit = patientLimit(upstream.slots(), config.hasUrgentProfile());
 }
 
@@ -93,8 +96,8 @@
   }
 }
 
-/// The pool of an upstream that is gone is kept without slots while something
-/// may still run there: the same incarnation may announce itself again.
+/// The pool of an upstream that is gone is kept without slots for a while, so
+/// that nothing need be waited out when it announces itself again.
 bool SlotOwner::keepsPool(const RequestConfig &config, Pool &pool,
                           SteadyTime now) {
   const std::string &name = pool.Upstream.name();
@@ -105,13 +108,13 @@
     return true;
   }
   pool.Upstream.set_slots(0);
-  return useOf(pool, now).Slots > 0;
+  pool.GoneSince = pool.GoneSince.value_or(now);
+  return now < *pool.GoneSince + KeptAfterLeaving;
 }
 
 protocol::SlotLedger SlotOwner::ledgerOf(const Pool &pool, SteadyTime now) {
   protocol::SlotLedger ledger;
   ledger.set_upstream(pool.Upstream.name());
-  ledger.set_incarnation(pool.Upstream.incarnation());
   for (const auto &[holder, it] : pool.Reservations) {
     if (it.Until <= now || it.Slots == 0) {
       continue;
@@ -137,8 +140,7 @@
   for (const protocol::SlotLedger &it : handover.ledgers()) {
     const auto found = Pools.find(it.upstream());
     if (found == Pools.end() || found->second.ReadyAt <= now ||
-        found->second.Since != handover.revision() ||
-        found->second.Upstream.incarnation() != it.incarnation()) {
+        found->second.Since != handover.revision()) {
       continue;
     }
     Pool &pool = found->second;
@@ -191,8 +193,7 @@
                              const protocol::SlotDemand &demand) {
   for (const protocol::SlotHolding &it : demand.holdings()) {
     const auto found = Pools.find(it.upstream());
-    if (found == Pools.end() ||
-        found->second.Upstream.incarnation() != it.incarnation()) {
+    if (found == Pools.end()) {
       continue;
     }
     reserve(found->second, name, {it.slots(), it.patient_slots()},
@@ -299,7 +300,6 @@
     }
     protocol::SlotHolding &out = *grant.add_holdings();
     out.set_upstream(upstream);
-    out.set_incarnation(pool.Upstream.incarnation());
     out.set_slots(found->second.Slots);
     out.set_patient_slots(found->second.Patient);
   }
--- a/src/masticwinch/coordination/requests/slot_owner.hpp
+++ b/src/masticwinch/coordination/requests/slot_owner.hpp
@@ -78,6 +78,8 @@
     SteadyTime ReadyAt{};
     /// Revision of the entry VMs under which this one became the owner.
     std::uint64_t Since = 0;
+    /// When the upstream left, if it has.
+    std::optional<SteadyTime> GoneSince;
   };
   struct Holder {
     std::uint64_t Sequence = 0;
--- a/src/masticwinch/coordination/requests/slot_timing.hpp
+++ b/src/masticwinch/coordination/requests/slot_timing.hpp
@@ -15,6 +15,8 @@
   Milliseconds ServingLease{3000};
   /// How often a holder renews.
   Milliseconds Renewal{300};
+  /// Shortest time between two demands to one owner.
+  Milliseconds DemandInterval{2};
 };
 
 } // namespace masticwinch
--- a/src/masticwinch/http/route.cpp
+++ b/src/masticwinch/http/route.cpp
@@ -1,7 +1,5 @@
 #include "masticwinch/http/route.hpp"
 
-#include "masticwinch/http/percent_encoding.hpp"
-
 namespace masticwinch {
 
 namespace {
@@ -30,7 +28,7 @@
     }
     const std::string_view segment = takeSegment(path);
     if (expected == "/{}" && segment.size() > 1) {
-      match.push_back(percentDecode(segment.substr(1)).value_or(""));
+      match.emplace_back(segment.substr(1));
     } else if (expected != segment) {
       return false;
     }
--- /dev/null
+++ b/tests/coordination/requests/test_slot_leases.cpp
@@ -0,0 +1,179 @@
+#include "masticwinch/coordination/requests/rendezvous.hpp"
+#include "masticwinch/coordination/requests/slot_holder.hpp"
+#include "masticwinch/coordination/requests/slot_owner.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "tests/coordination/requests/dispatcher_fixture.hpp"
+
+using namespace masticwinch;
+using namespace masticwinch::testing;
+
+namespace {
+
+constexpr std::uint32_t Slots = 4;
+
+/// Two entry VMs of which the first owns the one upstream.
+struct Fixture {
+  Fixture() {
+    Builder.entry("a").entry("b").profile("p",
+                                          policyOf(protocol::PATIENT, false));
+    apply();
+    Upstream = upstreamOwnedBy("a");
+    Builder.upstream(Upstream, Slots);
+    apply();
+    Owner.configure(Config, Clock.now());
+    HolderA.configure(Config);
+    HolderB.configure(Config);
+  }
+
+  std::string upstreamOwnedBy(const std::string &entry) const {
+    std::string name = "u";
+    while (ownerOf(name, Config.entries()) != entry) {
+      name += "u";
+    }
+    return name;
+  }
+
+  void apply() {
+    for (const protocol::ConfigItem &it : Builder.take()) {
+      Config.apply(it);
+    }
+  }
+
+  std::uint32_t ask(SlotHolder &holder, const EntryIncarnation &self,
+                    std::uint32_t want) {
+    const auto demand = holder.demandTo("a", {0, want}, Clock.now());
+    if (const auto grant = Owner.demand(self, demand, Clock.now())) {
+      holder.grant("a", *grant);
+    }
+    return holder.usable(Clock.now());
+  }
+
+  std::uint32_t askA(std::uint32_t want) { return ask(HolderA, A, want); }
+  std::uint32_t askB(std::uint32_t want) { return ask(HolderB, B, want); }
+
+  const EntryIncarnation A{"a", 1};
+  const EntryIncarnation B{"b", 1};
+  ManualClock Clock;
+  ConfigBuilder Builder;
+  RequestConfig Config;
+  std::string Upstream;
+  SlotOwner Owner{"a", {}};
+  SlotHolder HolderA{A, {}};
+  SlotHolder HolderB{B, {}};
+};
+
+} // namespace
+
+TEST_CASE("Holders together never get more than the slots",
+          "[requests][slots]") {
+  Fixture f;
+  CHECK(f.askA(3) == 3);
+  f.HolderA.take(f.Upstream, true);
+  f.HolderA.take(f.Upstream, true);
+  f.HolderA.take(f.Upstream, true);
+  CHECK(f.askB(3) == 1);
+  CHECK(f.askA(3) == 3);
+}
+
+TEST_CASE("A grant for an older demand is ignored", "[requests][slots]") {
+  Fixture f;
+  const auto first = f.HolderB.demandTo("a", {0, 2}, f.Clock.now());
+  const auto late = f.Owner.demand(f.B, first, f.Clock.now());
+  f.HolderB.demandTo("a", {}, f.Clock.now());
+  f.HolderB.grant("a", *late);
+  CHECK(f.HolderB.usable(f.Clock.now()) == 0);
+}
+
+TEST_CASE("A silent holder's slots count until its dispatches have ended",
+          "[requests][slots]") {
+  Fixture f;
+  f.askB(3);
+  f.Clock.advance(SlotTiming{}.Lease);
+  CHECK_FALSE(f.HolderB.hasFree(f.Upstream, true, f.Clock.now()));
+  CHECK(f.askA(Slots) == 1);
+  f.Clock.advance(f.Config.longestDeadline() + SlotTiming{}.Margin);
+  CHECK(f.askA(Slots) == Slots);
+}
+
+TEST_CASE("Slots stay reserved when the upstream restarts or comes back",
+          "[requests][slots]") {
+  Fixture f;
+  f.askB(3);
+  if (GENERATE(false, true)) {
+    f.Builder.upstream(f.Upstream, Slots).remove();
+    f.apply();
+    f.Owner.configure(f.Config, f.Clock.now());
+  }
+  f.Builder.upstream(f.Upstream, Slots, 2);
+  f.apply();
+  f.Owner.configure(f.Config, f.Clock.now());
+  f.HolderA.configure(f.Config);
+  CHECK(f.askA(Slots) == 1);
+}
+
+TEST_CASE("A new owner grants what the former one handed over",
+          "[requests][slots]") {
+  Fixture f;
+  f.askB(3);
+  f.Builder.entry("a", 1, true);
+  f.apply();
+  const auto messages = f.Owner.configure(f.Config, f.Clock.now());
+  REQUIRE(messages.size() == 1);
+  CHECK(messages[0].To == "b");
+  SlotOwner next("b", {});
+  next.configure(f.Config, f.Clock.now());
+  SlotHolder newcomer({"c", 1}, {});
+  newcomer.configure(f.Config);
+
+  const auto grantedTo = [&](std::uint32_t want) {
+    const auto demand = newcomer.demandTo("b", {0, want}, f.Clock.now());
+    newcomer.grant("b", *next.demand({"c", 1}, demand, f.Clock.now()));
+    return newcomer.usable(f.Clock.now());
+  };
+  CHECK(grantedTo(Slots) == 0);
+  next.handover(messages[0].Message.handover(), f.Clock.now());
+  CHECK(grantedTo(Slots) == 1);
+}
+
+TEST_CASE("A new owner that hears nothing waits out all former grants",
+          "[requests][slots]") {
+  Fixture f;
+  f.Builder.entry("a").remove();
+  f.apply();
+  SlotOwner next("b", {});
+  next.configure(f.Config, f.Clock.now());
+  f.HolderB.configure(f.Config);
+  const auto granted = [&] {
+    const auto demand = f.HolderB.demandTo("b", {0, Slots}, f.Clock.now());
+    f.HolderB.grant("b", *next.demand(f.B, demand, f.Clock.now()));
+    return f.HolderB.usable(f.Clock.now());
+  };
+  const SlotTiming timing;
+  f.Clock.advance(timing.ServingLease + timing.Lease +
+                  f.Config.longestDeadline());
+  CHECK(granted() == 0);
+  f.Clock.advance(timing.Margin);
+  CHECK(granted() == Slots);
+}
+
+TEST_CASE("Nothing is dispatched after the serving lease, whatever comes first",
+          "[requests][dispatcher]") {
+  DispatcherFixture f({{"p", policyOf(protocol::PATIENT, false)}}, 1, 1);
+  f.arrive("p");
+  f.arrive("p");
+  f.Clock.advance(std::chrono::hours(1));
+  f.end(f.Starts.at(0).Number, DispatchResult::Answered);
+  CHECK(f.Starts.size() == 1);
+  CHECK(f.Replies.size() == 2);
+}
+
+TEST_CASE("Demands to one owner are spaced", "[requests][slots]") {
+  Fixture f;
+  CHECK(f.HolderB.dueDemands({0, 9}, f.Clock.now()).size() == 1);
+  f.askB(1);
+  CHECK(f.HolderB.dueDemands({0, 9}, f.Clock.now()).empty());
+  f.Clock.advance(SlotTiming{}.Renewal);
+  CHECK(f.HolderB.dueDemands({0, 9}, f.Clock.now()).size() == 1);
+}
