Refuse requests that can't be parsed with a JSON error, and mend pipelining

Bytes that RESTinio's parser gave up on closed the connection without an answer, where callers should get a 4xx that says why. The error is taken from RESTinio's log, sent as the connection's last answer, and the socket lingers for up to a second, so that a caller that still sends a long body receives it. Limits are exact now: nothing above them is read.

--- a/src/masticwinch/http/http_server.cpp
+++ b/src/masticwinch/http/http_server.cpp
@@ -1,5 +1,7 @@
 #include "masticwinch/http/http_server.hpp"
 
+#include "masticwinch/http/internal/refusing_socket.hpp"
+#include "masticwinch/http/internal/response_rules.hpp"
 #include "masticwinch/http/percent_encoding.hpp"
 
 #include <asio.hpp>
@@ -12,6 +14,7 @@
 #include <future>
 #include <map>
 #include <mutex>
+#include <regex>
 #include <shared_mutex>
 #include <stdexcept>
 #include <thread>
@@ -30,60 +33,18 @@
 /// The handler keeps its own deadlines.
 constexpr std::chrono::hours HandlingLimit{24};
 
-const char *reasonPhrase(std::uint16_t status) {
-  switch (status) {
-  case 200:
-    return "OK";
-  case 201:
-    return "Created";
-  case 202:
-    return "Accepted";
-  case 204:
-    return "No Content";
-  case 400:
-    return "Bad Request";
-  case 404:
-    return "Not Found";
-  case 405:
-    return "Method Not Allowed";
-  case 409:
-    return "Conflict";
-  case 413:
-    return "Payload Too Large";
-  case 414:
-    return "URI Too Long";
-  case 429:
-    return "Too Many Requests";
-  case 431:
-    return "Request Header Fields Too Large";
-  case 500:
-    return "Internal Server Error";
-  case 502:
-    return "Bad Gateway";
-  case 503:
-    return "Service Unavailable";
-  case 504:
-    return "Gateway Timeout";
-  default:
-    return "Status";
-  }
-}
-
-/// Headers that the server writes itself.
-bool isOwnHeader(std::string_view name) {
-  return equalHeaderNames(name, "Content-Length") ||
-         equalHeaderNames(name, "Transfer-Encoding") ||
-         equalHeaderNames(name, "Connection");
-}
-
-bool isSafeHeader(const HttpHeader &line) {
-  const auto breaks = [](char c) {
-    return c == '\r' || c == '\n' || c == '\0';
-  };
-  return !line.Name.empty() &&
-         std::none_of(line.Name.begin(), line.Name.end(), breaks) &&
-         std::none_of(line.Value.begin(), line.Value.end(), breaks);
-}
+/// Whether this thread is inside RESTinio's call of the handler. An answer that
+/// is given there makes RESTinio start to read the next request twice, and the
+/// second start drops what was read of it; such answers are handed over after
+/// the call.
+thread_local bool InsideHandler = false;
+
+struct HandlerScope {
+  HandlerScope() { InsideHandler = true; }
+  ~HandlerScope() { InsideHandler = false; }
+  HandlerScope(const HandlerScope &) = delete;
+  HandlerScope &operator=(const HandlerScope &) = delete;
+};
 
 using RestinioRequest = restinio::request_handle_t;
 
@@ -101,6 +62,7 @@
     : std::enable_shared_from_this<HttpServer::Implementation> {
   class Exchange;
   struct Listener;
+  struct ErrorWatch;
   struct Traits;
   using RestinioServer = restinio::http_server_t<Traits>;
 
@@ -124,8 +86,10 @@
   void write(const RestinioRequest &request, HttpResponse response,
              HttpAnswerFault fault);
   /// Counts an answer as being written until the result is destroyed.
-  std::shared_ptr<void> countWriting();
-  void answerWritten();
+  std::shared_ptr<void> countWriting(std::uint64_t connection);
+  void answerWritten(std::uint64_t connection);
+  /// Whether no request of the connection waits for its answer.
+  bool isIdle(std::uint64_t connection) const;
   void waitForWrites();
   std::optional<HttpResponse> refusal(const RestinioRequest &request) const;
 
@@ -144,8 +108,8 @@
   mutable std::mutex Mutex;
   std::condition_variable Written;
   HttpConnectionCounts Connections;
-  /// Answers that are handed over and not yet written.
-  std::size_t Writing = 0;
+  /// Answers that are handed over and not yet written, by connection.
+  std::map<std::uint64_t, std::size_t> Writing;
   /// Exchanges without an answer, by connection.
   std::map<std::uint64_t, ExchangeList> Open;
 };
@@ -201,10 +165,36 @@
   Implementation *Server;
 };
 
+/// Takes RESTinio's log. Its errors are the only way to learn that the parser
+/// gave up on a request, just before the connection is shut down on the same
+/// thread.
+struct HttpServer::Implementation::ErrorWatch {
+  explicit ErrorWatch(Implementation *server) : Server(server) {}
+
+  template <class Message> void trace(const Message &) const {}
+  template <class Message> void info(const Message &) const {}
+  template <class Message> void warn(const Message &) const {}
+  template <class Message> void error(const Message &message) const {
+    static const std::regex ParserError(
+        R"(\[connection:(\d+)\] parser error (\w+):.*)");
+    const std::string text = message();
+    std::smatch match;
+    if (std::regex_match(text, match, ParserError) &&
+        Server->isIdle(std::stoull(match[1]))) {
+      internal::RefusingSocket::answerNextShutdown(internal::lastAnswerText(
+          internal::parserErrorResponse(match[2].str())));
+    }
+  }
+
+  Implementation *Server;
+};
+
 struct HttpServer::Implementation::Traits : restinio::default_traits_t {
   // The names are RESTinio's.
   // NOLINTBEGIN(readability-identifier-naming)
   using connection_state_listener_t = Listener;
+  using logger_t = ErrorWatch;
+  using stream_socket_t = internal::RefusingSocket;
   static constexpr bool use_connection_count_limiter = true;
   // NOLINTEND(readability-identifier-naming)
 };
@@ -269,12 +259,11 @@
 
 void HttpServer::Implementation::open() {
   Loop = std::make_unique<asio::io_context>();
-  const auto limits =
-      restinio::incoming_http_msg_limits_t{}
-          .max_url_size(HardLimitFactor * Options.MaxHeaderBytes)
-          .max_field_name_size(HardLimitFactor * Options.MaxHeaderBytes)
-          .max_field_value_size(HardLimitFactor * Options.MaxHeaderBytes)
-          .max_body_size(HardLimitFactor * Options.MaxBodyBytes);
+  const auto limits = restinio::incoming_http_msg_limits_t{}
+                          .max_url_size(Options.MaxHeaderBytes)
+                          .max_field_name_size(Options.MaxHeaderBytes)
+                          .max_field_value_size(Options.MaxHeaderBytes + 1)
+                          .max_body_size(Options.MaxBodyBytes);
   Server = std::make_unique<RestinioServer>(
       restinio::external_io_context(*Loop), [&](auto &settings) {
         settings.address(Options.Address)
@@ -288,6 +277,7 @@
             .read_next_http_message_timelimit(IdleLimit)
             .write_http_response_timelimit(WriteLimit)
             .handle_request_timeout(HandlingLimit)
+            .logger(this)
             .connection_state_listener(
                 std::make_shared<Listener>(Listener{this}))
             .socket_options_setter(
@@ -342,19 +332,10 @@
 std::optional<HttpResponse>
 HttpServer::Implementation::refusal(const RestinioRequest &request) const {
   const restinio::http_request_header_t &header = request->header();
-  if (header.request_target().size() > Options.MaxHeaderBytes) {
-    return errorResponse(414, "target_too_long",
-                         "the request target is longer than allowed");
-  }
   if (headerBytes(header) > Options.MaxHeaderBytes) {
     return errorResponse(431, "headers_too_long",
                          "the headers are longer than allowed");
   }
-  if (request->body().size() > Options.MaxBodyBytes) {
-    return errorResponse(
-        413, "body_too_long",
-        fmt::format("the body is longer than {} bytes", Options.MaxBodyBytes));
-  }
   if (!percentDecode(header.path())) {
     return errorResponse(400, "malformed_target",
                          "the path has a malformed percent sequence", "path");
@@ -367,6 +348,7 @@
 }
 
 void HttpServer::Implementation::handle(const RestinioRequest &request) {
+  const HandlerScope scope;
   if (std::optional<HttpResponse> answer = refusal(request)) {
     write(request, std::move(*answer), {});
     return;
@@ -438,11 +420,11 @@
                                        HttpAnswerFault fault) {
   const restinio::http_status_line_t status(
       restinio::http_status_code_t(response.Status),
-      reasonPhrase(response.Status));
+      internal::reasonPhrase(response.Status));
   auto answer =
       request->create_response<restinio::user_controlled_output_t>(status);
   for (const HttpHeader &it : response.Headers.lines()) {
-    if (!isOwnHeader(it.Name) && isSafeHeader(it)) {
+    if (internal::isPassedOn(it)) {
       answer.append_header(it.Name, it.Value);
     }
   }
@@ -459,26 +441,42 @@
   if (!response.Body.empty()) {
     answer.set_body(std::move(response.Body));
   }
-  answer.done([pending = countWriting()](const auto &) {});
+  auto finish = [answer = std::move(answer),
+                 pending = countWriting(request->connection_id())]() mutable {
+    answer.done([pending = std::move(pending)](const auto &) {});
+  };
+  if (InsideHandler) {
+    asio::post(*Loop, std::move(finish));
+  } else {
+    finish();
+  }
 }
 
-std::shared_ptr<void> HttpServer::Implementation::countWriting() {
+std::shared_ptr<void>
+HttpServer::Implementation::countWriting(std::uint64_t connection) {
   const std::lock_guard<std::mutex> lock(Mutex);
-  ++Writing;
-  return std::shared_ptr<void>(this, [](void *self) {
-    static_cast<Implementation *>(self)->answerWritten();
-  });
+  ++Writing[connection];
+  return std::shared_ptr<void>(
+      this, [this, connection](void *) { answerWritten(connection); });
+}
+
+void HttpServer::Implementation::answerWritten(std::uint64_t connection) {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  const auto it = Writing.find(connection);
+  if (--it->second == 0) {
+    Writing.erase(it);
+    Written.notify_all();
+  }
 }
 
-void HttpServer::Implementation::answerWritten() {
+bool HttpServer::Implementation::isIdle(std::uint64_t connection) const {
   const std::lock_guard<std::mutex> lock(Mutex);
-  --Writing;
-  Written.notify_all();
+  return !Open.contains(connection) && !Writing.contains(connection);
 }
 
 void HttpServer::Implementation::waitForWrites() {
   std::unique_lock<std::mutex> lock(Mutex);
-  Written.wait_for(lock, StopWriteLimit, [this] { return Writing == 0; });
+  Written.wait_for(lock, StopWriteLimit, [this] { return Writing.empty(); });
 }
 
 HttpServer::HttpServer(HttpServerOptions options, HttpHandler handler)
--- a/src/masticwinch/http/http_server.hpp
+++ b/src/masticwinch/http/http_server.hpp
@@ -51,23 +51,17 @@
   virtual void onCallerGone(std::function<void()> function) = 0;
 };
 
-/// Factor from the limits that get an error answer to those that close the
-/// connection.
-inline constexpr std::size_t HardLimitFactor = 4;
-
 /// How long `HttpServer::stop` waits for answers to be written.
 inline constexpr Milliseconds StopWriteLimit{1000};
 
 using HttpHandler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
-/// HTTP/1.1 server. These requests never reach the handler:
-/// - a body above `MaxBodyBytes` is answered with 413, headers or a target
-/// above
-///   `MaxHeaderBytes` with 431 or 414, a malformed percent sequence with 400;
-/// - a body above `HardLimitFactor * MaxBodyBytes`, headers above that factor
-/// or
-///   above 80 KiB, and bytes that are not HTTP close the connection without an
-///   answer, since the parser gives up on them.
+/// HTTP/1.1 server. These requests never reach the handler; each is answered
+/// with a JSON error and closes its connection: a body above `MaxBodyBytes`
+/// (413), headers above `MaxHeaderBytes` or 80 KiB (431), a target above
+/// `MaxHeaderBytes` (414), a malformed percent sequence (400), and bytes that
+/// are not HTTP/1.1 (400). A request that can't be parsed and follows one that
+/// waits for its answer closes the connection without an answer.
 /// Two requests of one connection may be with the handler at once; the answers
 /// leave in the order of the requests. A HEAD request is answered without the
 /// body.
--- /dev/null
+++ b/src/masticwinch/http/internal/refusing_socket.cpp
@@ -0,0 +1,89 @@
+#include "masticwinch/http/internal/refusing_socket.hpp"
+
+#include <asio/bind_executor.hpp>
+#include <asio/buffer.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+
+#include <array>
+#include <chrono>
+#include <memory>
+
+namespace masticwinch::internal {
+
+namespace {
+
+constexpr std::chrono::seconds LingerTime{1};
+constexpr std::size_t MaxDroppedBytes = 16 * 1024 * 1024;
+
+thread_local std::string NextAnswer;
+
+/// Reads and drops until the peer closes, the time is over or too much came.
+class LingeringSocket : public std::enable_shared_from_this<LingeringSocket> {
+public:
+  explicit LingeringSocket(asio::ip::tcp::socket socket)
+      : Socket(std::move(socket)), Strand(Socket.get_executor()),
+        Timer(Socket.get_executor(), LingerTime) {}
+
+  void start() {
+    Timer.async_wait(asio::bind_executor(
+        Strand, [self = shared_from_this()](const asio::error_code &) {
+          asio::error_code ignored;
+          self->Socket.close(ignored);
+        }));
+    read();
+  }
+
+private:
+  void read() {
+    Socket.async_read_some(
+        asio::buffer(Dropped),
+        asio::bind_executor(
+            Strand, [self = shared_from_this()](const asio::error_code &ec,
+                                                std::size_t bytes) {
+              self->Total += bytes;
+              if (ec || self->Total > MaxDroppedBytes) {
+                self->Timer.cancel();
+              } else {
+                self->read();
+              }
+            }));
+  }
+
+  asio::ip::tcp::socket Socket;
+  asio::strand<asio::ip::tcp::socket::executor_type> Strand;
+  asio::steady_timer Timer;
+  std::array<char, 4096> Dropped;
+  std::size_t Total = 0;
+};
+
+} // namespace
+
+void RefusingSocket::answerNextShutdown(std::string text) {
+  NextAnswer = std::move(text);
+}
+
+void RefusingSocket::shutdown(shutdown_type what, asio::error_code &ec) {
+  if (NextAnswer.empty()) {
+    asio::ip::tcp::socket::shutdown(what, ec);
+    return;
+  }
+  const std::string answer = std::exchange(NextAnswer, {});
+  // The answer is far smaller than the send buffer of an idle connection.
+  non_blocking(true, ec);
+  write_some(asio::buffer(answer), ec);
+  asio::ip::tcp::socket::shutdown(shutdown_send, ec);
+  Lingers = true;
+}
+
+void RefusingSocket::close() {
+  if (Lingers) {
+    std::make_shared<LingeringSocket>(
+        std::move(static_cast<asio::ip::tcp::socket &>(*this)))
+        ->start();
+    return;
+  }
+  asio::ip::tcp::socket::close();
+}
+
+} // namespace masticwinch::internal
--- a/tests/http/test_http_server.cpp
+++ b/tests/http/test_http_server.cpp
@@ -112,19 +112,71 @@
   CHECK(server.Handled == 0);
 }
 
-TEST_CASE("Requests far above a limit or malformed close the connection",
+TEST_CASE("Requests that can't be parsed get a JSON error and are closed",
           "[http][server]") {
   EchoServer server({.MaxHeaderBytes = 500, .MaxBodyBytes = 100});
-  const std::string request = GENERATE(
-      as<std::string>{}, "nonsense\r\n\r\n",
-      "POST / HTTP/1.1\r\nContent-Length: 401\r\n\r\n",
-      "POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n12345",
-      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
-      "GET / HTTP/1.1\r\nX-Long: " + std::string(2001, 'x') + "\r\n\r\n");
-  CHECK(server.exchangeRaw(request).empty());
+  struct Case {
+    std::string Request;
+    std::string Status;
+    std::string Code;
+  };
+  const auto it = GENERATE(values<Case>(
+      {{"nonsense\r\n\r\n", "400", "malformed_request"},
+       {"GET / HTTP/1.1\r\nNo colon\r\n\r\n", "400", "malformed_request"},
+       {"POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n", "413",
+        "body_too_long"},
+       {"POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: "
+        "6\r\n\r\n12345",
+        "400", "malformed_request"},
+       {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400",
+        "malformed_request"},
+       {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" +
+            std::string(101, 'x') + "\r\n0\r\n\r\n",
+        "413", "body_too_long"},
+       {"GET / HTTP/1.1\r\nX-Long: " + std::string(501, 'x') + "\r\n\r\n",
+        "431", "headers_too_long"},
+       {"GET /" + std::string(500, 'x') + " HTTP/1.1\r\n\r\n", "414",
+        "target_too_long"}}));
+  CAPTURE(it.Request);
+  const std::string answer = server.exchangeRaw(it.Request);
+  CHECK(answer.starts_with("HTTP/1.1 " + it.Status + " "));
+  CHECK(answer.find("\"code\":\"" + it.Code + "\"") != std::string::npos);
   CHECK(server.Handled == 0);
 }
 
+TEST_CASE("The refusal of a long body reaches a caller that still sends",
+          "[http][server]") {
+  EchoServer server({.MaxBodyBytes = 100});
+  const std::string request =
+      "POST / HTTP/1.1\r\nContent-Length: 2000000\r\n\r\n";
+  const std::string answer =
+      server.exchangeRaw(request + std::string(2000000, 'x'));
+  CHECK(answer.starts_with("HTTP/1.1 413 "));
+  CHECK(server.Handled == 0);
+}
+
+TEST_CASE(
+    "A malformed request behind one in progress gets no answer of its own",
+    "[http][server]") {
+  std::promise<void> gone;
+  HttpServer server({}, [&](std::shared_ptr<HttpExchange> exchange) {
+    HttpExchange &it = *exchange;
+    it.onCallerGone(
+        [&gone, exchange = std::move(exchange)] { gone.set_value(); });
+  });
+  server.start();
+  asio::io_context loop;
+  asio::ip::tcp::socket socket(loop);
+  socket.connect({asio::ip::address_v4::loopback(), server.port()});
+  asio::write(socket, asio::buffer(std::string(
+                          "GET / HTTP/1.1\r\n\r\nnonsense\r\n\r\n")));
+  std::string answer;
+  asio::error_code ec;
+  asio::read(socket, asio::dynamic_buffer(answer), ec);
+  CHECK(answer.empty());
+  gone.get_future().wait();
+}
+
 TEST_CASE("Pipelined requests are answered in their order", "[http][server]") {
   EchoServer server;
   std::string requests;
@@ -264,3 +316,29 @@
   HttpServer second({.Port = first.Server.port()}, [](const auto &) {});
   CHECK_THROWS_AS(second.start(), std::runtime_error);
 }
+
+TEST_CASE("Connections beyond the limit wait until others close",
+          "[http][server]") {
+  EchoServer server({.MaxConnections = 2});
+  asio::io_context loop;
+  std::vector<asio::ip::tcp::socket> sockets;
+  for (int i = 0; i < 3; ++i) {
+    sockets.emplace_back(loop).connect(
+        {asio::ip::address_v4::loopback(), server.Server.port()});
+    asio::write(sockets.back(),
+                asio::buffer(std::string("GET /wait HTTP/1.1\r\n\r\n")));
+  }
+  const auto waitForAnswer = [&](std::size_t i) {
+    std::string answer;
+    asio::read_until(sockets[i], asio::dynamic_buffer(answer), "GET ");
+  };
+  waitForAnswer(0);
+  waitForAnswer(1);
+  CHECK(server.Handled == 2);
+  CHECK(server.Server.connections().Most == 2);
+
+  sockets[0].close();
+  waitForAnswer(2);
+  CHECK(server.Handled == 3);
+  CHECK(server.Server.connections().Most == 2);
+}
