--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,177 @@
+#!/usr/bin/env python3
+"""Measures what real processes cost by size, each at three or more sizes.
+
+Prints `figure=NAME_at_SIZE value=… unit=…` for each size and
+`figure=NAME_slope` for the growth by least squares.
+"""
+
+import argparse
+import tempfile
+import time
+
+from bench_cell import Cell, wait_for
+
+IDLE_SECONDS = 5
+ENTRY_COUNTS = [2, 4, 8, 16]
+RUNNER_COUNTS = [4, 12, 36]
+CHANGE_RATES = [4, 8, 16]
+PROFILE_COUNTS = [500, 1500, 4500]
+RECEIVED = "masticwinch_messages_received_bytes_total"
+SENT = "masticwinch_messages_sent_bytes_total"
+PROCESSOR = "process_cpu_seconds_total"
+RESIDENT = "process_resident_memory_bytes"
+REVISION = "masticwinch_configuration_revision"
+
+
+def figure(name, value, unit):
+    print(f"figure={name} value={value:.6g} unit={unit}", flush=True)
+
+
+def slope(points):
+    """Growth of the value for each unit of size, by least squares."""
+    sizes = sum(x for x, _ in points) / len(points)
+    values = sum(y for _, y in points) / len(points)
+    products = sum((x - sizes) * (y - values) for x, y in points)
+    return products / sum((x - sizes) ** 2 for x, _ in points)
+
+
+def report(name, points, unit, per):
+    for size, value in points:
+        figure(f"{name}_at_{size}", value, unit)
+    figure(f"{name}_slope", slope(points), f"{unit}/{per}")
+
+
+class Rates:
+    """Rates of a process's counters over a span of time."""
+
+    def __init__(self, process):
+        self.process = process
+        self.begin = process.metrics()
+        self.started = time.monotonic()
+
+    def end(self):
+        seconds = time.monotonic() - self.started
+        last = self.process.metrics()
+        return {key: (last[key] - self.begin[key]) / seconds
+                for key in (RECEIVED, SENT, PROCESSOR)}
+
+
+def leader_of(cell):
+    """The control VM that leads."""
+    return next(it for it in cell.controls
+                if it.metrics()["masticwinch_leader"] == 1)
+
+
+def measure_idle(cell):
+    """Rates of the leader and of one entry VM while nothing happens."""
+    leader, entry = Rates(leader_of(cell)), Rates(cell.entries[0])
+    time.sleep(IDLE_SECONDS)
+    return leader.end(), entry.end()
+
+
+def measure_entries(cell):
+    """Idle cost by number of entry VMs."""
+    leader_bytes, leader_time, entry_bytes = [], [], []
+    for count in ENTRY_COUNTS:
+        cell.add_entries(count - len(cell.entries))
+        leader, entry = measure_idle(cell)
+        leader_bytes.append((count, leader[SENT] + leader[RECEIVED]))
+        leader_time.append((count, leader[PROCESSOR] * 100))
+        entry_bytes.append((count, entry[SENT] + entry[RECEIVED]))
+    report("idle_leader_messages", leader_bytes, "bytes/s", "entry")
+    report("idle_leader_processor", leader_time, "percent", "entry")
+    report("idle_entry_messages", entry_bytes, "bytes/s", "entry")
+
+
+def change_profiles(cell, rate, seconds):
+    """Changes one profile at a rate; returns how many changes were made and
+    the revision of the last one."""
+    begin = time.monotonic()
+    count = int(rate * seconds)
+    revision = 0
+    for i in range(count):
+        time.sleep(max(0, begin + i / rate - time.monotonic()))
+        revision = cell.put_profile("changed", {"requests": {
+            "deadline_ms": 1000 + i, "weight": 1 + i % 100}})
+    return count, revision
+
+
+def in_force_everywhere(cell, revision):
+    return all(it.metrics()[REVISION] >= revision for it in cell.entries)
+
+
+def measure_changes(cell):
+    """Cost by rate of configuration changes, and time until in force."""
+    leader_bytes, leader_time, entry_bytes = [], [], []
+    for rate in CHANGE_RATES:
+        leader, entry = Rates(leader_of(cell)), Rates(cell.entries[-1])
+        count, revision = change_profiles(cell, rate, IDLE_SECONDS)
+        asked = time.monotonic()
+        wait_for(lambda: in_force_everywhere(cell, revision), "in force")
+        figure(f"change_in_force_seconds_at_{rate}", time.monotonic() - asked,
+               "s")
+        leader, entry = leader.end(), entry.end()
+        made = count / IDLE_SECONDS
+        leader_bytes.append((made, leader[SENT] + leader[RECEIVED]))
+        leader_time.append((made, leader[PROCESSOR] * 1e6))
+        entry_bytes.append((made, entry[SENT] + entry[RECEIVED]))
+    entries = len(cell.entries)
+    report(f"change_leader_messages_{entries}_entries", leader_bytes,
+           "bytes/s", "change/s")
+    report(f"change_leader_processor_{entries}_entries", leader_time, "us/s",
+           "change/s")
+    report(f"change_entry_messages_{entries}_entries", entry_bytes, "bytes/s",
+           "change/s")
+
+
+def measure_runners(cell):
+    """Idle cost by number of upstreams that renew."""
+    leader_bytes, leader_time = [], []
+    for count in RUNNER_COUNTS:
+        cell.add_runners(count - len(cell.runners))
+        leader, _ = measure_idle(cell)
+        leader_bytes.append((count, leader[SENT] + leader[RECEIVED]))
+        leader_time.append((count, leader[PROCESSOR] * 100))
+    report("upstream_leader_messages", leader_bytes, "bytes/s", "upstream")
+    report("upstream_leader_processor", leader_time, "percent", "upstream")
+
+
+def measure_profiles(cell):
+    """Memory by number of profiles."""
+    leader_memory, entry_memory = [], []
+    made = 0
+    for count in PROFILE_COUNTS:
+        revision = 0
+        for i in range(made, count):
+            revision = cell.put_profile(f"profile-{i}", {"team": f"team-{i}"})
+        made = count
+        wait_for(lambda: in_force_everywhere(cell, revision), "in force")
+        leader_memory.append((count, leader_of(cell).metrics()[RESIDENT]))
+        entry_memory.append((count, cell.entries[0].metrics()[RESIDENT]))
+    report("profile_leader_memory", leader_memory, "bytes", "profile")
+    report("profile_entry_memory", entry_memory, "bytes", "profile")
+
+
+def run(build, controls):
+    with tempfile.TemporaryDirectory(prefix="bench-cell-") as folder:
+        cell = Cell(build, folder, controls)
+        try:
+            figure("controls", controls, "processes")
+            measure_entries(cell)
+            measure_changes(cell)
+            measure_runners(cell)
+            measure_profiles(cell)
+        finally:
+            cell.stop()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", required=True)
+    parser.add_argument("--controls", type=int, default=1)
+    args = parser.parse_args()
+    run(args.build, args.controls)
+
+
+if __name__ == "__main__":
+    main()
--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -102,17 +102,31 @@
   string(REPLACE "_" "-" program "example-${name}")
   add_executable(${program} ${source})
   target_link_libraries(${program} PRIVATE masticwinch::coordination)
+  add_test(NAME ${program} COMMAND ${program})
 endforeach()
 
 include(GNUInstallDirs)
+set_target_properties(masticwinch_coordination PROPERTIES
+  EXPORT_NAME coordination)
+set_target_properties(masticwinch_protocol PROPERTIES EXPORT_NAME protocol)
 install(TARGETS masticwinch_coordination masticwinch_protocol
   EXPORT masticwinch-targets)
 install(DIRECTORY ${SRC}/masticwinch/common ${SRC}/masticwinch/coordination
   ${SRC}/masticwinch/protocol DESTINATION include/masticwinch
   FILES_MATCHING PATTERN "*.hpp" PATTERN "*.pb.h")
+set(CONFIG_FOLDER ${CMAKE_INSTALL_LIBDIR}/cmake/masticwinch)
 install(EXPORT masticwinch-targets NAMESPACE masticwinch::
-  DESTINATION ${CMAKE_INSTALL_LIBDIR}/cmake/masticwinch
-  FILE masticwinch-config.cmake)
+  DESTINATION ${CONFIG_FOLDER})
+include(CMakePackageConfigHelpers)
+configure_package_config_file(cmake/masticwinch-config.cmake.in
+  ${PROJECT_BINARY_DIR}/masticwinch-config.cmake
+  INSTALL_DESTINATION ${CONFIG_FOLDER})
+write_basic_package_version_file(
+  ${PROJECT_BINARY_DIR}/masticwinch-config-version.cmake
+  COMPATIBILITY SameMinorVersion)
+install(FILES ${PROJECT_BINARY_DIR}/masticwinch-config.cmake
+  ${PROJECT_BINARY_DIR}/masticwinch-config-version.cmake
+  DESTINATION ${CONFIG_FOLDER})
 if(PROGRAMS)
   install(TARGETS ${PROGRAMS})
 endif()
--- /dev/null
+++ b/fuzzing/placement/fuzz_placer.cpp
@@ -0,0 +1,267 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include "tests/placement/fake_cell.hpp"
+#include <ostream>
+
+using namespace masticwinch;
+using namespace masticwinch::placement;
+
+namespace {
+
+constexpr std::size_t VmCount = 6;
+
+enum class StepKind : std::uint8_t {
+  SubmitBatch,
+  SubmitGang,
+  SubmitService,
+  SubmitUrgent,
+  SubmitOnce,
+  Cancel,
+  EndTasks,
+  FailTasks,
+  Advance,
+  CutLink,
+  LoseAnswers,
+  PauseVm,
+  HealLink,
+  RestartVm,
+  ChangeLeader,
+  Drain,
+  Undrain,
+  StopRecording,
+  ResumeRecording,
+  LimitTeam,
+  ReportUsage,
+  Count,
+};
+
+/// Jobs that were submitted so far, by number.
+struct Model {
+  std::uint32_t Jobs = 0;
+};
+
+std::string jobName(std::uint32_t number) {
+  return "job-" + std::to_string(number);
+}
+
+PlacerSettings fuzzSettings() {
+  PlacerSettings settings;
+  settings.Failures.FirstPause = Milliseconds(500);
+  settings.Failures.LongestPause = Milliseconds(4'000);
+  settings.Failures.MostEjectedPercent = 50;
+  return settings;
+}
+
+/// One thing that happens to a cell.
+class Step : public rc::state::Command<Model, FakeCell> {
+public:
+  Step(StepKind kind, std::uint32_t target, std::uint32_t amount)
+      : Kind(kind), Target(target), Amount(amount) {}
+
+  void apply(Model &model) const override {
+    model.Jobs += Kind <= StepKind::SubmitOnce ? 1 : 0;
+  }
+
+  void run(const Model &model, FakeCell &cell) const override {
+    const std::size_t vm = Target % VmCount;
+    const std::string vmName = cell.worker(vm).description().Name;
+    switch (Kind) {
+    case StepKind::Cancel:
+      if (model.Jobs > 0) {
+        cell.cancel(jobName(Target % model.Jobs));
+      }
+      break;
+    case StepKind::EndTasks:
+      return endTasks(cell, vm, true);
+    case StepKind::FailTasks:
+      return endTasks(cell, vm, false);
+    case StepKind::Advance:
+      return cell.advance(Milliseconds(37 * (Amount + 1)), 1 + Target % 4);
+    case StepKind::CutLink:
+      return cell.setLink(vm, FakeCell::Link::Cut);
+    case StepKind::LoseAnswers:
+      return cell.setLink(vm, FakeCell::Link::AnswersLost);
+    case StepKind::PauseVm:
+      return cell.setLink(vm, FakeCell::Link::Paused);
+    case StepKind::HealLink:
+      return cell.setLink(vm, FakeCell::Link::Whole);
+    case StepKind::RestartVm:
+      return cell.restartWorker(vm);
+    case StepKind::ChangeLeader:
+      return cell.elect();
+    case StepKind::Drain:
+      return cell.setDraining(vmName, true);
+    case StepKind::Undrain:
+      return cell.setDraining(vmName, false);
+    case StepKind::StopRecording:
+      return cell.setRecording(false);
+    case StepKind::ResumeRecording:
+      return cell.setRecording(true);
+    case StepKind::LimitTeam:
+      return cell.setTeam("mills", {Resources{1'000 * Amount, 131'072, 0}, 1});
+    case StepKind::ReportUsage:
+      return cell.setUsage(vm, Amount);
+    default:
+      cell.submit(makeJob(jobName(model.Jobs)));
+    }
+  }
+
+  void show(std::ostream &os) const override {
+    os << static_cast<int>(Kind) << '(' << Target << ", " << Amount << ')';
+  }
+
+private:
+  JobTerms makeJob(std::string name) const {
+    // Only one VM has accelerators; a job for it must fit there as a whole.
+    const bool accelerated = Target % 8 == 0;
+    const Resources perTask{accelerated ? 1'000 : 1'000 + 500 * (Amount % 64),
+                            512, accelerated ? 1 : 0};
+    JobTerms job = batchJob(std::move(name), 1 + Target % 6, perTask);
+    job.Team = Target % 2 == 0 ? "mills" : "shops";
+    job.Profile = "profile-" + std::to_string(Amount % 3);
+    job.ExpectedRunTime = Milliseconds(Amount * 100);
+    job.Preemptible = Amount % 2 == 0;
+    job.Checkpoint = Amount % 4 == 0;
+    job.Policy = Amount % 5 == 0 ? PolicyName::Spread : PolicyName::Pack;
+    job.RackLimit = Amount % 7 == 0 && !accelerated ? 2 : 0;
+    switch (Kind) {
+    case StepKind::SubmitGang:
+      job.Kind = JobKind::Gang;
+      job.InTier = Target % 3 == 0 ? Tier::Urgent : Tier::Patient;
+      break;
+    case StepKind::SubmitService:
+      job.Kind = JobKind::Service;
+      break;
+    case StepKind::SubmitUrgent:
+      job.InTier = Tier::Urgent;
+      break;
+    case StepKind::SubmitOnce:
+      job.Repeatable = job.Checkpoint = false;
+      break;
+    default:
+      break;
+    }
+    return job;
+  }
+
+  static void endTasks(FakeCell &cell, std::size_t vm, bool succeeds) {
+    const std::size_t count = cell.worker(vm).tasks().size();
+    for (std::size_t it = 0; it < count; it += 2) {
+      cell.endTask(vm, it, succeeds);
+    }
+  }
+
+  StepKind Kind;
+  std::uint32_t Target;
+  std::uint32_t Amount;
+};
+
+using StepPointer = std::shared_ptr<const rc::state::Command<Model, FakeCell>>;
+
+rc::Gen<StepPointer> genStep() {
+  const auto kinds = rc::gen::weightedOneOf<StepKind>({
+      {3, rc::gen::just(StepKind::Advance)},
+      {2, rc::gen::just(StepKind::EndTasks)},
+      {2, rc::gen::just(StepKind::HealLink)},
+      {8, rc::gen::map(rc::gen::inRange(0, static_cast<int>(StepKind::Count)),
+                       [](int kind) { return static_cast<StepKind>(kind); })},
+  });
+  return rc::gen::apply(
+      [](StepKind kind, std::uint32_t target, std::uint32_t amount) {
+        return StepPointer(std::make_shared<Step>(kind, target, amount));
+      },
+      kinds, rc::gen::inRange<std::uint32_t>(0, 48),
+      rc::gen::inRange<std::uint32_t>(0, 128));
+}
+
+/// Services hold what they have, so they end before the last jobs can run.
+void cancelServices(FakeCell &cell) {
+  const std::map<std::string, JobTerms> jobs = cell.jobs();
+  for (const auto &[id, job] : jobs) {
+    if (job.Kind == JobKind::Service) {
+      cell.cancel(id);
+    }
+  }
+}
+
+/// Mends everything and lets all tasks succeed.
+void heal(FakeCell &cell) {
+  cell.setRecording(true);
+  cell.setTeam("mills", {});
+  for (std::size_t vm = 0; vm < VmCount; ++vm) {
+    cell.setLink(vm, FakeCell::Link::Whole);
+    cell.setDraining(cell.worker(vm).description().Name, false);
+  }
+  cancelServices(cell);
+  for (int round = 0; round < 400; ++round) {
+    cell.advance(Milliseconds(200));
+    for (std::size_t vm = 0; vm < VmCount; ++vm) {
+      const auto &tasks = cell.worker(vm).tasks();
+      for (std::size_t it = 0; it < tasks.size(); ++it) {
+        cell.endTask(vm, it, true);
+      }
+    }
+  }
+}
+
+/// What must hold of a job once all is mended.
+void checkSettled(FakeCell &cell, const JobTerms &job) {
+  const protocol::JobProgress &progress = cell.progress(job.Id);
+  const auto ended = [&](const TaskRanges &ranges) {
+    return tasksOf(ranges).size();
+  };
+  if (job.Cancelled) {
+    RC_ASSERT(cell.endedJobs().contains(job.Id));
+    RC_ASSERT(cell.running(job.Id) == 0U);
+    return;
+  }
+  const auto why = cell.placer().explain(job.Id);
+  if (why) {
+    RC_LOG() << job.Id << ": " << nameOf(why->Reason) << ", " << why->Text
+             << ", waiting " << why->Waiting << ", active " << why->Active
+             << ", running " << why->Running << '\n';
+  }
+  if (why && why->Reason == WaitReason::LargerThanAnyVm) {
+    return;
+  }
+  if (job.Kind != JobKind::Service) {
+    RC_ASSERT(cell.endedJobs().contains(job.Id));
+    RC_ASSERT(ended(progress.finished()) + ended(progress.failed()) +
+                  ended(progress.unknown()) ==
+              job.Tasks);
+    RC_ASSERT(job.Repeatable == false || ended(progress.unknown()) == 0U);
+  }
+}
+
+void fuzzPlacer() {
+  const auto steps = *rc::state::gen::commands(
+      Model{}, [](const Model &) { return genStep(); });
+  FakeCell cell(fuzzSettings());
+  for (std::size_t vm = 0; vm < VmCount; ++vm) {
+    WorkerDescription description = standardVm(vm);
+    description.Rack = "rack-" + std::to_string(vm / 2);
+    description.Capacity.Accelerators = vm == 0 ? 8 : 0;
+    const std::int64_t gains[] = {0, -9'000, 9'000};
+    cell.addWorker(description, gains[vm % 3]);
+  }
+  rc::state::runAll(steps, Model{}, cell);
+  heal(cell);
+  for (const auto &[id, job] : cell.jobs()) {
+    checkSettled(cell, job);
+  }
+}
+
+} // namespace
+
+TEST_CASE("Whatever happens, tasks neither overlap nor get lost",
+          "[placement][fuzzing]") {
+  CHECK(rc::check("placer against the list of who holds what", fuzzPlacer));
+}
+
+TEST_CASE("Whatever happens for long, tasks neither overlap nor get lost",
+          "[.long][fuzzing]") {
+  // The number of runs comes from RC_PARAMS, for instance max_success=20000.
+  CHECK(rc::check("placer against the list of who holds what", fuzzPlacer));
+}
--- /dev/null
+++ b/scripts/lib/masticwinch/process.py
@@ -0,0 +1,125 @@
+"""One process of a cell: how it is started, found, asked and ended."""
+
+import dataclasses
+import os
+import pathlib
+import signal
+import subprocess
+import time
+import urllib.error
+import urllib.request
+
+POLL_SECONDS = 0.05
+HEALTH_TIMEOUT_SECONDS = 2
+
+# Processes that this one started, by pid.
+_CHILDREN = {}
+
+
+@dataclasses.dataclass
+class Process:
+    """A process as cell.json records it."""
+
+    role: str
+    name: str
+    data_center: str
+    command: list
+    urls: dict
+    internal_address: str = ""
+    pid: int = 0
+
+    def start(self, log_folder):
+        """Starts the process so that it outlives its starter."""
+        log_file = pathlib.Path(log_folder) / f"{self.name}.log"
+        with open(log_file, "ab") as log:
+            child = subprocess.Popen(
+                self.command, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                start_new_session=True)
+        self.pid = child.pid
+        _CHILDREN[child.pid] = child
+
+    def find(self):
+        """Pid of the running process, or None. A process that was started
+        again by hand is found by its command line."""
+        if _runs(self.pid, self.command):
+            return self.pid
+        for folder in pathlib.Path("/proc").glob("[0-9]*"):
+            pid = int(folder.name)
+            if _runs(pid, self.command):
+                self.pid = pid
+                return pid
+        return None
+
+    def is_paused(self):
+        """Whether the process was stopped by a signal and not continued."""
+        pid = self.find()
+        return pid is not None and _state(pid) == "T"
+
+    def is_healthy(self):
+        """Whether the health URL answers 200."""
+        try:
+            with urllib.request.urlopen(
+                    self.urls["health"],
+                    timeout=HEALTH_TIMEOUT_SECONDS) as answer:
+                return answer.status == 200
+        except (OSError, urllib.error.URLError):
+            return False
+
+    def send(self, number):
+        """Sends a signal; False if the process doesn't run."""
+        pid = self.find()
+        if pid is None:
+            return False
+        try:
+            os.kill(pid, number)
+        except ProcessLookupError:
+            return False
+        return True
+
+    def wait_for_end(self, seconds):
+        """Whether the process ended within the time."""
+        deadline = time.monotonic() + seconds
+        while _is_alive(self.pid):
+            if time.monotonic() > deadline:
+                return False
+            time.sleep(POLL_SECONDS)
+        return True
+
+    def kill(self):
+        """Ends the process by SIGKILL and waits until it is gone."""
+        if self.send(signal.SIGKILL):
+            self.wait_for_end(seconds=10)
+
+
+def _runs(pid, command):
+    """Whether the pid is a live process with the command line."""
+    if not pid or not _is_alive(pid):
+        return False
+    try:
+        line = pathlib.Path(f"/proc/{pid}/cmdline").read_bytes()
+    except OSError:
+        return False
+    return line.rstrip(b"\0").split(b"\0") == [os.fsencode(it) for it in command]
+
+
+def _is_alive(pid):
+    """Whether any thread of the process still runs; it holds its sockets until
+    then."""
+    child = _CHILDREN.get(pid)
+    if child is not None:
+        return child.poll() is None
+    if _state(pid) not in ("Z", "X", ""):
+        return True
+    try:
+        return len(os.listdir(f"/proc/{pid}/task")) > 1
+    except OSError:
+        return False
+
+
+def _state(pid):
+    """Letter of the process's state; empty if there is no such process."""
+    try:
+        stat = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    except OSError:
+        return ""
+    return stat.rpartition(")")[2].split()[0]
--- a/src/masticwinch/common/result.hpp
+++ b/src/masticwinch/common/result.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+/// Keeps the checking macros within standard C++.
+#define BOOST_LEAF_CFG_GNUC_STMTEXPR 0
 #include <boost/leaf/result.hpp>
 
 namespace masticwinch {
--- a/src/masticwinch/coordination/placement/internal/placer_state.cpp
+++ b/src/masticwinch/coordination/placement/internal/placer_state.cpp
@@ -131,8 +131,10 @@
 
 void PlacerState::removeJob(JobIndex job) {
   dropReservation(job);
+  WithheldJobs.erase(job);
   JobsById.erase(Jobs[job].Terms.Id);
   Jobs[job] = Job{};
+  Jobs[job].Ended = true;
   FreeJobs.push_back(job);
 }
 
@@ -230,6 +232,7 @@
   countDomain(job, closed.Vm, false);
   job.Running -= closed.CountsRunning ? 1 : 0;
   settleTask(closed.Job, closed.Task, next);
+  refreshQueue(closed.Job);
 }
 
 void PlacerState::settleTask(JobIndex index, std::uint32_t task,
--- a/src/masticwinch/coordination/placement/internal/reconciler.cpp
+++ b/src/masticwinch/coordination/placement/internal/reconciler.cpp
@@ -52,14 +52,39 @@
   }
 }
 
-void Reconciler::callFailed(WorkerIndex vm, std::uint64_t sequence) {
+void Reconciler::putForgetsBack(WorkerIndex vm) {
   Worker &worker = State.Workers[vm];
-  worker.Lease.failed(sequence);
-  worker.Silent = true;
   for (AttemptId &it : worker.Forgetting) {
     State.forget(vm, std::move(it));
   }
   worker.Forgetting.clear();
+}
+
+void Reconciler::callRefused(WorkerIndex vm, std::uint64_t sequence) {
+  Worker &worker = State.Workers[vm];
+  worker.Lease.refused(sequence);
+  putForgetsBack(vm);
+  for (const TaskIndex it : worker.Attempts) {
+    Attempt &attempt = State.Attempts[it];
+    if (attempt.ToldIn == sequence && attempt.State == AttemptState::Starting) {
+      attempt.ToldIn = 0;
+    }
+  }
+  worker.NextCall = SteadyTime::max();
+  State.callAt(vm, State.Now);
+}
+
+void Reconciler::refused(TaskIndex index) {
+  const Attempt attempt = State.Attempts[index];
+  endAndForget(index, TaskState::Waiting);
+  restartGang(attempt.Job);
+}
+
+void Reconciler::callFailed(WorkerIndex vm, std::uint64_t sequence) {
+  Worker &worker = State.Workers[vm];
+  worker.Lease.failed(sequence);
+  worker.Silent = true;
+  putForgetsBack(vm);
   State.refreshOffer(vm);
   if (worker.Lease.heard() && worker.Lease.ranOut(State.Now)) {
     loseWorker(vm);
@@ -107,6 +132,9 @@
   case ReportedState::Failed:
     failed(index);
     break;
+  case ReportedState::Refused:
+    refused(index);
+    break;
   case ReportedState::Stopped:
     stopped(index, report.Checkpoint);
     break;
@@ -253,8 +281,10 @@
     }
     const bool onlyThisCall = attempt.ToldIn == sequence;
     const bool neverRan = !attempt.CountsRunning && (!renewed || onlyThisCall);
-    if (neverRan && attempt.Job != NoIndex) {
+    const JobIndex job = attempt.Job;
+    if (neverRan && job != NoIndex) {
       State.closeAttempt(it, TaskState::Waiting);
+      restartGang(job);
     } else {
       lose(it);
     }
--- a/src/masticwinch/coordination/placement/internal/reconciler.hpp
+++ b/src/masticwinch/coordination/placement/internal/reconciler.hpp
@@ -13,6 +13,7 @@
 
   void takeAnswer(WorkerIndex vm, std::uint64_t sequence,
                   const WorkerAnswer &answer);
+  void callRefused(WorkerIndex vm, std::uint64_t sequence);
   void callFailed(WorkerIndex vm, std::uint64_t sequence);
 
   /// Ends every attempt on a worker whose lease ran out.
@@ -37,6 +38,8 @@
   void closeUnreported(WorkerIndex vm, std::uint64_t sequence, bool renewed,
                        const std::vector<std::uint64_t> &reported);
   void lose(TaskIndex attempt);
+  void refused(TaskIndex attempt);
+  void putForgetsBack(WorkerIndex vm);
   void restartGang(JobIndex job);
   void scheduleNextCall(WorkerIndex vm);
   void takeCapacity(WorkerIndex vm);
--- a/src/masticwinch/coordination/placement/placer.cpp
+++ b/src/masticwinch/coordination/placement/placer.cpp
@@ -159,6 +159,13 @@
   }
 }
 
+void Placer::workerRefused(const CallKey &key, SteadyTime now) {
+  Impl->State.Now = now;
+  if (key.Epoch == Impl->State.Epoch) {
+    Impl->Reconcile.callRefused(key.Worker, key.Sequence);
+  }
+}
+
 void Placer::workerFailed(const CallKey &key, SteadyTime now) {
   Impl->State.Now = now;
   if (key.Epoch == Impl->State.Epoch) {
--- a/src/masticwinch/coordination/placement/placer.hpp
+++ b/src/masticwinch/coordination/placement/placer.hpp
@@ -53,6 +53,9 @@
   void workerAnswered(const CallKey &key, const WorkerAnswer &answer,
                       SteadyTime now);
 
+  /// The worker refused the call, which changed nothing there.
+  void workerRefused(const CallKey &key, SteadyTime now);
+
   /// The call brought no usable answer in its time.
   void workerFailed(const CallKey &key, SteadyTime now);
 
--- a/src/masticwinch/coordination/placement/placer_types.hpp
+++ b/src/masticwinch/coordination/placement/placer_types.hpp
@@ -95,7 +95,14 @@
 };
 
 /// State of an attempt as its worker reports it.
-enum class ReportedState : std::uint8_t { Running, Finished, Failed, Stopped };
+enum class ReportedState : std::uint8_t {
+  Running,
+  Finished,
+  Failed,
+  Stopped,
+  /// It never ran: the worker had no room, or another attempt was there.
+  Refused,
+};
 
 /// What a worker says of one attempt.
 struct TaskReport {
@@ -240,8 +247,9 @@
 
 template <> struct EnumNames<placement::ReportedState> {
   using Kind = placement::ReportedState;
-  static constexpr std::array<EnumName<Kind>, 4> Table{{
+  static constexpr std::array<EnumName<Kind>, 5> Table{{
       {Kind::Running, "running"},
+      {Kind::Refused, "refused"},
       {Kind::Finished, "finished"},
       {Kind::Failed, "failed"},
       {Kind::Stopped, "stopped"},
--- a/src/masticwinch/coordination/placement/worker_lease.cpp
+++ b/src/masticwinch/coordination/placement/worker_lease.cpp
@@ -19,7 +19,7 @@
   UnderWay = Sequence;
   LeaseGrant grant{epoch, Sequence, 0, 0, 0};
   const SteadyTime end = ReadAt + terms.longestOnGranterClock();
-  if (!heard() || now >= end) {
+  if (!heard() || AskAnew || now >= end) {
     return grant;
   }
   grant.Incarnation = Reading.Incarnation;
@@ -36,6 +36,7 @@
   }
   UnderWay = 0;
   const bool same = reading.Incarnation == Reading.Incarnation;
+  AskAnew = false;
   Reading = reading;
   ReadAt = now;
   return same ? LeaseNews::Same : LeaseNews::NewIncarnation;
@@ -47,6 +48,13 @@
   }
 }
 
+void WorkerLease::refused(std::uint64_t sequence) {
+  if (sequence == UnderWay) {
+    UnderWay = 0;
+    AskAnew = true;
+  }
+}
+
 void WorkerLease::forget() { Reading = {}; }
 
 } // namespace masticwinch::placement
--- a/src/masticwinch/coordination/placement/worker_lease.hpp
+++ b/src/masticwinch/coordination/placement/worker_lease.hpp
@@ -39,6 +39,8 @@
 /// it when the incarnation is not its own, the epoch is older than one it has
 /// seen, the sequence is not above the last, or its clock has passed
 /// `ClockMs + LeaseMs`. A call that was held up anywhere is therefore harmless.
+/// A call with a lease of zero only asks for a reading: it changes no lease and
+/// starts nothing.
 struct LeaseGrant {
   std::uint64_t Epoch = 0;
   /// Counts the calls of one epoch to one worker.
@@ -77,6 +79,10 @@
   /// Whether everything that was ever granted has ended by now.
   bool ranOut(SteadyTime now) const { return now > EndsBy; }
 
+  /// The worker refused the call with that sequence, which changed nothing
+  /// there; the next call asks for a reading.
+  void refused(std::uint64_t sequence);
+
   /// Forgets the worker's incarnation, after its lease ran out.
   void forget();
 
@@ -90,6 +96,7 @@
 private:
   std::uint64_t Sequence = 0;
   std::uint64_t UnderWay = 0;
+  bool AskAnew = false;
   WorkerReading Reading;
   SteadyTime ReadAt{};
   SteadyTime EndsBy{};
--- a/src/masticwinch/coordination/replication/replica.cpp
+++ b/src/masticwinch/coordination/replication/replica.cpp
@@ -4,6 +4,17 @@
 
 namespace masticwinch::replication {
 
+namespace {
+
+/// True if the entries end before the snapshot or contradict it.
+bool endsBeforeSnapshot(const RecoveredState &state) {
+  return state.LastSnapshot &&
+         ReplicaLog(state).termAt(state.LastSnapshot->Index) !=
+             state.LastSnapshot->Term;
+}
+
+} // namespace
+
 Replica::Replica(ReplicaOptions options, ReplicaId self,
                  RecoveredState recovered, std::mt19937_64 engine,
                  SteadyTime now)
@@ -12,6 +23,11 @@
       LastLeaderContact(now), Assembly(options.MaxSnapshotBytes) {
   CommitIndex = LastSnapshot ? LastSnapshot->Index : 0;
   HandedOutIndex = CommitIndex;
+  if (endsBeforeSnapshot(recovered)) {
+    Log.resetTo(*LastSnapshot);
+    ResetStoredLog = true;
+    UnwrittenSnapshot = LastSnapshot;
+  }
   NextToWrite = Log.lastIndex() + 1;
   PersistedIndex = Log.lastIndex();
   Out.Restore = LastSnapshot;
--- a/src/masticwinch/http/http_message.hpp
+++ b/src/masticwinch/http/http_message.hpp
@@ -39,7 +39,8 @@
 /// A request as a server receives it.
 struct HttpRequest {
   std::string Method;
-  /// Path without the query, percent-decoded.
+  /// Path without the query, as sent: its percent sequences are well-formed and
+  /// not decoded, so that an encoded slash stays within its segment.
   std::string Path;
   /// Query string without the question mark, as sent.
   std::string Query;
--- a/src/masticwinch/http/http_server.cpp
+++ b/src/masticwinch/http/http_server.cpp
@@ -356,7 +356,7 @@
   const restinio::http_request_header_t &header = request->header();
   HttpRequest received;
   received.Method = header.method().c_str();
-  received.Path = *percentDecode(header.path());
+  received.Path = std::string(header.path());
   received.Query = std::string(header.query());
   received.Body = request->body();
   header.for_each_field(
--- a/src/masticwinch/http/route.cpp
+++ b/src/masticwinch/http/route.cpp
@@ -1,5 +1,7 @@
 #include "masticwinch/http/route.hpp"
 
+#include "masticwinch/http/percent_encoding.hpp"
+
 namespace masticwinch {
 
 namespace {
@@ -28,7 +30,7 @@
     }
     const std::string_view segment = takeSegment(path);
     if (expected == "/{}" && segment.size() > 1) {
-      match.emplace_back(segment.substr(1));
+      match.push_back(percentDecode(segment.substr(1)).value_or(""));
     } else if (expected != segment) {
       return false;
     }
--- a/src/masticwinch/http/route.hpp
+++ b/src/masticwinch/http/route.hpp
@@ -6,10 +6,12 @@
 
 namespace masticwinch {
 
-/// The segments of a path that matched a pattern's placeholders, in order.
+/// What of a path matched a pattern's placeholders, in order: segments are
+/// percent-decoded, the rest of a path is as sent.
 using RouteMatch = std::vector<std::string>;
 
-/// Whether a path matches a pattern such as `/v1/profiles/{}/history`, in which
+/// Whether a path, as sent, matches a pattern such as
+/// `/v1/profiles/{}/history`, in which
 /// `{}` stands for one non-empty segment and a `**` at the end for the rest.
 /// The matched segments are stored in `match`.
 bool matchRoute(std::string_view pattern, std::string_view path,
--- a/src/masticwinch/load/load_request.cpp
+++ b/src/masticwinch/load/load_request.cpp
@@ -14,10 +14,19 @@
 constexpr std::uint16_t FirstSuccess = 200;
 constexpr std::uint16_t FirstRedirect = 300;
 
+/// Whether an answer is the body alone, or a line that names the upstream and
+/// the body.
+bool repeatsBody(const std::string &answer, const std::string &body) {
+  const std::size_t lineEnd = answer.find('\n');
+  return answer == body ||
+         (lineEnd != std::string::npos &&
+          answer.compare(lineEnd + 1, answer.npos, body) == 0);
+}
+
 LoadOutcome judgeAnswer(const LoadStream &stream, const std::string &body,
                         const HttpResponse &response) {
   if (response.Status >= FirstSuccess && response.Status < FirstRedirect) {
-    const bool own = !stream.ExpectEcho || response.Body == body;
+    const bool own = !stream.ExpectEcho || repeatsBody(response.Body, body);
     return own ? LoadOutcome::Answered : LoadOutcome::WrongAnswer;
   }
   return response.Headers.find(callers::OutcomeHeader) ==
@@ -46,6 +55,7 @@
   call.Method = stream.Method;
   call.Url = target + stream.Path;
   call.Headers = stream.Headers;
+  call.Headers.add(callers::RequestIdHeader, key);
   if (stream.IdempotencyKey) {
     call.Headers.add(callers::IdempotencyKeyHeader, key);
   }
--- a/src/masticwinch/load/load_request.hpp
+++ b/src/masticwinch/load/load_request.hpp
@@ -44,7 +44,8 @@
 std::string makeLoadBody(const LoadStream &stream, std::uint64_t seed,
                          std::uint64_t number);
 
-/// The HTTP call of one attempt. `target` is a base URL without a path.
+/// The HTTP call of one attempt. `target` is a base URL without a path; `key`
+/// is the request's id, and its idempotency key if the stream asks for one.
 HttpCall makeLoadCall(const LoadStream &stream, const std::string &target,
                       const std::string &key, const std::string &body);
 
--- a/src/masticwinch/stand_in/announcer.cpp
+++ b/src/masticwinch/stand_in/announcer.cpp
@@ -95,19 +95,25 @@
       Events.write(StandInEvent::Announced, {{"incarnation", Incarnation}});
     }
     Known = true;
+    FailureReported = false;
     after(Options.Renew, &Announcer::announce);
     return;
   }
-  Known = false;
+  announceFailed(result);
+  after(RetryDelay, &Announcer::announce);
+}
+
+void Announcer::announceFailed(const HttpCallResult &result) {
   if (isSuperseded(result)) {
+    Known = false;
     Incarnation = std::max(Incarnation + 1, programs::newIncarnation(Time));
     Events.write(StandInEvent::Superseded, {{"incarnation", Incarnation}});
-  } else {
+  } else if (!FailureReported) {
+    FailureReported = true;
     Events.write(StandInEvent::AnnounceFailed,
                  {{"outcome", nameOf(result.Outcome)},
                   {"status", result.Response.Status}});
   }
-  after(RetryDelay, &Announcer::announce);
 }
 
 void Announcer::sendLeave() {
--- a/src/masticwinch/stand_in/announcer.hpp
+++ b/src/masticwinch/stand_in/announcer.hpp
@@ -44,12 +44,18 @@
   /// Stops renewing without a leave.
   void stop();
 
+  /// Whether the latest announcement was accepted and is not taken back; true
+  /// if there is no entry VM to announce to.
+  bool isKnown() const {
+    return (Known || Options.Entries.empty()) && !Leaving;
+  }
   bool isLeaving() const { return Leaving; }
   std::uint64_t incarnation() const { return Incarnation; }
 
 private:
   void announce();
   void announced(const HttpCallResult &result);
+  void announceFailed(const HttpCallResult &result);
   void sendLeave();
   void leaveAnswered(const HttpCallResult &result);
   void post(std::string_view word, const nlohmann::json &body,
@@ -66,6 +72,8 @@
   HttpCallId Call = 0;
   bool Leaving = false;
   bool Known = false;
+  /// A failure was reported since the last success.
+  bool FailureReported = false;
   std::function<void()> LeaveDone;
 };
 
--- a/src/masticwinch/stand_in/lease_message.cpp
+++ b/src/masticwinch/stand_in/lease_message.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr SettingsRange NumberRange{0, INT64_MAX};
-constexpr SettingsRange LeaseRange{1, 24 * 3600 * 1000};
+constexpr SettingsRange LeaseRange{0, 24 * 3600 * 1000};
 constexpr SettingsRange ClockRange{0, INT64_MAX / 2'000'000};
 constexpr const char *BodyName = "body";
 
@@ -71,6 +71,9 @@
           {"exit_code", report.ExitCode},
           {"reason", report.Reason},
           {"checkpoint", report.Checkpoint},
+          {"milli_processors", report.Given.MilliProcessors},
+          {"memory_mib", report.Given.MemoryMib},
+          {"accelerators", report.Given.Accelerators},
           {"used_milli_processors", report.Used.MilliProcessors},
           {"used_memory_mib", report.Used.MemoryMib}};
 }
--- a/src/masticwinch/stand_in/lease_message.hpp
+++ b/src/masticwinch/stand_in/lease_message.hpp
@@ -56,6 +56,8 @@
   std::int64_t Sequence = 0;
   /// Incarnation of the worker that is meant; 0 for any.
   std::int64_t Incarnation = 0;
+  /// Zero only asks for the report: the lease stays as it is, and nothing is
+  /// started, stopped or forgotten.
   Milliseconds Lease{0};
   /// Reading of the worker's clock that the lease counts from, as an earlier
   /// answer stated it; nothing to count from the receipt.
@@ -85,6 +87,8 @@
   /// Why it failed or stopped.
   std::string Reason;
   std::string Checkpoint;
+  /// What was set aside for it.
+  VmResources Given;
   VmResources Used;
 };
 
--- a/src/masticwinch/stand_in/runner_stand_in.cpp
+++ b/src/masticwinch/stand_in/runner_stand_in.cpp
@@ -188,7 +188,10 @@
 void RunnerStandIn::operate(HttpExchange &exchange) {
   const HttpRequest &request = exchange.request();
   if (request.Path == "/health") {
-    exchange.respond({});
+    exchange.respond(Announcements.isKnown()
+                         ? HttpResponse{}
+                         : errorResponse(503, "not_announced",
+                                         "no entry VM knows this upstream"));
   } else if (request.Path == "/stand-in/stats" && request.Method == "GET") {
     exchange.respond(stats());
   } else if (request.Path == "/stand-in/leave" && request.Method == "POST") {
--- a/src/masticwinch/stand_in/worker_tasks.cpp
+++ b/src/masticwinch/stand_in/worker_tasks.cpp
@@ -43,7 +43,7 @@
   if (request.Epoch == Epoch && request.Sequence <= Sequence) {
     return refuse("stale_sequence", "a later request was seen");
   }
-  if (leaseEnd(request, now) <= now) {
+  if (request.Lease.count() > 0 && leaseEnd(request, now) <= now) {
     return refuse("lease_over", "the request took longer than its lease");
   }
   return std::nullopt;
@@ -58,6 +58,9 @@
   }
   Epoch = request.Epoch;
   Sequence = request.Sequence;
+  if (request.Lease.count() == 0) {
+    return std::nullopt;
+  }
   LeaseEnd = leaseEnd(request, now);
   for (const TaskAttempt &it : request.Forget) {
     const auto task = Tasks.find(it);
@@ -216,7 +219,8 @@
   report.WorkerClock = std::chrono::floor<Milliseconds>(now.time_since_epoch());
   for (const auto &[id, task] : Tasks) {
     report.Tasks.push_back({id, task.State, task.ExitCode, task.Reason,
-                            task.Checkpoint, usage(task, now)});
+                            task.Checkpoint, task.Start.Resources,
+                            usage(task, now)});
   }
   return report;
 }
--- /dev/null
+++ b/src/masticwinch/storage/replica_storage.cpp
@@ -0,0 +1,243 @@
+#include "masticwinch/storage/replica_storage.hpp"
+
+#include "masticwinch/protocol/storage.pb.h"
+#include "masticwinch/storage/record.hpp"
+
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cstring>
+#include <filesystem>
+#include <utility>
+
+namespace masticwinch::storage {
+
+using replication::Membership;
+using replication::ReplicaId;
+using replication::Snapshot;
+
+namespace {
+
+constexpr std::uint32_t CurrentFormat = 1;
+constexpr mode_t FolderMode = 0700;
+constexpr char MetadataFile[] = "metadata";
+constexpr char SnapshotFile[] = "snapshot";
+constexpr char LockFile[] = "lock";
+constexpr std::size_t ChecksumBytes = sizeof(std::uint64_t);
+
+/// A checksum in front of the bytes.
+std::string seal(const std::string &bytes) {
+  const std::uint64_t checksum = payloadChecksum(bytes);
+  std::string sealed(ChecksumBytes, '\0');
+  std::memcpy(sealed.data(), &checksum, ChecksumBytes);
+  return sealed + bytes;
+}
+
+/// The bytes behind a checksum that holds.
+std::optional<std::string> unseal(const std::string &sealed) {
+  if (sealed.size() < ChecksumBytes) {
+    return std::nullopt;
+  }
+  std::uint64_t checksum = 0;
+  std::memcpy(&checksum, sealed.data(), ChecksumBytes);
+  std::string bytes = sealed.substr(ChecksumBytes);
+  return payloadChecksum(bytes) == checksum ? std::optional(std::move(bytes))
+                                            : std::nullopt;
+}
+
+bool exists(const std::string &path) {
+  std::error_code ec;
+  return std::filesystem::exists(path, ec);
+}
+
+} // namespace
+
+ReplicaStorage::ReplicaStorage(StorageOptions options)
+    : Options(std::move(options)), Log(Options.Folder, Options.SegmentBytes) {}
+
+std::string ReplicaStorage::pathOf(const std::string &name) const {
+  return Options.Folder + "/" + name;
+}
+
+Result<ReplicaStorage> ReplicaStorage::open(StorageOptions options,
+                                            std::mt19937_64 &engine) {
+  ReplicaStorage storage(std::move(options));
+  BOOST_LEAF_CHECK(storage.prepareFolder());
+  if (exists(storage.pathOf(MetadataFile))) {
+    BOOST_LEAF_CHECK(storage.readMetadata());
+  } else {
+    BOOST_LEAF_CHECK(storage.createIdentity(engine));
+  }
+  BOOST_LEAF_CHECK(storage.recover());
+  return storage;
+}
+
+Result<void> ReplicaStorage::prepareFolder() {
+  std::error_code ec;
+  if (!exists(Options.Folder)) {
+    std::filesystem::create_directories(
+        std::filesystem::path(Options.Folder).parent_path(), ec);
+    if (::mkdir(Options.Folder.c_str(), FolderMode) != 0) {
+      return boost::leaf::new_error(systemError(Options.Folder, "make"));
+    }
+  }
+  struct stat status {};
+  if (::stat(Options.Folder.c_str(), &status) != 0) {
+    return boost::leaf::new_error(systemError(Options.Folder, "stat"));
+  }
+  if (!S_ISDIR(status.st_mode) || status.st_uid != ::geteuid() ||
+      (status.st_mode & (S_IWGRP | S_IWOTH)) != 0) {
+    return boost::leaf::new_error(StorageError{
+        StorageErrorKind::Permissions, Options.Folder,
+        "must be a folder of this user that no other user can write to"});
+  }
+  BOOST_LEAF_ASSIGN(Lock, File::openForAppend(pathOf(LockFile)));
+  return Lock.lock();
+}
+
+Result<void> ReplicaStorage::createIdentity(std::mt19937_64 &engine) {
+  for (const auto &it : std::filesystem::directory_iterator(Options.Folder)) {
+    const std::string name = it.path().filename().string();
+    if (name != LockFile && name != std::string(MetadataFile) + ".new") {
+      return boost::leaf::new_error(
+          StorageError{StorageErrorKind::MetadataDamaged, Options.Folder,
+                       "holds " + name + " but no metadata"});
+    }
+  }
+  Id = {engine(), engine()};
+  Empty = true;
+  return writeMetadata();
+}
+
+Result<void> ReplicaStorage::readMetadata() {
+  const std::string path = pathOf(MetadataFile);
+  BOOST_LEAF_AUTO(sealed, readFile(path));
+  const auto bytes = unseal(sealed);
+  protocol::StoredMetadata stored;
+  if (!bytes || !stored.ParseFromString(*bytes)) {
+    return boost::leaf::new_error(
+        StorageError{StorageErrorKind::MetadataDamaged, path,
+                     "checksum does not hold; the identity must not be used "
+                     "again: set the folder aside and join as a new replica"});
+  }
+  if (stored.format() > CurrentFormat) {
+    return boost::leaf::new_error(StorageError{
+        StorageErrorKind::NewerFormat, path,
+        "format " + std::to_string(stored.format()) +
+            " is newer than this program's " + std::to_string(CurrentFormat)});
+  }
+  if (stored.cluster() != Options.Cluster) {
+    return boost::leaf::new_error(StorageError{
+        StorageErrorKind::OtherCluster, path,
+        "belongs to cluster " + stored.cluster() + ", not " + Options.Cluster});
+  }
+  Id = {stored.id_high(), stored.id_low()};
+  Hard.Term = stored.term();
+  Hard.Repairing = stored.repairing();
+  if (stored.voted()) {
+    Hard.Vote = ReplicaId{stored.vote_high(), stored.vote_low()};
+  }
+  return {};
+}
+
+Result<void> ReplicaStorage::writeMetadata() {
+  protocol::StoredMetadata stored;
+  stored.set_format(CurrentFormat);
+  stored.set_cluster(Options.Cluster);
+  stored.set_id_high(Id.High);
+  stored.set_id_low(Id.Low);
+  stored.set_term(Hard.Term);
+  stored.set_repairing(Hard.Repairing);
+  if (Hard.Vote) {
+    stored.set_voted(true);
+    stored.set_vote_high(Hard.Vote->High);
+    stored.set_vote_low(Hard.Vote->Low);
+  }
+  return replaceFile(Options.Folder, MetadataFile,
+                     seal(stored.SerializeAsString()));
+}
+
+/// Reads snapshot and log. The mark that the replica needs repair is durable
+/// before anything that was damaged is cut off.
+Result<void> ReplicaStorage::recover() {
+  BOOST_LEAF_CHECK(recoverSnapshot());
+  BOOST_LEAF_AUTO(found, Log.scan());
+  const std::uint64_t snapshotIndex =
+      Recovered.LastSnapshot ? Recovered.LastSnapshot->Index : 0;
+  const bool gap = found.BaseIndex > snapshotIndex;
+  if ((found.Damaged || gap) && !Hard.Repairing) {
+    Hard.Repairing = true;
+  }
+  if (Hard.Repairing) {
+    BOOST_LEAF_CHECK(writeMetadata());
+  }
+  BOOST_LEAF_CHECK(Log.repairTail());
+  if (gap) {
+    found = {};
+    found.BaseIndex = snapshotIndex;
+    found.BaseTerm = Recovered.LastSnapshot ? Recovered.LastSnapshot->Term : 0;
+    BOOST_LEAF_CHECK(Log.reset(found.BaseIndex, found.BaseTerm));
+  }
+  NextBatch = Log.lastBatch() + 1;
+  Recovered.Hard = Hard;
+  Recovered.Entries = std::move(found.Entries);
+  Recovered.BaseIndex = found.BaseIndex;
+  Recovered.BaseTerm = found.BaseTerm;
+  Empty = Recovered.Entries.empty() && !Recovered.LastSnapshot &&
+          !Hard.Repairing && Hard.Term == 0;
+  return {};
+}
+
+Result<void> ReplicaStorage::recoverSnapshot() {
+  const std::string path = pathOf(SnapshotFile);
+  if (!exists(path)) {
+    return {};
+  }
+  BOOST_LEAF_AUTO(sealed, readFile(path));
+  const auto bytes = unseal(sealed);
+  protocol::StoredSnapshot stored;
+  if (!bytes || !stored.ParseFromString(*bytes)) {
+    Hard.Repairing = true;
+    return {};
+  }
+  auto snapshot = std::make_shared<Snapshot>();
+  snapshot->Index = stored.index();
+  snapshot->Term = stored.term();
+  snapshot->Members = Membership::fromMessage(stored.membership());
+  snapshot->Checksum = stored.checksum();
+  snapshot->Data = std::move(*stored.mutable_data());
+  Recovered.LastSnapshot = std::move(snapshot);
+  return {};
+}
+
+Result<void> ReplicaStorage::writeSnapshot(const Snapshot &snapshot) {
+  protocol::StoredSnapshot stored;
+  stored.set_index(snapshot.Index);
+  stored.set_term(snapshot.Term);
+  *stored.mutable_membership() = snapshot.Members.toMessage();
+  stored.set_checksum(snapshot.Checksum);
+  stored.set_data(snapshot.Data);
+  return replaceFile(Options.Folder, SnapshotFile,
+                     seal(stored.SerializeAsString()));
+}
+
+Result<void> ReplicaStorage::write(const replication::WriteBatch &batch) {
+  if (batch.NewSnapshot) {
+    BOOST_LEAF_CHECK(writeSnapshot(*batch.NewSnapshot));
+    if (batch.ResetLog) {
+      BOOST_LEAF_CHECK(
+          Log.reset(batch.NewSnapshot->Index, batch.NewSnapshot->Term));
+    } else {
+      BOOST_LEAF_CHECK(Log.discardThrough(batch.DiscardThrough));
+    }
+  }
+  if (batch.Hard) {
+    Hard = *batch.Hard;
+    BOOST_LEAF_CHECK(writeMetadata());
+  }
+  BOOST_LEAF_CHECK(Log.append(batch.Entries, NextBatch));
+  ++NextBatch;
+  return {};
+}
+
+} // namespace masticwinch::storage
--- /dev/null
+++ b/src/masticwinch/storage/segment_log.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "masticwinch/coordination/replication/durable_state.hpp"
+#include "masticwinch/storage/file.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace masticwinch::storage {
+
+/// The entries that the segments of a folder hold.
+struct SegmentScan {
+  std::vector<protocol::LogEntry> Entries;
+  std::uint64_t BaseIndex = 0;
+  std::uint64_t BaseTerm = 0;
+  bool Damaged = false;
+};
+
+/// The stored log: files that are appended to one after the other. Errors of
+/// all functions: `StorageError`.
+class SegmentLog {
+public:
+  SegmentLog(std::string folder, std::uint64_t segmentBytes);
+
+  /// Reads all segments. Nothing on the disk changes.
+  Result<SegmentScan> scan();
+
+  /// Cuts what `scan` did not accept and makes the log ready for appending.
+  Result<void> repairTail();
+
+  /// Appends entries and syncs them.
+  Result<void> append(const std::vector<protocol::LogEntry> &entries,
+                      std::uint64_t batch);
+
+  /// Empties the log; it goes on after an index.
+  Result<void> reset(std::uint64_t baseIndex, std::uint64_t baseTerm);
+
+  /// Removes segments all of whose entries are at or below an index.
+  Result<void> discardThrough(std::uint64_t index);
+
+  /// Number of the last sync that `scan` found.
+  std::uint64_t lastBatch() const { return LastBatch; }
+
+private:
+  struct Segment {
+    std::string Name;
+    std::uint64_t Sequence = 0;
+    std::uint64_t BaseIndex = 0;
+    std::uint64_t GoodBytes = 0;
+  };
+
+  std::string pathOf(const Segment &segment) const;
+  std::vector<Segment> listSegments() const;
+  Result<bool> scanSegment(Segment &segment, bool last, SegmentScan &found);
+  Result<void> startSegment();
+  Result<void> removeSegment(const Segment &segment);
+
+  std::string Folder;
+  std::uint64_t SegmentBytes;
+  std::deque<Segment> Segments;
+  /// Segments behind a damaged one.
+  std::vector<Segment> Rejected;
+  File Tail;
+  std::uint64_t LastIndex = 0;
+  std::uint64_t LastTerm = 0;
+  std::uint64_t LastBatch = 0;
+  std::uint64_t NextSequence = 1;
+};
+
+} // namespace masticwinch::storage
--- a/tests/http/test_http_server.cpp
+++ b/tests/http/test_http_server.cpp
@@ -55,7 +55,7 @@
 
 } // namespace
 
-TEST_CASE("A request arrives with method, decoded path, query and body",
+TEST_CASE("A request arrives with method, path as sent, query and body",
           "[http][server]") {
   EchoServer server;
   Caller caller;
@@ -64,7 +64,7 @@
   call.Body = std::string("body\0\r\n", 7);
   const HttpCallResult result = caller.call(call);
   REQUIRE(result.Outcome == HttpOutcome::Answered);
-  CHECK(result.Response.Headers.find("x-path") == "/a/b c+d");
+  CHECK(result.Response.Headers.find("x-path") == "/a%2Fb%20c+d");
   CHECK(result.Response.Headers.find("X-QUERY") == "x=1%26&y");
   CHECK(result.Response.Body == call.Method + " " + call.Body);
 }
--- a/tests/http/test_route.cpp
+++ b/tests/http/test_route.cpp
@@ -15,4 +15,8 @@
   CHECK(match == RouteMatch{"quotes", "/a/b"});
   CHECK(matchRoute("/v1/services/{}/**", "/v1/services/quotes", match));
   CHECK(match == RouteMatch{"quotes", ""});
+  CHECK(matchRoute("/v1/profiles/{}", "/v1/profiles/a%2Fb%20c", match));
+  CHECK(match == RouteMatch{"a/b c"});
+  CHECK(matchRoute("/v1/services/{}/**", "/v1/services/quotes/a%2Fb", match));
+  CHECK(match == RouteMatch{"quotes", "/a%2Fb"});
 }
--- a/tests/load/test_load_request.cpp
+++ b/tests/load/test_load_request.cpp
@@ -37,6 +37,12 @@
         LoadOutcome::WrongAnswer);
   CHECK(judgeLoadCall(stream, "a", answer(200, "")) ==
         LoadOutcome::WrongAnswer);
+  CHECK(judgeLoadCall(stream, "a", answer(200, "runner=r\na")) ==
+        LoadOutcome::Answered);
+  for (const char *body : {"runner=r\nb", "runner=r\n", "a\nb", "\na\n"}) {
+    CHECK(judgeLoadCall(stream, "a", answer(200, body)) ==
+          LoadOutcome::WrongAnswer);
+  }
   CHECK(judgeLoadCall(stream, "a", answer(503, "a")) ==
         LoadOutcome::ErrorStatus);
   const HttpHeaders notRun{{"Masticwinch-Outcome", "not_run"}};
--- a/tests/placement/fake_cell.hpp
+++ b/tests/placement/fake_cell.hpp
@@ -48,10 +48,13 @@
   const std::map<std::string, JobTerms> &jobs() const { return Jobs; }
   std::uint64_t starts() const { return Starts; }
 
-  void addWorker(WorkerDescription description) {
+  void addWorker(WorkerDescription description,
+                 std::int64_t clockGainMillionths = 0) {
     const std::uint64_t clock = 1000 * (Workers.size() + 1);
     Workers.push_back(std::make_unique<Place>(
-        Place{FakeWorker(std::move(description), clock), Link::Whole, {}}));
+        Place{FakeWorker(std::move(description), clock, clockGainMillionths),
+              Link::Whole,
+              {}}));
     Place &place = *Workers.back();
     place.Machine.OnStart = [this, &place](const FakeWorker::Task &task) {
       checkStart(place.Machine, task);
@@ -127,6 +130,15 @@
     settle();
   }
 
+  /// Lets the worker report what its running tasks take, in percent of what
+  /// they were given.
+  void setUsage(std::size_t index, std::int64_t percent) {
+    for (FakeWorker::Task &it : Workers[index]->Machine.tasks()) {
+      it.Used = {it.Amount.MilliProcessors * percent / 100,
+                 it.Amount.MemoryMib * percent / 100, it.Amount.Accelerators};
+    }
+  }
+
   void advance(Milliseconds by, std::size_t times) {
     for (std::size_t it = 0; it < times; ++it) {
       advance(by);
@@ -168,7 +180,7 @@
   };
 
   void settle() {
-    for (int round = 0; round < 4; ++round) {
+    for (int round = 0; round < 6; ++round) {
       const StepEffects effects = Leader->step(Now);
       Notices.insert(Notices.end(), effects.Notices.begin(),
                      effects.Notices.end());
@@ -193,10 +205,12 @@
       return;
     }
     const auto answer = place.Machine.take(call, Now);
-    if (answer && place.State == Link::Whole) {
+    if (place.State != Link::Whole) {
+      Leader->workerFailed(keyOf(call), Now);
+    } else if (answer) {
       Leader->workerAnswered(keyOf(call), *answer, Now);
     } else {
-      Leader->workerFailed(keyOf(call), Now);
+      Leader->workerRefused(keyOf(call), Now);
     }
   }
 
--- a/tests/placement/fake_worker.hpp
+++ b/tests/placement/fake_worker.hpp
@@ -23,8 +23,12 @@
     SteadyTime StartedAt{};
   };
 
-  FakeWorker(WorkerDescription description, std::uint64_t firstClockMs)
-      : Self(std::move(description)), FirstClockMs(firstClockMs) {}
+  /// The worker's clock begins at `firstClockMs` and gains that many
+  /// millionths on the placer's.
+  FakeWorker(WorkerDescription description, std::uint64_t firstClockMs,
+             std::int64_t gainMillionths = 0)
+      : Self(std::move(description)), FirstClockMs(firstClockMs),
+        GainMillionths(gainMillionths) {}
 
   const WorkerDescription &description() const { return Self; }
   const std::vector<Task> &tasks() const { return Tasks; }
@@ -34,7 +38,6 @@
   void advance(SteadyTime now) {
     if (LeaseEndMs != 0 && clockMs(now) >= LeaseEndMs) {
       LeaseEndMs = 0;
-      ++Incarnation;
       for (Task &it : Tasks) {
         if (it.State == ReportedState::Running) {
           it.State = ReportedState::Stopped;
@@ -51,23 +54,22 @@
     Epoch = Sequence = 0;
   }
 
-  /// Answers a call; nothing if the call's epoch is too old.
+  /// Answers a call; nothing if the worker refuses it.
   std::optional<WorkerAnswer> take(const WorkerCall &call, SteadyTime now) {
     advance(now);
     const LeaseGrant &grant = call.Grant;
-    if (grant.Epoch < Epoch) {
+    const bool asksOnly = grant.LeaseMs == 0;
+    const bool later = grant.Epoch > Epoch ||
+                       (grant.Epoch == Epoch && grant.Sequence > Sequence);
+    const bool known = asksOnly || grant.Incarnation == Incarnation;
+    const std::uint64_t end = grant.ClockMs + grant.LeaseMs;
+    if (!later || !known || (!asksOnly && end <= clockMs(now))) {
       return std::nullopt;
     }
-    if (grant.Epoch > Epoch) {
-      Epoch = grant.Epoch;
-      Sequence = 0;
-    }
-    const std::uint64_t end = grant.ClockMs + grant.LeaseMs;
-    const bool valid = grant.Sequence > Sequence &&
-                       grant.Incarnation == Incarnation && end > clockMs(now);
-    Sequence = std::max(Sequence, grant.Sequence);
-    if (valid) {
-      LeaseEndMs = std::max(LeaseEndMs, end);
+    Epoch = grant.Epoch;
+    Sequence = grant.Sequence;
+    if (!asksOnly) {
+      LeaseEndMs = end;
       obey(call, now);
     }
     return answer(now);
@@ -100,7 +102,8 @@
   std::uint64_t clockMs(SteadyTime now) const {
     const auto since =
         std::chrono::duration_cast<Milliseconds>(now.time_since_epoch());
-    return FirstClockMs + static_cast<std::uint64_t>(since.count());
+    const std::int64_t gained = since.count() * GainMillionths / 1'000'000;
+    return FirstClockMs + static_cast<std::uint64_t>(since.count() + gained);
   }
 
   Task *find(const AttemptId &id) {
@@ -127,8 +130,12 @@
       }
     }
     for (const StartOrder &it : call.Starts) {
-      if (find(it.Id) != nullptr ||
-          !(given() + it.Amount).fitsIn(Self.Capacity)) {
+      if (find(it.Id) != nullptr) {
+        continue;
+      }
+      if (!(given() + it.Amount).fitsIn(Self.Capacity)) {
+        Tasks.push_back(
+            {it.Id, it.Amount, ReportedState::Refused, "", {}, now});
         continue;
       }
       Tasks.push_back({it.Id, it.Amount, ReportedState::Running, "", {}, now});
@@ -140,6 +147,7 @@
 
   WorkerDescription Self;
   std::uint64_t FirstClockMs;
+  std::int64_t GainMillionths;
   std::uint64_t Incarnation = 1;
   std::uint64_t Epoch = 0;
   std::uint64_t Sequence = 0;
--- a/tests/placement/test_placer.cpp
+++ b/tests/placement/test_placer.cpp
@@ -326,3 +326,38 @@
   }
   CHECK(racks.size() == 3);
 }
+
+TEST_CASE("An earlier job may end before the earlier leases do",
+          "[placement]") {
+  FakeCell cell(PlacerSettings{});
+  cell.addWorker(standardVm(0));
+  cell.submit(batchJob("sheet", 1, {8'000, 1024, 0}));
+  cell.advance(Tick, 2);
+  cell.elect();
+  cell.advance(Tick, 2);
+  finishAll(cell, "sheet");
+  cell.advance(Tick, 2);
+  CHECK(cell.endedJobs().contains("sheet"));
+  cell.advance(Tick, 150);
+  CHECK_FALSE(cell.placer().explain("sheet"));
+}
+
+TEST_CASE("A gang of which one worker refused a task starts anew, whole",
+          "[placement]") {
+  FakeCell cell(PlacerSettings{});
+  cell.addWorker(standardVm(0));
+  cell.addWorker(standardVm(1));
+  cell.advance(Tick, 2);
+  cell.restartWorker(0);
+  JobTerms gang = batchJob("gang", 2, {32'000, 512, 0});
+  gang.Kind = JobKind::Gang;
+  cell.submit(gang);
+  cell.advance(Milliseconds(1));
+  finishAll(cell, "gang");
+  cell.advance(Tick, 5);
+  const auto finished = tasksOf(cell.progress("gang").finished());
+  CHECK(cell.running("gang") + finished.size() == 2);
+  finishAll(cell, "gang");
+  cell.advance(Tick, 2);
+  CHECK(cell.endedJobs().contains("gang"));
+}
--- /dev/null
+++ b/tests/processes/support.py
@@ -0,0 +1,223 @@
+"""Common parts of the tests that run a cell of real processes."""
+
+import argparse
+import http.client
+import json
+import pathlib
+import shutil
+import sys
+import tempfile
+import threading
+import time
+import unittest
+import urllib.parse
+import uuid
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+sys.path.insert(0, str(ROOT / "scripts" / "lib"))
+
+from masticwinch.cell import Cell  # noqa: E402
+from masticwinch.layout import CellSize  # noqa: E402
+
+# Bound on every wait for something that has to happen; a test that runs into it
+# fails.
+WAIT_SECONDS = 60
+POLL_SECONDS = 0.05
+SERVICE = "prices"
+PROFILE = "lookup"
+LOOKUP_PROFILE = {"requests": {"work_class": "URGENT", "deadline_ms": 5000}}
+
+BUILD = ""
+
+
+class Answer:
+    """An HTTP answer, or how the call failed. `status` is 0 if the connection
+    was refused and None if it broke."""
+
+    def __init__(self, status, headers=None, body=b""):
+        self.status = status
+        self.headers = headers or {}
+        self.body = body
+
+    @property
+    def outcome(self):
+        """What the system says became of the request."""
+        return self.headers.get("masticwinch-outcome", "")
+
+    def json(self):
+        """The body as JSON."""
+        return json.loads(self.body)
+
+
+def call(method, url, body=b"", headers=None, timeout=WAIT_SECONDS):
+    """Makes one HTTP call on a connection of its own."""
+    parts = urllib.parse.urlsplit(url)
+    connection = http.client.HTTPConnection(parts.hostname, parts.port,
+                                            timeout=timeout)
+    try:
+        connection.connect()
+    except ConnectionRefusedError:
+        return Answer(0)
+    try:
+        connection.request(method, parts.path or "/", body, headers or {})
+        answer = connection.getresponse()
+        return Answer(answer.status,
+                      {name.lower(): value for name, value in answer.getheaders()},
+                      answer.read())
+    except (OSError, http.client.HTTPException):
+        return Answer(None)
+    finally:
+        connection.close()
+
+
+def lookup(entry, request_id=None, headers=None, timeout=WAIT_SECONDS):
+    """Sends a lookup through an entry VM; its body is its request id."""
+    request_id = request_id or uuid.uuid4().hex
+    return call("POST", f"{entry.urls['callers']}/v1/services/{SERVICE}/quote",
+                request_id.encode(),
+                {"Masticwinch-Profile": PROFILE,
+                 "Masticwinch-Request-Id": request_id, **(headers or {})},
+                timeout)
+
+
+def wait_until(condition, what):
+    """Waits until the condition holds."""
+    deadline = time.monotonic() + WAIT_SECONDS
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError(f"not within {WAIT_SECONDS} s: {what}")
+        time.sleep(POLL_SECONDS)
+
+
+def read_lines(file):
+    """Lines of key=value pairs of a file, as dictionaries."""
+    if not file.exists():
+        return []
+    return [dict(pair.split("=", 1) for pair in line.split())
+            for line in file.read_text().splitlines()]
+
+
+class CellTest(unittest.TestCase):
+    """A test with a cell of its own, which has to stop in order at the end."""
+
+    SIZE = CellSize(controls=1, entries=3, runners=2, workers=0)
+    OVERRIDES = {}
+
+    def setUp(self):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="masticwinch-cell-"))
+        self.addCleanup(self.remove_folder)
+        self.cell = Cell.create(self.folder, BUILD, self.SIZE, self.OVERRIDES)
+        self.cell.start()
+        self.addCleanup(self.stop_cell)
+        self.entries = self.cell.of_role("entry")
+        self.runners = self.cell.of_role("runner")
+        self.put_profile(PROFILE, LOOKUP_PROFILE)
+
+    def stop_cell(self):
+        """Stops the cell; a process that has to be killed fails the test."""
+        self.assertEqual([], self.cell.stop(), "had to be killed")
+
+    def remove_folder(self):
+        """Removes the cell's folder unless the test failed."""
+        if any(error for _, error in self._outcome.result.failures +
+               self._outcome.result.errors):
+            print(f"kept {self.folder}")
+            return
+        shutil.rmtree(self.folder)
+
+    def put_profile(self, name, spec):
+        """Puts a profile and waits until it is in force on every entry VM."""
+        answer = call("PUT", f"{self.entries[0].urls['operators']}/v1/profiles/{name}",
+                      json.dumps(spec).encode())
+        self.assertEqual(200, answer.status, answer.body)
+        for entry in self.entries:
+            wait_until(lambda entry=entry: lookup(entry).status not in (404, 410),
+                       f"{name} is in force on {entry.name}")
+
+    def executions(self):
+        """All executions by request id, with the runners that ran them."""
+        executions = {}
+        for runner in self.runners:
+            file = self.folder / "runners" / f"{runner.name}.executions"
+            for line in read_lines(file):
+                executions.setdefault(line["request_id"], []).append(runner.name)
+        return executions
+
+    def stats(self, runner):
+        """Figures of a runner."""
+        return call("GET", runner.urls["stats"]).json()
+
+
+class Balancer:
+    """Sends lookups from several threads to entry VMs whose health check
+    passes, as the platform's balancer does, and keeps what became of each. A
+    request that surely didn't run is sent again under its id."""
+
+    HEALTH_SECONDS = 0.1
+
+    def __init__(self, entries, threads, headers=None):
+        self.entries = entries
+        self.headers = headers or {}
+        self.healthy = list(entries)
+        self.stopping = threading.Event()
+        self.ended = {}
+        self.problems = []
+        self.threads = [threading.Thread(target=self._watch)]
+        self.threads += [threading.Thread(target=self._send, args=(i,))
+                         for i in range(threads)]
+
+    def __enter__(self):
+        for it in self.threads:
+            it.start()
+        return self
+
+    def __exit__(self, *_):
+        self.stopping.set()
+        for it in self.threads:
+            it.join()
+
+    def wait_for_answers(self, count):
+        """Waits until that many more lookups were answered."""
+        target = len(self.ended) + count
+        wait_until(lambda: len(self.ended) >= target, f"{target} answers")
+
+    def _watch(self):
+        while not self.stopping.wait(self.HEALTH_SECONDS):
+            self.healthy = [it for it in self.entries if it.is_healthy()]
+
+    def _send(self, turn):
+        while not self.stopping.is_set():
+            request_id = uuid.uuid4().hex
+            while not self._send_once(request_id, turn):
+                turn += 1
+            turn += 1
+
+    def _send_once(self, request_id, turn):
+        """Whether the lookup ended; False to send it again."""
+        healthy = self.healthy
+        if not healthy:
+            time.sleep(POLL_SECONDS)
+            return False
+        entry = healthy[turn % len(healthy)]
+        answer = lookup(entry, request_id, self.headers)
+        if answer.status == 0 or answer.outcome == "not_run":
+            time.sleep(POLL_SECONDS)
+            return False
+        self.ended[request_id] = answer
+        if answer.outcome != "answered" or answer.status != 200:
+            self.problems.append(
+                f"{request_id} at {entry.name}: status {answer.status} "
+                f"outcome {answer.outcome} {answer.body!r}")
+        elif request_id.encode() not in answer.body:
+            self.problems.append(f"{request_id} got {answer.body!r}")
+        return True
+
+
+def main():
+    """Runs the tests of the calling module."""
+    global BUILD
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", required=True, help="folder of the programs")
+    arguments, rest = parser.parse_known_args()
+    BUILD = arguments.build
+    unittest.main(module="__main__", argv=[sys.argv[0], "-v", *rest])
--- /dev/null
+++ b/tests/processes/test_runners.py
@@ -0,0 +1,105 @@
+#!/usr/bin/env python3
+"""Upstreams that leave, die and restart."""
+
+import signal
+import uuid
+
+import support
+from support import Balancer, CellTest, call, lookup, wait_until
+
+# Time in which every entry VM has to know that an upstream is leaving.
+LEAVE_SECONDS = 3
+
+
+class RunnerTest(CellTest):
+    def test_leaving_runner_gets_no_new_work(self):
+        leaving, staying = self.runners
+        with Balancer(self.entries, threads=6) as balancer:
+            balancer.wait_for_answers(100)
+            answer = call("POST", f"{leaving.urls['operators']}/stand-in/leave")
+            self.assertEqual(202, answer.status)
+            wait_until(lambda: self.left_at(leaving) is not None,
+                       "the leave is answered")
+            balancer.wait_for_answers(400)
+            wait_until(lambda: self.last_execution(staying) >
+                       self.left_at(leaving) + 2 * LEAVE_SECONDS,
+                       "work goes on long after the leave")
+        self.assertEqual([], balancer.problems)
+        self.assertLess(self.last_execution(leaving),
+                        self.left_at(leaving) + LEAVE_SECONDS)
+
+    def left_at(self, runner):
+        """Time at which the leave was answered, or None."""
+        file = self.folder / "events" / f"{runner.name}.events"
+        for line in file.read_text().splitlines():
+            if " event=left " in line:
+                stamp = line.split(" hlc=")[1].split()[0]
+                return int(stamp.split(".")[0]) / 1000
+        return None
+
+    def last_execution(self, runner):
+        """Time of the runner's last execution."""
+        file = self.folder / "runners" / f"{runner.name}.executions"
+        lines = support.read_lines(file)
+        return float(lines[-1]["time"]) if lines else 0
+
+    def test_planned_stop_of_a_runner_under_load_loses_nothing(self):
+        stopped, staying = self.runners
+        with Balancer(self.entries, 6, {"Stand-In-Behavior": "delay=50"}) as balancer:
+            balancer.wait_for_answers(50)
+            stopped.send(signal.SIGTERM)
+            self.assertTrue(stopped.wait_for_end(support.WAIT_SECONDS))
+            balancer.wait_for_answers(50)
+        self.assertEqual([], balancer.problems)
+        executions = self.executions()
+        self.assertEqual({}, {it: executions.get(it) for it in balancer.ended
+                              if len(executions.get(it, [])) != 1})
+
+    def test_killed_runner_serves_again_after_its_restart(self):
+        killed, other = self.runners
+        killed.kill()
+        other.kill()
+        before = len(self.executions())
+        self.cell.start_again(killed.name)
+        self.cell.wait_until_healthy([killed])
+        request_ids = [uuid.uuid4().hex for _ in range(20)]
+
+        def all_answered():
+            """Sends what surely did not run again."""
+            waiting = [it for it in request_ids if it not in self.executions()]
+            for it in waiting:
+                lookup(self.entries[0], it)
+            return not waiting
+
+        wait_until(all_answered, "the restarted runner answers")
+        executions = self.executions()
+        self.assertEqual(before + len(request_ids), len(executions))
+        for it in request_ids:
+            self.assertEqual([killed.name], executions[it])
+
+    def test_runner_is_never_given_more_than_its_slots(self):
+        with Balancer(self.entries, 40, {"Stand-In-Behavior": "delay=20"}) as balancer:
+            balancer.wait_for_answers(400)
+            # A new incarnation of an entry VM takes over the old one's share.
+            entry = self.entries[0]
+            entry.send(signal.SIGTERM)
+            self.assertTrue(entry.wait_for_end(support.WAIT_SECONDS))
+            self.cell.start_again(entry.name)
+            self.cell.wait_until_healthy([entry])
+            balancer.wait_for_answers(400)
+        self.assertEqual([], balancer.problems)
+        for runner in self.runners:
+            stats = self.stats(runner)
+            self.assertLessEqual(stats["most_executing"], 8, runner.name)
+            self.assertLessEqual(stats["most_connections"], 64, runner.name)
+
+
+class FaultyRunnerTest(CellTest):
+    def test_truncated_answer_is_unknown_and_runs_once(self):
+        answer = lookup(self.entries[0], "cut", {"Stand-In-Behavior": "truncate"})
+        self.assertEqual("unknown", answer.outcome)
+        self.assertEqual(1, len(self.executions()["cut"]))
+
+
+if __name__ == "__main__":
+    support.main()
--- a/tests/stand_in/test_worker_tasks.cpp
+++ b/tests/stand_in/test_worker_tasks.cpp
@@ -220,3 +220,22 @@
       R"({"epoch":1,"sequence":1,"lease_ms":5,"later":1})");
   CHECK_FALSE(parseLeaseRequest(body));
 }
+
+TEST_CASE("A request without a lease only asks for the report",
+          "[stand-in][worker]") {
+  Worker worker;
+  worker.start(startOf("a", 1000, R"({"run_ms":5000})"));
+  worker.advance(600);
+  LeaseRequest question = worker.request();
+  question.Lease = Milliseconds(0);
+  question.Start.push_back(startOf("b", 1000));
+  REQUIRE_FALSE(worker.Tasks.apply(question, worker.Clock.now()));
+  CHECK(worker.only().Given.MilliProcessors == 1000);
+  worker.advance(399);
+  CHECK(worker.only().State == TaskState::Running);
+  worker.advance(1);
+  CHECK(worker.only().Reason == "lease_expired");
+  question.Sequence = 1;
+  CHECK(worker.Tasks.apply(question, worker.Clock.now())->Code ==
+        "stale_sequence");
+}
--- /dev/null
+++ b/tests/storage/test_replica_storage.cpp
@@ -0,0 +1,338 @@
+#include "masticwinch/protocol/storage.pb.h"
+#include "masticwinch/storage/record.hpp"
+#include "masticwinch/storage/replica_storage.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <sys/resource.h>
+
+#include "fuzzing/replication/memory_disk.hpp"
+#include "tests/storage/temporary_folder.hpp"
+#include <csignal>
+#include <fstream>
+#include <optional>
+
+namespace masticwinch::storage {
+
+namespace {
+
+using replication::RecoveredState;
+using replication::Snapshot;
+using replication::WriteBatch;
+
+protocol::LogEntry entry(std::uint64_t index, std::uint64_t term,
+                         std::string data) {
+  protocol::LogEntry made;
+  made.set_index(index);
+  made.set_term(term);
+  made.set_kind(protocol::COMMAND);
+  made.set_data(std::move(data));
+  return made;
+}
+
+WriteBatch batchOf(std::vector<protocol::LogEntry> entries) {
+  WriteBatch batch;
+  batch.Entries = std::move(entries);
+  return batch;
+}
+
+Result<ReplicaStorage> openAt(const std::string &folder,
+                              const std::string &cluster = "cell",
+                              std::uint64_t segmentBytes = 600) {
+  std::mt19937_64 engine(std::random_device{}());
+  return ReplicaStorage::open({folder, cluster, segmentBytes}, engine);
+}
+
+/// Kind of the error that opening a folder gives; nothing if it opens.
+std::optional<StorageErrorKind> refusal(const std::string &folder,
+                                        const std::string &cluster = "cell") {
+  return boost::leaf::try_handle_all(
+      [&]() -> Result<std::optional<StorageErrorKind>> {
+        BOOST_LEAF_CHECK(openAt(folder, cluster));
+        return std::optional<StorageErrorKind>();
+      },
+      [](const StorageError &error) { return std::optional(error.Kind); },
+      [] { return std::optional<StorageErrorKind>(); });
+}
+
+std::string newestSegment(const std::string &folder) {
+  std::string newest;
+  for (const auto &it : std::filesystem::directory_iterator(folder)) {
+    const std::string path = it.path().string();
+    if (it.path().filename().string().starts_with("log-")) {
+      newest = std::max(newest, path);
+    }
+  }
+  return newest;
+}
+
+void flipByte(const std::string &path, std::size_t offset) {
+  std::fstream file(path, std::ios::in | std::ios::out | std::ios::binary);
+  file.seekg(static_cast<std::streamoff>(offset));
+  const char old = static_cast<char>(file.get());
+  file.seekp(static_cast<std::streamoff>(offset));
+  file.put(static_cast<char>(old ^ 0x10));
+}
+
+/// Three entries synced one by one in one segment.
+std::string writeThree(const std::string &folder) {
+  auto storage = openAt(folder, "cell", 1 << 20);
+  REQUIRE(storage);
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    REQUIRE(storage->write(batchOf({entry(i, 1, "data")})));
+  }
+  return newestSegment(folder);
+}
+
+std::size_t recordBytes() {
+  return encodeRecord(entry(1, 1, "data"), 1).size();
+}
+
+bool sameState(const RecoveredState &a, const RecoveredState &b) {
+  // Whole segments are dropped, so that more of the log may be left.
+  const std::size_t extra =
+      a.Entries.size() - std::min(a.Entries.size(), b.Entries.size());
+  for (std::size_t i = 0; i < b.Entries.size(); ++i) {
+    if (extra + i >= a.Entries.size() ||
+        a.Entries[extra + i].SerializeAsString() !=
+            b.Entries[i].SerializeAsString()) {
+      return false;
+    }
+  }
+  const bool sameSnapshot =
+      !a.LastSnapshot == !b.LastSnapshot &&
+      (!a.LastSnapshot || (a.LastSnapshot->Data == b.LastSnapshot->Data &&
+                           a.LastSnapshot->Index == b.LastSnapshot->Index));
+  return a.Hard == b.Hard && sameSnapshot && a.BaseIndex <= b.BaseIndex;
+}
+
+/// A batch that a replica may hand out after the state.
+WriteBatch anyBatch(const RecoveredState &state) {
+  WriteBatch batch;
+  const std::uint64_t base = state.BaseIndex;
+  std::uint64_t last = base + state.Entries.size();
+  const auto kind = *rc::gen::inRange(0, 6);
+  if (kind == 0) {
+    batch.Hard = state.Hard;
+    batch.Hard->Term += 1;
+  }
+  if (kind == 1 && last > base) {
+    auto snapshot = std::make_shared<Snapshot>();
+    snapshot->Index = *rc::gen::inRange(base + 1, last + 1);
+    snapshot->Term = state.Entries[snapshot->Index - base - 1].term();
+    snapshot->Data = *rc::gen::arbitrary<std::string>();
+    batch.DiscardThrough = snapshot->Index;
+    batch.NewSnapshot = std::move(snapshot);
+  }
+  if (kind == 2) {
+    auto snapshot = std::make_shared<Snapshot>();
+    snapshot->Index = last + 5;
+    snapshot->Term = 99;
+    batch.ResetLog = true;
+    last = snapshot->Index;
+    batch.NewSnapshot = std::move(snapshot);
+  }
+  if (kind == 3 && last > base) {
+    const std::uint64_t floor =
+        std::max(base, state.LastSnapshot ? state.LastSnapshot->Index : 0);
+    last = *rc::gen::inRange(floor, last + 1);
+  }
+  const int count = *rc::gen::inRange(0, 5);
+  for (int i = 0; i < count; ++i) {
+    batch.Entries.push_back(entry(++last, 100 + state.Hard.Term,
+                                  *rc::gen::arbitrary<std::string>()));
+  }
+  return batch;
+}
+
+} // namespace
+
+TEST_CASE("A data folder holds after reopening what was synced",
+          "[storage][fuzz]") {
+  REQUIRE(rc::check([] {
+    testing::TemporaryFolder parent;
+    const std::string folder = parent.file("data");
+    fuzzing::MemoryDisk expected;
+    const int rounds = *rc::gen::inRange(1, 4);
+    for (int round = 0; round < rounds; ++round) {
+      auto storage = openAt(folder);
+      RC_ASSERT(bool(storage));
+      RC_ASSERT(sameState(storage->takeRecovered(), expected.recover()));
+      const int batches = *rc::gen::inRange(0, 12);
+      for (int i = 0; i < batches; ++i) {
+        const WriteBatch batch = anyBatch(expected.recover());
+        RC_ASSERT(bool(storage->write(batch)));
+        expected.sync(batch);
+      }
+    }
+    auto storage = openAt(folder);
+    RC_ASSERT(sameState(storage->takeRecovered(), expected.recover()));
+  }));
+}
+
+TEST_CASE("A torn tail at any byte is cut and is no damage", "[storage]") {
+  for (std::size_t cut = 1; cut < recordBytes(); cut += 7) {
+    testing::TemporaryFolder parent;
+    const std::string folder = parent.file("data");
+    const std::string segment = writeThree(folder);
+    std::filesystem::resize_file(segment,
+                                 std::filesystem::file_size(segment) - cut);
+    auto storage = openAt(folder);
+    REQUIRE(storage);
+    const RecoveredState state = storage->takeRecovered();
+    CHECK(state.Entries.size() == 2);
+    CHECK_FALSE(state.Hard.Repairing);
+    REQUIRE(storage->write(batchOf({entry(3, 2, "again")})));
+  }
+}
+
+TEST_CASE("A last record that only partly reached the disk is no damage",
+          "[storage]") {
+  testing::TemporaryFolder parent;
+  const std::string folder = parent.file("data");
+  const std::string segment = writeThree(folder);
+  std::filesystem::resize_file(segment, std::filesystem::file_size(segment) -
+                                            recordBytes());
+  std::filesystem::resize_file(segment,
+                               std::filesystem::file_size(segment) + 2000);
+  const RecoveredState state = openAt(folder)->takeRecovered();
+  CHECK(state.Entries.size() == 2);
+  CHECK_FALSE(state.Hard.Repairing);
+}
+
+TEST_CASE("A flipped bit in any synced record is damage, the last included",
+          "[storage]") {
+  for (std::size_t offset = FrameBytes; offset < FrameBytes + 3 * recordBytes();
+       offset += 11) {
+    testing::TemporaryFolder parent;
+    const std::string folder = parent.file("data");
+    flipByte(writeThree(folder), offset);
+    const std::size_t record = (offset - FrameBytes) / recordBytes();
+    const std::size_t within = (offset - FrameBytes) % recordBytes();
+    const RecoveredState state = openAt(folder)->takeRecovered();
+    const bool onlyTrailer = within >= recordBytes() - FrameBytes;
+    INFO("offset " << offset);
+    CHECK(state.Entries.size() == (onlyTrailer ? 3 : record));
+    CHECK(state.Hard.Repairing == !onlyTrailer);
+  }
+}
+
+TEST_CASE("The need for repair outlives a restart until it is cleared",
+          "[storage]") {
+  testing::TemporaryFolder parent;
+  const std::string folder = parent.file("data");
+  flipByte(writeThree(folder), FrameBytes + recordBytes() + 60);
+  REQUIRE(openAt(folder)->takeRecovered().Hard.Repairing);
+  {
+    auto storage = openAt(folder);
+    REQUIRE(storage->takeRecovered().Hard.Repairing);
+    WriteBatch batch = batchOf({entry(2, 1, "data"), entry(3, 1, "data")});
+    batch.Hard.emplace();
+    REQUIRE(storage->write(batch));
+  }
+  const RecoveredState state = openAt(folder)->takeRecovered();
+  CHECK_FALSE(state.Hard.Repairing);
+  CHECK(state.Entries.size() == 3);
+}
+
+TEST_CASE("A damaged snapshot whose log is gone asks for repair", "[storage]") {
+  testing::TemporaryFolder parent;
+  const std::string folder = parent.file("data");
+  {
+    auto storage = openAt(folder);
+    WriteBatch batch;
+    auto snapshot = std::make_shared<Snapshot>();
+    snapshot->Index = 50;
+    snapshot->Term = 3;
+    snapshot->Data = "state";
+    batch.NewSnapshot = std::move(snapshot);
+    batch.ResetLog = true;
+    REQUIRE(storage->write(batch));
+  }
+  flipByte(folder + "/snapshot", 12);
+  const RecoveredState state = openAt(folder)->takeRecovered();
+  CHECK(state.Hard.Repairing);
+  CHECK_FALSE(state.LastSnapshot);
+  CHECK(state.BaseIndex == 0);
+}
+
+TEST_CASE("Data folders that are not this replica's are refused", "[storage]") {
+  testing::TemporaryFolder parent;
+  const std::string folder = parent.file("data");
+  writeThree(folder);
+
+  SECTION("another cluster") {
+    CHECK(refusal(folder, "other") == StorageErrorKind::OtherCluster);
+  }
+  SECTION("in use") {
+    const auto first = openAt(folder);
+    REQUIRE(first);
+    CHECK(refusal(folder) == StorageErrorKind::Locked);
+  }
+  SECTION("writable by others") {
+    std::filesystem::permissions(folder, std::filesystem::perms::others_write,
+                                 std::filesystem::perm_options::add);
+    CHECK(refusal(folder) == StorageErrorKind::Permissions);
+  }
+  SECTION("damaged metadata") {
+    flipByte(folder + "/metadata", 10);
+    CHECK(refusal(folder) == StorageErrorKind::MetadataDamaged);
+  }
+  SECTION("a newer format") {
+    protocol::StoredMetadata newer;
+    newer.set_format(2);
+    newer.set_cluster("cell");
+    const std::string bytes = newer.SerializeAsString();
+    const std::uint64_t checksum = payloadChecksum(bytes);
+    std::ofstream file(folder + "/metadata", std::ios::binary);
+    file.write(reinterpret_cast<const char *>(&checksum), sizeof checksum);
+    file << bytes;
+    file.close();
+    CHECK(refusal(folder) == StorageErrorKind::NewerFormat);
+  }
+  SECTION("a log without metadata") {
+    std::filesystem::remove(folder + "/metadata");
+    CHECK(refusal(folder) == StorageErrorKind::MetadataDamaged);
+  }
+}
+
+TEST_CASE("A wiped folder gets another identity", "[storage]") {
+  testing::TemporaryFolder parent;
+  const std::string folder = parent.file("data");
+  const auto first = openAt(folder)->id();
+  CHECK(openAt(folder)->id() == first);
+  std::filesystem::remove_all(folder);
+  CHECK(openAt(folder)->id() != first);
+}
+
+TEST_CASE("A full disk refuses a write and keeps what it has", "[storage]") {
+  testing::TemporaryFolder parent;
+  const std::string folder = parent.file("data");
+  writeThree(folder);
+  auto storage = openAt(folder);
+  REQUIRE(storage);
+  const auto oldHandler = std::signal(SIGXFSZ, SIG_IGN);
+  rlimit old{};
+  REQUIRE(getrlimit(RLIMIT_FSIZE, &old) == 0);
+  const rlimit small{2000, old.rlim_max};
+  REQUIRE(setrlimit(RLIMIT_FSIZE, &small) == 0);
+  const auto kind = boost::leaf::try_handle_all(
+      [&]() -> Result<std::optional<StorageErrorKind>> {
+        BOOST_LEAF_CHECK(
+            storage->write(batchOf({entry(4, 1, std::string(4000, 'x'))})));
+        return std::optional<StorageErrorKind>();
+      },
+      [](const StorageError &error) { return std::optional(error.Kind); },
+      [] { return std::optional<StorageErrorKind>(); });
+  REQUIRE(setrlimit(RLIMIT_FSIZE, &old) == 0);
+  std::signal(SIGXFSZ, oldHandler);
+  CHECK(kind == StorageErrorKind::DiskFull);
+  REQUIRE(storage->write(batchOf({entry(4, 1, std::string(4000, 'x'))})));
+  storage = openAt(parent.file("elsewhere"));
+  const RecoveredState state = openAt(folder)->takeRecovered();
+  CHECK(state.Entries.size() == 4);
+  CHECK_FALSE(state.Hard.Repairing);
+}
+
+} // namespace masticwinch::storage
