Run requests of the entry daemon through the dispatcher

Cause: the thin entry daemon knew one attempt, a fixed split of slots and no idempotency keys. A stopping entry VM becomes a leaving member first, hands its slots over and leaves when all is settled.

--- a/fuzzing/requests/request_world.cpp
+++ b/fuzzing/requests/request_world.cpp
@@ -121,8 +121,8 @@
     Oracle.replied(node.Requests.at(reply->Request), *reply);
   } else if (const auto *claim = std::get_if<ChangeClaim>(&effect)) {
     node.Claims->add(*claim);
-  } else {
-    sendPeer(node, std::get<PeerMessage>(effect));
+  } else if (const auto *message = std::get_if<PeerMessage>(&effect)) {
+    sendPeer(node, *message);
   }
 }
 
--- a/src/masticwinch/callers/outcome.hpp
+++ b/src/masticwinch/callers/outcome.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "masticwinch/common/enum_names.hpp"
+#include "masticwinch/coordination/requests/request_types.hpp"
 #include "masticwinch/http/http_message.hpp"
 
 #include <cstdint>
@@ -8,26 +8,20 @@
 
 namespace masticwinch::callers {
 
-/// What became of a caller's request; stated on every reply.
-enum class Outcome : std::uint8_t {
-  /// The upstream answered; the reply is its whole answer.
-  Answered,
-  /// No upstream ran the request, and none will.
-  NotRun,
-  /// The request may or may not have run.
-  Unknown,
-};
-
 inline constexpr const char *OutcomeHeader = "Masticwinch-Outcome";
 inline constexpr const char *AttemptsHeader = "Masticwinch-Attempts";
 inline constexpr const char *RequestIdHeader = "Masticwinch-Request-Id";
 inline constexpr const char *ProfileHeader = "Masticwinch-Profile";
 inline constexpr const char *CallerHeader = "Masticwinch-Caller";
+inline constexpr const char *RepeatableHeader = "Masticwinch-Repeatable";
+inline constexpr const char *DeadlineHeader = "Masticwinch-Deadline-Ms";
+/// `true` on an upstream's answer that states that it didn't run the request.
+inline constexpr const char *NotRunHeader = "Masticwinch-Not-Run";
 inline constexpr const char *IdempotencyKeyHeader = "Idempotency-Key";
 
 /// Facts that every reply to a caller states.
 struct ReplyFacts {
-  Outcome Result = Outcome::NotRun;
+  RequestOutcome Result = RequestOutcome::NotRun;
   std::uint32_t Attempts = 0;
   std::string RequestId;
 };
@@ -36,15 +30,3 @@
 void stateFacts(HttpResponse &response, const ReplyFacts &facts);
 
 } // namespace masticwinch::callers
-
-namespace masticwinch {
-
-template <> struct EnumNames<callers::Outcome> {
-  static constexpr std::array<EnumName<callers::Outcome>, 3> Table{{
-      {callers::Outcome::Answered, "answered"},
-      {callers::Outcome::NotRun, "not_run"},
-      {callers::Outcome::Unknown, "unknown"},
-  }};
-};
-
-} // namespace masticwinch
--- /dev/null
+++ b/src/masticwinch/callers/request_service.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "masticwinch/coordination/requests/claim_client.hpp"
+#include "masticwinch/coordination/requests/dispatcher.hpp"
+#include "masticwinch/http/http_client.hpp"
+#include "masticwinch/http/route.hpp"
+
+#include <asio/steady_timer.hpp>
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace masticwinch {
+class EventLog;
+class HttpExchange;
+} // namespace masticwinch
+
+namespace masticwinch::protocol {
+class Envelope;
+}
+
+namespace masticwinch::peers {
+class CellClient;
+class EntrySession;
+class Mailbox;
+} // namespace masticwinch::peers
+
+namespace masticwinch::upstreams {
+class TrafficPool;
+}
+
+namespace masticwinch::callers {
+
+/// Connects the dispatcher with callers, upstreams, the other entry VMs and the
+/// replicated state: passes events in and carries the effects out. Runs on the
+/// control thread.
+class RequestService {
+public:
+  RequestService(asio::io_context &context, const Clock &clock,
+                 peers::EntrySession &session, peers::CellClient &cell,
+                 peers::Mailbox &mailbox, upstreams::TrafficPool &traffic,
+                 EventLog &events, DispatcherOptions options);
+
+  void start();
+
+  /// `ANY /v1/services/SERVICE/PATH` with the profile named in a header.
+  void handle(const std::shared_ptr<HttpExchange> &exchange,
+              const RouteMatch &match);
+
+  /// Takes in a message of another entry VM; others are ignored.
+  void receive(const protocol::Envelope &envelope);
+
+  /// Takes no new requests from now on.
+  void drain();
+
+  /// Whether every request, claim and slot of this entry VM is settled.
+  bool settled() const;
+
+  /// Requests that have not ended yet.
+  std::size_t pending() const { return Requests.size(); }
+  DispatcherCounts counts() const { return Machine.counts(Time.now()); }
+
+private:
+  struct CallerRequest {
+    std::shared_ptr<HttpExchange> Exchange;
+    std::string Id;
+    std::string Path;
+  };
+
+  void configurationChanged();
+  void leaseExtended();
+  void scheduleTick();
+  void carryOut();
+  void perform(ChangeClaim &effect);
+  void perform(StartDispatch &effect);
+  void perform(CancelDispatch &effect);
+  void perform(ReplyToCaller &effect);
+  void perform(ForgetRequest &effect);
+  void perform(PeerMessage &effect);
+  HttpCall callOf(const CallerRequest &request,
+                  const StartDispatch &effect) const;
+  void dispatchEnded(DispatchNumber number, HttpCallResult result);
+  void submitClaims();
+  void claimsAnswered(std::uint64_t number, bool answered,
+                      const protocol::CommandResult &result);
+
+  const Clock &Time;
+  peers::EntrySession &Session;
+  peers::CellClient &Cell;
+  peers::Mailbox &Outbox;
+  upstreams::TrafficPool &Traffic;
+  EventLog &Events;
+  asio::steady_timer Timer;
+  Dispatcher Machine;
+  ClaimClient Claims;
+  std::unordered_map<RequestNumber, CallerRequest> Requests;
+  /// The request that is arriving; its effects may come before its number.
+  CallerRequest Arriving;
+  std::uint64_t ConfiguredRevision = 0;
+};
+
+} // namespace masticwinch::callers
--- a/src/masticwinch/coordination/cell/serving_lease.hpp
+++ b/src/masticwinch/coordination/cell/serving_lease.hpp
@@ -22,6 +22,9 @@
   /// Whether new work may be taken now.
   bool valid(SteadyTime now) const { return now < ValidUntil; }
 
+  /// When the lease ends.
+  SteadyTime validUntil() const { return ValidUntil; }
+
   /// Sequence number of the latest hello.
   std::uint64_t latestHello() const { return LastSequence; }
 
--- a/src/masticwinch/coordination/requests/dispatcher.cpp
+++ b/src/masticwinch/coordination/requests/dispatcher.cpp
@@ -28,7 +28,9 @@
                      record.Arrival.Deadline.value_or(record.Rules.Deadline));
   RefusalReason reason = refusalOnArrival(record);
   if (reason == RefusalReason::None && policy == nullptr) {
-    reason = RefusalReason::UnknownProfile;
+    reason = Config.isRetired(record.Arrival.Profile)
+                 ? RefusalReason::RetiredProfile
+                 : RefusalReason::UnknownProfile;
   }
   if (reason != RefusalReason::None) {
     giveUp(record, reason, now);
@@ -175,6 +177,7 @@
   if (record.Stage == RequestStage::Done && record.Running.empty() &&
       !record.ClaimPending) {
     Records.erase(found);
+    Effects.emplace_back(ForgetRequest{number});
   }
 }
 
--- a/src/masticwinch/coordination/requests/request_config.cpp
+++ b/src/masticwinch/coordination/requests/request_config.cpp
@@ -44,7 +44,9 @@
   const protocol::Profile &profile = item.profile();
   if (item.removed() || profile.retired()) {
     Policies.erase(profile.name());
+    Retired.insert(profile.name());
   } else {
+    Retired.erase(profile.name());
     Policies[profile.name()] = profile.spec().requests();
   }
   countProfiles();
--- a/src/masticwinch/coordination/requests/request_config.hpp
+++ b/src/masticwinch/coordination/requests/request_config.hpp
@@ -4,6 +4,7 @@
 #include "masticwinch/protocol/cell.pb.h"
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace masticwinch {
@@ -34,6 +35,10 @@
   /// The profile's policy; nothing if it is unknown or retired.
   const protocol::RequestPolicy *findPolicy(const std::string &profile) const;
 
+  bool isRetired(const std::string &profile) const {
+    return Retired.contains(profile);
+  }
+
   /// Rules of a profile for one of the entry VMs that are not leaving.
   RequestRules rulesFor(const protocol::RequestPolicy &policy) const;
 
@@ -57,6 +62,7 @@
   std::map<std::string, UpstreamEntry> Upstreams;
   std::map<std::string, protocol::EntryMember> Entries;
   std::map<std::string, protocol::RequestPolicy> Policies;
+  std::set<std::string> Retired;
   std::size_t UrgentProfiles = 0;
   Milliseconds LongestDeadline{0};
   std::uint64_t Revision = 0;
--- a/src/masticwinch/coordination/requests/request_effects.hpp
+++ b/src/masticwinch/coordination/requests/request_effects.hpp
@@ -49,7 +49,12 @@
   AnswerPointer Whole;
 };
 
+/// Nothing more will come of a request: its body can be dropped.
+struct ForgetRequest {
+  RequestNumber Request = 0;
+};
+
 using RequestEffect = std::variant<ChangeClaim, StartDispatch, CancelDispatch,
-                                   ReplyToCaller, PeerMessage>;
+                                   ReplyToCaller, ForgetRequest, PeerMessage>;
 
 } // namespace masticwinch
--- a/src/masticwinch/coordination/requests/request_types.hpp
+++ b/src/masticwinch/coordination/requests/request_types.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace masticwinch {
 
@@ -40,6 +41,7 @@
   Draining,
   NotServing,
   UnknownProfile,
+  RetiredProfile,
   RateLimit,
   QueueFull,
   DeadlineUnmeetable,
@@ -56,11 +58,12 @@
 };
 
 template <> struct EnumNames<RefusalReason> {
-  static constexpr std::array<EnumName<RefusalReason>, 17> Table{{
+  static constexpr std::array<EnumName<RefusalReason>, 18> Table{{
       {RefusalReason::None, "none"},
       {RefusalReason::Draining, "draining"},
       {RefusalReason::NotServing, "not_serving"},
       {RefusalReason::UnknownProfile, "unknown_profile"},
+      {RefusalReason::RetiredProfile, "retired_profile"},
       {RefusalReason::RateLimit, "rate_limit"},
       {RefusalReason::QueueFull, "queue_full"},
       {RefusalReason::DeadlineUnmeetable, "deadline_unmeetable"},
@@ -103,11 +106,19 @@
   }};
 };
 
+/// A header line of an answer.
+struct AnswerHeader {
+  std::string Name;
+  std::string Value;
+};
+
 /// An upstream's whole answer.
 struct Answer {
   std::uint16_t Status = 200;
   std::string ContentType;
   std::string Body;
+  /// Headers besides the content type; not kept for resends.
+  std::vector<AnswerHeader> Headers = {};
 };
 
 using AnswerPointer = std::shared_ptr<const Answer>;
--- a/src/masticwinch/coordination/requests/slot_owner.hpp
+++ b/src/masticwinch/coordination/requests/slot_owner.hpp
@@ -60,6 +60,9 @@
   /// Goes on under a configuration that is known to be current.
   std::vector<PeerMessage> resume(const RequestConfig &config, SteadyTime now);
 
+  /// Whether former upstreams of this owner still have to be handed over.
+  bool handsOver() const { return !Handovers.empty(); }
+
   /// Slots of one upstream that are reserved, for checks.
   std::uint32_t reservedOf(const std::string &upstream, SteadyTime now) const;
 
--- a/src/masticwinch/entry/entry_daemon.cpp
+++ b/src/masticwinch/entry/entry_daemon.cpp
@@ -1,8 +1,7 @@
 #include "masticwinch/entry/entry_daemon.hpp"
 
-#include "masticwinch/callers/request_forwarder.hpp"
+#include "masticwinch/callers/request_service.hpp"
 #include "masticwinch/events/event_log.hpp"
-#include "masticwinch/http/http_client.hpp"
 #include "masticwinch/http/http_server.hpp"
 #include "masticwinch/metrics/metric_registry.hpp"
 #include "masticwinch/metrics/process_metrics.hpp"
@@ -14,6 +13,7 @@
 #include "masticwinch/programs/daemon_options.hpp"
 #include "masticwinch/programs/incarnation.hpp"
 #include "masticwinch/programs/stop_signals.hpp"
+#include "masticwinch/upstreams/traffic_pool.hpp"
 #include "masticwinch/upstreams/upstream_api.hpp"
 
 #include <asio/io_context.hpp>
@@ -68,7 +68,9 @@
         Session(Context, Time, Mailbox, Client, Events,
                 {settings.Process.Name, settings.Process.DataCenter,
                  Incarnation, settings.HelloInterval}),
-        Traffic(Context), Forwarder(Session, Traffic, Time, Events),
+        Traffic(Context, settings.TrafficThreads),
+        Requests(Context, Time, Session, Client, Mailbox, Traffic, Events,
+                 dispatcherOptions()),
         Upstreams(Client, Session),
         Api(Context, Client,
             {[this] { return !Stopping && Session.mayServe(); },
@@ -97,21 +99,43 @@
     Metrics.observedGauge(
         {"masticwinch_requests_pending",
          "Callers' requests that have not been answered yet."},
-        [this] { return double(Forwarder.pending()); });
+        [this] { return double(Requests.pending()); });
+    Metrics.observedGauge({"masticwinch_requests_waiting",
+                           "Requests that wait for a slot of an upstream."},
+                          [this] { return double(Requests.counts().Waiting); });
+    Metrics.observedGauge(
+        {"masticwinch_requests_at_upstreams",
+         "Requests that an upstream has been sent, hedges included."},
+        [this] { return double(Requests.counts().AtUpstreams); });
+    Metrics.observedGauge(
+        {"masticwinch_upstreams_ejected",
+         "Upstreams that get no work from here because they fail."},
+        [this] { return double(Requests.counts().Ejected); });
+    Metrics.observedGauge(
+        {"masticwinch_slots_held", "Slots that are leased by this entry VM."},
+        [this] { return double(Requests.counts().SlotsHeld); });
+  }
+
+  DispatcherOptions dispatcherOptions() const {
+    DispatcherOptions options;
+    options.Self = {Settings.Process.Name, Incarnation};
+    options.DataCenter = Settings.Process.DataCenter;
+    options.Seed = Incarnation;
+    return options;
   }
 
   void receive(const protocol::Envelope &envelope) {
     Session.receive(envelope);
     Client.receive(envelope);
+    Requests.receive(envelope);
   }
 
   void takeCaller(const std::shared_ptr<HttpExchange> &exchange) {
     const HttpRequest &request = exchange->request();
     RouteMatch match;
     if (matchRoute("/v1/services/{}/**", request.Path, match)) {
-      asio::post(Context, [this, exchange, match] {
-        Forwarder.forward(exchange, match);
-      });
+      asio::post(Context,
+                 [this, exchange, match] { Requests.handle(exchange, match); });
     } else if (matchRoute("/v1/upstreams/{}/announce", request.Path, match)) {
       asio::post(Context, [this, exchange, match] {
         Upstreams.announce(exchange, match);
@@ -128,6 +152,7 @@
 
   ExitCode run() {
     Mailbox.start();
+    Requests.start();
     Session.start();
     Operators.start();
     Callers.start();
@@ -144,13 +169,14 @@
     Stopping = true;
     Callers.closeConnectionsAfterAnswers();
     after(Settings.BalancerDelay, [this] {
-      Forwarder.drain();
+      Requests.drain();
+      DrainEnd = Time.now() + Settings.DrainTimeout;
       awaitIdle();
     });
   }
 
   void awaitIdle() {
-    if (Forwarder.pending() > 0) {
+    if (!Requests.settled() && Time.now() < DrainEnd) {
       after(DrainPoll, [this] { awaitIdle(); });
       return;
     }
@@ -160,6 +186,7 @@
   void finish() {
     Callers.stop();
     Operators.stop();
+    Traffic.stop();
     Mailbox.stop();
     Events.write(EntryDaemonEvent::Stopped);
     Context.stop();
@@ -184,8 +211,8 @@
   peers::Mailbox Mailbox;
   peers::CellClient Client;
   peers::EntrySession Session;
-  HttpClient Traffic;
-  callers::RequestForwarder Forwarder;
+  upstreams::TrafficPool Traffic;
+  callers::RequestService Requests;
   upstreams::UpstreamApi Upstreams;
   operators::OperatorsApi Api;
   HttpServer Operators;
@@ -193,6 +220,7 @@
   asio::steady_timer Timer;
   StopSignals Signals;
   bool Stopping = false;
+  SteadyTime DrainEnd{};
 };
 
 EntryDaemon::EntryDaemon(const EntrySettings &settings)
--- a/src/masticwinch/entry/entry_settings.hpp
+++ b/src/masticwinch/entry/entry_settings.hpp
@@ -20,6 +20,10 @@
   /// Time that a stopping process leaves the balancer to notice that its
   /// health check fails, before it stops taking requests.
   Milliseconds BalancerDelay{500};
+  /// Longest time after that for requests in progress to end.
+  Milliseconds DrainTimeout{330'000};
+  /// Threads that send requests to upstreams.
+  std::size_t TrafficThreads = 2;
 };
 
 /// Reads and checks a settings file. Errors: `SettingsError`.
--- a/src/masticwinch/load/load_request.cpp
+++ b/src/masticwinch/load/load_request.cpp
@@ -30,7 +30,7 @@
     return own ? LoadOutcome::Answered : LoadOutcome::WrongAnswer;
   }
   return response.Headers.find(callers::OutcomeHeader) ==
-                 nameOf(callers::Outcome::NotRun)
+                 nameOf(RequestOutcome::NotRun)
              ? LoadOutcome::NotRun
              : LoadOutcome::ErrorStatus;
 }
--- a/src/masticwinch/peers/entry_session.cpp
+++ b/src/masticwinch/peers/entry_session.cpp
@@ -55,13 +55,7 @@
     return;
   }
   Joining = true;
-  protocol::Command command;
-  protocol::EntryMember *entry = command.mutable_join_entry()->mutable_entry();
-  entry->set_name(Options.Name);
-  entry->set_incarnation(Options.Incarnation);
-  entry->set_address(Outbox.options().Address);
-  entry->set_data_center(Options.DataCenter);
-  Client.submit(std::move(command), [this](CellAnswerKind kind,
+  Client.submit(joinCommand(false), [this](CellAnswerKind kind,
                                            const protocol::CommandResult &it) {
     Joining = false;
     if (kind == CellAnswerKind::Answered && it.code() == protocol::ACCEPTED) {
@@ -73,6 +67,30 @@
   });
 }
 
+protocol::Command EntrySession::joinCommand(bool leaving) const {
+  protocol::Command command;
+  protocol::EntryMember *entry = command.mutable_join_entry()->mutable_entry();
+  entry->set_name(Options.Name);
+  entry->set_incarnation(Options.Incarnation);
+  entry->set_address(Outbox.options().Address);
+  entry->set_data_center(Options.DataCenter);
+  entry->set_leaving(leaving);
+  return command;
+}
+
+void EntrySession::announceLeaving() {
+  Client.submit(
+      joinCommand(true),
+      [this](CellAnswerKind, const protocol::CommandResult &) { hello(); });
+}
+
+bool EntrySession::isLeaving() const {
+  const protocol::ConfigItem *held =
+      Config.findPresent({cell::ConfigKind::Entry, Options.Name});
+  return held != nullptr && held->entry().leaving() &&
+         held->entry().incarnation() == Options.Incarnation;
+}
+
 void EntrySession::scheduleHello(Milliseconds delay) {
   Timer.expires_after(delay);
   Timer.async_wait([this](const std::error_code &ec) {
@@ -134,6 +152,9 @@
   }
   Lease.granted(update.sequence(), Milliseconds(update.lease_ms()));
   noteServing();
+  if (LeaseExtended) {
+    LeaseExtended();
+  }
   if (changed) {
     hello();
   }
--- a/src/masticwinch/peers/entry_session.hpp
+++ b/src/masticwinch/peers/entry_session.hpp
@@ -43,6 +43,12 @@
     ConfigurationChanged = std::move(function);
   }
 
+  /// Called whenever the lease to serve was extended, after the configuration
+  /// that came with it was taken in.
+  void onLease(std::function<void()> function) {
+    LeaseExtended = std::move(function);
+  }
+
   /// Joins the cell and starts to say hello.
   void start();
 
@@ -52,11 +58,21 @@
   /// Whether new work may be taken: the configuration is confirmed current.
   bool mayServe() const;
 
+  /// End of the lease to serve.
+  SteadyTime servingUntil() const { return Lease.validUntil(); }
+
   const cell::Configuration &configuration() const { return Config; }
 
   /// Hands an upstream's renewal on to the leader with the next hello.
   void renewUpstream(const std::string &name, std::uint64_t incarnation);
 
+  /// Tells the cell that this entry VM is about to leave: it stays a member
+  /// but hands over what it owns.
+  void announceLeaving();
+
+  /// Whether the configuration in use here says that this one is leaving.
+  bool isLeaving() const;
+
   /// Leaves the cell; `done` is called when the leader has answered or the
   /// time for it is over. No new work may be taken any more before the call.
   void leave(std::function<void()> done);
@@ -64,6 +80,7 @@
 private:
   void hello();
   void join();
+  protocol::Command joinCommand(bool leaving) const;
   void scheduleHello(Milliseconds delay);
   void noteServing();
 
@@ -77,6 +94,7 @@
   cell::ServingLease Lease;
   std::map<std::string, std::uint64_t> Renewals;
   std::function<void()> ConfigurationChanged;
+  std::function<void()> LeaseExtended;
   std::uint64_t AnsweredHello = 0;
   bool Joining = false;
   bool Leaving = false;
--- /dev/null
+++ b/tests/processes/requests_cell.py
@@ -0,0 +1,216 @@
+"""A small cell of real processes on loopback, for the tests of requests."""
+
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+
+START_LIMIT_SECONDS = 30
+
+
+def free_port():
+    """A port that nothing listens on just now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def wait_until(condition, what, seconds=START_LIMIT_SECONDS):
+    """Polls a condition until it holds; fails after the limit."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise AssertionError(f"timed out waiting for {what}")
+
+
+class Reply:
+    """An HTTP answer with its headers by lower-case name."""
+
+    def __init__(self, response):
+        self.status = response.status
+        self.headers = {k.lower(): v for k, v in response.getheaders()}
+        self.body = response.read().decode()
+
+    @property
+    def outcome(self):
+        return self.headers.get("masticwinch-outcome")
+
+
+def call(port, method, path, body="", headers=None, timeout=30):
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        return Reply(connection.getresponse())
+    finally:
+        connection.close()
+
+
+class Process:
+    """One program with its settings file; killed at the end of the test."""
+
+    def __init__(self, program, folder, settings):
+        self.program = program
+        self.folder = folder
+        self.settings = settings
+        self.name = settings["name"]
+        self.handle = None
+
+    def start(self):
+        path = self.folder / f"{self.name}.json"
+        path.write_text(json.dumps(self.settings))
+        log = open(self.folder / f"{self.name}.log", "ab")
+        self.handle = subprocess.Popen(
+            [self.program, "--settings", str(path)], stdout=log, stderr=log
+        )
+        log.close()
+
+    def send(self, number):
+        self.handle.send_signal(number)
+
+    def kill(self):
+        self.handle.kill()
+        self.handle.wait()
+
+    def terminate(self):
+        """Asks for a graceful stop and returns the exit code."""
+        self.send(signal.SIGTERM)
+        return self.handle.wait(timeout=60)
+
+
+class Cell:
+    """One control process, entries and runners, as a context manager."""
+
+    def __init__(self, build, entries=2, runners=2):
+        self.build = pathlib.Path(build)
+        self.temporary = tempfile.TemporaryDirectory()
+        self.folder = pathlib.Path(self.temporary.name)
+        self.control = self.make_control()
+        self.entries = [self.make_entry(n) for n in range(entries)]
+        self.runners = [self.make_runner(n) for n in range(runners)]
+
+    def make(self, program, settings):
+        settings["events_file"] = str(self.folder / f"{settings['name']}.events")
+        return Process(self.build / f"masticwinch-{program}", self.folder, settings)
+
+    def internal(self, name):
+        return {
+            "cluster": "test",
+            "name": name,
+            "data_center": "dc-1",
+            "internal_address": f"tcp://127.0.0.1:{free_port()}",
+            "operators": {"port": free_port()},
+        }
+
+    def make_control(self):
+        settings = self.internal("control-0")
+        settings["data_folder"] = str(self.folder / "data")
+        os.makedirs(settings["data_folder"])
+        settings["members"] = [
+            {"name": "control-0", "address": settings["internal_address"]}
+        ]
+        return self.make("control", settings)
+
+    def make_entry(self, number):
+        settings = self.internal(f"entry-{number}")
+        settings["controls"] = self.control.settings["members"]
+        settings["callers"] = {"port": free_port()}
+        settings["balancer_delay_ms"] = 200
+        return self.make("entry", settings)
+
+    def make_runner(self, number):
+        name = f"runner-{number}"
+        settings = {
+            "name": name,
+            "service": "prices",
+            "data_center": "dc-1",
+            "rack": "rack-1",
+            "listen": {"port": free_port()},
+            "operators": {"port": free_port()},
+            "entries": [
+                {"url": f"http://127.0.0.1:{self.callers_port(it)}"}
+                for it in self.entries
+            ],
+            "executions_file": str(self.folder / f"{name}.executions"),
+        }
+        return self.make("runner-stand-in", settings)
+
+    @staticmethod
+    def callers_port(entry):
+        return entry.settings["callers"]["port"]
+
+    @staticmethod
+    def is_healthy(process):
+        try:
+            port = process.settings["operators"]["port"]
+            return call(port, "GET", "/health").status == 200
+        except OSError:
+            return False
+
+    def put_profile(self, name, requests):
+        port = self.entries[0].settings["operators"]["port"]
+        body = json.dumps({"requests": requests})
+        headers = {"Masticwinch-Operator": "test", "Content-Type": "application/json"}
+        reply = call(port, "PUT", f"/v1/profiles/{name}?expect_version=0", body, headers)
+        assert reply.status in (200, 201), (reply.status, reply.body)
+
+    def send(self, entry, profile, headers=None, body="", path="/quote"):
+        everything = {"Masticwinch-Profile": profile, "Masticwinch-Caller": "test"}
+        everything.update(headers or {})
+        port = self.callers_port(self.entries[entry])
+        return call(port, "POST", f"/v1/services/prices{path}", body, everything)
+
+    def executions(self):
+        """The idempotency keys and request ids of all executions."""
+        lines = []
+        for it in self.runners:
+            path = pathlib.Path(it.settings["executions_file"])
+            if path.exists():
+                lines += path.read_text().splitlines()
+        return [dict(p.split("=", 1) for p in it.split() if "=" in p) for it in lines]
+
+    def __enter__(self):
+        try:
+            self.control.start()
+            for it in self.entries:
+                it.start()
+            for it in self.entries:
+                wait_until(lambda it=it: self.is_healthy(it), it.name)
+            self.put_profile("billed", {"work_class": "URGENT", "deadline_ms": 3000})
+            self.put_profile(
+                "lookup",
+                {"work_class": "URGENT", "deadline_ms": 3000, "repeatable": True},
+            )
+            for it in self.runners:
+                it.start()
+            for n in range(len(self.entries)):
+                wait_until(
+                    lambda n=n: self.send(n, "lookup").outcome == "answered",
+                    "the first answer",
+                )
+        except BaseException:
+            self.show_logs()
+            self.__exit__(None, None, None)
+            raise
+        return self
+
+    def show_logs(self):
+        for it in sorted(self.folder.glob("*.log")):
+            print(f"--- {it.name}\n{it.read_text()[-2000:]}")
+        for it in sorted(self.folder.glob("*.events")):
+            print(f"--- {it.name}\n{it.read_text()[-2000:]}")
+
+    def __exit__(self, kind, *rest):
+        if kind is not None:
+            self.show_logs()
+        for it in [self.control, *self.entries, *self.runners]:
+            if it.handle is not None and it.handle.poll() is None:
+                it.send(signal.SIGCONT)
+                it.kill()
+        self.temporary.cleanup()
