Place jobs from the control leader on workers over HTTP

Accepted jobs stayed in the replicated state and ran nowhere. The control process now drives the placer while it leads: it begins with a record of its own, whose index is the epoch of all leases, passes accepted jobs, cancels, quotas and drains on, calls workers, and commits ends of tasks in batches. Entry VMs pass workers' announcements on; operators can list and explain jobs and VMs; a job that fits no VM is refused with the limit.

--- a/src/masticwinch/control/cell_service.hpp
+++ b/src/masticwinch/control/cell_service.hpp
@@ -10,7 +10,9 @@
 #include "masticwinch/protocol/envelope.pb.h"
 
 #include <concepts>
+#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -25,6 +27,21 @@
   sender.send(address, std::move(envelope));
 };
 
+/// What else takes part in commands and queries, on the control thread.
+struct CellServiceHooks {
+  /// Called after a committed command has changed the state.
+  std::function<void(LogPosition, const protocol::Command &,
+                     const protocol::CommandResult &)>
+      Applied;
+  /// Refuses a command before it is proposed, or returns nothing.
+  std::function<std::optional<protocol::CommandResult>(
+      const protocol::Command &)>
+      Refuse;
+  /// Fills in the reply to a query that the service doesn't know.
+  std::function<void(const protocol::QueryRequest &, protocol::QueryReply &)>
+      Answer;
+};
+
 struct CellServiceOptions {
   cell::EntryLeaseOptions EntryLeases;
   /// An upstream that did not renew for this long is taken off the
@@ -41,6 +58,8 @@
       : Commands(log), Outbox(sender), Time(clock), Events(events),
         Leases(options.EntryLeases), Renewals(options.UpstreamLapse) {}
 
+  void setHooks(CellServiceHooks hooks) { Hooks = std::move(hooks); }
+
   /// Called when this process becomes the leader.
   void becomeLeader() {
     Leases.becomeLeader(Time.now());
@@ -68,6 +87,9 @@
                   {"version", result.revision()},
                   {"job", result.job()}});
     answer(position, result);
+    if (Hooks.Applied) {
+      Hooks.Applied(position, command, result);
+    }
     if (State.configuration().revision() != before) {
       pushConfiguration();
     }
@@ -129,6 +151,9 @@
       refuseCommand(envelope);
       return;
     }
+    if (refuseByHook(envelope)) {
+      return;
+    }
     protocol::Command command = request.command();
     command.set_at_unix_ms(unixMillis());
     const auto position = Commands.propose(command.SerializeAsString());
@@ -139,6 +164,24 @@
     Pending[*position] = {envelope.reply_address(), request.call()};
   }
 
+  /// Answers a command that the hook refuses; returns whether it did.
+  bool refuseByHook(const protocol::Envelope &envelope) {
+    if (!Hooks.Refuse || !Commands.isLeader()) {
+      return false;
+    }
+    const auto refusal = Hooks.Refuse(envelope.command_request().command());
+    if (!refusal) {
+      return false;
+    }
+    protocol::Envelope reply;
+    protocol::CommandReply *body = reply.mutable_command_reply();
+    body->set_call(envelope.command_request().call());
+    body->set_taken(true);
+    *body->mutable_result() = *refusal;
+    Outbox.send(envelope.reply_address(), std::move(reply));
+    return true;
+  }
+
   /// Whether a new incarnation of an entry VM has to wait until the lease of
   /// the earlier one has run out.
   bool waitsForEarlierLease(const protocol::Command &command) const {
@@ -185,6 +228,8 @@
     } else if (request.has_configuration()) {
       answerConfiguration(request.configuration(),
                           *reply.mutable_configuration());
+    } else if (Hooks.Answer) {
+      Hooks.Answer(request, reply);
     }
   }
 
@@ -302,6 +347,7 @@
   Sender &Outbox;
   const Clock &Time;
   EventLog &Events;
+  CellServiceHooks Hooks;
   cell::CellState State;
   cell::EntryLeases Leases;
   cell::UpstreamRenewals Renewals;
--- a/src/masticwinch/control/control_daemon.cpp
+++ b/src/masticwinch/control/control_daemon.cpp
@@ -1,6 +1,7 @@
 #include "masticwinch/control/control_daemon.hpp"
 
 #include "masticwinch/control/local_log.hpp"
+#include "masticwinch/http/http_client.hpp"
 #include "masticwinch/http/http_server.hpp"
 #include "masticwinch/metrics/metric_registry.hpp"
 #include "masticwinch/metrics/process_metrics.hpp"
@@ -8,6 +9,7 @@
 #include "masticwinch/peers/cell_client.hpp"
 #include "masticwinch/peers/mailbox.hpp"
 #include "masticwinch/peers/mailbox_metrics.hpp"
+#include "masticwinch/platform/placement_driver.hpp"
 #include "masticwinch/programs/daemon_options.hpp"
 #include "masticwinch/programs/incarnation.hpp"
 #include "masticwinch/programs/stop_signals.hpp"
@@ -29,10 +31,14 @@
 
 constexpr Milliseconds TickInterval{500};
 
+/// Time between two steps of placement.
+constexpr Milliseconds PlacementInterval{50};
+
 } // namespace
 
 struct ControlDaemon::Implementation {
   using Service = CellService<LocalLog, peers::Mailbox>;
+  using Placement = platform::PlacementDriver<LocalLog, platform::WorkerCaller>;
 
   explicit Implementation(const ControlSettings &settings)
       : Settings(settings), Incarnation(programs::newIncarnation(Time)),
@@ -54,14 +60,27 @@
               });
             }),
         State(Log, Mailbox, Time, Events, settings.Service),
+        WorkerCalls(Context),
+        Workers(WorkerCalls, settings.Placement.Lease.CallTimeout),
+        Placer(Log, Workers, State.state(), Time, Events, settings.Placement),
         Api(Context, Client,
             {[] { return true; }, [this] { return Metrics.text(); }}),
         Server(programs::serverOptions(settings.Operators),
                [this](std::shared_ptr<HttpExchange> it) { Api.handle(it); }),
-        Ticker(Context),
+        Ticker(Context), PlacementTicker(Context),
         Signals(
             Context, [this] { stop(); }, [] { std::_Exit(StoppedAtOnce); }) {
     registerMetrics();
+    State.setHooks(
+        {[this](LogPosition position, const protocol::Command &command,
+                const protocol::CommandResult &result) {
+           Placer.applied(position, command, result);
+         },
+         [this](const protocol::Command &it) { return Placer.refusalOf(it); },
+         [this](const protocol::QueryRequest &request,
+                protocol::QueryReply &reply) {
+           Placer.answer(request, reply);
+         }});
   }
 
   /// The pages are made on the control thread, so they may read its state.
@@ -81,6 +100,9 @@
   }
 
   void receive(const protocol::Envelope &envelope) {
+    if (envelope.has_worker_announcement()) {
+      Placer.announced(envelope.worker_announcement());
+    }
     State.receive(envelope);
     Client.receive(envelope);
   }
@@ -95,15 +117,29 @@
     });
   }
 
+  void schedulePlacement() {
+    PlacementTicker.expires_after(PlacementInterval);
+    PlacementTicker.async_wait([this](const std::error_code &ec) {
+      if (!ec) {
+        Placer.tick();
+        schedulePlacement();
+      }
+    });
+  }
+
   ExitCode run() {
     if (Settings.Members.size() != 1) {
       throw std::runtime_error("a cell with several control VMs needs the "
                                "replicated log, which is not there yet");
     }
-    asio::post(Context, [this] { State.becomeLeader(); });
+    asio::post(Context, [this] {
+      State.becomeLeader();
+      Placer.becomeLeader();
+    });
     Mailbox.start();
     Server.start();
     scheduleTick();
+    schedulePlacement();
     Events.write(ControlEvent::Started,
                  {{"address", Settings.Process.InternalAddress}});
     Context.run();
@@ -128,9 +164,13 @@
   peers::CellClient Client;
   LocalLog Log;
   Service State;
+  HttpClient WorkerCalls;
+  platform::WorkerCaller Workers;
+  Placement Placer;
   operators::OperatorsApi Api;
   HttpServer Server;
   asio::steady_timer Ticker;
+  asio::steady_timer PlacementTicker;
   StopSignals Signals;
 };
 
--- a/src/masticwinch/control/control_settings.cpp
+++ b/src/masticwinch/control/control_settings.cpp
@@ -25,6 +25,31 @@
   }
 }
 
+void readPlacement(SettingsReader &reader,
+                   placement::PlacerSettings &settings) {
+  const std::string name = reader.optionalString(
+      "placement_policy", std::string(nameOf(settings.Policy)));
+  const auto policy = parseEnum<placement::PolicyName>(name);
+  if (policy) {
+    settings.Policy = *policy;
+  } else {
+    reader.report("placement_policy", "must be first_fit, pack or spread");
+  }
+  reader.object("worker_leases", [&](SettingsReader &nested) {
+    placement::LeaseTerms &lease = settings.Lease;
+    lease.Length =
+        nested.optionalMilliseconds("length_ms", LapseRange, lease.Length);
+    lease.RenewEvery = nested.optionalMilliseconds("renew_every_ms", LeaseRange,
+                                                   lease.RenewEvery);
+    lease.CallTimeout = nested.optionalMilliseconds(
+        "call_timeout_ms", LeaseRange, lease.CallTimeout);
+    if (lease.Length < 2 * (lease.RenewEvery + lease.CallTimeout)) {
+      nested.report("length_ms", "must be at least twice renew_every_ms and "
+                                 "call_timeout_ms together");
+    }
+  });
+}
+
 } // namespace
 
 Result<ControlSettings> loadControlSettings(const std::string &file) {
@@ -37,6 +62,7 @@
         reader.object("leases", [&](SettingsReader &nested) {
           readLeases(nested, settings.Service);
         });
+        readPlacement(reader, settings.Placement);
         const bool listed =
             std::any_of(settings.Members.begin(), settings.Members.end(),
                         [&](const programs::PeerSettings &it) {
--- a/src/masticwinch/control/control_settings.hpp
+++ b/src/masticwinch/control/control_settings.hpp
@@ -2,6 +2,7 @@
 
 #include "masticwinch/common/result.hpp"
 #include "masticwinch/control/cell_service.hpp"
+#include "masticwinch/coordination/placement/placer_types.hpp"
 #include "masticwinch/programs/endpoint_settings.hpp"
 
 #include <string>
@@ -16,6 +17,7 @@
   std::vector<programs::PeerSettings> Members;
   programs::HttpSettings Operators;
   CellServiceOptions Service;
+  placement::PlacerSettings Placement;
 };
 
 /// Reads and checks a settings file. Errors: `SettingsError`.
--- a/src/masticwinch/coordination/cell/cell_state.cpp
+++ b/src/masticwinch/coordination/cell/cell_state.cpp
@@ -118,6 +118,8 @@
     return cancelJob(command.cancel_job());
   case protocol::Command::kClaimBatch:
     return changeClaims(command);
+  case protocol::Command::kRecordPlacement:
+    return recordPlacement(command.record_placement());
   default:
     break;
   }
@@ -365,6 +367,9 @@
   protocol::JobRecord record;
   record.set_id("job-" + std::to_string(NextJob++));
   *record.mutable_spec() = spec;
+  if (spec.team().empty()) {
+    record.mutable_spec()->set_team(profile->profile().spec().team());
+  }
   *record.mutable_policy() = policy;
   record.set_submitted_at_unix_ms(command.at_unix_ms());
   record.set_submitted_by(command.author());
@@ -428,6 +433,9 @@
   }
   for (const protocol::JobRecord &it : snapshot.jobs()) {
     Jobs[it.id()] = it;
+    if (it.ended_order() != 0) {
+      EndedJobs[it.ended_order()] = it.id();
+    }
   }
   NextJob = std::max<std::uint64_t>(1, snapshot.next_job());
   Claims.restore(snapshot);
--- a/src/masticwinch/coordination/cell/cell_state.hpp
+++ b/src/masticwinch/coordination/cell/cell_state.hpp
@@ -53,9 +53,14 @@
   protocol::CommandResult submitJob(const protocol::Command &command);
   protocol::CommandResult changeClaims(const protocol::Command &command);
   protocol::CommandResult cancelJob(const protocol::CancelJob &cancel);
+  protocol::CommandResult
+  recordPlacement(const protocol::RecordPlacement &record);
+  void endJob(protocol::JobRecord &record);
   protocol::CommandResult accepted(std::uint64_t version = 0) const;
 
   static constexpr std::size_t MaxHistory = 32;
+  /// Jobs that are kept after their end, so that operators can look at them.
+  static constexpr std::size_t MaxEndedJobs = 10'000;
 
   Configuration Config;
   RememberedResults Remembered;
@@ -63,6 +68,8 @@
   ClaimTable Claims;
   std::map<std::string, protocol::JobRecord> Jobs;
   std::uint64_t NextJob = 1;
+  /// Ended jobs that are still kept, by the order in which they ended.
+  std::map<std::uint64_t, std::string> EndedJobs;
 };
 
 } // namespace masticwinch::cell
--- a/src/masticwinch/coordination/placement/placer.cpp
+++ b/src/masticwinch/coordination/placement/placer.cpp
@@ -209,6 +209,8 @@
   return Impl->State.Account.totalCapacity();
 }
 
+const Resources &Placer::largestVm() const { return Impl->State.LargestVm; }
+
 const Resources &Placer::totalReserved() const {
   return Impl->State.Account.totalReserved();
 }
--- a/src/masticwinch/coordination/placement/placer.hpp
+++ b/src/masticwinch/coordination/placement/placer.hpp
@@ -80,6 +80,9 @@
   std::size_t waitingJobs() const;
   std::size_t activeAttempts() const;
   const Resources &totalCapacity() const;
+
+  /// The largest amounts that any VM announced, in each resource.
+  const Resources &largestVm() const;
   const Resources &totalReserved() const;
 
 private:
--- a/src/masticwinch/coordination/placement/resources.hpp
+++ b/src/masticwinch/coordination/placement/resources.hpp
@@ -43,6 +43,6 @@
 inline constexpr std::int64_t MaxResourceAmount = 1'000'000'000;
 
 /// No job may ask for more tasks.
-inline constexpr std::int64_t MaxTasksPerJob = 10'000;
+inline constexpr std::int64_t MaxTasksPerJob = 100'000;
 
 } // namespace masticwinch::placement
--- a/src/masticwinch/entry/entry_daemon.cpp
+++ b/src/masticwinch/entry/entry_daemon.cpp
@@ -10,6 +10,7 @@
 #include "masticwinch/peers/entry_session.hpp"
 #include "masticwinch/peers/mailbox.hpp"
 #include "masticwinch/peers/mailbox_metrics.hpp"
+#include "masticwinch/platform/worker_api.hpp"
 #include "masticwinch/programs/daemon_options.hpp"
 #include "masticwinch/programs/incarnation.hpp"
 #include "masticwinch/programs/stop_signals.hpp"
@@ -71,7 +72,7 @@
         Traffic(Context, settings.TrafficThreads),
         Requests(Context, Time, Session, Client, Mailbox, Traffic, Events,
                  dispatcherOptions()),
-        Upstreams(Client, Session),
+        Upstreams(Client, Session), Workers(Client, Mailbox),
         Api(Context, Client,
             {[this] { return !Stopping && Session.mayServe(); },
              [this] { return Metrics.text(); }}),
@@ -143,6 +144,10 @@
     } else if (matchRoute("/v1/upstreams/{}/leave", request.Path, match)) {
       asio::post(Context,
                  [this, exchange, match] { Upstreams.leave(exchange, match); });
+    } else if (matchRoute("/v1/workers/{}/announce", request.Path, match)) {
+      asio::post(Context, [this, exchange, match] {
+        Workers.announce(exchange, match);
+      });
     } else if (request.Path == "/health" || request.Path == "/v1/jobs") {
       Api.handle(exchange);
     } else {
@@ -214,6 +219,7 @@
   upstreams::TrafficPool Traffic;
   callers::RequestService Requests;
   upstreams::UpstreamApi Upstreams;
+  platform::WorkerApi Workers;
   operators::OperatorsApi Api;
   HttpServer Operators;
   HttpServer Callers;
--- a/src/masticwinch/operators/operators_api.cpp
+++ b/src/masticwinch/operators/operators_api.cpp
@@ -113,6 +113,7 @@
   addProfiles();
   addVmsAndTeams();
   addJobs();
+  addPlacement();
 }
 
 OperatorsApi::~OperatorsApi() = default;
@@ -240,6 +241,30 @@
   });
 }
 
+void OperatorsApi::addPlacement() {
+  const auto queryJob = [this](auto exchange, const std::string &job) {
+    protocol::QueryRequest request;
+    request.mutable_jobs()->set_job(job);
+    query(exchange, std::move(request));
+  };
+  const auto queryVm = [this](auto exchange, const std::string &vm) {
+    protocol::QueryRequest request;
+    request.mutable_vms()->set_vm(vm);
+    query(exchange, std::move(request));
+  };
+  add("GET", "/v1/jobs", [queryJob](auto exchange, const RouteMatch &) {
+    queryJob(exchange, "");
+  });
+  add("GET", "/v1/jobs/{}", [queryJob](auto exchange, const RouteMatch &it) {
+    queryJob(exchange, it[0]);
+  });
+  add("GET", "/v1/vms",
+      [queryVm](auto exchange, const RouteMatch &) { queryVm(exchange, ""); });
+  add("GET", "/v1/vms/{}", [queryVm](auto exchange, const RouteMatch &it) {
+    queryVm(exchange, it[0]);
+  });
+}
+
 void OperatorsApi::addListing(const std::string &path,
                               const std::string &kind) {
   add("GET", path, [this, kind](auto exchange, const RouteMatch &) {
@@ -279,8 +304,9 @@
 
 void OperatorsApi::query(std::shared_ptr<HttpExchange> exchange,
                          protocol::QueryRequest request) {
-  const bool named =
-      request.has_configuration() && !request.configuration().name().empty();
+  const bool named = !request.configuration().name().empty() ||
+                     !request.jobs().job().empty() ||
+                     !request.vms().vm().empty();
   Client.query(
       std::move(request), [exchange, named](peers::CellAnswerKind kind,
                                             const protocol::QueryReply &reply) {
@@ -291,8 +317,13 @@
           exchange->respond(jsonResponse(200, toJson(reply.in_force())));
         } else if (reply.has_profile_history()) {
           exchange->respond(jsonResponse(200, toJson(reply.profile_history())));
-        } else if (named && reply.configuration().items().empty()) {
+        } else if (named && reply.configuration().items().empty() &&
+                   reply.jobs().jobs().empty() && reply.vms().vms().empty()) {
           exchange->respond(errorResponse(404, "not_found", "no such item"));
+        } else if (reply.has_jobs()) {
+          exchange->respond(jsonResponse(200, toJson(reply.jobs())));
+        } else if (reply.has_vms()) {
+          exchange->respond(jsonResponse(200, toJson(reply.vms())));
         } else {
           exchange->respond(jsonResponse(200, toJson(reply.configuration())));
         }
--- a/src/masticwinch/operators/operators_api.hpp
+++ b/src/masticwinch/operators/operators_api.hpp
@@ -62,6 +62,7 @@
   void addProfiles();
   void addVmsAndTeams();
   void addJobs();
+  void addPlacement();
   void addListing(const std::string &path, const std::string &kind);
   void submit(std::shared_ptr<HttpExchange> exchange,
               protocol::Command command);
--- /dev/null
+++ b/src/masticwinch/platform/worker_announcement.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "masticwinch/coordination/cell/spec_validation.hpp"
+
+#include <optional>
+#include <string>
+
+namespace masticwinch::protocol {
+class WorkerAnnouncement;
+} // namespace masticwinch::protocol
+
+namespace masticwinch::platform {
+
+/// Reads the body of a worker's announcement. Returns what is wrong with it.
+std::optional<cell::FieldProblem>
+readAnnouncement(const std::string &body, const std::string &name,
+                 protocol::WorkerAnnouncement &announcement);
+
+} // namespace masticwinch::platform
--- /dev/null
+++ b/src/masticwinch/platform/worker_api.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "masticwinch/http/route.hpp"
+
+#include <memory>
+
+namespace masticwinch {
+class HttpExchange;
+}
+
+namespace masticwinch::peers {
+class CellClient;
+class Mailbox;
+} // namespace masticwinch::peers
+
+namespace masticwinch::platform {
+
+/// HTTP interface for the agents of worker VMs, on the callers' port because
+/// they reach the entry VMs through the balancer. An announcement is soft state
+/// of the leader: it is passed on and repeated, never logged. Runs on the
+/// control thread.
+class WorkerApi {
+public:
+  WorkerApi(peers::CellClient &client, peers::Mailbox &mailbox)
+      : Client(client), Outbox(mailbox) {}
+
+  /// `POST /v1/workers/NAME/announce`.
+  void announce(const std::shared_ptr<HttpExchange> &exchange,
+                const RouteMatch &match);
+
+private:
+  peers::CellClient &Client;
+  peers::Mailbox &Outbox;
+};
+
+} // namespace masticwinch::platform
--- /dev/null
+++ b/src/masticwinch/platform/worker_caller.cpp
@@ -0,0 +1,40 @@
+#include "masticwinch/platform/worker_caller.hpp"
+
+namespace masticwinch::platform {
+
+namespace {
+
+constexpr std::uint16_t Ok = 200;
+constexpr std::uint16_t Conflict = 409;
+
+WorkerCallEnd endOf(const HttpCallResult &result) {
+  WorkerCallEnd end;
+  if (result.Outcome != HttpOutcome::Answered) {
+    return end;
+  }
+  if (result.Response.Status == Ok) {
+    end.Answer = parseLeaseAnswer(result.Response.Body);
+  } else if (result.Response.Status == Conflict) {
+    end.Refused = changedNothing(result.Response.Body);
+  }
+  return end;
+}
+
+} // namespace
+
+void WorkerCaller::call(const placement::WorkerCall &call,
+                        const ContentOf &contentOf, WorkerCallDone done) {
+  HttpCall request;
+  request.Method = "PUT";
+  request.Url = "http://" + call.Address + "/v1/lease";
+  request.Headers = {{"Content-Type", "application/json"}};
+  request.Body = leaseBody(call, contentOf);
+  request.Timeout = Timeout;
+  request.ConnectTimeout = Timeout;
+  Client.start(std::move(request),
+               [done = std::move(done)](const HttpCallResult &result) {
+                 done(endOf(result));
+               });
+}
+
+} // namespace masticwinch::platform
