--- a/tests/platform/test_lease_codec.cpp
+++ b/tests/platform/test_lease_codec.cpp
@@ -112,6 +112,7 @@
   CHECK(fieldOf(R"({"incarnation":1,"address":"here",
                     "milli_processors":1000,"memory_mib":512})") == "address");
   CHECK(fieldOf(R"({"incarnation":1,"address":"10.0.0.1:80",
-                    "milli_processors":-1,"memory_mib":512})") != "");
+                    "milli_processors":-1,"memory_mib":512})") ==
+        "capacity.milli_processors");
   CHECK(fieldOf("[") == "body");
 }
