--- a/benchmarks/bench_cell.py
+++ b/benchmarks/bench_cell.py
@@ -7,6 +7,7 @@
 import json
 import pathlib
 import re
+import resource
 import signal
 import socket
 import subprocess
@@ -131,6 +132,34 @@
         wanted = len(self.runners)
         wait_for(lambda: len(self._upstreams()) == wanted, "announcements")
 
+    def add_worker(self):
+        """Starts a worker stand-in; returns the process and its lease URL."""
+        listen, operators = free_ports(2)
+        worker = self._start("masticwinch-worker-stand-in", {
+            "name": "worker-1", "data_center": "dc-1", "rack": "rack-1",
+            "listen": {"port": listen}, "operators": {"port": operators},
+            "entries": [{"url": it} for it in self.callers],
+            "milli_processors": 32000, "memory_mib": 131072,
+            "tasks_file": str(self.folder / "worker-1.tasks")})
+        self.runners.append(worker)
+        url = f"http://127.0.0.1:{listen}/v1/lease"
+        wait_for(lambda: call("PUT", url, {})[0] != 0, "the worker's start")
+        return url
+
+    def run_load(self, plan, targets):
+        """Runs a load plan; returns its result and its processor seconds."""
+        file = self.folder / "plan.json"
+        file.write_text(json.dumps(plan))
+        result = self.folder / "load.json"
+        before = resource.getrusage(resource.RUSAGE_CHILDREN)
+        subprocess.run([str(self.build / "masticwinch-load"), "--plan",
+                        str(file), "--targets", ",".join(targets), "--json",
+                        str(result)], check=True, stdout=subprocess.DEVNULL)
+        after = resource.getrusage(resource.RUSAGE_CHILDREN)
+        used = (after.ru_utime + after.ru_stime
+                - before.ru_utime - before.ru_stime)
+        return json.loads(result.read_text()), used
+
     def _upstreams(self):
         status, text = call("GET", self.entries[0].operators + "/v1/upstreams")
         return json.loads(text).get("items", []) if status == 200 else []
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -6,16 +6,19 @@
 """
 
 import argparse
+import json
 import tempfile
 import time
 
-from bench_cell import Cell, wait_for
+from bench_cell import Cell, call, wait_for
 
-IDLE_SECONDS = 5
+IDLE_SECONDS = 4
 ENTRY_COUNTS = [2, 4, 8, 16]
 RUNNER_COUNTS = [4, 12, 36]
 CHANGE_RATES = [4, 8, 16]
 PROFILE_COUNTS = [500, 1500, 4500]
+REQUEST_RATES = [50, 100, 200]
+TASK_COUNTS = [1, 5, 25]
 RECEIVED = "masticwinch_messages_received_bytes_total"
 SENT = "masticwinch_messages_sent_bytes_total"
 PROCESSOR = "process_cpu_seconds_total"
@@ -152,6 +155,75 @@
     report("profile_entry_memory", entry_memory, "bytes", "profile")
 
 
+def request_plan(rate, service):
+    """A constant rate of small requests."""
+    return {"name": "constant", "streams": [{
+        "name": "requests", "path": f"/v1/services/{service}/echo",
+        "headers": [{"name": "Masticwinch-Profile", "value": "lookup"},
+                    {"name": "Masticwinch-Caller", "value": "bench"}],
+        "phases": [{"arrivals": "constant",
+                    "milliseconds": IDLE_SECONDS * 1000,
+                    "from_per_minute": rate * 60,
+                    "to_per_minute": rate * 60}]}]}
+
+
+def measure_requests(cell):
+    """Processor time of one entry VM and of the HTTP client by rate."""
+    cell.put_profile("lookup", {})
+    entry_time, client_time = [], []
+    for rate in REQUEST_RATES:
+        entry = Rates(cell.entries[0])
+        result, used = cell.run_load(request_plan(rate, "phrases"),
+                                     [cell.callers[0]])
+        stream = result["streams"][0]
+        if stream["answered"] != stream["sent"]:
+            raise RuntimeError(f"only {stream['answered']} of {stream['sent']}"
+                               " requests were answered")
+        entry_time.append((rate, entry.end()[PROCESSOR] * 1e6))
+        client_time.append((rate, used / IDLE_SECONDS * 1e6))
+    report("request_entry_processor", entry_time, "us/s", "request/s")
+    report("http_client_processor", client_time, "us/s", "call/s")
+
+
+def measure_worker_poll(cell):
+    """Bytes of a lease renewal, without HTTP headers, by running tasks."""
+    url = cell.add_worker()
+    points = []
+    started = 0
+    sequence = 1
+    for count in TASK_COUNTS:
+        starts = [{"task": f"job-1234/{i}", "attempt": 4294967296 + i,
+                   "milli_processors": 1000, "memory_mib": 4096,
+                   "accelerators": 0, "service": True, "payload": "{}",
+                   "resume_checkpoint": ""} for i in range(started, count)]
+        started = count
+        lease = {"epoch": 1, "sequence": sequence, "lease_ms": 60000,
+                 "start": starts}
+        status, text = call("PUT", url, lease)
+        if status != 200:
+            raise RuntimeError(f"lease: {status} {text}")
+        renewal = {"epoch": 1, "sequence": sequence + 1, "lease_ms": 60000,
+                   "incarnation": json.loads(text)["incarnation"],
+                   "clock_ms": json.loads(text)["clock_ms"]}
+        sequence += 2
+        _, text = call("PUT", url, renewal)
+        points.append((count, len(json.dumps(renewal)) + len(text)))
+    report("worker_poll_message", points, "bytes", "task")
+
+
+def run_requests(build, controls):
+    """Requests through one entry VM, and a worker's lease."""
+    with tempfile.TemporaryDirectory(prefix="bench-cell-") as folder:
+        cell = Cell(build, folder, controls)
+        try:
+            cell.add_entries(1)
+            cell.add_runners(4)
+            measure_requests(cell)
+            measure_worker_poll(cell)
+        finally:
+            cell.stop()
+
+
 def run(build, controls):
     with tempfile.TemporaryDirectory(prefix="bench-cell-") as folder:
         cell = Cell(build, folder, controls)
@@ -170,6 +242,7 @@
     parser.add_argument("--build", required=True)
     parser.add_argument("--controls", type=int, default=1)
     args = parser.parse_args()
+    run_requests(args.build, args.controls)
     run(args.build, args.controls)
 
 
--- a/benchmarks/capacity_claims.hpp
+++ b/benchmarks/capacity_claims.hpp
@@ -4,6 +4,7 @@
 #include "masticwinch/protocol/requests.pb.h"
 
 #include "benchmarks/capacity_measure.hpp"
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -27,9 +28,17 @@
                              std::size_t batchSize, std::size_t answerBytes) {
   ClaimRound round;
   const auto member = [](const protocol::ClaimOwner &) { return true; };
+  std::uint64_t number = 0;
+  const auto newBatch = [&number] {
+    protocol::ClaimBatch batch;
+    batch.set_entry("entry-1");
+    batch.set_incarnation(1);
+    batch.set_number(++number);
+    return batch;
+  };
   for (std::size_t first = 0; first < count; first += batchSize) {
-    protocol::ClaimBatch claims;
-    protocol::ClaimBatch completions;
+    protocol::ClaimBatch claims = newBatch();
+    protocol::ClaimBatch completions = newBatch();
     for (std::size_t i = first; i < first + batchSize; ++i) {
       protocol::ClaimKey &claim = *claims.add_changes()->mutable_claim();
       *claim.mutable_id() = claimId(i);
@@ -49,6 +58,9 @@
     table.apply(claims, 1000, member);
     table.apply(completions, 1000, member);
   }
+  if (table.size() != count) {
+    throw std::runtime_error("not all claims were kept");
+  }
   return round;
 }
 
