Kill and pause workers and the leader while tasks run

Overlap and overcommit were only ruled out against fakes. Seven tests on real processes kill and pause workers and the control leader and read the workers' files: no task in two places, no VM over its processors, nothing not repeatable twice, a killed leader adopts what runs.

--- /dev/null
+++ b/tests/processes/test_placement.py
@@ -0,0 +1,241 @@
+#!/usr/bin/env python3
+"""Workers and the control leader die and pause while tasks run."""
+
+import collections
+import json
+import signal
+import time
+
+import support
+from masticwinch.layout import CellSize
+from support import CellTest, call, read_lines, wait_until
+
+LEASE_SECONDS = 3.0
+RENEW_SECONDS = 0.5
+CALL_SECONDS = 0.5
+VM_MILLI_PROCESSORS = 32000
+
+Run = collections.namedtuple("Run", "worker attempt start stop reason")
+
+
+def task_profile(**policy):
+    """A profile whose tasks take a quarter of a VM each."""
+    tasks = {"kind": "BATCH", "repeatable": True,
+             "resources": {"milli_processors": 8000, "memory_mib": 1024}}
+    return {"team": "mills", "tasks": {**tasks, **policy}}
+
+
+class PlacementTest(CellTest):
+    SIZE = CellSize(controls=1, entries=2, runners=1, workers=3)
+    OVERRIDES = {"control": {"worker_leases": {
+        "length_ms": int(LEASE_SECONDS * 1000),
+        "renew_every_ms": int(RENEW_SECONDS * 1000),
+        "call_timeout_ms": int(CALL_SECONDS * 1000)}}}
+
+    def setUp(self):
+        super().setUp()
+        self.workers = self.cell.of_role("worker")
+        self.control = self.cell.of_role("control")[0]
+        # When a worker was killed, and with it all its tasks.
+        self.killed_at = {}
+        # The earliest moment at which a paused worker's lease may have ended.
+        self.lapsed_at = {}
+        self.put_profile("sheet", task_profile())
+        self.put_profile("render", task_profile(repeatable=False))
+        wait_until(lambda: len(self.answering_vms()) == 3, "workers answer")
+
+    def operators(self, method, path, body=None):
+        """Calls the operators' interface of an entry VM."""
+        url = f"{self.entries[0].urls['operators']}{path}"
+        return call(method, url, json.dumps(body).encode() if body else b"")
+
+    def answering_vms(self):
+        answer = self.operators("GET", "/v1/vms")
+        if answer.status != 200:
+            return []
+        return [it for it in answer.json()["vms"] if it["answers"]]
+
+    def submit(self, profile, tasks, run_ms):
+        """Submits a job and returns its id."""
+        answer = self.operators("POST", "/v1/jobs", {
+            "name": "test", "profile": profile, "tasks": tasks,
+            "payload": json.dumps({"run_ms": run_ms})})
+        self.assertEqual(200, answer.status, answer.body)
+        return answer.json()["job"]
+
+    def job(self, job):
+        """State of a job; empty while no leader answers."""
+        answer = self.operators("GET", f"/v1/jobs/{job}")
+        return answer.json()["jobs"][0] if answer.status == 200 else {}
+
+    def wait_for_state(self, job, state):
+        wait_until(lambda: self.job(job).get("state") == state,
+                   f"{job} is {state}")
+
+    def wait_for_running(self, job, count):
+        wait_until(lambda: self.job(job).get("running") == count,
+                   f"{count} tasks of {job} run")
+
+    def lines_of(self, worker):
+        return read_lines(self.folder / "workers" / f"{worker.name}.tasks")
+
+    def runs(self):
+        """When each task ran, by task."""
+        runs = collections.defaultdict(list)
+        for worker in self.workers:
+            open_runs = {}
+            for line in self.lines_of(worker):
+                key = (line["task"], line["attempt"])
+                if line["event"] == "start":
+                    open_runs[key] = float(line["time"])
+                elif line["event"] == "stop":
+                    stop = float(line["time"])
+                    if line["reason"] == "lease_expired":
+                        stop = min(stop, self.lapsed_at.get(worker.name, stop))
+                    runs[key[0]].append(Run(worker.name, key[1],
+                                            open_runs.pop(key), stop,
+                                            line["reason"]))
+            end = self.killed_at.get(worker.name, float("inf"))
+            for (task, attempt), start in open_runs.items():
+                runs[task].append(Run(worker.name, attempt, start, end, "open"))
+        return runs
+
+    def check_files(self):
+        """No task ran in two places, no VM was given more than it has."""
+        for task, runs in self.runs().items():
+            runs.sort(key=lambda it: it.start)
+            for before, after in zip(runs, runs[1:]):
+                self.assertLessEqual(before.stop, after.start, (task, runs))
+        for worker in self.workers:
+            for line in self.lines_of(worker):
+                self.assertLessEqual(int(line["milli_processors"]),
+                                     VM_MILLI_PROCESSORS)
+                self.assertNotEqual("refused", line["event"], line)
+
+    def starts(self, job):
+        """How often each task of the job was started."""
+        return {task: len(runs) for task, runs in self.runs().items()
+                if task.startswith(f"{job}/")}
+
+    def busiest_worker(self, job):
+        """The worker that runs most of the job's tasks."""
+        counts = collections.Counter(
+            run.worker for task, runs in self.runs().items()
+            for run in runs if task.startswith(f"{job}/"))
+        return self.cell.named(counts.most_common(1)[0][0])
+
+    def kill_worker(self, worker):
+        self.killed_at[worker.name] = time.time()
+        worker.kill()
+
+    def test_tasks_of_a_killed_worker_run_again_elsewhere(self):
+        job = self.submit("sheet", 8, 4000)
+        self.wait_for_running(job, 8)
+        self.kill_worker(self.busiest_worker(job))
+        self.wait_for_state(job, "ended")
+        self.assertEqual(8, self.job(job)["finished"])
+        self.assertIn(2, self.starts(job).values())
+        self.check_files()
+
+    def test_tasks_of_a_restarted_worker_run_again(self):
+        job = self.submit("sheet", 8, 4000)
+        self.wait_for_running(job, 8)
+        worker = self.busiest_worker(job)
+        self.kill_worker(worker)
+        self.cell.start_again(worker.name)
+        self.wait_for_state(job, "ended")
+        self.assertEqual(8, self.job(job)["finished"])
+        self.assertEqual(8, len(self.starts(job)))
+        self.check_files()
+
+    def test_not_repeatable_tasks_of_a_killed_worker_are_unknown(self):
+        job = self.submit("render", 8, 4000)
+        self.wait_for_running(job, 8)
+        worker = self.busiest_worker(job)
+        lost = sum(1 for runs in self.runs().values()
+                   if runs[0].worker == worker.name)
+        self.kill_worker(worker)
+        self.wait_for_state(job, "ended")
+        self.assertEqual(lost, self.job(job)["unknown"])
+        self.assertEqual(8 - lost, self.job(job)["finished"])
+        self.assertEqual({1}, set(self.starts(job).values()))
+        self.check_files()
+
+    def test_a_worker_paused_over_its_lease_keeps_no_task(self):
+        job = self.submit("sheet", 8, 6000)
+        self.wait_for_running(job, 8)
+        worker = self.busiest_worker(job)
+        paused = time.time()
+        # The lease counts from a reading that the leader had before the pause:
+        # that of the last renewal, or of the one before if that was under way.
+        self.lapsed_at[worker.name] = (paused + LEASE_SECONDS -
+                                       2 * RENEW_SECONDS - CALL_SECONDS)
+        worker.send(signal.SIGSTOP)
+        wait_until(lambda: 2 in self.starts(job).values(), "tasks move")
+        worker.send(signal.SIGCONT)
+        self.wait_for_state(job, "ended")
+        self.assertEqual(8, self.job(job)["finished"])
+        self.check_files()
+
+    def test_a_killed_leader_finds_its_tasks_again(self):
+        sheet = self.submit("sheet", 6, 6000)
+        render = self.submit("render", 4, 6000)
+        self.wait_for_running(sheet, 6)
+        self.wait_for_running(render, 4)
+        self.control.kill()
+        self.cell.start_again(self.control.name)
+        self.wait_for_state(sheet, "ended")
+        self.wait_for_state(render, "ended")
+        self.assertEqual(6, self.job(sheet)["finished"])
+        self.assertEqual(4, self.job(render)["finished"])
+        self.assertEqual({1}, set(self.starts(sheet).values()))
+        self.assertEqual({1}, set(self.starts(render).values()))
+        self.check_files()
+
+    def test_a_leader_paused_over_all_leases_places_anew(self):
+        job = self.submit("sheet", 6, 8000)
+        self.wait_for_running(job, 6)
+        self.control.send(signal.SIGSTOP)
+        wait_until(lambda: sum(
+            line["event"] == "stop" and line["reason"] == "lease_expired"
+            for it in self.workers for line in self.lines_of(it)) == 6,
+            "workers stop all tasks by themselves")
+        self.control.send(signal.SIGCONT)
+        self.wait_for_state(job, "ended")
+        self.assertEqual(6, self.job(job)["finished"])
+        self.check_files()
+
+    def test_a_drained_vm_empties_and_bad_jobs_are_refused(self):
+        job = self.submit("sheet", 2, 1000)
+        self.wait_for_running(job, 2)
+        worker = self.busiest_worker(job)
+        answer = self.operators("PUT", f"/v1/vms/{worker.name}/drain")
+        self.assertEqual(200, answer.status, answer.body)
+        wait_until(lambda: self.operators(
+            "GET", f"/v1/vms/{worker.name}").json()["vms"][0]["tasks"] == 0,
+            "the VM is empty")
+        before = len(self.lines_of(worker))
+        self.wait_for_state(self.submit("sheet", 4, 100), "ended")
+        self.assertEqual(before, len(self.lines_of(worker)))
+        self.assert_refused({"tasks": 0}, 400, "tasks")
+        self.assert_refused({"tasks": 1_000_000}, 400, "tasks")
+        self.assert_refused({"profile": "absent"}, 404, "profile")
+        self.assert_refused({"team": "absent"}, 404, "team")
+        self.assert_refused({"overrides": {"resources": {
+            "milli_processors": 33000}}}, 400, "resources")
+        self.assert_refused({"overrides": {"resources": {
+            "memory_mib": -1}}}, 400, "resources.memory_mib")
+
+    def assert_refused(self, change, status, field):
+        """A job with the change is refused with the field, and not kept."""
+        before = len(self.operators("GET", "/v1/jobs").json()["jobs"])
+        answer = self.operators("POST", "/v1/jobs", {
+            "name": "bad", "profile": "sheet", "tasks": 1, **change})
+        self.assertEqual(status, answer.status, answer.body)
+        self.assertTrue(answer.json()["field"].endswith(field), answer.body)
+        after = len(self.operators("GET", "/v1/jobs").json()["jobs"])
+        self.assertEqual(before, after)
+
+
+if __name__ == "__main__":
+    support.main()
