Let the demonstration run whole on one control VM

Cause: the demonstration was written before jobs could run. Change: it reads the job's state as the operators' interface gives it, and uses one control VM until the log is replicated. The ends of 300 ms tasks were seen only after 3 s.

--- a/scripts/lib/masticwinch/demo.py
+++ b/scripts/lib/masticwinch/demo.py
@@ -49,7 +49,7 @@
         self.build = build
         # One runner refuses all work, so that a request can be seen to be
         # retried at another.
-        self.cell = Cell.create(folder, build, CellSize(),
+        self.cell = Cell.create(folder, build, CellSize(controls=1),
                                 {"runner-1": {"behavior": "refuse"}})
         self.request = "demo-lookup-1"
 
@@ -130,9 +130,10 @@
                "payload": json.dumps({"run_ms": run_ms})}
         return self.ctl("job", "submit", "-", body=job)["job"]
 
-    def job_state(self, job):
-        """State of a job."""
-        return self.ctl("job", "show", job)["state"].lower()
+    def has_finished(self, job, tasks):
+        """Whether a job has ended with all its tasks finished."""
+        status = self.ctl("job", "show", job)["jobs"][0]
+        return status["state"] == "ended" and status["finished"] == tasks
 
     def task_events(self, job):
         """Lines of the workers' task files that are about a job."""
@@ -148,7 +149,7 @@
     def run_sheet(self):
         """Runs a batch job to its end."""
         job = self.submit("sheet", SHEET_TASKS, run_ms=300)
-        wait_until(lambda: self.job_state(job) == "finished",
+        wait_until(lambda: self.has_finished(job, SHEET_TASKS),
                    "the batch job finishes")
         starts = [it for it in self.task_events(job) if it["event"] == "start"]
         tasks = {it["task"] for it in starts}
@@ -161,7 +162,7 @@
     def run_gang(self):
         """Runs a gang; all its tasks must run at one moment."""
         job = self.submit("render", RENDER_TASKS, run_ms=2000)
-        wait_until(lambda: self.job_state(job) == "finished",
+        wait_until(lambda: self.has_finished(job, RENDER_TASKS),
                    "the gang finishes")
         events = self.task_events(job)
         last_start = max(float(it["time"]) for it in events
@@ -190,7 +191,7 @@
         """Drains a worker and sees that it gets no task."""
         self.ctl("--wait", "vm", "drain", "worker-1")
         job = self.submit("sheet", 2 * SHEET_TASKS, run_ms=100)
-        wait_until(lambda: self.job_state(job) == "finished",
+        wait_until(lambda: self.has_finished(job, 2 * SHEET_TASKS),
                    "a job beside the drained VM finishes")
         used = {it["worker"] for it in self.task_events(job)}
         require("worker-1" not in used, "a drained VM gets no task")
