Replicate the cell's state over the control VMs

Cause: the control daemon kept its commands in one local log, so that a cell had one control VM and died with it. Change: ReplicatedLog runs a replica and its storage around the cell service, and replaces the local log: founding of a cell once every listed replica is empty, group commit, hints to the leader, leases checked at each answer,

A change of the membership that would leave too few healthy voters is refused. Conclusion: accepted changes outlive the loss of a control VM.

--- a/src/masticwinch/control/cell_service.hpp
+++ b/src/masticwinch/control/cell_service.hpp
@@ -206,6 +206,9 @@
 
   void takeQuery(const protocol::Envelope &envelope) {
     const protocol::QueryRequest &request = envelope.query_request();
+    if (request.has_membership() || request.has_membership_change()) {
+      return;
+    }
     protocol::Envelope reply;
     protocol::QueryReply *body = reply.mutable_query_reply();
     body->set_call(request.call());
--- a/src/masticwinch/control/control_daemon.cpp
+++ b/src/masticwinch/control/control_daemon.cpp
@@ -1,6 +1,6 @@
 #include "masticwinch/control/control_daemon.hpp"
 
-#include "masticwinch/control/local_log.hpp"
+#include "masticwinch/control/replicated_log.hpp"
 #include "masticwinch/http/http_client.hpp"
 #include "masticwinch/http/http_server.hpp"
 #include "masticwinch/metrics/metric_registry.hpp"
@@ -36,9 +36,29 @@
 
 } // namespace
 
+namespace {
+
+ReplicatedLogOptions logOptions(const ControlSettings &settings) {
+  ReplicatedLogOptions options;
+  options.Storage.Folder = settings.DataFolder;
+  options.Storage.Cluster = settings.Process.Cluster;
+  options.Replica = settings.Replica;
+  options.SnapshotEntries = settings.SnapshotEntries;
+  options.Self.Name = settings.Process.Name;
+  options.Self.Address = settings.Process.InternalAddress;
+  options.Self.DataCenter = settings.Process.DataCenter;
+  for (const programs::PeerSettings &it : settings.Members) {
+    options.Founders.push_back({{}, it.Name, it.Address, "", false});
+  }
+  return options;
+}
+
+} // namespace
+
 struct ControlDaemon::Implementation {
-  using Service = CellService<LocalLog, peers::Mailbox>;
-  using Placement = platform::PlacementDriver<LocalLog, platform::WorkerCaller>;
+  using Service = CellService<ReplicatedLog, peers::Mailbox>;
+  using Placement =
+      platform::PlacementDriver<ReplicatedLog, platform::WorkerCaller>;
 
   explicit Implementation(const ControlSettings &settings)
       : Settings(settings), Incarnation(programs::newIncarnation(Time)),
@@ -53,18 +73,14 @@
             },
             Events),
         Client(Context, Mailbox, {programs::addressesOf(settings.Members)}),
-        Log(settings.DataFolder,
-            [this](LogPosition position, const std::string &record) {
-              asio::post(Context, [this, position, record] {
-                State.applied(position, record);
-              });
-            }),
+        Log(logOptions(settings), Context, Mailbox, Events, Time, handlers()),
         State(Log, Mailbox, Time, Events, settings.Service),
         WorkerCalls(Context),
         Workers(WorkerCalls, settings.Placement.Lease.CallTimeout),
         Placer(Log, Workers, State.state(), Time, Events, settings.Placement),
         Api(Context, Client,
-            {[] { return true; }, [this] { return Metrics.text(); }}),
+            {[this] { return !Log.leaderAddress().empty(); },
+             [this] { return Metrics.text(); }}),
         Server(programs::serverOptions(settings.Operators),
                [this](std::shared_ptr<HttpExchange> it) { Api.handle(it); }),
         Ticker(Context), PlacementTicker(Context),
@@ -83,6 +99,30 @@
          }});
   }
 
+  ReplicatedLogHandlers handlers() {
+    ReplicatedLogHandlers made;
+    made.Applied = [this](LogPosition position, const std::string &record) {
+      State.applied(position, record);
+    };
+    made.Restored = [this](const std::string &state) { restore(state); };
+    made.Snapshot = [this] {
+      return State.state().snapshot().SerializeAsString();
+    };
+    made.LeaderStarted = [this] {
+      State.becomeLeader();
+      Placer.becomeLeader();
+    };
+    return made;
+  }
+
+  void restore(const std::string &state) {
+    protocol::CellSnapshot snapshot;
+    if (!snapshot.ParseFromString(state)) {
+      throw std::runtime_error("the stored state can't be read");
+    }
+    State.state().restore(snapshot);
+  }
+
   /// The pages are made on the control thread, so they may read its state.
   void registerMetrics() {
     registerProcessMetrics(Metrics);
@@ -100,6 +140,7 @@
   }
 
   void receive(const protocol::Envelope &envelope) {
+    Log.receive(envelope);
     if (envelope.has_worker_announcement()) {
       Placer.announced(envelope.worker_announcement());
     }
@@ -128,16 +169,9 @@
   }
 
   ExitCode run() {
-    if (Settings.Members.size() != 1) {
-      throw std::runtime_error("a cell with several control VMs needs the "
-                               "replicated log, which is not there yet");
-    }
-    asio::post(Context, [this] {
-      State.becomeLeader();
-      Placer.becomeLeader();
-    });
     Mailbox.start();
     Server.start();
+    Log.start();
     scheduleTick();
     schedulePlacement();
     Events.write(ControlEvent::Started,
@@ -148,6 +182,10 @@
 
   void stop() {
     Events.write(ControlEvent::Stopping);
+    Log.handOver([this] { finishStop(); });
+  }
+
+  void finishStop() {
     Server.stop();
     Mailbox.stop();
     Events.write(ControlEvent::Stopped);
@@ -162,7 +200,7 @@
   asio::io_context Context{1};
   peers::Mailbox Mailbox;
   peers::CellClient Client;
-  LocalLog Log;
+  ReplicatedLog Log;
   Service State;
   HttpClient WorkerCalls;
   platform::WorkerCaller Workers;
--- a/src/masticwinch/control/control_settings.cpp
+++ b/src/masticwinch/control/control_settings.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr SettingsRange LeaseRange{200, 10'000};
+constexpr SettingsRange HeartbeatRange{20, 10'000};
+constexpr SettingsRange ElectionRange{100, 60'000};
+constexpr SettingsRange SnapshotRange{10, 1'000'000};
 constexpr SettingsRange LapseRange{1'000, 600'000};
 
 void readLeases(SettingsReader &reader, CellServiceOptions &service) {
@@ -50,6 +53,27 @@
   });
 }
 
+void readReplication(SettingsReader &reader, ControlSettings &settings) {
+  replication::ReplicaOptions &replica = settings.Replica;
+  replica.HeartbeatInterval = reader.optionalMilliseconds(
+      "heartbeat_ms", HeartbeatRange, replica.HeartbeatInterval);
+  replica.ElectionTimeoutMin = reader.optionalMilliseconds(
+      "election_timeout_min_ms", ElectionRange, replica.ElectionTimeoutMin);
+  replica.ElectionTimeoutMax = reader.optionalMilliseconds(
+      "election_timeout_max_ms", ElectionRange, replica.ElectionTimeoutMax);
+  settings.SnapshotEntries = static_cast<std::uint64_t>(reader.optionalInteger(
+      "snapshot_entries", SnapshotRange,
+      static_cast<std::int64_t>(settings.SnapshotEntries)));
+  if (replica.ElectionTimeoutMin < 2 * replica.HeartbeatInterval) {
+    reader.report("election_timeout_min_ms",
+                  "must be at least twice heartbeat_ms");
+  }
+  if (replica.ElectionTimeoutMax <= replica.ElectionTimeoutMin) {
+    reader.report("election_timeout_max_ms",
+                  "must be longer than election_timeout_min_ms");
+  }
+}
+
 } // namespace
 
 Result<ControlSettings> loadControlSettings(const std::string &file) {
@@ -63,6 +87,9 @@
           readLeases(nested, settings.Service);
         });
         readPlacement(reader, settings.Placement);
+        reader.object("replication", [&](SettingsReader &nested) {
+          readReplication(nested, settings);
+        });
         const bool listed =
             std::any_of(settings.Members.begin(), settings.Members.end(),
                         [&](const programs::PeerSettings &it) {
--- a/src/masticwinch/control/control_settings.hpp
+++ b/src/masticwinch/control/control_settings.hpp
@@ -3,6 +3,7 @@
 #include "masticwinch/common/result.hpp"
 #include "masticwinch/control/cell_service.hpp"
 #include "masticwinch/coordination/placement/placer_types.hpp"
+#include "masticwinch/coordination/replication/replica_options.hpp"
 #include "masticwinch/programs/endpoint_settings.hpp"
 
 #include <string>
@@ -18,6 +19,9 @@
   programs::HttpSettings Operators;
   CellServiceOptions Service;
   placement::PlacerSettings Placement;
+  replication::ReplicaOptions Replica;
+  /// Committed changes after which the state is stored anew.
+  std::uint64_t SnapshotEntries = 5000;
 };
 
 /// Reads and checks a settings file. Errors: `SettingsError`.
--- /dev/null
+++ b/src/masticwinch/control/replicated_log.cpp
@@ -0,0 +1,280 @@
+#include "masticwinch/control/replicated_log.hpp"
+
+#include "masticwinch/control/replicated_log_event.hpp"
+#include "masticwinch/events/event_log.hpp"
+#include "masticwinch/peers/mailbox.hpp"
+#include "masticwinch/protocol/envelope.pb.h"
+
+#include <asio/post.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <cstdlib>
+#include <random>
+#include <stdexcept>
+
+namespace masticwinch::control {
+
+using replication::Effects;
+using replication::Replica;
+using replication::WriteBatch;
+using storage::StorageError;
+using storage::StorageErrorKind;
+
+namespace {
+
+constexpr Milliseconds MaintenanceInterval{500};
+constexpr Milliseconds WriteRetryInterval{1000};
+constexpr Milliseconds HandoverTimeout{2000};
+/// Exit status after a failed sync.
+constexpr int StorageFailedStatus = 74;
+
+std::mt19937_64 randomEngine() {
+  std::random_device device;
+  std::seed_seq seed{device(), device(), device(), device()};
+  return std::mt19937_64(seed);
+}
+
+/// Runs a function of storage; nothing if it succeeded.
+template <class Function>
+std::optional<StorageError> storageErrorOf(Function function) {
+  return boost::leaf::try_handle_all(
+      [&]() -> Result<std::optional<StorageError>> {
+        BOOST_LEAF_CHECK(function());
+        return std::optional<StorageError>();
+      },
+      [](const StorageError &error) { return std::optional(error); },
+      [] {
+        return std::optional(
+            StorageError{StorageErrorKind::Io, "", "unknown error"});
+      });
+}
+
+} // namespace
+
+ReplicatedLog::ReplicatedLog(ReplicatedLogOptions options,
+                             asio::io_context &context, peers::Mailbox &mailbox,
+                             EventLog &events, const Clock &clock,
+                             ReplicatedLogHandlers handlers)
+    : Options(std::move(options)), Context(context), Outbox(mailbox),
+      Events(events), Time(clock), Handlers(std::move(handlers)),
+      Engine(randomEngine()), Timer(context), Maintenance(context),
+      WriteRetry(context), HandoverLimit(context) {
+  openStorage();
+}
+
+ReplicatedLog::~ReplicatedLog() { Disk.join(); }
+
+void ReplicatedLog::openStorage() {
+  const auto error = storageErrorOf([this]() -> Result<void> {
+    BOOST_LEAF_AUTO(opened,
+                    storage::ReplicaStorage::open(Options.Storage, Engine));
+    Storage.emplace(std::move(opened));
+    return {};
+  });
+  if (error) {
+    throw std::runtime_error(error->text());
+  }
+  Options.Self.Id = Storage->id();
+  Events.write(ReplicatedLogEvent::FolderOpened,
+               {{"replica", Options.Self.Id.text()},
+                {"empty", Storage->isEmpty() ? "yes" : "no"}});
+  if (Storage->isEmpty()) {
+    Founders.emplace(Options.Self, Options.Founders);
+  }
+}
+
+void ReplicatedLog::start() {
+  startMachine(Storage->takeRecovered());
+  foundIfComplete();
+  maintain();
+}
+
+void ReplicatedLog::startMachine(replication::RecoveredState recovered) {
+  Machine = std::make_unique<Replica>(Options.Replica, Options.Self.Id,
+                                      std::move(recovered),
+                                      std::mt19937_64(Engine()), Time.now());
+  schedulePump();
+}
+
+std::optional<LogPosition> ReplicatedLog::propose(const std::string &record) {
+  if (DiskFull) {
+    return std::nullopt;
+  }
+  const auto index = Machine->propose(record, Time.now());
+  schedulePump();
+  if (!index) {
+    return std::nullopt;
+  }
+  return LogPosition{*index, Machine->term()};
+}
+
+bool ReplicatedLog::isLeader() const {
+  LeaseLapsed = LeaseLapsed || !Machine->holdsLease(Time.now());
+  return LeadershipNoted && !LeaseLapsed;
+}
+
+std::string ReplicatedLog::leaderAddress() const {
+  const auto leader = Machine->leader();
+  const replication::Member *member =
+      leader ? Machine->membership().find(*leader) : nullptr;
+  return member ? member->Address : std::string();
+}
+
+/// Inputs that arrive together are answered together, with one sync and one
+/// message to each replica.
+void ReplicatedLog::schedulePump() {
+  if (PumpScheduled) {
+    return;
+  }
+  PumpScheduled = true;
+  asio::post(Context, [this] {
+    PumpScheduled = false;
+    pump();
+  });
+}
+
+void ReplicatedLog::pump() {
+  handle(Machine->takeEffects(Time.now()));
+  noteLeadership();
+  snapshotIfDue();
+  armTimer();
+}
+
+void ReplicatedLog::handle(Effects effects) {
+  writeEvents(effects);
+  if (effects.Write) {
+    write(std::make_shared<WriteBatch>(std::move(*effects.Write)));
+  }
+  sendMessages(effects);
+  applyCommitted(effects);
+}
+
+void ReplicatedLog::applyCommitted(const Effects &effects) {
+  if (effects.Restore) {
+    AppliedIndex = effects.Restore->Index;
+    Handlers.Restored(effects.Restore->Data);
+  }
+  for (const protocol::LogEntry &it : effects.Committed) {
+    AppliedIndex = it.index();
+    if (it.kind() == protocol::COMMAND) {
+      Handlers.Applied({it.index(), it.term()}, it.data());
+    }
+  }
+}
+
+void ReplicatedLog::sendMessages(const Effects &effects) {
+  for (const replication::OutgoingMessage &it : effects.Messages) {
+    const std::string address = addressOf(it.To, it.Address);
+    if (address.empty()) {
+      continue;
+    }
+    protocol::Envelope envelope;
+    *envelope.mutable_replication() = it.Message;
+    Outbox.send(address, std::move(envelope));
+  }
+}
+
+void ReplicatedLog::writeEvents(const Effects &effects) {
+  for (const replication::ReplicaEvent &it : effects.Events) {
+    Events.write(it.Kind, {{"role", nameOf(Machine->role())},
+                           {"term", it.Term},
+                           {"index", it.Index},
+                           {"detail", it.Detail}});
+  }
+}
+
+void ReplicatedLog::write(std::shared_ptr<const WriteBatch> batch) {
+  asio::post(Disk, [this, batch = std::move(batch)] {
+    auto error = storageErrorOf([&] { return Storage->write(*batch); });
+    asio::post(Context, [this, batch, error = std::move(error)] {
+      written(batch, error);
+    });
+  });
+}
+
+void ReplicatedLog::written(std::shared_ptr<const WriteBatch> batch,
+                            std::optional<StorageError> error) {
+  if (error && error->Kind != StorageErrorKind::DiskFull) {
+    Events.write(ReplicatedLogEvent::StorageFailed,
+                 {{"reason", error->text()}});
+    std::_Exit(StorageFailedStatus);
+  }
+  if (DiskFull != error.has_value()) {
+    DiskFull = error.has_value();
+    Events.write(DiskFull ? ReplicatedLogEvent::DiskFull
+                          : ReplicatedLogEvent::DiskWritable,
+                 {{"reason", error ? error->text() : ""}});
+  }
+  if (error) {
+    WriteRetry.expires_after(WriteRetryInterval);
+    WriteRetry.async_wait([this, batch](const std::error_code &ec) {
+      if (!ec) {
+        write(batch);
+      }
+    });
+    return;
+  }
+  Machine->persisted(batch->Sequence, Time.now());
+  schedulePump();
+}
+
+void ReplicatedLog::snapshotIfDue() {
+  if (AppliedIndex < Machine->snapshotIndex() + Options.SnapshotEntries) {
+    return;
+  }
+  Machine->compact(AppliedIndex, Handlers.Snapshot());
+  Events.write(ReplicatedLogEvent::SnapshotTaken, {{"index", AppliedIndex}});
+  schedulePump();
+}
+
+void ReplicatedLog::noteLeadership() {
+  const bool leads = Machine->holdsLease(Time.now());
+  const bool begins = leads && (!LeadershipNoted || LeaseLapsed);
+  LeadershipNoted = leads;
+  if (begins) {
+    LeaseLapsed = false;
+    Handlers.LeaderStarted();
+  }
+  if (HandoverDone && Machine->role() != replication::Role::Leader) {
+    HandoverLimit.cancel();
+    std::exchange(HandoverDone, nullptr)();
+  }
+}
+
+void ReplicatedLog::armTimer() {
+  Timer.expires_at(Machine->nextTick());
+  Timer.async_wait([this](const std::error_code &ec) {
+    if (!ec) {
+      Machine->tick(Time.now());
+      schedulePump();
+    }
+  });
+}
+
+void ReplicatedLog::handOver(std::function<void()> done) {
+  if (!Machine->transferLeadership(Time.now())) {
+    done();
+    return;
+  }
+  HandoverDone = std::move(done);
+  HandoverLimit.expires_after(HandoverTimeout);
+  HandoverLimit.async_wait([this](const std::error_code &ec) {
+    if (!ec && HandoverDone) {
+      std::exchange(HandoverDone, nullptr)();
+    }
+  });
+  schedulePump();
+}
+
+void ReplicatedLog::maintain() {
+  greet();
+  settleLearners();
+  Maintenance.expires_after(MaintenanceInterval);
+  Maintenance.async_wait([this](const std::error_code &ec) {
+    if (!ec) {
+      maintain();
+    }
+  });
+}
+
+} // namespace masticwinch::control
--- /dev/null
+++ b/src/masticwinch/control/replicated_log.hpp
@@ -0,0 +1,162 @@
+#pragma once
+
+#include "masticwinch/control/command_log.hpp"
+#include "masticwinch/coordination/replication/founding.hpp"
+#include "masticwinch/coordination/replication/replica.hpp"
+#include "masticwinch/storage/replica_storage.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/thread_pool.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace masticwinch {
+class EventLog;
+} // namespace masticwinch
+
+namespace masticwinch::protocol {
+class Envelope;
+class MembershipReply;
+} // namespace masticwinch::protocol
+
+namespace masticwinch::peers {
+class Mailbox;
+} // namespace masticwinch::peers
+
+namespace masticwinch::control {
+
+struct ReplicatedLogOptions {
+  storage::StorageOptions Storage;
+  replication::ReplicaOptions Replica;
+  /// Name, address and data centre of this replica; its identity comes from the
+  /// data folder.
+  replication::Member Self;
+  /// Names and addresses of the cell's founders.
+  std::vector<replication::Member> Founders;
+  /// Committed entries after which the state is stored anew and older entries
+  /// are dropped.
+  std::uint64_t SnapshotEntries = 5000;
+};
+
+/// What the log asks of the replicated state. All run on the control thread.
+struct ReplicatedLogHandlers {
+  AppliedHandler Applied;
+  /// Replaces the state.
+  std::function<void(const std::string &state)> Restored;
+  /// The state after the last applied record.
+  std::function<std::string()> Snapshot;
+  /// This replica leads, or does so again after a lapse, and has applied all
+  /// that was accepted before.
+  std::function<void()> LeaderStarted;
+};
+
+/// Runs a replica: messages through the mailbox, storage on a thread of its
+/// own, and the rest on the control thread. Ends the process when a sync fails.
+class ReplicatedLog {
+public:
+  /// Opens the data folder. Throws `std::runtime_error` with the reason if it
+  /// can't be used.
+  ReplicatedLog(ReplicatedLogOptions options, asio::io_context &context,
+                peers::Mailbox &mailbox, EventLog &events, const Clock &clock,
+                ReplicatedLogHandlers handlers);
+  ~ReplicatedLog();
+  ReplicatedLog(const ReplicatedLog &) = delete;
+  ReplicatedLog &operator=(const ReplicatedLog &) = delete;
+
+  /// Restores the state and begins to take part.
+  void start();
+
+  /// Takes in a message of another replica or about the membership; others are
+  /// ignored.
+  void receive(const protocol::Envelope &envelope);
+
+  /// Hands leadership over if this replica leads, then calls `done`; at the
+  /// latest after a fixed time.
+  void handOver(std::function<void()> done);
+
+  std::optional<LogPosition> propose(const std::string &record);
+
+  /// True if no other replica can lead at this moment and the state reflects
+  /// all that was accepted.
+  bool isLeader() const;
+  std::string leaderAddress() const;
+
+  std::uint64_t commitIndex() const { return Machine->commitIndex(); }
+  std::uint64_t term() const { return Machine->term(); }
+  std::uint64_t snapshotIndex() const { return Machine->snapshotIndex(); }
+
+private:
+  struct WaitingReplica {
+    replication::Member Replica;
+    SteadyTime LastSeen;
+  };
+
+  // replicated_log.cpp
+  void openStorage();
+  void startMachine(replication::RecoveredState recovered);
+  void schedulePump();
+  void pump();
+  void handle(replication::Effects effects);
+  void applyCommitted(const replication::Effects &effects);
+  void sendMessages(const replication::Effects &effects);
+  void writeEvents(const replication::Effects &effects);
+  void write(std::shared_ptr<const replication::WriteBatch> batch);
+  void written(std::shared_ptr<const replication::WriteBatch> batch,
+               std::optional<storage::StorageError> error);
+  void snapshotIfDue();
+  void noteLeadership();
+  void armTimer();
+
+  // replicated_log_membership.cpp
+  void takeMessage(const protocol::Envelope &envelope);
+  void takeGreeting(const protocol::Envelope &envelope);
+  void foundIfComplete();
+  void maintain();
+  void greet();
+  void settleLearners();
+  void answerMembership(const protocol::Envelope &envelope);
+  void fillMembership(protocol::MembershipReply &reply) const;
+  std::string changeMembership(const std::string &add,
+                               const std::string &remove);
+  std::string addWaiting(const std::string &name);
+  std::string removeNamed(const std::string &name);
+  std::string addressOf(replication::ReplicaId id,
+                        const std::string &listed) const;
+
+  ReplicatedLogOptions Options;
+  asio::io_context &Context;
+  peers::Mailbox &Outbox;
+  EventLog &Events;
+  const Clock &Time;
+  ReplicatedLogHandlers Handlers;
+  std::mt19937_64 Engine;
+  std::optional<storage::ReplicaStorage> Storage;
+  std::unique_ptr<replication::Replica> Machine;
+  std::optional<replication::FounderList> Founders;
+  std::map<replication::ReplicaId, WaitingReplica> Waiting;
+  /// Where replicas that the membership does not list were heard from.
+  std::map<replication::ReplicaId, std::string> LearnedAddresses;
+  asio::steady_timer Timer;
+  asio::steady_timer Maintenance;
+  asio::steady_timer WriteRetry;
+  asio::steady_timer HandoverLimit;
+  std::function<void()> HandoverDone;
+  bool PumpScheduled = false;
+  bool DiskFull = false;
+  bool LeadershipNoted = false;
+  /// Somebody was told that this replica does not lead; the handler for the
+  /// start of leadership runs again before anybody is told that it does.
+  mutable bool LeaseLapsed = false;
+  std::uint64_t AppliedIndex = 0;
+  asio::thread_pool Disk{1};
+};
+
+static_assert(CommandLog<ReplicatedLog>);
+
+} // namespace masticwinch::control
--- /dev/null
+++ b/src/masticwinch/control/replicated_log_event.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "masticwinch/common/enum_names.hpp"
+
+#include <array>
+
+namespace masticwinch::control {
+
+/// Events of the replicated log around the replica.
+enum class ReplicatedLogEvent {
+  FolderOpened,
+  CellFounded,
+  ReplicaWaiting,
+  DiskFull,
+  DiskWritable,
+  StorageFailed,
+  SnapshotTaken,
+  SenderRefused,
+};
+
+} // namespace masticwinch::control
+
+namespace masticwinch {
+
+template <> struct EnumNames<control::ReplicatedLogEvent> {
+  using Event = control::ReplicatedLogEvent;
+  static constexpr std::array Table{
+      EnumName<Event>{Event::FolderOpened, "data_folder_opened"},
+      EnumName<Event>{Event::CellFounded, "cell_founded"},
+      EnumName<Event>{Event::ReplicaWaiting, "replica_waiting"},
+      EnumName<Event>{Event::DiskFull, "disk_full"},
+      EnumName<Event>{Event::DiskWritable, "disk_writable"},
+      EnumName<Event>{Event::StorageFailed, "storage_failed"},
+      EnumName<Event>{Event::SnapshotTaken, "snapshot_taken"},
+      EnumName<Event>{Event::SenderRefused, "replica_sender_refused"}};
+};
+
+} // namespace masticwinch
--- /dev/null
+++ b/src/masticwinch/control/replicated_log_membership.cpp
@@ -0,0 +1,233 @@
+#include "masticwinch/control/replicated_log.hpp"
+#include "masticwinch/control/replicated_log_event.hpp"
+#include "masticwinch/events/event_log.hpp"
+#include "masticwinch/peers/mailbox.hpp"
+#include "masticwinch/protocol/envelope.pb.h"
+
+#include <asio/post.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+
+namespace masticwinch::control {
+
+using replication::Member;
+using replication::Membership;
+using replication::ReplicaId;
+using replication::ReplicationError;
+
+namespace {
+
+/// A replica that stopped asking to join is forgotten after this time.
+constexpr Milliseconds WaitingLimit{10000};
+
+/// The name of the error of a refused change; empty if it was taken.
+template <class Function> std::string refusalOf(Function function) {
+  return boost::leaf::try_handle_all(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(function());
+        return std::string();
+      },
+      [](ReplicationError error) { return std::string(nameOf(error)); },
+      [] { return std::string("unknown error"); });
+}
+
+} // namespace
+
+void ReplicatedLog::receive(const protocol::Envelope &envelope) {
+  if (envelope.has_replication()) {
+    takeMessage(envelope);
+  } else if (envelope.has_replica_greeting()) {
+    takeGreeting(envelope);
+  } else if (envelope.query_request().has_membership() ||
+             envelope.query_request().has_membership_change()) {
+    answerMembership(envelope);
+  }
+}
+
+void ReplicatedLog::takeMessage(const protocol::Envelope &envelope) {
+  const protocol::ReplicationMessage &message = envelope.replication();
+  const ReplicaId from{message.from_high(), message.from_low()};
+  const Member *member = Machine->membership().find(from);
+  if (member && member->Name != envelope.sender()) {
+    Events.write(ReplicatedLogEvent::SenderRefused,
+                 {{"sender", envelope.sender()},
+                  {"claims", member->Name},
+                  {"address", envelope.reply_address()}});
+    return;
+  }
+  if (!member) {
+    LearnedAddresses[from] = envelope.reply_address();
+  }
+  Machine->receive(message, Time.now());
+  schedulePump();
+}
+
+std::string ReplicatedLog::addressOf(ReplicaId id,
+                                     const std::string &listed) const {
+  const auto it = LearnedAddresses.find(id);
+  return listed.empty() && it != LearnedAddresses.end() ? it->second : listed;
+}
+
+/// Founds the cell once all founders are known to be empty.
+void ReplicatedLog::foundIfComplete() {
+  const bool untouched = Machine->lastIndex() == 0 && Machine->term() == 0;
+  const auto founders = Founders ? Founders->complete() : std::nullopt;
+  if (!founders || !untouched) {
+    return;
+  }
+  replication::RecoveredState state = replication::foundingState(*founders);
+  replication::WriteBatch batch;
+  batch.Hard = state.Hard;
+  batch.Entries = state.Entries;
+  if (!Storage->write(batch)) {
+    return;
+  }
+  Founders.reset();
+  startMachine(std::move(state));
+  Events.write(ReplicatedLogEvent::CellFounded,
+               {{"members", founders->Members.size()}});
+}
+
+void ReplicatedLog::takeGreeting(const protocol::Envelope &envelope) {
+  protocol::ReplicaMembership one;
+  *one.add_members() = envelope.replica_greeting().replica();
+  const Member replica = Membership::fromMessage(one).Members.front();
+  if (replica.Name != envelope.sender()) {
+    Events.write(ReplicatedLogEvent::SenderRefused,
+                 {{"sender", envelope.sender()}, {"claims", replica.Name}});
+    return;
+  }
+  if (Founders) {
+    Founders->greeted(replica);
+    foundIfComplete();
+  }
+  if (Machine->lastIndex() == 0 || Machine->membership().find(replica.Id)) {
+    return;
+  }
+  const auto [it, added] = Waiting.try_emplace(replica.Id);
+  it->second = {replica, Time.now()};
+  if (added) {
+    Events.write(ReplicatedLogEvent::ReplicaWaiting,
+                 {{"name", replica.Name},
+                  {"replica", replica.Id.text()},
+                  {"address", replica.Address}});
+  }
+}
+
+/// An empty replica tells the others of itself until it gets entries.
+void ReplicatedLog::greet() {
+  if (Machine->lastIndex() != 0) {
+    Founders.reset();
+    return;
+  }
+  Membership self;
+  self.Members.push_back(Options.Self);
+  protocol::Envelope envelope;
+  *envelope.mutable_replica_greeting()->mutable_replica() =
+      self.toMessage().members(0);
+  for (const Member &it : Options.Founders) {
+    if (it.Address != Options.Self.Address) {
+      Outbox.send(it.Address, envelope);
+    }
+  }
+}
+
+/// Makes learners that caught up voters, and removes a member that was replaced
+/// by a newer one of the same name.
+void ReplicatedLog::settleLearners() {
+  std::erase_if(Waiting, [&](const auto &it) {
+    return Time.now() - it.second.LastSeen > WaitingLimit ||
+           Machine->membership().find(it.first);
+  });
+  if (!Machine->isReadyLeader()) {
+    return;
+  }
+  const Membership membership = Machine->membership();
+  for (const Member &it : membership.Members) {
+    if (it.Learner && Machine->promote(it.Id, Time.now())) {
+      schedulePump();
+      return;
+    }
+    const bool replaced = std::any_of(
+        membership.Members.begin(), membership.Members.end(),
+        [&](const Member &other) {
+          return &other > &it && other.Name == it.Name && !other.Learner;
+        });
+    if (replaced && Machine->remove(it.Id, Time.now())) {
+      schedulePump();
+      return;
+    }
+  }
+}
+
+std::string ReplicatedLog::changeMembership(const std::string &add,
+                                            const std::string &remove) {
+  const std::string refused =
+      !add.empty() ? addWaiting(add) : removeNamed(remove);
+  schedulePump();
+  return refused;
+}
+
+std::string ReplicatedLog::addWaiting(const std::string &name) {
+  for (const auto &[id, it] : Waiting) {
+    if (it.Replica.Name == name) {
+      const Member replica = it.Replica;
+      return refusalOf(
+          [&] { return Machine->addLearner(replica, Time.now()); });
+    }
+  }
+  return Machine->membership().findName(name)
+             ? ""
+             : "no replica of this name waits to join";
+}
+
+std::string ReplicatedLog::removeNamed(const std::string &name) {
+  const Member *member = Machine->membership().findName(name);
+  if (!member) {
+    return "";
+  }
+  const ReplicaId id = member->Id;
+  return refusalOf([&] { return Machine->remove(id, Time.now()); });
+}
+
+void ReplicatedLog::answerMembership(const protocol::Envelope &envelope) {
+  const protocol::QueryRequest &request = envelope.query_request();
+  protocol::Envelope answer;
+  protocol::QueryReply *reply = answer.mutable_query_reply();
+  reply->set_call(request.call());
+  reply->set_leader_hint(leaderAddress());
+  reply->set_taken(isLeader());
+  if (reply->taken()) {
+    protocol::MembershipReply *body = reply->mutable_membership();
+    if (request.has_membership_change()) {
+      body->set_refused(changeMembership(request.membership_change().add(),
+                                         request.membership_change().remove()));
+    }
+    fillMembership(*body);
+  }
+  Outbox.send(envelope.reply_address(), std::move(answer));
+}
+
+void ReplicatedLog::fillMembership(protocol::MembershipReply &reply) const {
+  reply.set_commit_index(Machine->commitIndex());
+  const protocol::ReplicaMembership listed = Machine->membership().toMessage();
+  for (const protocol::ReplicaMember &it : listed.members()) {
+    const ReplicaId id{it.id_high(), it.id_low()};
+    protocol::MemberStatus *status = reply.add_members();
+    *status->mutable_member() = it;
+    status->set_leader(Machine->leader() == id);
+    const replication::PeerProgress *peer = Machine->progressOf(id);
+    status->set_match_index(peer ? peer->Match : Machine->lastIndex());
+    status->set_repairing(peer && peer->RepairNonce != 0);
+  }
+  for (const auto &[id, it] : Waiting) {
+    Membership one;
+    one.Members.push_back(it.Replica);
+    protocol::MemberStatus *status = reply.add_members();
+    *status->mutable_member() = one.toMessage().members(0);
+    status->set_waiting(true);
+  }
+}
+
+} // namespace masticwinch::control
--- a/src/masticwinch/coordination/replication/effects.hpp
+++ b/src/masticwinch/coordination/replication/effects.hpp
@@ -28,6 +28,8 @@
   ChangePending,
   /// The membership change names a replica that is unknown, or already there.
   BadChange,
+  /// Too few of the remaining voters answer and are whole.
+  WouldLoseQuorum,
   /// No replica is fit to take over.
   NoTarget,
 };
@@ -102,20 +104,21 @@
       EnumName<Error>{Error::TooLarge, "too-large"},
       EnumName<Error>{Error::ChangePending, "change-pending"},
       EnumName<Error>{Error::BadChange, "bad-change"},
+      EnumName<Error>{Error::WouldLoseQuorum, "would-lose-quorum"},
       EnumName<Error>{Error::NoTarget, "no-target"}};
 };
 
 template <> struct EnumNames<replication::ReplicaEventKind> {
   using Kind = replication::ReplicaEventKind;
   static constexpr std::array Table{
-      EnumName<Kind>{Kind::RoleChanged, "replica-role-changed"},
-      EnumName<Kind>{Kind::MembershipChanged, "replica-membership-changed"},
-      EnumName<Kind>{Kind::SnapshotInstalled, "replica-snapshot-installed"},
-      EnumName<Kind>{Kind::SnapshotRefused, "replica-snapshot-refused"},
-      EnumName<Kind>{Kind::RepairStarted, "replica-repair-started"},
-      EnumName<Kind>{Kind::RepairFinished, "replica-repair-finished"},
-      EnumName<Kind>{Kind::MessageRefused, "replica-message-refused"},
-      EnumName<Kind>{Kind::QuorumLost, "replica-quorum-lost"}};
+      EnumName<Kind>{Kind::RoleChanged, "replica_role_changed"},
+      EnumName<Kind>{Kind::MembershipChanged, "replica_membership_changed"},
+      EnumName<Kind>{Kind::SnapshotInstalled, "replica_snapshot_installed"},
+      EnumName<Kind>{Kind::SnapshotRefused, "replica_snapshot_refused"},
+      EnumName<Kind>{Kind::RepairStarted, "replica_repair_started"},
+      EnumName<Kind>{Kind::RepairFinished, "replica_repair_finished"},
+      EnumName<Kind>{Kind::MessageRefused, "replica_message_refused"},
+      EnumName<Kind>{Kind::QuorumLost, "replica_quorum_lost"}};
 };
 
 } // namespace masticwinch
--- a/src/masticwinch/coordination/replication/founding.cpp
+++ b/src/masticwinch/coordination/replication/founding.cpp
@@ -17,4 +17,29 @@
   return state;
 }
 
+FounderList::FounderList(Member self, std::vector<Member> listed)
+    : Listed(std::move(listed)) {
+  greeted(self);
+}
+
+void FounderList::greeted(const Member &founder) {
+  const bool listed =
+      std::any_of(Listed.begin(), Listed.end(), [&](const Member &it) {
+        return it.Name == founder.Name && it.Address == founder.Address;
+      });
+  if (!listed) {
+    return;
+  }
+  std::erase_if(Known.Members,
+                [&](const Member &it) { return it.Name == founder.Name; });
+  Known.Members.push_back(founder);
+}
+
+std::optional<Membership> FounderList::complete() const {
+  if (Known.Members.size() != Listed.size()) {
+    return std::nullopt;
+  }
+  return Known;
+}
+
 } // namespace masticwinch::replication
--- a/src/masticwinch/coordination/replication/founding.hpp
+++ b/src/masticwinch/coordination/replication/founding.hpp
@@ -12,4 +12,24 @@
 /// which they are given.
 RecoveredState foundingState(Membership founders);
 
+/// Collects the identities of a cell's founders. A cell is founded only when
+/// every replica that the settings list has said that its folder is empty, so
+/// that a wiped VM can't start a second history.
+class FounderList {
+public:
+  /// `listed` are the names and addresses of all founders; `self` is one.
+  FounderList(Member self, std::vector<Member> listed);
+
+  /// Takes in that a replica stated its identity and an empty folder. One that
+  /// is not listed with this name and address is ignored.
+  void greeted(const Member &founder);
+
+  /// The founding membership, once every founder is known.
+  std::optional<Membership> complete() const;
+
+private:
+  std::vector<Member> Listed;
+  Membership Known;
+};
+
 } // namespace masticwinch::replication
--- a/src/masticwinch/coordination/replication/replica.cpp
+++ b/src/masticwinch/coordination/replication/replica.cpp
@@ -36,6 +36,9 @@
     note(ReplicaEventKind::RepairStarted);
   }
   resetElectionTimer(now);
+  if (Log.membership().voterCount() == 1 && Log.membership().isVoter(Self)) {
+    ElectionDeadline = now;
+  }
 }
 
 std::uint64_t Replica::snapshotIndex() const {
--- a/src/masticwinch/coordination/replication/replica.hpp
+++ b/src/masticwinch/coordination/replication/replica.hpp
@@ -171,6 +171,7 @@
   // replica_requests.cpp
   Result<std::uint64_t> changeMembership(Membership next, SteadyTime now);
   std::optional<ReplicationError> refusal() const;
+  bool hasHealthyQuorum(const Membership &membership) const;
   void stepDownIfRemoved(SteadyTime now);
 
   // replica_follower.cpp
--- a/src/masticwinch/coordination/replication/replica_requests.cpp
+++ b/src/masticwinch/coordination/replication/replica_requests.cpp
@@ -4,6 +4,13 @@
 
 namespace masticwinch::replication {
 
+namespace {
+
+/// A replica that answered one of this many last heartbeat rounds is alive.
+constexpr std::uint64_t RecentRounds = 3;
+
+} // namespace
+
 std::optional<ReplicationError> Replica::refusal() const {
   if (CurrentRole != Role::Leader) {
     return ReplicationError::NotLeader;
@@ -149,6 +156,9 @@
   if (!isReadyLeader() || Log.membershipIndex() > CommitIndex) {
     return boost::leaf::new_error(ReplicationError::ChangePending);
   }
+  if (!hasHealthyQuorum(next)) {
+    return boost::leaf::new_error(ReplicationError::WouldLoseQuorum);
+  }
   const std::uint64_t index =
       appendOwn(protocol::MEMBERSHIP, next.toMessage().SerializeAsString());
   syncPeers();
@@ -156,6 +166,18 @@
   return index;
 }
 
+/// True if a quorum of the voters answered lately and needs no repair.
+bool Replica::hasHealthyQuorum(const Membership &membership) const {
+  std::size_t healthy = 0;
+  for (const Member &it : membership.Members) {
+    const PeerProgress *peer = progressOf(it.Id);
+    const bool answers = it.Id == Self || (peer && peer->RepairNonce == 0 &&
+                                           peer->Round + RecentRounds >= Round);
+    healthy += !it.Learner && answers ? 1U : 0U;
+  }
+  return healthy >= membership.quorum();
+}
+
 void Replica::stepDownIfRemoved(SteadyTime now) {
   const bool committed = Log.membershipIndex() <= CommitIndex;
   if (committed && !Log.membership().isVoter(Self)) {
--- a/src/masticwinch/ctl/ctl_commands.cpp
+++ b/src/masticwinch/ctl/ctl_commands.cpp
@@ -68,6 +68,15 @@
   return command;
 }
 
+/// A change of the membership, which is no configuration.
+CtlCommand changingMember(std::string words, std::string help,
+                          std::string method) {
+  CtlCommand command = changing(std::move(words), {"NAME"}, std::move(help),
+                                std::move(method), "/v1/members");
+  command.ChangesConfiguration = false;
+  return command;
+}
+
 CtlCommand submitting() {
   CtlCommand command;
   command.Words = "job submit";
@@ -124,6 +133,15 @@
       reading("upstream list", {}, "lists the announced upstreams",
               "/v1/upstreams"),
       reading("entry list", {}, "lists the entry VMs", "/v1/entries"),
+      reading("member list", {},
+              "lists the control VMs and those that wait to join",
+              "/v1/members"),
+      changingMember("member add",
+                     "takes in a control VM that waits to join; it replaces "
+                     "one of the same name",
+                     "PUT"),
+      changingMember("member remove", "takes a control VM out of the cell",
+                     "DELETE"),
       reading("in-force", {}, "says which configuration each entry VM uses",
               "/v1/in-force"),
   };
--- a/src/masticwinch/operators/operators_api.cpp
+++ b/src/masticwinch/operators/operators_api.cpp
@@ -114,6 +114,7 @@
   addVmsAndTeams();
   addJobs();
   addPlacement();
+  addMembers();
 }
 
 OperatorsApi::~OperatorsApi() = default;
@@ -265,6 +266,25 @@
   });
 }
 
+void OperatorsApi::addMembers() {
+  add("GET", "/v1/members", [this](auto exchange, const RouteMatch &) {
+    protocol::QueryRequest request;
+    request.mutable_membership();
+    query(exchange, std::move(request));
+  });
+  add("PUT", "/v1/members/{}", [this](auto exchange, const RouteMatch &match) {
+    protocol::QueryRequest request;
+    request.mutable_membership_change()->set_add(match[0]);
+    query(exchange, std::move(request));
+  });
+  add("DELETE", "/v1/members/{}",
+      [this](auto exchange, const RouteMatch &match) {
+        protocol::QueryRequest request;
+        request.mutable_membership_change()->set_remove(match[0]);
+        query(exchange, std::move(request));
+      });
+}
+
 void OperatorsApi::addListing(const std::string &path,
                               const std::string &kind) {
   add("GET", path, [this, kind](auto exchange, const RouteMatch &) {
@@ -317,6 +337,11 @@
           exchange->respond(jsonResponse(200, toJson(reply.in_force())));
         } else if (reply.has_profile_history()) {
           exchange->respond(jsonResponse(200, toJson(reply.profile_history())));
+        } else if (!reply.membership().refused().empty()) {
+          exchange->respond(
+              errorResponse(409, "refused", reply.membership().refused()));
+        } else if (reply.has_membership()) {
+          exchange->respond(jsonResponse(200, toJson(reply.membership())));
         } else if (named && reply.configuration().items().empty() &&
                    reply.jobs().jobs().empty() && reply.vms().vms().empty()) {
           exchange->respond(errorResponse(404, "not_found", "no such item"));
--- a/src/masticwinch/operators/operators_api.hpp
+++ b/src/masticwinch/operators/operators_api.hpp
@@ -63,6 +63,7 @@
   void addVmsAndTeams();
   void addJobs();
   void addPlacement();
+  void addMembers();
   void addListing(const std::string &path, const std::string &kind);
   void submit(std::shared_ptr<HttpExchange> exchange,
               protocol::Command command);
