--- a/benchmarks/placement.cpp
+++ b/benchmarks/placement.cpp
@@ -1,9 +1,13 @@
+#include "masticwinch/platform/job_terms.hpp"
+#include "masticwinch/protocol/cell.pb.h"
+
 #include "benchmarks/capacity_measure.hpp"
 #include "benchmarks/placement_fleet.hpp"
 #include "benchmarks/placement_surge.hpp"
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -210,6 +214,57 @@
   double DecisionP99 = 0;
 };
 
+/// Bytes of the log that placement writes a second, at a rate of starts in jobs
+/// of 600 tasks (240,000 jobs a day), with starts delegated to the leader's
+/// epoch or durable one by one.
+double recordBytesPerSecond(bool durableStarts, double startsPerSecond) {
+  constexpr std::uint32_t TasksPerJob = 600;
+  constexpr std::size_t Vms = 1'000;
+  constexpr std::chrono::seconds WarmUp{20};
+  constexpr std::chrono::seconds Length{60};
+  constexpr Milliseconds Tick{50};
+  SteadyTime now = SteadyTime() + std::chrono::hours(1);
+  std::mt19937_64 random(1);
+  Placer leader({}, 1, now);
+  bench::Fleet fleet(leader, [&](const AttemptId &) {
+    return Milliseconds(500 + static_cast<std::int64_t>(random() % 19'000));
+  });
+  fleet.announce(Vms, bench::VmCapacity, now);
+  double owed = 0;
+  double bytes = 0;
+  std::size_t jobs = 0;
+  const SteadyTime begin = now + WarmUp;
+  const SteadyTime end = begin + Length;
+  while (now < end) {
+    now += Tick;
+    owed += startsPerSecond * 0.050;
+    for (; owed >= TasksPerJob; owed -= TasksPerJob) {
+      JobTerms terms;
+      terms.Id = fmt::format("job-{}", 10'000'000 + jobs++);
+      terms.Team = fmt::format("team-{}", jobs % 1200);
+      terms.Tasks = TasksPerJob;
+      terms.PerTask = {500, 1'024, 0};
+      terms.Repeatable = !durableStarts;
+      leader.addJob(terms, {}, false, now);
+    }
+    fleet.advance(now);
+    for (int round = 0; round < 4; ++round) {
+      const StepEffects effects = leader.step(now);
+      if (!effects.Records.empty()) {
+        protocol::Command command;
+        *command.mutable_record_placement() =
+            platform::messageOf(effects.Records);
+        bytes += now > begin ? double(command.ByteSizeLong()) : 0;
+        leader.recorded(effects.Records.Id, now);
+      }
+      for (const WorkerCall &it : effects.Calls) {
+        fleet.answer(it, now);
+      }
+    }
+  }
+  return bytes / double(Length.count());
+}
+
 double measureSize(std::size_t vms, double startsPerSecond) {
   SteadyLoad load(vms);
   load.fill();
@@ -243,6 +298,11 @@
   const double large = measureSize(16'000, 1'700);
   figure("decision_p99_growth_50_to_16000", large / small, "ratio");
   figure("decision_p99_growth_1000_to_16000", large / middle, "ratio");
+  constexpr double PeakStarts = 1'700;
+  figure("record_bytes_delegated", recordBytesPerSecond(false, PeakStarts),
+         "bytes/s");
+  figure("record_bytes_durable_starts", recordBytesPerSecond(true, PeakStarts),
+         "bytes/s");
   for (const std::uint64_t seed : {1U, 2U}) {
     for (const PolicyName policy :
          {PolicyName::FirstFit, PolicyName::Pack, PolicyName::Spread}) {
--- a/src/masticwinch/coordination/cell/cell_jobs.cpp
+++ b/src/masticwinch/coordination/cell/cell_jobs.cpp
@@ -10,7 +10,8 @@
     if (job == Jobs.end()) {
       continue;
     }
-    placement::applyOutcomes(*job->second.mutable_progress(), it);
+    placement::applyOutcomes(*job->second.mutable_progress(), it,
+                             job->second.spec().tasks());
     if (it.ended() && job->second.ended_order() == 0) {
       endJob(job->second);
     }
--- a/src/masticwinch/coordination/placement/internal/maintenance.cpp
+++ b/src/masticwinch/coordination/placement/internal/maintenance.cpp
@@ -14,6 +14,7 @@
     releaseWithheld();
   }
   endPauses();
+  releaseRecords();
   cancelTasks();
   restartGangs();
 }
@@ -34,6 +35,15 @@
   }
 }
 
+void Maintenance::releaseRecords() {
+  while (!State.RecordsDue.empty() &&
+         State.RecordsDue.begin()->first <= State.Now) {
+    const JobIndex job = State.RecordsDue.begin()->second;
+    State.RecordsDue.erase(State.RecordsDue.begin());
+    State.releaseRecords(job);
+  }
+}
+
 void Maintenance::cancelTasks() {
   std::size_t settled = 0;
   while (!State.CancelledJobs.empty() && settled < MostCancelledPerStep) {
--- a/src/masticwinch/coordination/placement/internal/maintenance.hpp
+++ b/src/masticwinch/coordination/placement/internal/maintenance.hpp
@@ -17,6 +17,7 @@
 
 private:
   void endPauses();
+  void releaseRecords();
   void cancelTasks();
   void restartGangs();
   void release(JobIndex job);
--- a/src/masticwinch/coordination/placement/internal/placer_state.cpp
+++ b/src/masticwinch/coordination/placement/internal/placer_state.cpp
@@ -261,7 +261,13 @@
     return;
   }
   job.Ended = true;
-  EndedJobs.push_back(job.Terms.Id);
+  const bool rest = job.Terms.Repeatable && !job.Terms.Cancelled &&
+                    job.Terms.Kind != JobKind::Service;
+  for (PendingRecord &it : job.LaterRecords) {
+    it.Implied = rest;
+  }
+  releaseRecords(index);
+  EndedJobs.push_back({job.Terms.Id, rest});
   notice(PlacementEvent::JobEnded, index);
   refreshQueue(index);
   dropReservation(index);
--- a/src/masticwinch/coordination/placement/internal/placer_state.hpp
+++ b/src/masticwinch/coordination/placement/internal/placer_state.hpp
@@ -63,6 +63,8 @@
   /// Adds a record of an end, after which the worker may forget the attempt.
   void recordEnd(JobIndex job, std::uint32_t task, TaskState state,
                  WorkerIndex vm, std::uint64_t attempt);
+  /// Lets the job's records be proposed with the next batch.
+  void releaseRecords(JobIndex job);
   void forget(WorkerIndex vm, AttemptId id);
   void notice(PlacementEvent kind, JobIndex job, std::uint32_t task = 0,
               std::uint64_t attempt = 0, WorkerIndex vm = NoIndex);
@@ -104,14 +106,16 @@
       CallTimes;
   std::set<std::pair<SteadyTime, JobIndex>> HeldJobs;
   std::set<std::pair<SteadyTime, WorkerIndex>> EjectedVms;
+  /// When the records of a job that wait for others are due.
+  std::set<std::pair<SteadyTime, JobIndex>> RecordsDue;
   std::set<JobIndex> WithheldJobs;
   std::set<WorkerIndex> DrainingVms;
   std::deque<JobIndex> CancelledJobs;
   std::deque<JobIndex> RestartingGangs;
   std::vector<PendingRecord> Records;
   std::vector<PendingRecord> RecordsUnderWay;
-  std::vector<std::string> EndedJobs;
-  std::vector<std::string> EndedJobsUnderWay;
+  std::vector<EndedJob> EndedJobs;
+  std::vector<EndedJob> EndedJobsUnderWay;
   std::uint64_t RecordBatchId = 0;
   std::vector<PlacementNotice> Notices;
   Resources LargestVm;
--- a/src/masticwinch/coordination/placement/internal/placer_state_orders.cpp
+++ b/src/masticwinch/coordination/placement/internal/placer_state_orders.cpp
@@ -1,6 +1,7 @@
 #include "masticwinch/coordination/placement/internal/placer_state.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace masticwinch::placement::internal {
 
@@ -181,7 +182,26 @@
 
 void PlacerState::recordEnd(JobIndex job, std::uint32_t task, TaskState state,
                             WorkerIndex vm, std::uint64_t attempt) {
-  Records.push_back({{Jobs[job].Terms.Id, task, state}, vm, attempt});
+  Job &owner = Jobs[job];
+  PendingRecord record{{owner.Terms.Id, task, state}, false, vm, attempt};
+  if (vm != NoIndex) {
+    Workers[vm].EndsToRecord.insert(attempt);
+  }
+  if (state != TaskState::Finished || !owner.Terms.Repeatable) {
+    Records.push_back(std::move(record));
+    return;
+  }
+  if (owner.LaterRecords.empty()) {
+    RecordsDue.emplace(Now + Settings.RecordDelay, job);
+  }
+  owner.LaterRecords.push_back(std::move(record));
+}
+
+void PlacerState::releaseRecords(JobIndex job) {
+  auto &later = Jobs[job].LaterRecords;
+  Records.insert(Records.end(), std::make_move_iterator(later.begin()),
+                 std::make_move_iterator(later.end()));
+  later.clear();
 }
 
 void PlacerState::forget(WorkerIndex vm, AttemptId id) {
--- a/src/masticwinch/coordination/placement/internal/reconciler_adopt.cpp
+++ b/src/masticwinch/coordination/placement/internal/reconciler_adopt.cpp
@@ -16,15 +16,8 @@
 
 void Reconciler::takeLateEnd(WorkerIndex vm, JobIndex index,
                              const TaskReport &report) {
-  for (const PendingRecord &it : State.Records) {
-    if (it.Attempt == report.Id.Number && it.Vm == vm) {
-      return;
-    }
-  }
-  for (const PendingRecord &it : State.RecordsUnderWay) {
-    if (it.Attempt == report.Id.Number && it.Vm == vm) {
-      return;
-    }
+  if (State.Workers[vm].EndsToRecord.contains(report.Id.Number)) {
+    return;
   }
   const bool known =
       index != NoIndex && report.Id.Task < State.Jobs[index].Tasks.size();
--- a/src/masticwinch/coordination/placement/internal/record_keeper.cpp
+++ b/src/masticwinch/coordination/placement/internal/record_keeper.cpp
@@ -40,7 +40,9 @@
   state.EndedJobsUnderWay = std::move(state.EndedJobs);
   state.EndedJobs.clear();
   for (const PendingRecord &it : state.RecordsUnderWay) {
-    batch.Tasks.push_back(it.Record);
+    if (!it.Implied) {
+      batch.Tasks.push_back(it.Record);
+    }
   }
   batch.EndedJobs = state.EndedJobsUnderWay;
   return batch;
@@ -56,13 +58,14 @@
     if (it.Record.State == TaskState::Active) {
       startRecorded(state, it);
     } else if (it.Vm != NoIndex) {
+      state.Workers[it.Vm].EndsToRecord.erase(it.Attempt);
       state.forget(it.Vm, {it.Record.Job, it.Record.Task, it.Attempt});
     }
   }
-  const std::vector<std::string> ended = std::move(state.EndedJobsUnderWay);
+  const std::vector<EndedJob> ended = std::move(state.EndedJobsUnderWay);
   state.EndedJobsUnderWay.clear();
-  for (const std::string &it : ended) {
-    const JobIndex job = state.findJob(it);
+  for (const EndedJob &it : ended) {
+    const JobIndex job = state.findJob(it.Id);
     if (job != NoIndex) {
       state.removeJob(job);
     }
--- a/src/masticwinch/coordination/placement/internal/scheduler.cpp
+++ b/src/masticwinch/coordination/placement/internal/scheduler.cpp
@@ -208,7 +208,10 @@
   }
   State.Attempts[attempt].State = AttemptState::Recording;
   State.Records.push_back(
-      {{State.Jobs[index].Terms.Id, task, TaskState::Active}, vm, number});
+      {{State.Jobs[index].Terms.Id, task, TaskState::Active},
+       false,
+       vm,
+       number});
 }
 
 bool Scheduler::preempts(const Job &job) const {
--- a/src/masticwinch/coordination/placement/internal/tables.hpp
+++ b/src/masticwinch/coordination/placement/internal/tables.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -28,6 +29,15 @@
   Orphan,
 };
 
+/// A record that waits to be durable.
+struct PendingRecord {
+  TaskRecord Record;
+  /// The record of the job's end says it, too.
+  bool Implied = false;
+  WorkerIndex Vm = NoIndex;
+  std::uint64_t Attempt = 0;
+};
+
 /// One attempt that holds resources of a VM.
 struct Attempt {
   std::uint64_t Number = 0;
@@ -80,6 +90,8 @@
   JobFailures Failures;
   std::unique_ptr<DomainCounts> Domains;
   std::map<std::uint32_t, std::string> Checkpoints;
+  /// Records that may wait for others of the job.
+  std::vector<PendingRecord> LaterRecords;
   /// Not repeatable tasks that an earlier leader may have started.
   std::vector<std::uint32_t> MayHaveRun;
 };
@@ -99,19 +111,14 @@
   std::vector<AttemptId> ToForget;
   /// In the call under way; told again if it fails.
   std::vector<AttemptId> Forgetting;
+  /// Ended attempts whose end is not durable yet; not to be forgotten.
+  std::set<std::uint64_t> EndsToRecord;
   /// Attempts of unknown jobs that run here, by number.
   std::map<std::uint64_t, AttemptId> Orphans;
   /// Capacity of the next incarnation, as announced.
   Resources Announced;
 };
 
-/// A record that waits to be durable.
-struct PendingRecord {
-  TaskRecord Record;
-  WorkerIndex Vm = NoIndex;
-  std::uint64_t Attempt = 0;
-};
-
 /// VMs kept for one job.
 struct Reservation {
   std::vector<WorkerIndex> Vms;
--- a/src/masticwinch/coordination/placement/job_progress.cpp
+++ b/src/masticwinch/coordination/placement/job_progress.cpp
@@ -86,12 +86,18 @@
 }
 
 void applyOutcomes(protocol::JobProgress &progress,
-                   const protocol::TaskOutcomes &outcomes) {
+                   const protocol::TaskOutcomes &outcomes,
+                   std::uint32_t tasks) {
   addUnended(progress, *progress.mutable_finished(), outcomes.finished());
   addUnended(progress, *progress.mutable_failed(), outcomes.failed());
   addUnended(progress, *progress.mutable_unknown(), outcomes.unknown());
   addUnended(progress, *progress.mutable_replaced(), outcomes.replaced());
   addUnended(progress, *progress.mutable_started(), outcomes.started());
+  for (std::uint32_t it = 0; outcomes.rest_finished() && it < tasks; ++it) {
+    if (!hasEnded(progress, it)) {
+      addTask(*progress.mutable_finished(), it);
+    }
+  }
   progress.set_ended(progress.ended() || outcomes.ended());
 }
 
--- a/src/masticwinch/coordination/placement/job_progress.hpp
+++ b/src/masticwinch/coordination/placement/job_progress.hpp
@@ -26,9 +26,9 @@
 /// The tasks of all ranges.
 std::vector<std::uint32_t> tasksOf(const TaskRanges &ranges);
 
-/// Merges outcomes into what is durable about a job. Idempotent; a task that
-/// has ended keeps its first outcome.
+/// Merges outcomes into what is durable about a job of that many tasks.
+/// Idempotent; a task that has ended keeps its first outcome.
 void applyOutcomes(protocol::JobProgress &progress,
-                   const protocol::TaskOutcomes &outcomes);
+                   const protocol::TaskOutcomes &outcomes, std::uint32_t tasks);
 
 } // namespace masticwinch::placement
--- a/src/masticwinch/coordination/placement/placer_types.hpp
+++ b/src/masticwinch/coordination/placement/placer_types.hpp
@@ -37,6 +37,9 @@
   Milliseconds PollStopping{200};
   /// How far backfilled tasks may overrun the start of a reservation.
   Milliseconds BackfillOverrun{5'000};
+  /// Ends of repeatable tasks become durable together after this time, or with
+  /// their job's end. Until then the workers keep them, for a new leader.
+  Milliseconds RecordDelay{60'000};
   /// Most tasks that one step starts, so that a step stays short.
   std::uint32_t StartsPerStep = 256;
   /// Whether the platform holds tasks to the amounts they were given; without
@@ -154,11 +157,18 @@
   TaskState State = TaskState::Finished;
 };
 
+/// A job of which all tasks have ended.
+struct EndedJob {
+  std::string Id;
+  /// Tasks of which no end was recorded have finished.
+  bool RestFinished = false;
+};
+
 /// Records that go into one command.
 struct RecordBatch {
   std::uint64_t Id = 0;
   std::vector<TaskRecord> Tasks;
-  std::vector<std::string> EndedJobs;
+  std::vector<EndedJob> EndedJobs;
 
   bool empty() const { return Tasks.empty() && EndedJobs.empty(); }
 };
--- a/src/masticwinch/platform/job_terms.cpp
+++ b/src/masticwinch/platform/job_terms.cpp
@@ -121,8 +121,9 @@
   for (const placement::TaskRecord &it : batch.Tasks) {
     addTo(byJob[it.Job], it);
   }
-  for (const std::string &it : batch.EndedJobs) {
-    byJob[it].set_ended(true);
+  for (const placement::EndedJob &it : batch.EndedJobs) {
+    byJob[it.Id].set_ended(true);
+    byJob[it.Id].set_rest_finished(it.RestFinished);
   }
   protocol::RecordPlacement message;
   for (auto &[job, outcomes] : byJob) {
