Ask a worker at once when its tasks have ended

Cause: the leader learnt of ended tasks only at the next renewal of a worker's lease, up to 3 s later, and kept their resources reserved; short tasks left VMs idle for most of the time. Change: a worker announces again when tasks have ended, at most every 20 ms, and the leader asks it for a report at once.

--- a/src/masticwinch/platform/placement_driver.hpp
+++ b/src/masticwinch/platform/placement_driver.hpp
@@ -76,10 +76,11 @@
       return;
     }
     const bool restarted = announcement.incarnation() != held.incarnation();
+    const bool hasNews = announcement.news() != held.news();
     held = announcement;
     if (Leader) {
       Leader->announceWorker(descriptionOf(held), Time.now());
-      if (restarted) {
+      if (restarted || hasNews) {
         Leader->pokeWorker(held.name(), Time.now());
       }
     }
--- a/src/masticwinch/platform/worker_announcement.cpp
+++ b/src/masticwinch/platform/worker_announcement.cpp
@@ -16,6 +16,7 @@
   announcement.set_address(json.at("address").get<std::string>());
   announcement.set_data_center(json.value("data_center", ""));
   announcement.set_rack(json.value("rack", ""));
+  announcement.set_news(json.value("news", std::uint64_t{0}));
   protocol::Resources &capacity = *announcement.mutable_capacity();
   capacity.set_milli_processors(
       json.at("milli_processors").get<std::int64_t>());
--- a/src/masticwinch/stand_in/announcer.cpp
+++ b/src/masticwinch/stand_in/announcer.cpp
@@ -13,6 +13,8 @@
 /// Wait before the next entry VM is tried after a failure.
 constexpr Milliseconds RetryDelay{200};
 constexpr Milliseconds CallTimeout{2000};
+/// Least time between two announcements of news.
+constexpr Milliseconds NewsDelay{20};
 
 bool isOk(const HttpCallResult &result) {
   return result.Outcome == HttpOutcome::Answered &&
@@ -82,11 +84,25 @@
   }
   nlohmann::json body = Options.Body;
   body["incarnation"] = Incarnation;
-  post("announce", body,
-       [this](const HttpCallResult &result) { announced(result); });
+  if (News > 0) {
+    body["news"] = News;
+  }
+  CallUnderWay = true;
+  post("announce", body, [this, sent = News](const HttpCallResult &result) {
+    CallUnderWay = false;
+    announced(result, sent);
+  });
+}
+
+void Announcer::announceNews() {
+  ++News;
+  if (!CallUnderWay && Known) {
+    announce();
+  }
 }
 
-void Announcer::announced(const HttpCallResult &result) {
+void Announcer::announced(const HttpCallResult &result,
+                          std::uint64_t sentNews) {
   if (Leaving) {
     return;
   }
@@ -96,7 +112,7 @@
     }
     Known = true;
     FailureReported = false;
-    after(Options.Renew, &Announcer::announce);
+    after(sentNews == News ? Options.Renew : NewsDelay, &Announcer::announce);
     return;
   }
   announceFailed(result);
--- a/src/masticwinch/stand_in/announcer.hpp
+++ b/src/masticwinch/stand_in/announcer.hpp
@@ -37,6 +37,10 @@
   /// Starts to announce.
   void start();
 
+  /// Announces again at once, with the number that tells the leader that tasks
+  /// have ended.
+  void announceNews();
+
   /// Stops renewing and states the leave at one entry VM after the other until
   /// one answers 200; then calls `done`.
   void leave(std::function<void()> done);
@@ -54,7 +58,7 @@
 
 private:
   void announce();
-  void announced(const HttpCallResult &result);
+  void announced(const HttpCallResult &result, std::uint64_t sentNews);
   void announceFailed(const HttpCallResult &result);
   void sendLeave();
   void leaveAnswered(const HttpCallResult &result);
@@ -72,6 +76,8 @@
   HttpCallId Call = 0;
   bool Leaving = false;
   bool Known = false;
+  std::uint64_t News = 0;
+  bool CallUnderWay = false;
   /// A failure was reported since the last success.
   bool FailureReported = false;
   std::function<void()> LeaveDone;
--- a/src/masticwinch/stand_in/worker_stand_in.cpp
+++ b/src/masticwinch/stand_in/worker_stand_in.cpp
@@ -135,7 +135,9 @@
 }
 
 void WorkerStandIn::writeRecords() {
+  bool ended = false;
   for (const TaskRecord &it : Tasks.takeRecords()) {
+    ended = ended || it.Event != "start";
     if (it.Reason == "lease_expired") {
       Events.write(StandInEvent::LeaseExpired,
                    {{"task", it.Id.Task}, {"attempt", it.Id.Attempt}});
@@ -149,6 +151,9 @@
                       {"memory_mib", it.InUse.MemoryMib},
                       {"accelerators", it.InUse.Accelerators}});
   }
+  if (ended) {
+    Announcements.announceNews();
+  }
 }
 
 } // namespace masticwinch
--- a/tests/platform/test_placement_driver.cpp
+++ b/tests/platform/test_placement_driver.cpp
@@ -65,8 +65,9 @@
     });
   }
 
-  void announce() {
+  void announce(std::uint64_t news = 0) {
     protocol::WorkerAnnouncement vm;
+    vm.set_news(news);
     vm.set_name("vm-1");
     vm.set_incarnation(5);
     vm.set_address("10.0.0.1:80");
@@ -169,6 +170,23 @@
   CHECK(reply.jobs().jobs(0).state() == "ended");
 }
 
+TEST_CASE("A worker with news is asked at once, others at their renewal",
+          "[platform]") {
+  Cell cell;
+  cell.Driver.becomeLeader();
+  cell.commitAll();
+  cell.announce();
+  cell.run(placement::ReportedState::Running);
+  cell.announce();
+  cell.Driver.tick();
+  CHECK(cell.Caller.Calls.empty());
+
+  cell.announce(1);
+  cell.Driver.tick();
+
+  CHECK(cell.Caller.Calls.size() == 1);
+}
+
 TEST_CASE("A process that no longer leads sends nothing", "[platform]") {
   Cell cell;
   cell.Driver.becomeLeader();
