Kill and pause the leading one of three control VMs while tasks run

Placement had been tried with a single control VM only. The driver proposes its first record again when the log refused it, as on a full disk.

--- a/src/masticwinch/platform/placement_driver.hpp
+++ b/src/masticwinch/platform/placement_driver.hpp
@@ -90,9 +90,11 @@
   void tick() {
     if (!Commands.isLeader()) {
       Leader.reset();
+      BeginsAt.reset();
       return;
     }
     if (!Leader) {
+      retryBeginning();
       return;
     }
     placement::StepEffects effects = Leader->step(Time.now());
@@ -147,6 +149,13 @@
   const placement::Placer *placer() const { return Leader.get(); }
 
 private:
+  /// The log may have refused the record that leadership begins with.
+  void retryBeginning() {
+    if (!BeginsAt) {
+      becomeLeader();
+    }
+  }
+
   void begin(std::uint64_t epoch) {
     BeginsAt.reset();
     const SteadyTime now = Time.now();
--- a/tests/processes/test_placement.py
+++ b/tests/processes/test_placement.py
@@ -25,7 +25,9 @@
     return {"team": "mills", "tasks": {**tasks, **policy}}
 
 
-class PlacementTest(CellTest):
+class PlacementCell(CellTest):
+    """A cell with workers, and what their files say."""
+
     SIZE = CellSize(controls=1, entries=2, runners=1, workers=3)
     OVERRIDES = {"control": {"worker_leases": {
         "length_ms": int(LEASE_SECONDS * 1000),
@@ -128,6 +130,10 @@
         self.killed_at[worker.name] = time.time()
         worker.kill()
 
+
+class PlacementTest(PlacementCell):
+    """Faults of workers, and of the only control VM."""
+
     def test_tasks_of_a_killed_worker_run_again_elsewhere(self):
         job = self.submit("sheet", 8, 4000)
         self.wait_for_running(job, 8)
@@ -237,5 +243,56 @@
         self.assertEqual(before, after)
 
 
+class LeaderChangeTest(PlacementCell):
+    """Faults of the leader where another control VM takes over."""
+
+    SIZE = CellSize(controls=3, entries=2, runners=1, workers=3)
+
+    def leader(self):
+        """The control VM that leads; None while there is none."""
+        for control in self.cell.of_role("control"):
+            if control.is_paused() or control.find() is None:
+                continue
+            text = call("GET", control.urls["metrics"]).body.decode()
+            if "\nmasticwinch_leader 1" in text:
+                return control
+        return None
+
+    def test_tasks_go_on_when_the_leader_is_killed(self):
+        sheet = self.submit("sheet", 6, 8000)
+        render = self.submit("render", 4, 8000)
+        self.wait_for_running(sheet, 6)
+        self.wait_for_running(render, 4)
+        killed = self.leader()
+        killed.kill()
+        wait_until(lambda: self.leader() is not None, "another leads")
+        later = self.submit("sheet", 2, 100)
+        self.wait_for_state(later, "ended")
+        self.wait_for_state(sheet, "ended")
+        self.wait_for_state(render, "ended")
+        self.assertEqual(6, self.job(sheet)["finished"])
+        self.assertEqual(4, self.job(render)["finished"])
+        self.assertEqual({1}, set(self.starts(sheet).values()))
+        self.assertEqual({1}, set(self.starts(render).values()))
+        self.check_files()
+        self.cell.start_again(killed.name)
+        self.cell.wait_until_healthy([killed])
+
+    def test_a_paused_leader_starts_nothing_when_it_goes_on(self):
+        job = self.submit("sheet", 12, 3000)
+        self.wait_for_running(job, 12)
+        waiting = self.submit("sheet", 8, 500)
+        paused = self.leader()
+        paused.send(signal.SIGSTOP)
+        wait_until(lambda: self.leader() is not None, "another leads")
+        self.wait_for_state(waiting, "ended")
+        paused.send(signal.SIGCONT)
+        self.cell.wait_until_healthy([paused])
+        self.wait_for_state(self.submit("sheet", 4, 200), "ended")
+        self.wait_for_state(job, "ended")
+        self.assertEqual({1}, set(self.starts(waiting).values()))
+        self.check_files()
+
+
 if __name__ == "__main__":
     support.main()
