Race two operators over one profile while leaders fail

Cause: nothing checked on real processes that a change of leader neither loses an accepted version nor gives one version twice. Change: two operators change one profile on the version that they read while leaders are killed and paused in turn; lost answers are settled by a resend. The tests' HTTP call left out the query of a URL, so that no expected version was ever sent; it now sends it.

--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -52,6 +52,7 @@
 def call(method, url, body=b"", headers=None, timeout=WAIT_SECONDS):
     """Makes one HTTP call on a connection of its own."""
     parts = urllib.parse.urlsplit(url)
+    target = urllib.parse.urlunsplit(("", "", parts.path or "/", parts.query, ""))
     connection = http.client.HTTPConnection(parts.hostname, parts.port,
                                             timeout=timeout)
     try:
@@ -59,7 +60,7 @@
     except ConnectionRefusedError:
         return Answer(0)
     try:
-        connection.request(method, parts.path or "/", body, headers or {})
+        connection.request(method, target, body, headers or {})
         answer = connection.getresponse()
         return Answer(answer.status,
                       {name.lower(): value for name, value in answer.getheaders()},
--- a/tests/processes/test_replicas.py
+++ b/tests/processes/test_replicas.py
@@ -1,8 +1,11 @@
 #!/usr/bin/env python3
 """Three control VMs of which some die, pause, restart or lose their disk."""
 
+import json
 import shutil
 import signal
+import threading
+import uuid
 
 import support
 from support import CellTest, call, wait_until
@@ -79,6 +82,80 @@
         self.put(1)
         self.assert_kept(2)
 
+    def test_racing_operators_agree_on_versions_while_leaders_fail(self):
+        accepted = [[], []]
+        stopping = threading.Event()
+        operators = [
+            threading.Thread(target=self.race, args=(i, accepted[i], stopping))
+            for i in range(2)]
+        for it in operators:
+            it.start()
+        for fault in (self.kill_and_restart, self.pause_and_resume) * 2:
+            before = sum(map(len, accepted))
+            wait_until(lambda before=before:
+                       sum(map(len, accepted)) >= before + 20, "20 changes")
+            fault(self.leader())
+        stopping.set()
+        for it in operators:
+            it.join()
+        versions = accepted[0] + accepted[1]
+        self.assertEqual(len(versions), len(set(versions)),
+                         "two changes got one version")
+        self.assertEqual(max(versions), self.version_of("raced"))
+
+    def kill_and_restart(self, leader):
+        leader.kill()
+        self.cell.start_again(leader.name)
+
+    def pause_and_resume(self, leader):
+        """Pauses a leader until another one leads."""
+        leader.send(signal.SIGSTOP)
+        wait_until(lambda: self.leader().name != leader.name,
+                   "another control VM leads")
+        leader.send(signal.SIGCONT)
+
+    def race(self, number, accepted, stopping):
+        """Changes one profile again and again, each time on the version that
+        was read; keeps the versions that were accepted. A change without an
+        answer is sent again under its id until it is settled."""
+        while not stopping.is_set():
+            expected = self.version_of("raced")
+            url = (f"{self.entries[number].urls['operators']}/v1/profiles/raced"
+                   f"?expect_version={expected}")
+            headers = {"Masticwinch-Request-Id": uuid.uuid4().hex,
+                       "Masticwinch-Operator": f"operator-{number}"}
+            body = json.dumps(support.LOOKUP_PROFILE).encode()
+            answer = self.put_until_settled(url, body, headers)
+            if answer.status == 200:
+                accepted.append(int(answer.json()["version"]))
+                self.assertEqual(expected + 1, accepted[-1])
+
+    def put_until_settled(self, url, body, headers):
+        """The first answer that says whether the change was accepted."""
+        answers = []
+
+        def settled():
+            answers.append(call("PUT", url, body, headers))
+            return answers[-1].status in (200, 409)
+
+        wait_until(settled, "the change is settled")
+        return answers[-1]
+
+    def version_of(self, name):
+        """Version of a profile that the cell's leader states; 0 if there is
+        none."""
+        url = f"{self.entries[0].urls['operators']}/v1/profiles/{name}"
+        answers = []
+
+        def answered():
+            answers.append(call("GET", url))
+            return answers[-1].status in (200, 404)
+
+        wait_until(answered, f"the version of {name} is known")
+        if answers[-1].status == 404:
+            return 0
+        return int(answers[-1].json()["items"][0]["profile"]["version"])
+
     def settled(self):
         """True if the membership has three voters and nobody waits."""
         members = self.members()
