Measure requests, and mend a grant that outlived its reservation

Cause: 100,000 fuzzed sessions found slots exceeded: a grant stated again what an earlier, lost grant gave, with a new lease but the old reservation. The fuzzed world closes timed-out connections first.

--- a/fuzzing/requests/request_world.cpp
+++ b/fuzzing/requests/request_world.cpp
@@ -92,10 +92,16 @@
 
 void RequestWorld::advance(Milliseconds by) {
   Clock.advance(by);
-  for (std::size_t i = Connections.size(); i-- > 0;) {
-    if (i < Connections.size() && Connections[i].TimeoutAt <= now()) {
-      end(i, DispatchResult::TimedOut);
+  std::vector<Connection> expired;
+  std::erase_if(Connections, [&](const Connection &it) {
+    if (it.TimeoutAt <= now()) {
+      expired.push_back(it);
+      return true;
     }
+    return false;
+  });
+  for (const Connection &it : expired) {
+    ended(it, DispatchResult::TimedOut);
   }
   for (Node &it : Nodes) {
     if (it.Machine == nullptr) {
@@ -291,18 +297,23 @@
 }
 
 void RequestWorld::end(std::size_t place, DispatchResult result) {
-  const Connection ended = Connections[place];
+  const Connection connection = Connections[place];
   Connections.erase(Connections.begin() + static_cast<std::ptrdiff_t>(place));
-  Node *node = findNode(ended.Node, ended.Incarnation);
+  ended(connection, result);
+}
+
+/// Tells the entry VM, if it is there, how a closed connection's call ended.
+void RequestWorld::ended(const Connection &connection, DispatchResult result) {
+  Node *node = findNode(connection.Node, connection.Incarnation);
   if (node == nullptr) {
     return;
   }
   AnswerPointer answer;
   if (result == DispatchResult::Answered) {
     answer = std::make_shared<const Answer>(
-        Answer{200, "text/plain", RequestOracle::bodyOf(ended.Logical)});
+        Answer{200, "text/plain", RequestOracle::bodyOf(connection.Logical)});
   }
-  node->Machine->dispatchEnded(ended.Number, result, answer, now());
+  node->Machine->dispatchEnded(connection.Number, result, answer, now());
   collect(*node);
 }
 
--- a/fuzzing/requests/request_world.hpp
+++ b/fuzzing/requests/request_world.hpp
@@ -154,6 +154,7 @@
   Connection *chooseConnection(std::uint8_t choice);
   void receive(Connection &connection);
   void end(std::size_t place, DispatchResult result);
+  void ended(const Connection &connection, DispatchResult result);
   void upstreamRestarts(std::uint8_t choice, bool announce);
   void announce(const std::string &name);
   void entryDies(Node &node);
--- a/src/masticwinch/coordination/requests/dispatcher.hpp
+++ b/src/masticwinch/coordination/requests/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "masticwinch/coordination/requests/request_effects.hpp"
 #include "masticwinch/coordination/requests/request_record.hpp"
 #include "masticwinch/coordination/requests/retry_budget.hpp"
+#include "masticwinch/coordination/requests/service_times.hpp"
 #include "masticwinch/coordination/requests/slot_holder.hpp"
 #include "masticwinch/coordination/requests/slot_owner.hpp"
 #include "masticwinch/coordination/requests/token_bucket.hpp"
@@ -124,6 +125,7 @@
                           SteadyTime now);
   void enqueue(RequestRecord &record, SteadyTime now);
   void dequeued(const RequestRecord &record);
+  Milliseconds timeToRun(const RequestRecord &record) const;
 
   // Life of a request: dispatcher.cpp.
   void startClaim(RequestRecord &record);
@@ -163,6 +165,7 @@
   SlotOwner Owner;
   SlotHolder Holder;
   UpstreamHealth Health;
+  ServiceTimes Times;
   FairQueue Queue;
   /// Sum of the upstreams that waiting requests were sent to before.
   std::size_t TriedByWaiting = 0;
--- a/src/masticwinch/coordination/requests/dispatcher_admission.cpp
+++ b/src/masticwinch/coordination/requests/dispatcher_admission.cpp
@@ -48,8 +48,8 @@
     return RefusalReason::QueueFull;
   }
   const Milliseconds wait = expectedWait(rules.Urgent, now);
-  if (now + wait + Health.meanTime() > record.DeadlineAt ||
-      wait > rules.QueueTime) {
+  const bool late = now + wait + timeToRun(record) > record.DeadlineAt;
+  if (wait > Milliseconds(0) && (late || wait > rules.QueueTime)) {
     return RefusalReason::DeadlineUnmeetable;
   }
   TokenBucket *bucket = bucketOf(record);
@@ -79,8 +79,7 @@
 Milliseconds Dispatcher::expectedWait(bool urgent, SteadyTime now) const {
   const std::size_t ahead = urgent ? Queue.urgentSize() : Queue.size();
   const std::uint32_t slots = std::max<std::uint32_t>(Holder.usable(now), 1);
-  return Milliseconds(static_cast<std::int64_t>(ahead) *
-                      Health.meanTime().count() / slots);
+  return Times.ofClass(urgent) * static_cast<std::int64_t>(ahead) / slots;
 }
 
 Milliseconds Dispatcher::retryAfter(const RequestRecord &record,
@@ -110,13 +109,22 @@
 
 void Dispatcher::enqueue(RequestRecord &record, SteadyTime now) {
   record.Stage = RequestStage::Waiting;
-  record.QueueUntil = std::min(now + record.Rules.QueueTime, record.DeadlineAt);
+  record.QueueUntil = std::min(now + record.Rules.QueueTime,
+                               record.DeadlineAt - timeToRun(record));
   Queue.push({record.Arrival.Profile, record.Rules.Urgent, record.Rules.Weight},
              record.Number);
   TriedByWaiting += record.Tried.size();
   setTimer(record);
 }
 
+/// Part of the deadline that is kept for running: a request that is dispatched
+/// later would only waste its slot. Never more than half, so that a mean from
+/// slower times can't refuse everything.
+Milliseconds Dispatcher::timeToRun(const RequestRecord &record) const {
+  const Milliseconds mean = Times.ofProfile(record.Arrival.Profile);
+  return std::min(mean + mean / 2, record.Rules.Deadline / 2);
+}
+
 void Dispatcher::dequeued(const RequestRecord &record) {
   TriedByWaiting -= record.Tried.size();
 }
--- a/src/masticwinch/coordination/requests/dispatcher_routing.cpp
+++ b/src/masticwinch/coordination/requests/dispatcher_routing.cpp
@@ -178,6 +178,7 @@
   }
   if (result == DispatchResult::Answered && answer->Status < FirstServerError) {
     Health.succeeded(dispatch.Upstream, now - dispatch.StartedAt);
+    Times.record(dispatch.Profile, !dispatch.Patient, now - dispatch.StartedAt);
     return;
   }
   if (!record.FirstFailure.empty() &&
--- /dev/null
+++ b/src/masticwinch/coordination/requests/service_times.cpp
@@ -0,0 +1,38 @@
+#include "masticwinch/coordination/requests/service_times.hpp"
+
+#include <cmath>
+#include <cstdint>
+
+namespace masticwinch {
+namespace {
+
+/// Weight of the newest answer in the moving means.
+constexpr double NewestWeight = 0.05;
+
+void move(double &mean, double value) {
+  mean = mean == 0 ? value : mean + NewestWeight * (value - mean);
+}
+
+Milliseconds toMillis(double value) {
+  return Milliseconds(static_cast<std::int64_t>(std::ceil(value)));
+}
+
+} // namespace
+
+void ServiceTimes::record(const std::string &profile, bool urgent,
+                          SteadyTime::duration took) {
+  const double millis = std::chrono::duration<double, std::milli>(took).count();
+  move(ProfileMillis[profile], millis);
+  move(urgent ? UrgentMillis : PatientMillis, millis);
+}
+
+Milliseconds ServiceTimes::ofProfile(const std::string &profile) const {
+  const auto found = ProfileMillis.find(profile);
+  return toMillis(found == ProfileMillis.end() ? 0 : found->second);
+}
+
+Milliseconds ServiceTimes::ofClass(bool urgent) const {
+  return toMillis(urgent ? UrgentMillis : PatientMillis);
+}
+
+} // namespace masticwinch
--- /dev/null
+++ b/src/masticwinch/coordination/requests/service_times.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "masticwinch/common/clock.hpp"
+
+#include <map>
+#include <string>
+
+namespace masticwinch {
+
+/// Moving means of how long upstreams take for the answered requests of each
+/// profile and of each class.
+class ServiceTimes {
+public:
+  void record(const std::string &profile, bool urgent,
+              SteadyTime::duration took);
+
+  /// Means; zero before the first answer.
+  Milliseconds ofProfile(const std::string &profile) const;
+  Milliseconds ofClass(bool urgent) const;
+
+private:
+  std::map<std::string, double> ProfileMillis;
+  double UrgentMillis = 0;
+  double PatientMillis = 0;
+};
+
+} // namespace masticwinch
--- a/src/masticwinch/coordination/requests/slot_owner.cpp
+++ b/src/masticwinch/coordination/requests/slot_owner.cpp
@@ -280,6 +280,9 @@
   return use;
 }
 
+/// States all that the holder has, also what it doesn't know of since an
+/// earlier grant was lost; its lease is the new one, so the reservation lasts
+/// as long.
 protocol::SlotGrant SlotOwner::grantFor(const EntryIncarnation &name,
                                         Holder &holder, SteadyTime now) {
   protocol::SlotGrant grant;
@@ -288,7 +291,7 @@
   grant.set_holder_incarnation(name.Incarnation);
   grant.set_lease_ms(static_cast<std::uint32_t>(Timing.Lease.count()));
   std::uint32_t free = 0;
-  for (const auto &[upstream, pool] : Pools) {
+  for (auto &[upstream, pool] : Pools) {
     const std::uint32_t used = useOf(pool, now).Slots;
     free += pool.ReadyAt <= now && used < pool.Upstream.slots()
                 ? pool.Upstream.slots() - used
@@ -298,6 +301,7 @@
         found->second.Slots == 0) {
       continue;
     }
+    found->second.Until = std::max(found->second.Until, reservationEnd(holder));
     protocol::SlotHolding &out = *grant.add_holdings();
     out.set_upstream(upstream);
     out.set_slots(found->second.Slots);
--- a/src/masticwinch/coordination/requests/upstream_health.cpp
+++ b/src/masticwinch/coordination/requests/upstream_health.cpp
@@ -110,10 +110,6 @@
   return load * millis * (1 + FailurePenalty * record.FailureShare);
 }
 
-Milliseconds UpstreamHealth::meanTime() const {
-  return Milliseconds(static_cast<std::int64_t>(MeanMillis));
-}
-
 std::size_t UpstreamHealth::ejectedCount() const {
   return static_cast<std::size_t>(
       std::count_if(Records.begin(), Records.end(),
--- a/src/masticwinch/coordination/requests/upstream_health.hpp
+++ b/src/masticwinch/coordination/requests/upstream_health.hpp
@@ -49,9 +49,6 @@
   /// Expected cost of one more request; lower is better.
   double score(const std::string &upstream, std::uint32_t inUse) const;
 
-  /// Mean time of an answer over all upstreams.
-  Milliseconds meanTime() const;
-
   bool isEjected(const std::string &upstream) const;
   std::size_t ejectedCount() const;
 
--- a/tests/coordination/requests/test_dispatcher.cpp
+++ b/tests/coordination/requests/test_dispatcher.cpp
@@ -217,6 +217,36 @@
   CHECK(f.Replies[1].Reason == RefusalReason::DeadlineUnmeetable);
 }
 
+TEST_CASE("Slow work of one profile doesn't refuse another's lookups",
+          "[requests][dispatcher]") {
+  auto slow = Sheet;
+  slow.second.set_deadline_ms(60'000);
+  DispatcherFixture f({Lookup, slow}, 1, 2);
+  f.arrive("sheet");
+  f.Clock.advance(Milliseconds(30'000));
+  f.end(f.Starts.at(0).Number, DispatchResult::Answered);
+  f.arrive("sheet");
+  for (int i = 0; i < 3; ++i) {
+    f.arrive("lookup");
+  }
+  CHECK(f.Replies.size() == 1);
+}
+
+TEST_CASE("A request isn't dispatched when it could no longer be answered",
+          "[requests][dispatcher]") {
+  DispatcherFixture f({Billed}, 1, 1);
+  f.arrive("billed");
+  f.Clock.advance(Milliseconds(200));
+  f.end(f.Starts.at(0).Number, DispatchResult::Answered);
+  f.arrive("billed");
+  f.arrive("billed");
+  f.advance(Milliseconds(700));
+  REQUIRE(f.Replies.size() == 2);
+  CHECK(f.Replies[1].Outcome == RequestOutcome::NotRun);
+  f.end(f.Starts.at(1).Number, DispatchResult::Answered);
+  CHECK(f.Starts.size() == 2);
+}
+
 TEST_CASE("An upstream that fails at once draws no more load",
           "[requests][dispatcher]") {
   DispatcherFixture f({Lookup}, 4, 8);
--- a/tests/coordination/requests/test_slot_leases.cpp
+++ b/tests/coordination/requests/test_slot_leases.cpp
@@ -86,6 +86,17 @@
   CHECK(f.HolderB.usable(f.Clock.now()) == 0);
 }
 
+TEST_CASE("A lost grant that is stated again is reserved as long as its lease",
+          "[requests][slots]") {
+  Fixture f;
+  const auto lost = f.HolderB.demandTo("a", {0, 3}, f.Clock.now());
+  f.Owner.demand(f.B, lost, f.Clock.now());
+  f.Clock.advance(f.Config.longestDeadline());
+  REQUIRE(f.askB(0) == 3);
+  f.Clock.advance(f.Config.longestDeadline() + SlotTiming{}.Lease / 2);
+  CHECK(f.askA(Slots) == 1);
+}
+
 TEST_CASE("A silent holder's slots count until its dispatches have ended",
           "[requests][slots]") {
   Fixture f;
