Test a cell of three control VMs by their deaths and pauses

The process tests ran on one control VM, from before the replicated log. They run on three now: each killed, and each restarted, in turn under load, all killed at once, and two paused, so that no quorum is left.

--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -101,7 +101,7 @@
 class CellTest(unittest.TestCase):
     """A test with a cell of its own, which has to stop in order at the end."""
 
-    SIZE = CellSize(controls=1, entries=3, runners=2, workers=0)
+    SIZE = CellSize(controls=3, entries=3, runners=2, workers=0)
     OVERRIDES = {}
 
     def setUp(self):
@@ -131,9 +131,19 @@
         answer = call("PUT", f"{self.entries[0].urls['operators']}/v1/profiles/{name}",
                       json.dumps(spec).encode())
         self.assertEqual(200, answer.status, answer.body)
-        for entry in self.entries:
-            wait_until(lambda entry=entry: lookup(entry).status not in (404, 410),
-                       f"{name} is in force on {entry.name}")
+        revision = int(answer.json()["revision"])
+        url = f"{self.entries[0].urls['operators']}/v1/in-force"
+
+        def in_force():
+            """Whether every entry VM serves under the change."""
+            reply = call("GET", url)
+            if reply.status != 200:
+                return False
+            serving = [it for it in reply.json()["entries"] if it["serving"]]
+            return (len(serving) == len(self.entries) and
+                    int(reply.json()["in_force_revision"]) >= revision)
+
+        wait_until(in_force, f"{name} is in force on every entry VM")
 
     def executions(self):
         """All executions by request id, with the runners that ran them."""
--- a/tests/processes/test_control.py
+++ b/tests/processes/test_control.py
@@ -1,29 +1,47 @@
 #!/usr/bin/env python3
-"""Control VMs that die and restart."""
+"""Control VMs that die, pause and restart."""
+
+import signal
 
 import support
 from support import Balancer, CellTest, call, lookup, wait_until
 
 
 class ControlTest(CellTest):
-    def test_accepted_profiles_survive_a_kill_of_control(self):
-        control = self.cell.of_role("control")[0]
+    def setUp(self):
+        super().setUp()
+        self.controls = self.cell.of_role("control")
+
+    def start_again(self, controls):
+        """Starts ended control VMs and waits for them and the entry VMs."""
+        for control in controls:
+            self.cell.start_again(control.name)
+        self.cell.wait_until_healthy(controls)
+        self.cell.wait_until_healthy(self.entries)
+
+    def check_ran_once(self, balancer):
+        """Every lookup was answered and ran exactly once."""
+        self.assertEqual([], balancer.problems)
+        executions = self.executions()
+        self.assertEqual({}, {it: executions.get(it) for it in balancer.ended
+                              if len(executions.get(it, [])) != 1})
+
+    def test_accepted_profiles_survive_the_death_of_all_controls(self):
         for number in range(5):
             self.put_profile(f"profile-{number}", support.LOOKUP_PROFILE)
-        control.kill()
-        self.cell.start_again(control.name)
-        self.cell.wait_until_healthy([control])
+        for control in self.controls:
+            control.kill()
+        self.start_again(self.controls)
         url = f"{self.entries[1].urls['operators']}/v1/profiles"
         for number in range(5):
             wait_until(lambda: call("GET", f"{url}/profile-{number}").status == 200,
                        f"profile-{number} is known")
-        self.cell.wait_until_healthy(self.entries)
         wait_until(lambda: lookup(self.entries[2]).outcome == "answered",
                    "lookups are answered again")
 
     def test_entries_without_control_stop_serving_and_recover(self):
-        control = self.cell.of_role("control")[0]
-        control.kill()
+        for control in self.controls:
+            control.kill()
         for entry in self.entries:
             wait_until(lambda entry=entry: not entry.is_healthy(),
                        f"{entry.name} fails its health check")
@@ -32,22 +50,47 @@
             self.assertIn("retry-after", refused.headers)
         self.assertEqual([], [it for it in self.executions()
                               if it.startswith("cut-off")])
-        self.cell.start_again(control.name)
-        self.cell.wait_until_healthy(self.entries)
-        self.assertEqual("answered", lookup(self.entries[0]).outcome)
+        self.start_again(self.controls)
+        wait_until(lambda: lookup(self.entries[0]).outcome == "answered",
+                   "lookups are answered again")
 
-    def test_short_restart_of_control_is_not_seen_by_callers(self):
-        control = self.cell.of_role("control")[0]
+    def test_killing_each_control_in_turn_loses_no_lookup(self):
         with Balancer(self.entries, threads=4) as balancer:
-            balancer.wait_for_answers(100)
-            control.kill()
-            self.cell.start_again(control.name)
-            self.cell.wait_until_healthy([control])
-            balancer.wait_for_answers(100)
-        self.assertEqual([], balancer.problems)
-        executions = self.executions()
-        self.assertEqual({}, {it: executions.get(it) for it in balancer.ended
-                              if len(executions.get(it, [])) != 1})
+            for control in self.controls:
+                balancer.wait_for_answers(50)
+                control.kill()
+                balancer.wait_for_answers(50)
+                self.start_again([control])
+            balancer.wait_for_answers(50)
+        self.check_ran_once(balancer)
+
+    def test_planned_restart_of_each_control_loses_no_lookup(self):
+        with Balancer(self.entries, threads=4) as balancer:
+            for control in self.controls:
+                balancer.wait_for_answers(50)
+                control.send(signal.SIGTERM)
+                self.assertTrue(control.wait_for_end(support.WAIT_SECONDS))
+                self.start_again([control])
+            balancer.wait_for_answers(50)
+        self.check_ran_once(balancer)
+
+    def test_without_a_quorum_nothing_is_accepted_or_served(self):
+        self.put_profile("extra", support.LOOKUP_PROFILE)
+        for control in self.controls[1:]:
+            control.send(signal.SIGSTOP)
+        for entry in self.entries:
+            wait_until(lambda entry=entry: not entry.is_healthy(),
+                       f"{entry.name} fails its health check")
+        url = f"{self.entries[0].urls['operators']}/v1/profiles/extra"
+        retired = call("DELETE", url)
+        self.assertNotEqual(200, retired.status)
+        self.assertEqual("not_run", lookup(self.entries[0], "cut-off").outcome)
+        for control in self.controls[1:]:
+            control.send(signal.SIGCONT)
+        self.cell.wait_until_healthy(self.controls)
+        self.cell.wait_until_healthy(self.entries)
+        self.assertNotIn("cut-off", self.executions())
+        self.put_profile("after", support.LOOKUP_PROFILE)
 
 
 if __name__ == "__main__":
