--- a/benchmarks/placement_fleet.hpp
+++ b/benchmarks/placement_fleet.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <queue>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace masticwinch::bench {
@@ -40,7 +41,8 @@
       for (placement::TaskReport &it : Workers[end.Vm].Tasks) {
         const bool runs = it.State == placement::ReportedState::Running;
         if (it.Id.Number == end.Attempt && runs) {
-          it.State = placement::ReportedState::Finished;
+          it.State = end.State;
+          it.Checkpoint = end.Checkpoint;
           Leader.pokeWorker(fmt::format("vm-{}", end.Vm), now);
         }
       }
@@ -56,9 +58,10 @@
         return task.Id.Number == it.Number;
       });
       BeganAt.erase(it.Number);
+      Stopping.erase(it.Number);
     }
     for (const placement::StopOrder &it : call.Stops) {
-      stop(state, it, now);
+      stop(call.Worker, it, now);
     }
     for (const placement::StartOrder &it : call.Starts) {
       placement::TaskReport task;
@@ -67,7 +70,8 @@
       const Milliseconds done(
           it.ResumeCheckpoint.empty() ? 0 : std::stoll(it.ResumeCheckpoint));
       BeganAt[it.Id.Number] = now - done;
-      Ends.push({now + TimeOf(it.Id) - done, call.Worker, it.Id.Number});
+      Ends.push({now + TimeOf(it.Id) - done, call.Worker, it.Id.Number,
+                 placement::ReportedState::Finished, ""});
       state.Tasks.push_back(std::move(task));
     }
     Leader.workerAnswered(placement::keyOf(call), state, now);
@@ -78,26 +82,29 @@
     SteadyTime At;
     placement::WorkerIndex Vm = 0;
     std::uint64_t Attempt = 0;
+    placement::ReportedState State = placement::ReportedState::Finished;
+    std::string Checkpoint;
     bool operator>(const End &other) const { return At > other.At; }
   };
 
-  /// A checkpoint is the time that the task has run, in milliseconds.
-  void stop(placement::WorkerAnswer &state, const placement::StopOrder &order,
+  /// A task takes its whole grace to stop. Its checkpoint is the time that it
+  /// has run, in milliseconds.
+  void stop(placement::WorkerIndex vm, const placement::StopOrder &order,
             SteadyTime now) {
-    for (placement::TaskReport &it : state.Tasks) {
-      const bool runs = it.State == placement::ReportedState::Running;
-      if (it.Id.Number == order.Id.Number && runs) {
-        it.State = placement::ReportedState::Stopped;
-        const auto ran = (now - BeganAt[it.Id.Number]) / Milliseconds(1);
-        it.Checkpoint = order.Checkpoint ? std::to_string(ran) : "";
-      }
+    if (!Stopping.insert(order.Id.Number).second) {
+      return;
     }
+    const auto ran = (now - BeganAt[order.Id.Number]) / Milliseconds(1);
+    Ends.push({now + order.Grace, vm, order.Id.Number,
+               placement::ReportedState::Stopped,
+               order.Checkpoint ? std::to_string(ran) : std::string()});
   }
 
   placement::Placer &Leader;
   RunTime TimeOf;
   std::vector<placement::WorkerAnswer> Workers;
   std::unordered_map<std::uint64_t, SteadyTime> BeganAt;
+  std::unordered_set<std::uint64_t> Stopping;
   std::priority_queue<End, std::vector<End>, std::greater<>> Ends;
 };
 
