Say each thing once in hellos and their answers

Cause: hellos alone pass the budget of 2 KB a second from the sixth entry VM on; each named the entry VM twice and repeated its address, and each answer of the leader stated the leader's address. Change: the envelope's sender and incarnation name the entry VM, and only a control VM that doesn't lead states who does.

--- a/src/masticwinch/control/cell_service.hpp
+++ b/src/masticwinch/control/cell_service.hpp
@@ -255,33 +255,37 @@
   void takeHello(const protocol::Envelope &envelope) {
     const protocol::EntryHello &hello = envelope.entry_hello();
     const bool leads = Commands.isLeader();
-    const bool member = leads && isMember(hello);
+    const bool member = leads && isMember(envelope);
     if (member) {
-      Leases.hello(hello, Time.now());
-      Addresses[hello.name()] = {envelope.reply_address(), hello.incarnation(),
-                                 hello.revision()};
+      Leases.hello(
+          {envelope.sender(), envelope.incarnation(), hello.revision()},
+          Time.now());
+      Addresses[envelope.sender()] = {envelope.reply_address(),
+                                      envelope.incarnation(), hello.revision()};
     }
     if (leads) {
       Renewals.renew(hello, Time.now());
     }
-    sendUpdate(envelope.reply_address(), hello, leads, member);
+    sendUpdate(envelope, leads, member);
   }
 
-  bool isMember(const protocol::EntryHello &hello) const {
+  bool isMember(const protocol::Envelope &envelope) const {
     const protocol::ConfigItem *item = State.configuration().findPresent(
-        {cell::ConfigKind::Entry, hello.name()});
+        {cell::ConfigKind::Entry, envelope.sender()});
     return item != nullptr &&
-           item->entry().incarnation() == hello.incarnation();
+           item->entry().incarnation() == envelope.incarnation();
   }
 
-  void sendUpdate(const std::string &address, const protocol::EntryHello &hello,
-                  bool leads, bool member) {
+  void sendUpdate(const protocol::Envelope &asked, bool leads, bool member) {
+    const protocol::EntryHello &hello = asked.entry_hello();
     protocol::Envelope reply;
     protocol::EntryUpdate *update = reply.mutable_entry_update();
     update->set_sequence(hello.sequence());
-    update->set_incarnation(hello.incarnation());
+    update->set_incarnation(asked.incarnation());
     update->set_leader(leads);
-    update->set_leader_hint(Commands.leaderAddress());
+    if (!leads) {
+      update->set_leader_hint(Commands.leaderAddress());
+    }
     update->set_member(member);
     if (leads) {
       addChanges(*update, hello.revision());
@@ -290,7 +294,7 @@
       update->set_lease_ms(
           static_cast<std::uint32_t>(Leases.options().Lease.count()));
     }
-    Outbox.send(address, std::move(reply));
+    Outbox.send(asked.reply_address(), std::move(reply));
   }
 
   void addChanges(protocol::EntryUpdate &update, std::uint64_t since) const {
--- a/src/masticwinch/coordination/cell/entry_leases.cpp
+++ b/src/masticwinch/coordination/cell/entry_leases.cpp
@@ -11,8 +11,8 @@
   Members.clear();
 }
 
-void EntryLeases::hello(const protocol::EntryHello &hello, SteadyTime now) {
-  Members[hello.name()] = {hello.incarnation(), hello.revision(), now};
+void EntryLeases::hello(const HeardEntry &entry, SteadyTime now) {
+  Members[entry.Name] = {entry.Incarnation, entry.Revision, now};
 }
 
 const EntryLeases::Member *
--- a/src/masticwinch/coordination/cell/entry_leases.hpp
+++ b/src/masticwinch/coordination/cell/entry_leases.hpp
@@ -29,6 +29,14 @@
   std::uint64_t Incarnation = 0;
 };
 
+/// What an entry VM said in a hello.
+struct HeardEntry {
+  std::string Name;
+  std::uint64_t Incarnation = 0;
+  /// Highest configuration revision that is in use there.
+  std::uint64_t Revision = 0;
+};
+
 /// The leader's account of the serving leases that entry VMs hold, and of the
 /// configuration revision that each of them uses. Soft state: a new leader
 /// assumes that every member holds a lease from an earlier leader until the
@@ -41,7 +49,7 @@
   void becomeLeader(SteadyTime now);
 
   /// Records a hello from a member and extends its lease.
-  void hello(const protocol::EntryHello &hello, SteadyTime now);
+  void hello(const HeardEntry &entry, SteadyTime now);
 
   /// Whether an entry VM may hold a lease that has not run out. A new
   /// incarnation joins only after the earlier one can't serve any more.
--- a/src/masticwinch/peers/entry_session.cpp
+++ b/src/masticwinch/peers/entry_session.cpp
@@ -108,10 +108,6 @@
   }
   protocol::Envelope envelope;
   protocol::EntryHello *message = envelope.mutable_entry_hello();
-  message->set_name(Options.Name);
-  message->set_incarnation(Options.Incarnation);
-  message->set_data_center(Options.DataCenter);
-  message->set_address(Outbox.options().Address);
   message->set_revision(Config.revision());
   for (const auto &it : Renewals) {
     protocol::UpstreamRenewal *renewal = message->add_renewals();
--- a/tests/control/test_cell_service.cpp
+++ b/tests/control/test_cell_service.cpp
@@ -52,9 +52,9 @@
 protocol::Envelope helloFrom(const std::string &name, std::uint64_t revision) {
   protocol::Envelope envelope;
   envelope.set_reply_address("tcp://" + name);
+  envelope.set_sender(name);
+  envelope.set_incarnation(1);
   protocol::EntryHello *hello = envelope.mutable_entry_hello();
-  hello->set_name(name);
-  hello->set_incarnation(1);
   hello->set_revision(revision);
   hello->set_sequence(7);
   return envelope;
--- a/tests/coordination/cell/test_entry_leases.cpp
+++ b/tests/coordination/cell/test_entry_leases.cpp
@@ -16,12 +16,8 @@
 const EntryLeaseOptions Options;
 const SteadyTime Start{};
 
-protocol::EntryHello hello(const std::string &name, std::uint64_t revision) {
-  protocol::EntryHello message;
-  message.set_name(name);
-  message.set_incarnation(1);
-  message.set_revision(revision);
-  return message;
+HeardEntry hello(const std::string &name, std::uint64_t revision) {
+  return {name, 1, revision};
 }
 
 } // namespace
