--- a/src/masticwinch/http/http_server.cpp
+++ b/src/masticwinch/http/http_server.cpp
@@ -1,5 +1,6 @@
 #include "masticwinch/http/http_server.hpp"
 
+#include "masticwinch/http/internal/connection_table.hpp"
 #include "masticwinch/http/internal/refusing_socket.hpp"
 #include "masticwinch/http/internal/response_rules.hpp"
 #include "masticwinch/http/percent_encoding.hpp"
@@ -10,9 +11,7 @@
 
 #include <algorithm>
 #include <atomic>
-#include <condition_variable>
 #include <future>
-#include <map>
 #include <mutex>
 #include <regex>
 #include <shared_mutex>
@@ -73,31 +72,14 @@
   struct Traits;
   using RestinioServer = restinio::http_server_t<Traits>;
 
-  struct OpenExchange {
-    /// Only for comparison.
-    const Exchange *Identity;
-    std::weak_ptr<Exchange> Pointer;
-  };
-  using ExchangeList = std::vector<OpenExchange>;
-
   Implementation(HttpServerOptions options, HttpHandler handler)
       : Options(std::move(options)), Handler(std::move(handler)) {}
 
   void open();
   void close();
   void handle(const RestinioRequest &request);
-  void connectionOpened();
-  void connectionClosed(std::uint64_t connection);
-  void forget(std::uint64_t connection, const Exchange *exchange);
-  static void abandonAll(const ExchangeList &exchanges, bool callerGone);
   void write(const RestinioRequest &request, HttpResponse response,
              HttpAnswerFault fault);
-  /// Counts an answer as being written until the result is destroyed.
-  std::shared_ptr<void> countWriting(std::uint64_t connection);
-  void answerWritten(std::uint64_t connection);
-  /// Whether no request of the connection waits for its answer.
-  bool isIdle(std::uint64_t connection) const;
-  void waitForWrites();
   std::optional<HttpResponse> refusal(const RestinioRequest &request) const;
 
   const HttpServerOptions Options;
@@ -112,17 +94,13 @@
   std::unique_ptr<RestinioServer> Server;
   std::vector<std::thread> Threads;
 
-  mutable std::mutex Mutex;
-  std::condition_variable Written;
-  HttpConnectionCounts Connections;
-  /// Answers that are handed over and not yet written, by connection.
-  std::map<std::uint64_t, std::size_t> Writing;
-  /// Exchanges without an answer, by connection.
-  std::map<std::uint64_t, ExchangeList> Open;
+  internal::ConnectionTable Connections;
 };
 
 /// The exchange that a handler sees.
-class HttpServer::Implementation::Exchange final : public HttpExchange {
+class HttpServer::Implementation::Exchange final
+    : public HttpExchange,
+      public internal::WaitingRequest {
 public:
   Exchange(std::shared_ptr<Implementation> server, RestinioRequest handle,
            HttpRequest request)
@@ -141,8 +119,7 @@
 
   void onCallerGone(std::function<void()> function) override;
 
-  /// The connection closed or the server stops.
-  void abandon(bool callerGone);
+  void abandon(bool callerGone) override;
 
 private:
   RestinioRequest take();
@@ -163,9 +140,9 @@
   void state_changed(const restinio::connection_state::notice_t &notice) {
     using namespace restinio::connection_state;
     if (std::holds_alternative<accepted_t>(notice.cause())) {
-      Server->connectionOpened();
+      Server->Connections.opened();
     } else if (std::holds_alternative<closed_t>(notice.cause())) {
-      Server->connectionClosed(notice.connection_id());
+      Server->Connections.closed(notice.connection_id());
     }
   }
 
@@ -187,7 +164,7 @@
     const std::string text = message();
     std::smatch match;
     if (std::regex_match(text, match, ParserError) &&
-        Server->isIdle(std::stoull(match[1]))) {
+        Server->Connections.isIdle(std::stoull(match[1]))) {
       internal::RefusingSocket::answerNextShutdown(internal::lastAnswerText(
           internal::parserErrorResponse(match[2].str())));
     }
@@ -221,7 +198,7 @@
     WhenGone = nullptr;
   }
   if (handle) {
-    Server->forget(Connection, this);
+    Server->Connections.remove(Connection, this);
   }
   return handle;
 }
@@ -316,7 +293,7 @@
     closed.set_value();
   });
   closed.get_future().wait();
-  waitForWrites();
+  Connections.waitForWrites(StopWriteLimit);
   Loop->stop();
   for (std::thread &it : Threads) {
     it.join();
@@ -324,14 +301,7 @@
   Threads.clear();
 
   const std::unique_lock<std::shared_mutex> lock(LoopMutex);
-  std::map<std::uint64_t, ExchangeList> open;
-  {
-    const std::lock_guard<std::mutex> guard(Mutex);
-    open.swap(Open);
-  }
-  for (const auto &[connection, exchanges] : open) {
-    abandonAll(exchanges, false);
-  }
+  Connections.abandonAll();
   // Connections refer to the acceptor, so they go first.
   Loop->shutdown();
   Server.reset();
@@ -372,58 +342,10 @@
       [&](const auto &it) { received.Headers.add(it.name(), it.value()); });
   const auto exchange = std::make_shared<Exchange>(shared_from_this(), request,
                                                    std::move(received));
-  {
-    const std::lock_guard<std::mutex> lock(Mutex);
-    Open[request->connection_id()].push_back({exchange.get(), exchange});
-  }
+  Connections.add(request->connection_id(), exchange);
   Handler(exchange);
 }
 
-void HttpServer::Implementation::abandonAll(const ExchangeList &exchanges,
-                                            bool callerGone) {
-  for (const OpenExchange &it : exchanges) {
-    if (const std::shared_ptr<Exchange> exchange = it.Pointer.lock()) {
-      exchange->abandon(callerGone);
-    }
-  }
-}
-
-void HttpServer::Implementation::connectionOpened() {
-  const std::lock_guard<std::mutex> lock(Mutex);
-  ++Connections.Open;
-  Connections.Most = std::max(Connections.Most, Connections.Open);
-}
-
-void HttpServer::Implementation::connectionClosed(std::uint64_t connection) {
-  ExchangeList exchanges;
-  {
-    const std::lock_guard<std::mutex> lock(Mutex);
-    --Connections.Open;
-    const auto it = Open.find(connection);
-    if (it == Open.end()) {
-      return;
-    }
-    exchanges = std::move(it->second);
-    Open.erase(it);
-  }
-  abandonAll(exchanges, true);
-}
-
-void HttpServer::Implementation::forget(std::uint64_t connection,
-                                        const Exchange *exchange) {
-  const std::lock_guard<std::mutex> lock(Mutex);
-  const auto it = Open.find(connection);
-  if (it == Open.end()) {
-    return;
-  }
-  std::erase_if(it->second, [&](const OpenExchange &open) {
-    return open.Identity == exchange;
-  });
-  if (it->second.empty()) {
-    Open.erase(it);
-  }
-}
-
 void HttpServer::Implementation::write(const RestinioRequest &request,
                                        HttpResponse response,
                                        HttpAnswerFault fault) {
@@ -450,10 +372,11 @@
   if (!response.Body.empty()) {
     answer.set_body(std::move(response.Body));
   }
-  auto finish = [answer = std::move(answer),
-                 pending = countWriting(request->connection_id())]() mutable {
-    answer.done([pending = std::move(pending)](const auto &) {});
-  };
+  auto finish =
+      [answer = std::move(answer),
+       pending = Connections.countWriting(request->connection_id())]() mutable {
+        answer.done([pending = std::move(pending)](const auto &) {});
+      };
   if (InsideHandler) {
     asio::post(*Loop, std::move(finish));
   } else {
@@ -461,33 +384,6 @@
   }
 }
 
-std::shared_ptr<void>
-HttpServer::Implementation::countWriting(std::uint64_t connection) {
-  const std::lock_guard<std::mutex> lock(Mutex);
-  ++Writing[connection];
-  return std::shared_ptr<void>(
-      this, [this, connection](void *) { answerWritten(connection); });
-}
-
-void HttpServer::Implementation::answerWritten(std::uint64_t connection) {
-  const std::lock_guard<std::mutex> lock(Mutex);
-  const auto it = Writing.find(connection);
-  if (--it->second == 0) {
-    Writing.erase(it);
-    Written.notify_all();
-  }
-}
-
-bool HttpServer::Implementation::isIdle(std::uint64_t connection) const {
-  const std::lock_guard<std::mutex> lock(Mutex);
-  return !Open.contains(connection) && !Writing.contains(connection);
-}
-
-void HttpServer::Implementation::waitForWrites() {
-  std::unique_lock<std::mutex> lock(Mutex);
-  Written.wait_for(lock, StopWriteLimit, [this] { return Writing.empty(); });
-}
-
 HttpServer::HttpServer(HttpServerOptions options, HttpHandler handler)
     : Impl(std::make_shared<Implementation>(std::move(options),
                                             std::move(handler))) {}
@@ -509,8 +405,7 @@
 std::uint16_t HttpServer::port() const { return Impl->BoundPort; }
 
 HttpConnectionCounts HttpServer::connections() const {
-  const std::lock_guard<std::mutex> lock(Impl->Mutex);
-  return Impl->Connections;
+  return Impl->Connections.counts();
 }
 
 void HttpServer::closeConnectionsAfterAnswers() {
