Demonstrate a cell with three replicas of its state

Cause: the demonstration ran on one control VM until the log was replicated. Change: the default size, three control VMs.

--- a/scripts/lib/masticwinch/demo.py
+++ b/scripts/lib/masticwinch/demo.py
@@ -49,7 +49,7 @@
         self.build = build
         # One runner refuses all work, so that a request can be seen to be
         # retried at another.
-        self.cell = Cell.create(folder, build, CellSize(controls=1),
+        self.cell = Cell.create(folder, build, CellSize(),
                                 {"runner-1": {"behavior": "refuse"}})
         self.request = "demo-lookup-1"
 
