Count callers' requests and their waiting time by class

Cause: waiting time, the first measure of a caller's service, could not be read off a running entry VM. Change: the request service records arrival, first dispatch and reply by class and outcome, with retries.

--- a/src/masticwinch/callers/request_service.cpp
+++ b/src/masticwinch/callers/request_service.cpp
@@ -17,6 +17,7 @@
 #include <asio/post.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace masticwinch::callers {
 
@@ -67,10 +68,11 @@
                                peers::EntrySession &session,
                                peers::CellClient &cell, peers::Mailbox &mailbox,
                                upstreams::TrafficPool &traffic,
-                               EventLog &events, DispatcherOptions options)
+                               EventLog &events, MetricRegistry &metrics,
+                               DispatcherOptions options)
     : Time(clock), Session(session), Cell(cell), Outbox(mailbox),
-      Traffic(traffic), Events(events), Timer(context), Machine(options),
-      Claims(options.Self, ClaimResend) {}
+      Traffic(traffic), Events(events), Metrics(metrics), Timer(context),
+      Machine(options), Claims(options.Self, ClaimResend) {}
 
 void RequestService::start() {
   Session.onConfiguration([this] { configurationChanged(); });
@@ -131,6 +133,8 @@
                                            {"profile", arrival.Profile},
                                            {"version", ConfiguredRevision},
                                            {"service", arrival.Service}});
+  Arriving.Class = classOf(arrival.Profile);
+  Arriving.ArrivedAt = Time.now();
   const RequestNumber number = Machine.arrived(std::move(arrival), Time.now());
   Requests.emplace(number, Arriving);
   exchange->onCallerGone([this, number] {
@@ -144,6 +148,12 @@
   carryOut();
 }
 
+MetricClass RequestService::classOf(const std::string &profile) const {
+  const protocol::ConfigItem *item =
+      Session.configuration().findPresent({cell::ConfigKind::Profile, profile});
+  return metricClassOf(item == nullptr ? nullptr : &item->profile());
+}
+
 void RequestService::receive(const protocol::Envelope &envelope) {
   if (envelope.has_request_peer()) {
     Machine.peerSent({envelope.sender(), envelope.incarnation()},
@@ -184,6 +194,10 @@
   Events.write(CallerEvent::RequestDispatched, {{"request", found->second.Id},
                                                 {"attempt", effect.Attempt},
                                                 {"upstream", effect.Upstream}});
+  if (!std::exchange(found->second.Dispatched, true)) {
+    Metrics.dispatched(found->second.Class,
+                       Time.now() - found->second.ArrivedAt);
+  }
   Traffic.start(number, callOf(found->second, effect),
                 [this, number](HttpCallResult result) {
                   dispatchEnded(number, std::move(result));
@@ -232,6 +246,8 @@
                                            {"outcome", nameOf(effect.Outcome)},
                                            {"reason", nameOf(effect.Reason)},
                                            {"attempts", effect.Attempts}});
+  Metrics.ended(request.Class, effect.Outcome, effect.Attempts,
+                Time.now() - request.ArrivedAt);
   request.Exchange->respond(replyToCaller(effect, request.Id));
 }
 
--- a/src/masticwinch/callers/request_service.hpp
+++ b/src/masticwinch/callers/request_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "masticwinch/callers/request_metrics.hpp"
 #include "masticwinch/coordination/requests/claim_client.hpp"
 #include "masticwinch/coordination/requests/dispatcher.hpp"
 #include "masticwinch/http/http_client.hpp"
@@ -41,7 +42,8 @@
   RequestService(asio::io_context &context, const Clock &clock,
                  peers::EntrySession &session, peers::CellClient &cell,
                  peers::Mailbox &mailbox, upstreams::TrafficPool &traffic,
-                 EventLog &events, DispatcherOptions options);
+                 EventLog &events, MetricRegistry &metrics,
+                 DispatcherOptions options);
 
   void start();
 
@@ -67,8 +69,12 @@
     std::shared_ptr<HttpExchange> Exchange;
     std::string Id;
     std::string Path;
+    MetricClass Class = MetricClass::Unknown;
+    SteadyTime ArrivedAt{};
+    bool Dispatched = false;
   };
 
+  MetricClass classOf(const std::string &profile) const;
   void configurationChanged();
   void leaseExtended();
   void scheduleTick();
@@ -92,6 +98,7 @@
   peers::Mailbox &Outbox;
   upstreams::TrafficPool &Traffic;
   EventLog &Events;
+  RequestMetrics Metrics;
   asio::steady_timer Timer;
   Dispatcher Machine;
   ClaimClient Claims;
--- a/src/masticwinch/entry/entry_daemon.cpp
+++ b/src/masticwinch/entry/entry_daemon.cpp
@@ -71,7 +71,7 @@
                  Incarnation, settings.HelloInterval}),
         Traffic(Context, settings.TrafficThreads),
         Requests(Context, Time, Session, Client, Mailbox, Traffic, Events,
-                 dispatcherOptions()),
+                 Metrics, dispatcherOptions()),
         Upstreams(Client, Session), Workers(Client, Mailbox),
         Api(Context, Client,
             {[this] { return !Stopping && Session.mayServe(); },
