--- a/src/masticwinch/control/replicated_log.cpp
+++ b/src/masticwinch/control/replicated_log.cpp
@@ -34,6 +34,16 @@
   return std::mt19937_64(seed);
 }
 
+/// A heartbeat or its answer; both go only between replicas that have already
+/// exchanged entries.
+bool isHeartbeat(const protocol::ReplicationMessage &message) {
+  if (message.has_append_request()) {
+    return message.append_request().entries().empty() &&
+           message.append_request().prev_index() != 0;
+  }
+  return message.has_append_reply() && message.append_reply().accepted();
+}
+
 /// Runs a function of storage; nothing if it succeeded.
 template <class Function>
 std::optional<StorageError> storageErrorOf(Function function) {
@@ -170,7 +180,10 @@
     }
     protocol::Envelope envelope;
     *envelope.mutable_replication() = it.Message;
-    Outbox.send(address, std::move(envelope));
+    const bool known = Machine->membership().isVoter(it.To);
+    Outbox.send(address, std::move(envelope),
+                known && isHeartbeat(it.Message) ? peers::EnvelopeHead::Short
+                                                 : peers::EnvelopeHead::Full);
   }
 }
 
--- a/src/masticwinch/control/replicated_log_membership.cpp
+++ b/src/masticwinch/control/replicated_log_membership.cpp
@@ -56,7 +56,7 @@
                   {"address", envelope.reply_address()}});
     return;
   }
-  if (!member) {
+  if (!member && !envelope.reply_address().empty()) {
     LearnedAddresses[from] = envelope.reply_address();
   }
   Machine->receive(message, Time.now());
--- a/src/masticwinch/peers/mailbox.cpp
+++ b/src/masticwinch/peers/mailbox.cpp
@@ -145,15 +145,18 @@
   nng_recv_aio(Impl->Inbox, Impl->Receiving);
 }
 
-void Mailbox::send(const std::string &address, protocol::Envelope envelope) {
+void Mailbox::send(const std::string &address, protocol::Envelope envelope,
+                   EnvelopeHead head) {
   if (Impl->Stopped) {
     return;
   }
   const HybridStamp stamp = Impl->Events.hybridClock().tick();
   envelope.set_cluster(Options.Cluster);
   envelope.set_sender(Options.Process);
-  envelope.set_incarnation(Options.Incarnation);
-  envelope.set_reply_address(Options.Address);
+  if (head == EnvelopeHead::Full) {
+    envelope.set_incarnation(Options.Incarnation);
+    envelope.set_reply_address(Options.Address);
+  }
   envelope.set_hlc_millis(stamp.Millis);
   envelope.set_hlc_counter(stamp.Counter);
   std::string bytes = envelope.SerializeAsString();
--- a/src/masticwinch/peers/mailbox.hpp
+++ b/src/masticwinch/peers/mailbox.hpp
@@ -27,6 +27,14 @@
   std::size_t MaxMessageBytes = 4 * 1024 * 1024;
 };
 
+/// How much of itself a sender states in a message.
+enum class EnvelopeHead : std::uint8_t {
+  Full,
+  /// Neither incarnation nor reply address, for frequent small messages to a
+  /// process that knows both.
+  Short,
+};
+
 /// Bytes and messages that went through a mailbox.
 struct MailboxTraffic {
   std::uint64_t SentMessages = 0;
@@ -56,7 +64,8 @@
 
   /// Queues a message, with cluster, sender, reply address and stamp filled in.
   /// Safe to use from several threads.
-  void send(const std::string &address, protocol::Envelope envelope);
+  void send(const std::string &address, protocol::Envelope envelope,
+            EnvelopeHead head = EnvelopeHead::Full);
 
   /// Counters since the start; safe to use from several threads.
   MailboxTraffic traffic() const;
