Wait for the longest lease that any leader granted to a worker

A new leader waited for leases of its own setting. If the setting had been shortened since, tasks of the earlier leader could still run while it placed them again. Each leader's first record now states its lease, the replicated state keeps the longest, and the next leader waits for that; a test brings it about.

--- a/src/masticwinch/control/control_daemon.cpp
+++ b/src/masticwinch/control/control_daemon.cpp
@@ -141,6 +141,31 @@
     Metrics.observedGauge(
         {"masticwinch_jobs", "Jobs in the replicated state."},
         [this] { return double(State.state().jobs().size()); });
+    registerPlacementMetrics();
+  }
+
+  void registerPlacementMetrics() {
+    const auto ofPlacer = [this](auto function) {
+      return [this, function] {
+        const placement::Placer *placer = Placer.placer();
+        return placer == nullptr ? 0.0 : double(function(*placer));
+      };
+    };
+    Metrics.observedGauge(
+        {"masticwinch_jobs_waiting",
+         "Jobs that wait for capacity; 0 on VMs that don't lead."},
+        ofPlacer([](const placement::Placer &it) { return it.waitingJobs(); }));
+    Metrics.observedGauge(
+        {"masticwinch_attempts",
+         "Tasks that hold resources of a worker; 0 on VMs that don't lead."},
+        ofPlacer(
+            [](const placement::Placer &it) { return it.activeAttempts(); }));
+    Metrics.observedGauge(
+        {"masticwinch_reserved_milli_processors",
+         "Processors reserved on all workers; 0 on VMs that don't lead."},
+        ofPlacer([](const placement::Placer &it) {
+          return it.totalReserved().MilliProcessors;
+        }));
   }
 
   void receive(const protocol::Envelope &envelope) {
--- a/src/masticwinch/coordination/cell/cell_jobs.cpp
+++ b/src/masticwinch/coordination/cell/cell_jobs.cpp
@@ -1,10 +1,14 @@
 #include "masticwinch/coordination/cell/cell_state.hpp"
 #include "masticwinch/coordination/placement/job_progress.hpp"
 
+#include <algorithm>
+
 namespace masticwinch::cell {
 
 protocol::CommandResult
 CellState::recordPlacement(const protocol::RecordPlacement &record) {
+  LongestWorkerLeaseMs =
+      std::max<std::uint64_t>(LongestWorkerLeaseMs, record.worker_lease_ms());
   for (const protocol::TaskOutcomes &it : record.outcomes()) {
     const auto job = Jobs.find(it.job());
     if (job == Jobs.end()) {
--- a/src/masticwinch/coordination/cell/cell_state.cpp
+++ b/src/masticwinch/coordination/cell/cell_state.cpp
@@ -417,6 +417,7 @@
     *snapshot.add_jobs() = it.second;
   }
   snapshot.set_next_job(NextJob);
+  snapshot.set_longest_worker_lease_ms(LongestWorkerLeaseMs);
   Claims.save(snapshot);
   for (const auto &it : Histories) {
     *snapshot.add_histories() = profileHistory(it.first);
@@ -438,6 +439,7 @@
     }
   }
   NextJob = std::max<std::uint64_t>(1, snapshot.next_job());
+  LongestWorkerLeaseMs = snapshot.longest_worker_lease_ms();
   Claims.restore(snapshot);
   for (const protocol::ProfileHistory &it : snapshot.histories()) {
     Histories[it.name()].assign(it.versions().begin(), it.versions().end());
--- a/src/masticwinch/coordination/cell/cell_state.hpp
+++ b/src/masticwinch/coordination/cell/cell_state.hpp
@@ -33,6 +33,9 @@
   /// Versions of a profile that are still kept, oldest first.
   protocol::ProfileHistory profileHistory(const std::string &name) const;
 
+  /// The longest lease that any leader may have granted to a worker.
+  std::uint64_t longestWorkerLeaseMs() const { return LongestWorkerLeaseMs; }
+
   /// Accepted jobs by id.
   const std::map<std::string, protocol::JobRecord> &jobs() const {
     return Jobs;
@@ -68,6 +71,7 @@
   ClaimTable Claims;
   std::map<std::string, protocol::JobRecord> Jobs;
   std::uint64_t NextJob = 1;
+  std::uint64_t LongestWorkerLeaseMs = 0;
   /// Ended jobs that are still kept, by the order in which they ended.
   std::map<std::uint64_t, std::string> EndedJobs;
 };
--- a/src/masticwinch/platform/placement_driver.hpp
+++ b/src/masticwinch/platform/placement_driver.hpp
@@ -10,6 +10,7 @@
 #include "masticwinch/platform/worker_caller.hpp"
 #include "masticwinch/protocol/envelope.pb.h"
 
+#include <algorithm>
 #include <concepts>
 #include <map>
 #include <memory>
@@ -49,7 +50,8 @@
     Leader.reset();
     BatchAt.reset();
     protocol::Command command;
-    command.mutable_record_placement();
+    command.mutable_record_placement()->set_worker_lease_ms(
+        static_cast<std::uint64_t>(Settings.Lease.Length.count()));
     BeginsAt = propose(command);
   }
 
@@ -171,7 +173,7 @@
   void begin(std::uint64_t epoch) {
     BeginsAt.reset();
     const SteadyTime now = Time.now();
-    Leader = std::make_unique<placement::Placer>(Settings, epoch, now);
+    Leader = std::make_unique<placement::Placer>(settingsNow(), epoch, now);
     for (const protocol::ConfigItem *it :
          State.configuration().present(cell::ConfigKind::Team)) {
       Leader->setTeam(it->team().name(), teamTermsOf(it->team()), now);
@@ -191,6 +193,19 @@
     }
   }
 
+  /// The settings, with the wait for earlier leases as long as the longest that
+  /// any leader granted; the setting may have been shortened since.
+  placement::PlacerSettings settingsNow() const {
+    placement::PlacerSettings settings = Settings;
+    placement::LeaseTerms earlier = Settings.Lease;
+    earlier.Length = std::max(
+        earlier.Length,
+        Milliseconds(static_cast<std::int64_t>(State.longestWorkerLeaseMs())));
+    settings.Lease.LeadershipOverlap += earlier.longestOnGranterClock() -
+                                        Settings.Lease.longestOnGranterClock();
+    return settings;
+  }
+
   void follow(const protocol::Command &command,
               const protocol::CommandResult &result) {
     const SteadyTime now = Time.now();
--- a/tests/platform/test_placement_driver.cpp
+++ b/tests/platform/test_placement_driver.cpp
@@ -236,3 +236,32 @@
   CHECK(restored.snapshot().SerializeAsString() ==
         cell.State.snapshot().SerializeAsString());
 }
+
+TEST_CASE("Leadership begins later if the log refuses its record",
+          "[platform]") {
+  Cell cell;
+  cell.Log.Leads = false;
+  cell.Driver.becomeLeader();
+  cell.Log.Leads = true;
+  cell.Driver.tick();
+  cell.commitAll();
+  CHECK(cell.Driver.placer() != nullptr);
+}
+
+TEST_CASE("A leader waits for the longest lease that any leader granted",
+          "[platform]") {
+  Cell cell;
+  cell.apply([](protocol::Command &it) {
+    it.mutable_record_placement()->set_worker_lease_ms(60'000);
+  });
+  cell.submit();
+  cell.Driver.becomeLeader();
+  cell.commitAll();
+  cell.announce();
+  cell.Clock.advance(Milliseconds(60'000));
+  cell.run(placement::ReportedState::Running);
+  CHECK(cell.Tasks.empty());
+  cell.Clock.advance(Milliseconds(1'000));
+  cell.run(placement::ReportedState::Running);
+  CHECK(cell.Tasks.size() == 1);
+}
