Say in an event how each attempt at a request ended

The time line of a retried request showed two dispatches and not why the first one failed. Every attempt's end is now an event with its result and detail; the kind request_refused, which nothing wrote any more, is gone.

--- a/src/masticwinch/callers/caller_event.hpp
+++ b/src/masticwinch/callers/caller_event.hpp
@@ -9,8 +9,8 @@
 /// Events of callers' requests.
 enum class CallerEvent : std::uint8_t {
   RequestTaken,
-  RequestRefused,
   RequestDispatched,
+  AttemptEnded,
   RequestEnded,
 };
 
@@ -21,8 +21,8 @@
 template <> struct EnumNames<callers::CallerEvent> {
   static constexpr std::array<EnumName<callers::CallerEvent>, 4> Table{{
       {callers::CallerEvent::RequestTaken, "request_taken"},
-      {callers::CallerEvent::RequestRefused, "request_refused"},
       {callers::CallerEvent::RequestDispatched, "request_dispatched"},
+      {callers::CallerEvent::AttemptEnded, "attempt_ended"},
       {callers::CallerEvent::RequestEnded, "request_ended"},
   }};
 };
--- a/src/masticwinch/callers/request_service.cpp
+++ b/src/masticwinch/callers/request_service.cpp
@@ -199,11 +199,22 @@
                        Time.now() - found->second.ArrivedAt);
   }
   Traffic.start(number, callOf(found->second, effect),
-                [this, number](HttpCallResult result) {
-                  dispatchEnded(number, std::move(result));
+                [this, effect, id = found->second.Id](HttpCallResult result) {
+                  noteAttempt(effect, id, result);
+                  dispatchEnded(effect.Number, std::move(result));
                 });
 }
 
+void RequestService::noteAttempt(const StartDispatch &effect,
+                                 const std::string &id,
+                                 const HttpCallResult &result) {
+  Events.write(CallerEvent::AttemptEnded, {{"request", id},
+                                           {"attempt", effect.Attempt},
+                                           {"upstream", effect.Upstream},
+                                           {"result", nameOf(resultOf(result))},
+                                           {"detail", result.Detail}});
+}
+
 HttpCall RequestService::callOf(const CallerRequest &request,
                                 const StartDispatch &effect) const {
   const HttpRequest &original = request.Exchange->request();
--- a/src/masticwinch/callers/request_service.hpp
+++ b/src/masticwinch/callers/request_service.hpp
@@ -87,6 +87,8 @@
   void perform(PeerMessage &effect);
   HttpCall callOf(const CallerRequest &request,
                   const StartDispatch &effect) const;
+  void noteAttempt(const StartDispatch &effect, const std::string &id,
+                   const HttpCallResult &result);
   void dispatchEnded(DispatchNumber number, HttpCallResult result);
   void submitClaims();
   void claimsAnswered(std::uint64_t number, bool answered,
