Bound what strangers can make a control VM remember

Cause: messages from replicas outside the membership left an address each, and greetings an entry each, without a limit. Conclusion: garbage in the cell's name costs bounded memory.

--- a/src/masticwinch/control/replicated_log_membership.cpp
+++ b/src/masticwinch/control/replicated_log_membership.cpp
@@ -21,6 +21,12 @@
 /// A replica that stopped asking to join is forgotten after this time.
 constexpr Milliseconds WaitingLimit{10000};
 
+/// Senders outside the membership whose addresses are kept.
+constexpr std::size_t MaxLearnedAddresses = 64;
+
+/// Replicas that wait to join at the same time.
+constexpr std::size_t MaxWaiting = 16;
+
 /// The name of the error of a refused change; empty if it was taken.
 template <class Function> std::string refusalOf(Function function) {
   return boost::leaf::try_handle_all(
@@ -57,6 +63,9 @@
     return;
   }
   if (!member && !envelope.reply_address().empty()) {
+    if (LearnedAddresses.size() >= MaxLearnedAddresses) {
+      LearnedAddresses.clear();
+    }
     LearnedAddresses[from] = envelope.reply_address();
   }
   Machine->receive(message, Time.now());
@@ -105,6 +114,9 @@
   if (Machine->lastIndex() == 0 || Machine->membership().find(replica.Id)) {
     return;
   }
+  if (Waiting.size() >= MaxWaiting && !Waiting.contains(replica.Id)) {
+    return;
+  }
   const auto [it, added] = Waiting.try_emplace(replica.Id);
   it->second = {replica, Time.now()};
   if (added) {
