--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -166,8 +166,9 @@
 
     HEALTH_SECONDS = 0.1
 
-    def __init__(self, entries, threads, headers=None):
+    def __init__(self, entries, threads, headers=None, timeout=WAIT_SECONDS):
         self.entries = entries
+        self.timeout = timeout
         self.headers = headers or {}
         self.healthy = list(entries)
         self.stopping = threading.Event()
@@ -210,7 +211,7 @@
             time.sleep(POLL_SECONDS)
             return False
         entry = healthy[turn % len(healthy)]
-        answer = lookup(entry, request_id, self.headers)
+        answer = lookup(entry, request_id, self.headers, self.timeout)
         if answer.status == 0 or answer.outcome == "not_run":
             time.sleep(POLL_SECONDS)
             return False
--- a/tests/processes/test_runners.py
+++ b/tests/processes/test_runners.py
@@ -88,6 +88,31 @@
             self.cell.wait_until_healthy([entry])
             balancer.wait_for_answers(400)
         self.assertEqual([], balancer.problems)
+        self.check_limits()
+
+    def test_slots_hold_while_an_entry_is_paused_and_wakes(self):
+        paused = self.entries[0]
+        with Balancer(self.entries, 40, {"Stand-In-Behavior": "delay=20"},
+                      timeout=2) as balancer:
+            balancer.wait_for_answers(200)
+            paused.send(signal.SIGSTOP)
+            url = f"{self.entries[1].urls['operators']}/v1/entries/{paused.name}"
+            wait_until(lambda: call("GET", url).status == 404,
+                       "the paused entry VM is taken off the configuration")
+            balancer.wait_for_answers(200)
+            paused.send(signal.SIGCONT)
+            self.cell.wait_until_healthy([paused])
+            balancer.wait_for_answers(200)
+        self.check_limits()
+        executions = self.executions()
+        doubled = {it: ran for it, ran in executions.items() if len(ran) != 1}
+        self.assertEqual({}, doubled)
+        # A caller of the paused entry VM may have given up or be told unknown.
+        self.assertEqual([], [it for it in balancer.problems
+                              if f"at {paused.name}: " not in it])
+
+    def check_limits(self):
+        """No runner had more requests or connections than it announced."""
         for runner in self.runners:
             stats = self.stats(runner)
             self.assertLessEqual(stats["most_executing"], 8, runner.name)
