Test the promises to callers under a seeded mix of faults

Cause: every fault had a test of its own; nothing met several kinds of them, one after the other and two at once, under load. Change: a process test with 14 faults from a fixed seed: kills, pauses and planned restarts of controls, entries and runners while billed lookups are resent to any entry VM under their idempotency keys.

--- /dev/null
+++ b/tests/processes/test_promises.py
@@ -0,0 +1,137 @@
+#!/usr/bin/env python3
+"""The promises to callers under a seeded mix of faults on every kind of process:
+kills, pauses and planned restarts of controls, entries and runners, one after the
+other and two at once, while billed lookups go on."""
+
+import random
+import signal
+import threading
+import uuid
+
+import support
+from support import CellTest, lookup, wait_until
+
+from masticwinch.layout import CellSize
+
+SEED = 20261203
+FAULTS = 14
+SENDERS = 8
+# Lookups that have to end between two faults.
+LOOKUPS_BETWEEN = 40
+# Sends of one lookup before its sender gives it up as unknown.
+MOST_SENDS = 60
+BILLED_PROFILE = {"requests": {"work_class": "URGENT", "deadline_ms": 4000,
+                               "repeatable": False}}
+FINAL = ("answered", "unknown")
+
+
+class Lookup:
+    """One billed lookup and every answer that its caller got."""
+
+    def __init__(self):
+        self.id = uuid.uuid4().hex
+        self.outcomes = []
+        self.wrong = []
+
+    def send(self, entry):
+        """Sends it once under its idempotency key; True if that settled it."""
+        answer = lookup(entry, self.id, {"Idempotency-Key": self.id,
+                                         "Masticwinch-Caller": "trader"},
+                        timeout=10)
+        outcome = answer.outcome or "no answer"
+        self.outcomes.append(outcome)
+        if outcome == "answered" and answer.status == 200 \
+                and self.id.encode() not in answer.body:
+            self.wrong.append(answer.body)
+        return outcome == "answered"
+
+
+class PromisesTest(CellTest):
+    SIZE = CellSize(controls=3, entries=4, runners=4, workers=0)
+    OVERRIDES = {"runner": {"behavior": "delay=5"}}
+
+    def test_billed_lookups_run_at_most_once_under_mixed_faults(self):
+        self.put_profile(support.PROFILE, BILLED_PROFILE)
+        self.ended = []
+        self.stopping = threading.Event()
+        senders = [threading.Thread(target=self.send_lookups, args=(i,))
+                   for i in range(SENDERS)]
+        for it in senders:
+            it.start()
+        try:
+            self.inject_faults()
+        finally:
+            self.stopping.set()
+            for it in senders:
+                it.join()
+        self.check()
+
+    def send_lookups(self, number):
+        """Sends lookups to one entry VM after the other until told to stop. A
+        lookup without an answer is sent again to the next."""
+        choice = random.Random(SEED + number)
+        while not self.stopping.is_set():
+            one = Lookup()
+            for _ in range(MOST_SENDS):
+                if one.send(choice.choice(self.entries)):
+                    break
+                self.stopping.wait(0.05)
+            self.ended.append(one)
+
+    def inject_faults(self):
+        """Injects faults, singly and in pairs, and heals each."""
+        choice = random.Random(SEED)
+        processes = self.cell.of_role("control", "entry", "runner")
+        for _ in range(FAULTS):
+            hit = choice.sample(processes, choice.choice((1, 1, 2)))
+            faults = [(it, choice.choice((self.kill, self.pause, self.restart)))
+                      for it in hit]
+            heals = [fault(it) for it, fault in faults]
+            self.wait_for_lookups(LOOKUPS_BETWEEN // 4)
+            for heal in heals:
+                heal()
+            self.cell.wait_until_healthy(hit)
+            self.wait_for_lookups(LOOKUPS_BETWEEN)
+
+    def wait_for_lookups(self, count):
+        """Waits until that many more lookups have ended."""
+        target = len(self.ended) + count
+        wait_until(lambda: len(self.ended) >= target, f"{target} lookups")
+
+    def kill(self, process):
+        process.kill()
+        return lambda: self.cell.start_again(process.name)
+
+    def pause(self, process):
+        process.send(signal.SIGSTOP)
+        return lambda: process.send(signal.SIGCONT)
+
+    def restart(self, process):
+        process.send(signal.SIGTERM)
+        self.assertTrue(process.wait_for_end(support.WAIT_SECONDS),
+                        f"{process.name} stops when it is asked to")
+        return lambda: self.cell.start_again(process.name)
+
+    def check(self):
+        executions = self.executions()
+        for one in self.ended:
+            count = len(executions.get(one.id, []))
+            story = f"{one.id} ran {count} times: {one.outcomes}"
+            self.assertEqual([], one.wrong, story)
+            self.assertLessEqual(count, 1, story)
+            if one.outcomes[-1] == "answered":
+                self.assertEqual(1, count, story)
+            if set(one.outcomes) == {"not_run"}:
+                self.assertEqual(0, count, story)
+        answered = sum(it.outcomes[-1] == "answered" for it in self.ended)
+        self.assertGreater(answered, FAULTS * LOOKUPS_BETWEEN // 2)
+        for runner in self.runners:
+            stats = self.stats(runner)
+            self.assertLessEqual(stats["most_executing"], 8, runner.name)
+            self.assertLessEqual(stats["most_connections"], 64, runner.name)
+        print(f"lookups={len(self.ended)} answered={answered} "
+              f"executed={len(executions)}")
+
+
+if __name__ == "__main__":
+    support.main()
