Stop a mailbox in bounded time while messages arrive

Cause: entry VMs sometimes never ended after a stop signal. Stacks of three hung processes all stand in nng_close of the inbox, with nng's reaping thread waiting for a task that no thread runs; no frame of our own was in a callback. nng 1.5 does this when a socket is closed while messages arrive. The HTTP servers, the traffic threads and the leave were ruled out by the same stacks. Change: a gate ends the handler before the sockets close; closing runs beside the stop, which waits 1 s and then leaves the sockets to the end of the process, with an event. Conclusion: a planned stop ends; waiting for another nng is not needed.

--- a/src/masticwinch/peers/mailbox.cpp
+++ b/src/masticwinch/peers/mailbox.cpp
@@ -8,23 +8,31 @@
 #include <nng/protocol/pipeline0/push.h>
 
 #include <atomic>
+#include <future>
 #include <mutex>
 #include <stdexcept>
+#include <thread>
 #include <unordered_map>
 
 namespace masticwinch::peers {
 
-enum class MailboxEvent : std::uint8_t { Garbage, OtherCluster, DialFailed };
+enum class MailboxEvent : std::uint8_t {
+  Garbage,
+  OtherCluster,
+  DialFailed,
+  CloseStuck,
+};
 
 } // namespace masticwinch::peers
 
 namespace masticwinch {
 
 template <> struct EnumNames<peers::MailboxEvent> {
-  static constexpr std::array<EnumName<peers::MailboxEvent>, 3> Table{{
+  static constexpr std::array<EnumName<peers::MailboxEvent>, 4> Table{{
       {peers::MailboxEvent::Garbage, "message_garbage"},
       {peers::MailboxEvent::OtherCluster, "message_of_other_cluster"},
       {peers::MailboxEvent::DialFailed, "message_dial_failed"},
+      {peers::MailboxEvent::CloseStuck, "message_close_stuck"},
   }};
 };
 
@@ -38,6 +46,9 @@
 constexpr nng_duration ReconnectMinMs = 50;
 constexpr nng_duration ReconnectMaxMs = 500;
 
+/// Longest time that stopping waits for the sockets to close.
+constexpr Milliseconds CloseLimit{1'000};
+
 } // namespace
 
 struct Mailbox::Implementation {
@@ -62,6 +73,10 @@
   }
 
   void take(nng_msg *message) {
+    std::lock_guard lock(HandlerMutex);
+    if (Stopped) {
+      return;
+    }
     ReceivedMessages += 1;
     ReceivedBytes += nng_msg_len(message);
     protocol::Envelope envelope;
@@ -105,9 +120,23 @@
     return socket;
   }
 
-  const MailboxOptions &Options;
+  /// Closes every socket. nng 1.5 sometimes never returns from closing a
+  /// socket on which messages arrive.
+  void close() {
+    nng_close(Inbox);
+    nng_aio_stop(Receiving);
+    nng_aio_free(Receiving);
+    std::lock_guard lock(Mutex);
+    for (const auto &it : Outboxes) {
+      nng_close(it.second);
+    }
+  }
+
+  const MailboxOptions Options;
   MailboxHandler Handler;
   EventLog &Events;
+  /// Held while the handler runs and while `Stopped` is set.
+  std::mutex HandlerMutex;
   nng_socket Inbox = NNG_SOCKET_INITIALIZER;
   nng_aio *Receiving = nullptr;
   std::mutex Mutex;
@@ -122,7 +151,7 @@
 
 Mailbox::Mailbox(MailboxOptions options, MailboxHandler handler,
                  EventLog &events)
-    : Options(std::move(options)), Impl(std::make_unique<Implementation>(
+    : Options(std::move(options)), Impl(std::make_shared<Implementation>(
                                        Options, std::move(handler), events)) {}
 
 Mailbox::~Mailbox() { stop(); }
@@ -176,19 +205,27 @@
 }
 
 void Mailbox::stop() {
-  if (Impl->Stopped.exchange(true)) {
-    return;
+  {
+    std::lock_guard lock(Impl->HandlerMutex);
+    if (Impl->Stopped.exchange(true)) {
+      return;
+    }
   }
-  nng_close(Impl->Inbox);
-  if (Impl->Receiving != nullptr) {
-    nng_aio_stop(Impl->Receiving);
-    nng_aio_free(Impl->Receiving);
-    Impl->Receiving = nullptr;
+  if (Impl->Receiving == nullptr) {
+    return;
   }
-  std::lock_guard lock(Impl->Mutex);
-  for (const auto &it : Impl->Outboxes) {
-    nng_close(it.second);
+  std::promise<void> closed;
+  std::future<void> end = closed.get_future();
+  std::thread closing([impl = Impl, closed = std::move(closed)]() mutable {
+    impl->close();
+    closed.set_value();
+  });
+  if (end.wait_for(CloseLimit) == std::future_status::ready) {
+    closing.join();
+    return;
   }
+  Impl->Events.write(MailboxEvent::CloseStuck);
+  closing.detach();
 }
 
 } // namespace masticwinch::peers
--- a/src/masticwinch/peers/mailbox.hpp
+++ b/src/masticwinch/peers/mailbox.hpp
@@ -72,13 +72,14 @@
 
   const MailboxOptions &options() const { return Options; }
 
-  /// Closes all sockets; no handler runs after this returns.
+  /// Closes all sockets; no handler runs after this returns. Sockets that don't
+  /// close in time are left to the end of the process, with an event.
   void stop();
 
 private:
   struct Implementation;
   MailboxOptions Options;
-  std::unique_ptr<Implementation> Impl;
+  std::shared_ptr<Implementation> Impl;
 };
 
 } // namespace peers
--- /dev/null
+++ b/tests/peers/test_mailbox.cpp
@@ -0,0 +1,126 @@
+#include "masticwinch/common/clock.hpp"
+#include "masticwinch/events/event_log.hpp"
+#include "masticwinch/peers/mailbox.hpp"
+#include "masticwinch/protocol/envelope.pb.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <thread>
+
+using namespace masticwinch;
+using namespace masticwinch::peers;
+
+namespace {
+
+/// An address of this machine on which nobody listens now.
+std::string freeAddress() {
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(context,
+                                   {asio::ip::address_v4::loopback(), 0});
+  return "tcp://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+MailboxOptions optionsOf(const std::string &process,
+                         const std::string &cluster = "test") {
+  MailboxOptions options;
+  options.Cluster = cluster;
+  options.Process = process;
+  options.Address = freeAddress();
+  return options;
+}
+
+protocol::Envelope helloEnvelope() {
+  protocol::Envelope envelope;
+  envelope.mutable_entry_hello()->set_sequence(7);
+  return envelope;
+}
+
+OperatingSystemClock Time;
+
+/// A mailbox that counts what it receives.
+class Receiver {
+public:
+  explicit Receiver(MailboxOptions options)
+      : Events({options.Process, 1, "/dev/null"}, Time),
+        Box(
+            std::move(options),
+            [this](const protocol::Envelope &) {
+              if (++Received == 1) {
+                First.set_value();
+              }
+            },
+            Events) {
+    Box.start();
+  }
+
+  EventLog Events;
+  std::atomic<int> Received = 0;
+  std::promise<void> First;
+  Mailbox Box;
+};
+
+} // namespace
+
+TEST_CASE("Messages arrive with sender, reply address and stamp", "[peers]") {
+  Receiver receiver(optionsOf("b"));
+  EventLog events({"a", 1, "/dev/null"}, Time);
+  std::promise<protocol::Envelope> arrived;
+  Mailbox answers(
+      optionsOf("c"), [&](protocol::Envelope it) { arrived.set_value(it); },
+      events);
+  answers.start();
+
+  receiver.Box.send(answers.options().Address, helloEnvelope());
+
+  const protocol::Envelope envelope = arrived.get_future().get();
+  CHECK(envelope.sender() == "b");
+  CHECK(envelope.reply_address() == receiver.Box.options().Address);
+  CHECK(envelope.hlc_millis() > 0);
+  CHECK(envelope.entry_hello().sequence() == 7);
+}
+
+TEST_CASE("Messages of another cell are dropped", "[peers]") {
+  Receiver receiver(optionsOf("b"));
+  Receiver stranger(optionsOf("a", "another"));
+  Receiver friendly(optionsOf("c"));
+  while (receiver.Box.traffic().ReceivedMessages == 0) {
+    stranger.Box.send(receiver.Box.options().Address, helloEnvelope());
+    std::this_thread::yield();
+  }
+  CHECK(receiver.Received == 0);
+  friendly.Box.send(receiver.Box.options().Address, helloEnvelope());
+  receiver.First.get_future().wait();
+  CHECK(receiver.Received == 1);
+}
+
+TEST_CASE("A mailbox stops while messages arrive from many others", "[peers]") {
+  constexpr int Rounds = 15;
+  constexpr int Senders = 4;
+  for (int round = 0; round < Rounds; ++round) {
+    auto receiver = std::make_unique<Receiver>(optionsOf("b"));
+    const std::string address = receiver->Box.options().Address;
+    std::atomic<bool> over = false;
+    std::vector<std::thread> threads;
+    for (int i = 0; i < Senders; ++i) {
+      threads.emplace_back([&] {
+        Receiver sender(optionsOf("a"));
+        while (!over) {
+          sender.Box.send(address, helloEnvelope());
+        }
+      });
+    }
+    receiver->First.get_future().wait();
+    receiver->Box.stop();
+    const int received = receiver->Received;
+    over = true;
+    for (std::thread &it : threads) {
+      it.join();
+    }
+    CHECK(receiver->Received == received);
+  }
+}
