Renew the lease of a worker with tasks as soon as a new leader hears it

Cause: after a change of leader the first answer of a worker brought a reading, and its lease was renewed only one renewal interval later. On real processes a lease that had 0.1 s left ran out in that time and its tasks ended. Change: an answer of a new incarnation that reports tasks is followed by the next call at once. Conclusion: what remains of a takeover is the election and the time until workers announce themselves to the new leader.

--- a/src/masticwinch/coordination/placement/internal/reconciler.cpp
+++ b/src/masticwinch/coordination/placement/internal/reconciler.cpp
@@ -40,6 +40,9 @@
   }
   State.refreshOffer(vm);
   scheduleNextCall(vm);
+  if (renewed && !worker.Attempts.empty()) {
+    State.callAt(vm, State.Now);
+  }
 }
 
 void Reconciler::takeCapacity(WorkerIndex vm) {
--- a/tests/placement/test_placer.cpp
+++ b/tests/placement/test_placer.cpp
@@ -383,3 +383,24 @@
     CHECK(cell.worker(0).tasks().size() == 1);
   }
 }
+
+TEST_CASE("A new leader renews the lease of a worker with tasks at once",
+          "[placement][leases]") {
+  PlacerSettings settings;
+  FakeCell cell(settings);
+  cell.addWorker(standardVm(0));
+  cell.advance(Milliseconds(100), 3);
+  cell.submit(batchJob("a", 1, {1'000, 512, 0}));
+  cell.advance(Milliseconds(100), 3);
+  REQUIRE(cell.running("a") == 1);
+  cell.setLink(0, FakeCell::Link::Cut);
+  cell.advance(settings.Lease.Length - Milliseconds(1'500));
+  REQUIRE(cell.running("a") == 1);
+
+  cell.elect();
+  cell.setLink(0, FakeCell::Link::Whole);
+  cell.advance(Milliseconds(100));
+  cell.advance(Milliseconds(1'500));
+
+  CHECK(cell.running("a") == 1);
+}
