--- a/benchmarks/bench_cell.py
+++ b/benchmarks/bench_cell.py
@@ -7,30 +7,23 @@
 import json
 import pathlib
 import re
+import sys
 import resource
 import signal
-import socket
 import subprocess
 import time
 import urllib.error
 import urllib.request
 
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "scripts" / "lib"))
+
+from masticwinch.ports import free_ports  # noqa: E402
+
 START_TIMEOUT_SECONDS = 20
 STOP_TIMEOUT_SECONDS = 20
 SAMPLE = re.compile(r"^([a-z_]+)(?:\{[^}]*\})? (\S+)$", re.MULTILINE)
 
 
-def free_ports(count):
-    """Ports that nothing listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for it in sockets:
-        it.bind(("127.0.0.1", 0))
-    ports = [it.getsockname()[1] for it in sockets]
-    for it in sockets:
-        it.close()
-    return ports
-
-
 def call(method, url, body=None, timeout=5):
     """Status and body of one HTTP request; status 0 if there is no answer."""
     data = None if body is None else json.dumps(body).encode()
--- a/benchmarks/placement.cpp
+++ b/benchmarks/placement.cpp
@@ -1,5 +1,5 @@
-#include "masticwinch/platform/job_terms.hpp"
 #include "masticwinch/protocol/cell.pb.h"
+#include "masticwinch/workers/job_terms.hpp"
 
 #include "benchmarks/capacity_measure.hpp"
 #include "benchmarks/placement_fleet.hpp"
@@ -253,7 +253,7 @@
       if (!effects.Records.empty()) {
         protocol::Command command;
         *command.mutable_record_placement() =
-            platform::messageOf(effects.Records);
+            workers::messageOf(effects.Records);
         bytes += now > begin ? double(command.ByteSizeLong()) : 0;
         leader.recorded(effects.Records.Id, now);
       }
--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -68,16 +68,29 @@
   endif()
 endforeach()
 
+# What speaks the platform's interface, and the daemons that use it.
+file(GLOB PLATFORM_SOURCES CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/platform/*.cpp)
+add_library(masticwinch_platform STATIC ${PLATFORM_SOURCES})
+target_include_directories(masticwinch_platform PUBLIC ${PROJECT_SOURCE_DIR})
+target_link_libraries(masticwinch_platform PUBLIC masticwinch::daemon)
+foreach(name control entry)
+  set(program masticwinch-platform-${name})
+  add_executable(${program} platform/programs/${name}/main.cpp)
+  target_link_libraries(${program} PRIVATE masticwinch_platform)
+  list(APPEND PROGRAMS ${program})
+endforeach()
+
 # Unit tests mirror the source; each test case is one ctest test.
 enable_testing()
 file(GLOB_RECURSE TEST_SOURCES CONFIGURE_DEPENDS
-  ${PROJECT_SOURCE_DIR}/tests/*.cpp ${PROJECT_SOURCE_DIR}/fuzzing/*.cpp)
+  ${PROJECT_SOURCE_DIR}/tests/*.cpp ${PROJECT_SOURCE_DIR}/fuzzing/*.cpp
+  ${PROJECT_SOURCE_DIR}/platform/tests/*.cpp)
 if(TEST_SOURCES)
   add_executable(masticwinch-tests ${TEST_SOURCES})
   target_include_directories(masticwinch-tests PRIVATE ${PROJECT_SOURCE_DIR})
   target_compile_definitions(masticwinch-tests PRIVATE
     MASTICWINCH_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
-  target_link_libraries(masticwinch-tests PRIVATE masticwinch::daemon rapidcheck)
+  target_link_libraries(masticwinch-tests PRIVATE masticwinch_platform rapidcheck)
   # Property tests take their seed from RC_PARAMS, so that every run is equal.
   add_test(NAME unit COMMAND masticwinch-tests "~[.]" "~[processes]")
   set_tests_properties(unit PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261203")
--- a/scripts/lib/masticwinch/ports.py
+++ b/scripts/lib/masticwinch/ports.py
@@ -20,12 +20,17 @@
     return True
 
 
+_reserved = set()
+
+
 def free_ports(count):
-    """Returns that many distinct ports that are free now."""
+    """Returns that many ports that are free now and that no earlier call in
+    this process returned."""
     generator = random.SystemRandom()
     ports = set()
     while len(ports) < count:
         port = generator.randint(FIRST_PORT, LAST_PORT)
-        if port not in ports and is_free(port):
+        if port not in _reserved and is_free(port):
+            _reserved.add(port)
             ports.add(port)
     return sorted(ports)
--- a/src/masticwinch/control/control_daemon.cpp
+++ b/src/masticwinch/control/control_daemon.cpp
@@ -9,10 +9,10 @@
 #include "masticwinch/peers/cell_client.hpp"
 #include "masticwinch/peers/mailbox.hpp"
 #include "masticwinch/peers/mailbox_metrics.hpp"
-#include "masticwinch/platform/placement_driver.hpp"
 #include "masticwinch/programs/daemon_options.hpp"
 #include "masticwinch/programs/incarnation.hpp"
 #include "masticwinch/programs/stop_signals.hpp"
+#include "masticwinch/workers/placement_driver.hpp"
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
@@ -61,7 +61,7 @@
 struct ControlDaemon::Implementation {
   using Service = CellService<ReplicatedLog, peers::Mailbox>;
   using Placement =
-      platform::PlacementDriver<ReplicatedLog, platform::WorkerCaller>;
+      workers::PlacementDriver<ReplicatedLog, workers::WorkerCaller>;
 
   explicit Implementation(const ControlSettings &settings)
       : Settings(settings), Incarnation(programs::newIncarnation(Time)),
@@ -242,7 +242,7 @@
   ReplicatedLog Log;
   Service State;
   HttpClient WorkerCalls;
-  platform::WorkerCaller Workers;
+  workers::WorkerCaller Workers;
   Placement Placer;
   operators::OperatorsApi Api;
   HttpServer Server;
--- a/src/masticwinch/control/replicated_log.cpp
+++ b/src/masticwinch/control/replicated_log.cpp
@@ -22,7 +22,7 @@
 
 namespace {
 
-constexpr Milliseconds MaintenanceInterval{500};
+constexpr Milliseconds MaintenanceInterval{250};
 constexpr Milliseconds WriteRetryInterval{1000};
 constexpr Milliseconds HandoverTimeout{2000};
 /// Exit status after a failed sync.
@@ -88,7 +88,7 @@
   Events.write(ReplicatedLogEvent::FolderOpened,
                {{"replica", Options.Self.Id.text()},
                 {"empty", Storage->isEmpty() ? "yes" : "no"}});
-  if (Storage->isEmpty()) {
+  if (Storage->isEmpty() && Options.MayFound) {
     Founders.emplace(Options.Self, Options.Founders);
   }
 }
@@ -124,12 +124,30 @@
 }
 
 std::string ReplicatedLog::leaderAddress() const {
-  const auto leader = Machine->leader();
-  const replication::Member *member =
-      leader ? Machine->membership().find(*leader) : nullptr;
+  const replication::Member *member = leaderMember();
   return member ? member->Address : std::string();
 }
 
+std::string ReplicatedLog::leaderName() const {
+  const replication::Member *member = leaderMember();
+  return member ? member->Name : std::string();
+}
+
+const replication::Member *ReplicatedLog::leaderMember() const {
+  const auto leader = Machine->leader();
+  return leader ? Machine->membership().find(*leader) : nullptr;
+}
+
+std::vector<std::string> ReplicatedLog::otherAddresses() const {
+  std::vector<std::string> addresses;
+  for (const replication::Member &it : Machine->membership().Members) {
+    if (it.Id != Options.Self.Id) {
+      addresses.push_back(it.Address);
+    }
+  }
+  return addresses;
+}
+
 /// Inputs that arrive together are answered together, with one sync and one
 /// message to each replica.
 void ReplicatedLog::schedulePump() {
@@ -197,6 +215,7 @@
 }
 
 void ReplicatedLog::write(std::shared_ptr<const WriteBatch> batch) {
+  WritingSince = Time.now();
   asio::post(Disk, [this, batch = std::move(batch)] {
     auto error = storageErrorOf([&] { return Storage->write(*batch); });
     asio::post(Context, [this, batch, error = std::move(error)] {
@@ -205,8 +224,21 @@
   });
 }
 
+/// A leader whose disk takes too long hands over: the others store what it
+/// sends, but it could not keep its own vote or a snapshot.
+void ReplicatedLog::checkDisk() {
+  const bool stalls =
+      WritingSince && Time.now() - *WritingSince > Options.DiskStallLimit;
+  if (stalls && Machine->transferLeadership(Time.now())) {
+    Events.write(ReplicatedLogEvent::LeadershipOffered,
+                 {{"reason", "the disk stalls"}});
+    schedulePump();
+  }
+}
+
 void ReplicatedLog::written(std::shared_ptr<const WriteBatch> batch,
                             std::optional<StorageError> error) {
+  WritingSince.reset();
   if (error && error->Kind != StorageErrorKind::DiskFull) {
     Events.write(ReplicatedLogEvent::StorageFailed,
                  {{"reason", error->text()}});
@@ -214,10 +246,16 @@
   }
   if (DiskFull != error.has_value()) {
     DiskFull = error.has_value();
+    Machine->setFit(!DiskFull);
     Events.write(DiskFull ? ReplicatedLogEvent::DiskFull
                           : ReplicatedLogEvent::DiskWritable,
                  {{"reason", error ? error->text() : ""}});
   }
+  if (DiskFull && Machine->transferLeadership(Time.now())) {
+    Events.write(ReplicatedLogEvent::LeadershipOffered,
+                 {{"reason", "the disk is full"}});
+    schedulePump();
+  }
   if (error) {
     WriteRetry.expires_after(WriteRetryInterval);
     WriteRetry.async_wait([this, batch](const std::error_code &ec) {
@@ -281,7 +319,12 @@
 
 void ReplicatedLog::maintain() {
   greet();
-  settleLearners();
+  checkDisk();
+  if (Options.Repair) {
+    repairMembership();
+  } else {
+    settleLearners();
+  }
   Maintenance.expires_after(MaintenanceInterval);
   Maintenance.async_wait([this](const std::error_code &ec) {
     if (!ec) {
--- a/src/masticwinch/control/replicated_log.hpp
+++ b/src/masticwinch/control/replicated_log.hpp
@@ -2,6 +2,7 @@
 
 #include "masticwinch/control/command_log.hpp"
 #include "masticwinch/coordination/replication/founding.hpp"
+#include "masticwinch/coordination/replication/membership_repair.hpp"
 #include "masticwinch/coordination/replication/replica.hpp"
 #include "masticwinch/storage/replica_storage.hpp"
 
@@ -13,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +25,7 @@
 namespace masticwinch::protocol {
 class Envelope;
 class MembershipReply;
+class ReplicaHint;
 } // namespace masticwinch::protocol
 
 namespace masticwinch::peers {
@@ -42,6 +45,14 @@
   /// Committed entries after which the state is stored anew and older entries
   /// are dropped.
   std::uint64_t SnapshotEntries = 5000;
+  /// A write that takes longer than this makes a leader hand over.
+  Milliseconds DiskStallLimit{600};
+  /// Whether an empty replica may found the cell with the founders. One that
+  /// comes back with an empty folder may not.
+  bool MayFound = true;
+  /// Set if the leader mends the membership by itself; otherwise operators add
+  /// and remove replicas.
+  std::optional<replication::RepairOptions> Repair;
 };
 
 /// What the log asks of the replicated state. All run on the control thread.
@@ -86,6 +97,10 @@
   /// all that was accepted.
   bool isLeader() const;
   std::string leaderAddress() const;
+  /// Name of the replica that is believed to lead; empty if none is known.
+  std::string leaderName() const;
+  /// Addresses of all members but this one.
+  std::vector<std::string> otherAddresses() const;
 
   std::uint64_t commitIndex() const { return Machine->commitIndex(); }
   std::uint64_t term() const { return Machine->term(); }
@@ -109,8 +124,10 @@
   void write(std::shared_ptr<const replication::WriteBatch> batch);
   void written(std::shared_ptr<const replication::WriteBatch> batch,
                std::optional<storage::StorageError> error);
+  void checkDisk();
   void snapshotIfDue();
   void noteLeadership();
+  const replication::Member *leaderMember() const;
   void armTimer();
 
   // replicated_log_membership.cpp
@@ -119,6 +136,10 @@
   void foundIfComplete();
   void maintain();
   void greet();
+  void sendHint(const std::string &address);
+  void takeHint(const protocol::ReplicaHint &hint);
+  bool needsToJoin();
+  void repairMembership();
   void settleLearners();
   void answerMembership(const protocol::Envelope &envelope);
   void fillMembership(protocol::MembershipReply &reply) const;
@@ -140,6 +161,10 @@
   std::unique_ptr<replication::Replica> Machine;
   std::optional<replication::FounderList> Founders;
   std::map<replication::ReplicaId, WaitingReplica> Waiting;
+  /// Control VMs that others told of, asked to join beside the founders.
+  std::set<std::string> Hints;
+  /// When a leader was known last.
+  SteadyTime LeaderKnownAt{};
   /// Where replicas that the membership does not list were heard from.
   std::map<replication::ReplicaId, std::string> LearnedAddresses;
   asio::steady_timer Timer;
@@ -149,6 +174,8 @@
   std::function<void()> HandoverDone;
   bool PumpScheduled = false;
   bool DiskFull = false;
+  /// When the write that is going on began.
+  std::optional<SteadyTime> WritingSince;
   bool LeadershipNoted = false;
   /// Somebody was told that this replica does not lead; the handler for the
   /// start of leadership runs again before anybody is told that it does.
--- a/src/masticwinch/control/replicated_log_event.hpp
+++ b/src/masticwinch/control/replicated_log_event.hpp
@@ -16,6 +16,8 @@
   StorageFailed,
   SnapshotTaken,
   SenderRefused,
+  MembershipRepair,
+  LeadershipOffered,
 };
 
 } // namespace masticwinch::control
@@ -32,7 +34,9 @@
       EnumName<Event>{Event::DiskWritable, "disk_writable"},
       EnumName<Event>{Event::StorageFailed, "storage_failed"},
       EnumName<Event>{Event::SnapshotTaken, "snapshot_taken"},
-      EnumName<Event>{Event::SenderRefused, "replica_sender_refused"}};
+      EnumName<Event>{Event::SenderRefused, "replica_sender_refused"},
+      EnumName<Event>{Event::MembershipRepair, "membership_repair"},
+      EnumName<Event>{Event::LeadershipOffered, "leadership_offered"}};
 };
 
 } // namespace masticwinch
--- a/src/masticwinch/control/replicated_log_membership.cpp
+++ b/src/masticwinch/control/replicated_log_membership.cpp
@@ -24,6 +24,10 @@
 /// Senders outside the membership whose addresses are kept.
 constexpr std::size_t MaxLearnedAddresses = 64;
 
+/// A replica that has known no leader for this long asks to join: longer than
+/// an election takes.
+constexpr Milliseconds LeaderlessLimit{2500};
+
 /// Replicas that wait to join at the same time.
 constexpr std::size_t MaxWaiting = 16;
 
@@ -45,6 +49,8 @@
     takeMessage(envelope);
   } else if (envelope.has_replica_greeting()) {
     takeGreeting(envelope);
+  } else if (envelope.has_replica_hint()) {
+    takeHint(envelope.replica_hint());
   } else if (envelope.query_request().has_membership() ||
              envelope.query_request().has_membership_change()) {
     answerMembership(envelope);
@@ -111,7 +117,14 @@
     Founders->greeted(replica);
     foundIfComplete();
   }
-  if (Machine->lastIndex() == 0 || Machine->membership().find(replica.Id)) {
+  if (Machine->lastIndex() == 0) {
+    return;
+  }
+  if (Options.Repair && !Machine->isReadyLeader()) {
+    sendHint(envelope.reply_address());
+    return;
+  }
+  if (Machine->membership().find(replica.Id)) {
     return;
   }
   if (Waiting.size() >= MaxWaiting && !Waiting.contains(replica.Id)) {
@@ -127,10 +140,22 @@
   }
 }
 
-/// An empty replica tells the others of itself until it gets entries.
+/// True for an empty replica, and, where the leader mends the membership, for
+/// one that hears of no leader: it may have been replaced while it was away.
+bool ReplicatedLog::needsToJoin() {
+  if (Machine->lastIndex() == 0) {
+    return true;
+  }
+  Founders.reset();
+  if (Machine->leader()) {
+    LeaderKnownAt = Time.now();
+  }
+  return Options.Repair && Time.now() - LeaderKnownAt > LeaderlessLimit;
+}
+
+/// Tells others of this replica while it needs to join.
 void ReplicatedLog::greet() {
-  if (Machine->lastIndex() != 0) {
-    Founders.reset();
+  if (!needsToJoin()) {
     return;
   }
   Membership self;
@@ -138,13 +163,76 @@
   protocol::Envelope envelope;
   *envelope.mutable_replica_greeting()->mutable_replica() =
       self.toMessage().members(0);
+  std::set<std::string> addresses = Hints;
   for (const Member &it : Options.Founders) {
-    if (it.Address != Options.Self.Address) {
-      Outbox.send(it.Address, envelope);
+    addresses.insert(it.Address);
+  }
+  addresses.erase(Options.Self.Address);
+  for (const std::string &it : addresses) {
+    Outbox.send(it, envelope);
+  }
+}
+
+/// Tells a replica that wants to join where the others are.
+void ReplicatedLog::sendHint(const std::string &address) {
+  protocol::Envelope envelope;
+  for (const std::string &it : otherAddresses()) {
+    envelope.mutable_replica_hint()->add_addresses(it);
+  }
+  Outbox.send(address, std::move(envelope));
+}
+
+void ReplicatedLog::takeHint(const protocol::ReplicaHint &hint) {
+  if (!needsToJoin()) {
+    return;
+  }
+  for (const std::string &it : hint.addresses()) {
+    if (Hints.size() < MaxLearnedAddresses) {
+      Hints.insert(it);
     }
   }
 }
 
+/// Makes the next change that the membership needs, if there is one.
+void ReplicatedLog::repairMembership() {
+  std::erase_if(Waiting, [&](const auto &it) {
+    return Time.now() - it.second.LastSeen > WaitingLimit ||
+           Machine->membership().find(it.first);
+  });
+  if (!Machine->isReadyLeader()) {
+    return;
+  }
+  std::map<ReplicaId, replication::MemberHealth> health;
+  for (const Member &it : Machine->membership().Members) {
+    health[it.Id] = {Machine->missedRounds(it.Id), Machine->hasCaughtUp(it.Id)};
+  }
+  std::vector<Member> waiting;
+  for (const auto &[id, it] : Waiting) {
+    waiting.push_back(it.Replica);
+  }
+  const auto step = replication::nextRepair(
+      *Options.Repair, Machine->membership(), Options.Self.Id, health, waiting);
+  if (!step) {
+    return;
+  }
+  const std::string refused = refusalOf([&]() -> Result<std::uint64_t> {
+    switch (step->Kind) {
+    case replication::RepairKind::Remove:
+      return Machine->remove(step->Replica.Id, Time.now());
+    case replication::RepairKind::Promote:
+      return Machine->promote(step->Replica.Id, Time.now());
+    case replication::RepairKind::Add:
+      break;
+    }
+    return Machine->addLearner(step->Replica, Time.now());
+  });
+  Events.write(ReplicatedLogEvent::MembershipRepair,
+               {{"step", nameOf(step->Kind)},
+                {"replica", step->Replica.Name},
+                {"refused", refused}});
+  schedulePump();
+}
+
 /// Makes learners that caught up voters, and removes a member that was replaced
 /// by a newer one of the same name.
 void ReplicatedLog::settleLearners() {
--- a/src/masticwinch/coordination/replication/replica.cpp
+++ b/src/masticwinch/coordination/replication/replica.cpp
@@ -61,7 +61,7 @@
   if (now < ElectionDeadline) {
     return;
   }
-  if (Log.membership().isVoter(Self) && !repairing()) {
+  if (Log.membership().isVoter(Self) && !repairing() && Fit) {
     startPreVote(now);
   } else {
     resetElectionTimer(now);
--- a/src/masticwinch/coordination/replication/replica.hpp
+++ b/src/masticwinch/coordination/replication/replica.hpp
@@ -57,6 +57,10 @@
   /// `ReplicationError`.
   Result<ReplicaId> transferLeadership(SteadyTime now);
 
+  /// Says whether this replica may stand for election. One whose disk refuses
+  /// writes follows, but could not serve as a leader.
+  void setFit(bool fit) { Fit = fit; }
+
   /// Gives the application's state after the committed entry at `index`, so
   /// that the log up to it can be dropped.
   void compact(std::uint64_t index, std::string data);
@@ -85,6 +89,12 @@
   /// True once an entry of the leader's own term is committed.
   bool isReadyLeader() const;
 
+  /// Heartbeat rounds that another replica has not answered; 0 unless leader.
+  std::uint64_t missedRounds(ReplicaId id) const;
+
+  /// Whether a learner holds all that is committed; false unless leader.
+  bool hasCaughtUp(ReplicaId id) const;
+
   /// How far another replica is; null unless leader.
   const PeerProgress *progressOf(ReplicaId id) const;
 
@@ -217,6 +227,7 @@
   // Election.
   SteadyTime LastLeaderContact;
   SteadyTime ElectionDeadline;
+  bool Fit = true;
   std::set<ReplicaId> Votes;
 
   // Follower.
--- a/src/masticwinch/coordination/replication/replica_requests.cpp
+++ b/src/masticwinch/coordination/replication/replica_requests.cpp
@@ -125,10 +125,7 @@
 
 Result<std::uint64_t> Replica::promote(ReplicaId id, SteadyTime now) {
   Membership next = Log.membership();
-  const PeerProgress *peer = progressOf(id);
-  const bool caughtUp =
-      peer && peer->Match >= CommitIndex && peer->RepairNonce == 0;
-  if (!caughtUp || next.isVoter(id)) {
+  if (!hasCaughtUp(id) || next.isVoter(id)) {
     return boost::leaf::new_error(ReplicationError::BadChange);
   }
   for (Member &it : next.Members) {
@@ -137,6 +134,16 @@
   return changeMembership(std::move(next), now);
 }
 
+bool Replica::hasCaughtUp(ReplicaId id) const {
+  const PeerProgress *peer = progressOf(id);
+  return peer && peer->Match >= CommitIndex && peer->RepairNonce == 0;
+}
+
+std::uint64_t Replica::missedRounds(ReplicaId id) const {
+  const PeerProgress *peer = progressOf(id);
+  return peer ? Round - std::min(Round, peer->Round) : 0;
+}
+
 Result<std::uint64_t> Replica::remove(ReplicaId id, SteadyTime now) {
   Membership next = Log.membership();
   const std::size_t before = next.Members.size();
--- /dev/null
+++ b/src/masticwinch/coordination/workflow/advice_book.cpp
@@ -0,0 +1,214 @@
+#include "masticwinch/coordination/workflow/advice_book.hpp"
+
+#include <algorithm>
+
+namespace masticwinch::workflow {
+
+Milliseconds AdviceBook::costOf(const protocol::AdviceTerms &terms,
+                                std::size_t runners) {
+  const std::uint64_t micros =
+      terms.decision_us() + std::uint64_t(terms.per_runner_us()) * runners;
+  return Milliseconds(micros / 1000 + 1);
+}
+
+void AdviceBook::agentSeen(const std::string &address, SteadyTime now) {
+  Agents[address].LastSeen = now;
+}
+
+void AdviceBook::open(const StepKey &step, const protocol::AdviceTerms &terms) {
+  Steps.try_emplace(step).first->second.Terms = terms;
+}
+
+void AdviceBook::close(const StepKey &step) { Steps.erase(step); }
+
+/// The agent with the least to do. Slow calls leave the first agents alone.
+std::map<std::string, AdviceBook::Agent>::iterator
+AdviceBook::freeAgent(bool slow, SteadyTime now) {
+  std::size_t kept =
+      slow ? (Agents.size() * Options.FastAgentsPermille + 999) / 1000 : 0;
+  auto best = Agents.end();
+  for (auto it = Agents.begin(); it != Agents.end(); ++it) {
+    const bool fresh = now - it->second.LastSeen < Options.AgentFreshFor;
+    if (fresh && kept > 0 && Agents.size() > 1) {
+      --kept;
+      continue;
+    }
+    const bool idle = it->second.BusyUntil < now + Options.AgentBacklog;
+    if (fresh && idle &&
+        (best == Agents.end() ||
+         it->second.BusyUntil < best->second.BusyUntil)) {
+      best = it;
+    }
+  }
+  return best;
+}
+
+void AdviceBook::call(const StepKey &step, StepAdvice &advice,
+                      std::vector<std::string> runners, SteadyTime now) {
+  if (runners.size() > Options.RunnersPerCall) {
+    runners.resize(Options.RunnersPerCall);
+  }
+  const Milliseconds cost =
+      costOf(advice.Terms, runners.size()) + Options.TransferTime;
+  const auto agent = freeAgent(cost >= Options.SlowCall, now);
+  if (runners.empty() || agent == Agents.end()) {
+    return;
+  }
+  agent->second.BusyUntil = std::max(agent->second.BusyUntil, now) + cost;
+  AdviceCall made;
+  made.Order = NextOrder++;
+  made.Agent = agent->first;
+  made.Step = step;
+  made.Runners = runners;
+  made.Timeout =
+      std::chrono::duration_cast<Milliseconds>(agent->second.BusyUntil - now) +
+      Options.CallSlack;
+  advice.CallOut = true;
+  Open[made.Order] = {step, agent->first, std::move(runners),
+                      now + made.Timeout + Options.CallSlack};
+  Calls.push_back(std::move(made));
+}
+
+void AdviceBook::ask(const StepKey &step,
+                     const std::vector<std::string> &candidates,
+                     SteadyTime now) {
+  const auto found = Steps.find(step);
+  if (found == Steps.end() || found->second.CallOut ||
+      now < found->second.NotBefore) {
+    return;
+  }
+  StepAdvice &advice = found->second;
+  std::vector<std::string> unasked;
+  std::copy_if(
+      candidates.begin(), candidates.end(), std::back_inserter(unasked),
+      [&](const std::string &it) { return !advice.Asked.contains(it); });
+  if (!advice.Known || unasked.size() >= Options.WorthAsking) {
+    call(step, advice, std::move(unasked), now);
+  }
+}
+
+bool AdviceBook::renew(const StepKey &step,
+                       const std::vector<std::string> &runners,
+                       SteadyTime now) {
+  const auto found = Steps.find(step);
+  if (found == Steps.end()) {
+    return false;
+  }
+  StepAdvice &advice = found->second;
+  const SteadyTime soon = now + Options.TicketMargin + Options.TransferTime +
+                          costOf(advice.Terms, runners.size());
+  const bool due =
+      std::any_of(runners.begin(), runners.end(), [&](const std::string &it) {
+        const auto approved = advice.Approved.find(it);
+        return approved != advice.Approved.end() &&
+               approved->second.Until <= soon;
+      });
+  if (due && !advice.CallOut && now >= advice.NotBefore) {
+    call(step, advice, runners, now);
+  }
+  return advice.CallOut;
+}
+
+bool AdviceBook::isSlow(const StepKey &step) const {
+  const auto found = Steps.find(step);
+  return found != Steps.end() &&
+         costOf(found->second.Terms, found->second.Approved.size()) >=
+             Options.SlowCall;
+}
+
+std::vector<std::string>
+AdviceBook::approvedRunners(const StepKey &step) const {
+  std::vector<std::string> runners;
+  const auto found = Steps.find(step);
+  if (found != Steps.end()) {
+    for (const auto &[runner, ticket] : found->second.Approved) {
+      runners.push_back(runner);
+    }
+  }
+  return runners;
+}
+
+void AdviceBook::answered(
+    std::uint64_t order, bool succeeded,
+    const std::vector<std::pair<std::string, std::string>> &approved,
+    Milliseconds validity, SteadyTime now) {
+  const auto call = Open.extract(order);
+  if (call.empty()) {
+    return;
+  }
+  const auto agent = Agents.find(call.mapped().Agent);
+  const auto found = Steps.find(call.mapped().Step);
+  if (found == Steps.end()) {
+    return;
+  }
+  StepAdvice &advice = found->second;
+  advice.CallOut = false;
+  if (!succeeded) {
+    advice.NotBefore = now + Options.RetryPause;
+    if (agent != Agents.end()) {
+      // Others come first until this one is heard from again.
+      agent->second.LastSeen = {};
+    }
+    return;
+  }
+  advice.Known = true;
+  advice.Asked.insert(call.mapped().Runners.begin(),
+                      call.mapped().Runners.end());
+  const Milliseconds valid = validity.count() > 0
+                                 ? validity
+                                 : Milliseconds(advice.Terms.validity_ms());
+  for (const auto &[runner, ticket] : approved) {
+    advice.Approved[runner] = {ticket, now - Options.TransferTime + valid};
+  }
+}
+
+void AdviceBook::expire(SteadyTime now) {
+  std::vector<std::uint64_t> over;
+  for (const auto &[order, it] : Open) {
+    if (now >= it.Deadline) {
+      over.push_back(order);
+    }
+  }
+  for (std::uint64_t it : over) {
+    answered(it, false, {}, Milliseconds(0), now);
+  }
+}
+
+const std::string *AdviceBook::ticket(const StepKey &step,
+                                      const std::string &runner,
+                                      SteadyTime now) const {
+  const auto found = Steps.find(step);
+  if (found == Steps.end()) {
+    return nullptr;
+  }
+  const auto it = found->second.Approved.find(runner);
+  if (it == found->second.Approved.end() ||
+      it->second.Until - Options.TicketMargin <= now) {
+    return nullptr;
+  }
+  return &it->second.Text;
+}
+
+bool AdviceBook::isApproved(const StepKey &step,
+                            const std::string &runner) const {
+  const auto found = Steps.find(step);
+  return found != Steps.end() && found->second.Approved.contains(runner);
+}
+
+bool AdviceBook::isKnown(const StepKey &step) const {
+  const auto found = Steps.find(step);
+  return found != Steps.end() && found->second.Known;
+}
+
+void AdviceBook::ticketRefused(const StepKey &step, const std::string &runner) {
+  const auto found = Steps.find(step);
+  if (found == Steps.end()) {
+    return;
+  }
+  const auto it = found->second.Approved.find(runner);
+  if (it != found->second.Approved.end()) {
+    it->second.Until = {};
+  }
+}
+
+} // namespace masticwinch::workflow
--- /dev/null
+++ b/src/masticwinch/coordination/workflow/advice_book.hpp
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "masticwinch/common/clock.hpp"
+#include "masticwinch/coordination/workflow/task_key.hpp"
+#include "masticwinch/protocol/workflow.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace masticwinch::workflow {
+
+struct AdviceBookOptions {
+  /// Runners that one call may name; the service's limit.
+  std::size_t RunnersPerCall = 100;
+  /// Estimated work that may wait at one agent; beyond it a step waits here,
+  /// where the order of steps still can change.
+  Milliseconds AgentBacklog{400};
+  /// Calls that take this long are slow. They leave some agents to the others,
+  /// so that lookups don't wait behind gangs.
+  Milliseconds SlowCall{100};
+  /// Share of the agents that slow calls leave, in thousandths.
+  std::size_t FastAgentsPermille = 340;
+  /// Runners that a known step was not asked about before it is asked again.
+  std::size_t WorthAsking = 4;
+  /// An agent that was not heard from for this long gets no calls.
+  Milliseconds AgentFreshFor{2000};
+  /// Time allowed for a call beyond its estimate.
+  Milliseconds CallSlack{1000};
+  /// A ticket is not used this shortly before its end, so that a start reaches
+  /// the runner in time.
+  Milliseconds TicketMargin{150};
+  /// Time for an order and its result on their way.
+  Milliseconds TransferTime{10};
+  Milliseconds RetryPause{100};
+};
+
+/// A call to the advice service, to be made by an agent.
+struct AdviceCall {
+  std::uint64_t Order = 0;
+  std::string Agent;
+  StepKey Step;
+  std::vector<std::string> Runners;
+  Milliseconds Timeout{0};
+};
+
+/// Which runners may run a step, as the advice service said. The service takes
+/// one call of a VM at a time, so that the calls are spread over agents: entry
+/// VMs that make them for the leader. The approved set of a step doesn't
+/// change; its tickets lapse and are renewed while the step waits. Answers the
+/// load of steps whose advice takes several times as long as one VM has.
+class AdviceBook {
+public:
+  explicit AdviceBook(AdviceBookOptions options) : Options(options) {}
+
+  /// An agent offers to make calls.
+  void agentSeen(const std::string &address, SteadyTime now);
+
+  /// Begins to ask for a step. Does nothing for a known one.
+  void open(const StepKey &step, const protocol::AdviceTerms &terms);
+  void close(const StepKey &step);
+
+  /// Asks about candidates that were not asked about yet, if an agent has time.
+  void ask(const StepKey &step, const std::vector<std::string> &candidates,
+           SteadyTime now);
+
+  /// Renews the tickets of approved runners if one of them is about to lapse
+  /// and an agent has time. Returns whether a call for the step is under way.
+  bool renew(const StepKey &step, const std::vector<std::string> &runners,
+             SteadyTime now);
+
+  /// Whether a renewal for all approved runners would be a slow call.
+  bool isSlow(const StepKey &step) const;
+
+  /// Approved runners of a step, with lapsed tickets or not.
+  std::vector<std::string> approvedRunners(const StepKey &step) const;
+
+  /// A call's result. `approved` holds pairs of runner and ticket.
+  void
+  answered(std::uint64_t order, bool succeeded,
+           const std::vector<std::pair<std::string, std::string>> &approved,
+           Milliseconds validity, SteadyTime now);
+
+  /// Gives up calls whose time is over, as when their agent died.
+  void expire(SteadyTime now);
+
+  /// A ticket that can be used now; null if there is none.
+  const std::string *ticket(const StepKey &step, const std::string &runner,
+                            SteadyTime now) const;
+
+  /// Whether the service approved the runner, with a ticket or a lapsed one.
+  bool isApproved(const StepKey &step, const std::string &runner) const;
+
+  /// Whether a call for the step has succeeded.
+  bool isKnown(const StepKey &step) const;
+
+  /// A runner refused the ticket.
+  void ticketRefused(const StepKey &step, const std::string &runner);
+
+  std::vector<AdviceCall> takeCalls() { return std::exchange(Calls, {}); }
+
+  std::size_t agentCount() const { return Agents.size(); }
+
+private:
+  struct Ticket {
+    std::string Text;
+    SteadyTime Until{};
+  };
+  struct StepAdvice {
+    protocol::AdviceTerms Terms;
+    std::set<std::string> Asked;
+    std::map<std::string, Ticket> Approved;
+    bool Known = false;
+    bool CallOut = false;
+    SteadyTime NotBefore{};
+  };
+  struct Agent {
+    SteadyTime LastSeen{};
+    SteadyTime BusyUntil{};
+  };
+  struct OpenCall {
+    StepKey Step;
+    std::string Agent;
+    std::vector<std::string> Runners;
+    SteadyTime Deadline;
+  };
+
+  static Milliseconds costOf(const protocol::AdviceTerms &terms,
+                             std::size_t runners);
+  void call(const StepKey &step, StepAdvice &advice,
+            std::vector<std::string> runners, SteadyTime now);
+  std::map<std::string, Agent>::iterator freeAgent(bool slow, SteadyTime now);
+
+  AdviceBookOptions Options;
+  std::map<StepKey, StepAdvice> Steps;
+  std::map<std::string, Agent> Agents;
+  std::map<std::uint64_t, OpenCall> Open;
+  std::uint64_t NextOrder = 1;
+  std::vector<AdviceCall> Calls;
+};
+
+} // namespace masticwinch::workflow
--- /dev/null
+++ b/src/masticwinch/coordination/workflow/queue_routes.cpp
@@ -0,0 +1,98 @@
+#include "masticwinch/coordination/workflow/queue_routes.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace masticwinch::workflow {
+
+namespace {
+
+/// Tasks of one occurrence; more are refused as a mistake.
+constexpr std::uint64_t MaxTasks = 20'000;
+
+constexpr std::size_t IdLength = 16;
+
+bool isHex(char c) {
+  return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') ||
+         (c >= 'A' && c <= 'F');
+}
+
+} // namespace
+
+std::optional<RoutedPath> routeOf(const protocol::CellConfig &config,
+                                  std::string_view host,
+                                  std::string_view path) {
+  const std::string_view name = host.substr(0, host.find(':'));
+  const protocol::QueueConfig *best = nullptr;
+  for (const protocol::QueueConfig &it : config.queues()) {
+    if (it.host() == name && path.starts_with(it.path_prefix()) &&
+        (!best || it.path_prefix().size() > best->path_prefix().size())) {
+      best = &it;
+    }
+  }
+  if (!best) {
+    return std::nullopt;
+  }
+  return RoutedPath{best, std::string(path.substr(best->path_prefix().size()))};
+}
+
+const protocol::QueueConfig *findQueue(const protocol::CellConfig &config,
+                                       const std::string &name) {
+  const auto &all = config.queues();
+  const auto it = std::find_if(all.begin(), all.end(), [&](const auto &queue) {
+    return queue.name() == name;
+  });
+  return it == all.end() ? nullptr : &*it;
+}
+
+const protocol::PoolConfig *findPool(const protocol::CellConfig &config,
+                                     const std::string &name) {
+  const auto &all = config.pools();
+  const auto it = std::find_if(all.begin(), all.end(), [&](const auto &pool) {
+    return pool.name() == name;
+  });
+  return it == all.end() ? nullptr : &*it;
+}
+
+std::optional<std::string> problemOf(const protocol::CellConfig &config) {
+  std::set<std::pair<std::string, std::string>> places;
+  for (const protocol::QueueConfig &it : config.queues()) {
+    if (!findPool(config, it.pool())) {
+      return "queue " + it.name() + " names an unknown pool " + it.pool();
+    }
+    if (!places.emplace(it.host(), it.path_prefix()).second) {
+      return "queue " + it.name() + " has the host and prefix of another";
+    }
+    if (it.timeout_ms() == 0) {
+      return "queue " + it.name() + " has no time to answer";
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::string> problemOf(const protocol::WorkflowSpec &spec) {
+  if (spec.id().size() != IdLength ||
+      !std::all_of(spec.id().begin(), spec.id().end(), isHex)) {
+    return "the id must be 16 hexadecimal digits";
+  }
+  if (spec.steps().empty()) {
+    return "there is no step";
+  }
+  std::uint64_t tasks = 0;
+  for (int i = 0; i < spec.steps_size(); ++i) {
+    const protocol::StepSpec &step = spec.steps(i);
+    tasks += step.count();
+    if (step.count() == 0 || tasks > MaxTasks) {
+      return "a step has no task, or there are too many tasks";
+    }
+    for (std::uint32_t before : step.after()) {
+      if (before >= static_cast<std::uint32_t>(i)) {
+        return "a step may wait for earlier steps only";
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace masticwinch::workflow
--- /dev/null
+++ b/src/masticwinch/coordination/workflow/runner_book.hpp
@@ -0,0 +1,197 @@
+#pragma once
+
+#include "masticwinch/common/clock.hpp"
+#include "masticwinch/coordination/workflow/runner_clock.hpp"
+#include "masticwinch/coordination/workflow/runner_orders.hpp"
+#include "masticwinch/coordination/workflow/workflow_types.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace masticwinch::workflow {
+
+/// Timing of the orders to runners.
+struct RunnerBookOptions {
+  /// Lease of everything on a runner. It outlasts a change of leader (1.4 s of
+  /// silence, an election and a look), and is how long a runner that fell
+  /// silent blocks its tasks.
+  Milliseconds Lease{4500};
+  /// How long a runner may wait for an end before it answers a look.
+  std::uint32_t LookWaitMs = 1000;
+  /// Pause between looks at a runner whose tasks end, so that ends are taken
+  /// in together.
+  Milliseconds LookPause{25};
+  /// Pause before a look or a stop is tried again that got no answer.
+  Milliseconds RetryPause{250};
+  /// Times that a start is sent before it is given up and stopped.
+  std::uint32_t StartTries = 4;
+  /// A runner that has not answered for this long gets no work.
+  Milliseconds FreshFor{2500};
+  /// After it said that it is unwell, or answered nothing, a runner gets no
+  /// work for this long.
+  Milliseconds UnwellPause{1000};
+  /// Bound on the delays that the estimate of a runner's clock leaves out.
+  Milliseconds ClockSlack{150};
+};
+
+enum class HoldingStage : std::uint8_t {
+  /// Reserved; the assignment is being stored.
+  Reserved,
+  /// The order to start may be on its way.
+  Starting,
+  /// The runner said that it runs.
+  Running,
+  /// To be stopped, and gone once a look after the stop lists it no more.
+  Stopping,
+  /// Assigned under an earlier leader; the first look settles it.
+  Inherited,
+};
+
+/// A run that takes room on a runner.
+struct Holding {
+  HoldingStage Stage = HoldingStage::Reserved;
+  Room Needs;
+  std::string Payload;
+  std::string Ticket;
+  std::string Checkpoint;
+  std::uint32_t Tries = 0;
+  bool CallOut = false;
+  /// An order got no answer, so that it may be carried out later.
+  bool Unanswered = false;
+  SteadyTime NextTry{};
+  /// When the stage was confirmed by the runner; nothing before.
+  std::optional<SteadyTime> ConfirmedAt;
+  SteadyTime Since{};
+};
+
+/// What the leader knows of one life of a runner.
+struct RunnerEntry {
+  protocol::RunnerInfo Info;
+  Room Free;
+  RunnerClock Clock;
+  std::map<RunKey, Holding> Holdings;
+  /// It answered a look of this leader, so that orders of earlier ones have no
+  /// effect any more.
+  bool Adopted = false;
+  bool Gone = false;
+  /// Latest lease end that was sent, on the runner's clock.
+  std::int64_t LeaseSentMs = 0;
+  /// When leases of earlier leaders are over for sure.
+  SteadyTime InheritedUntil{};
+  SteadyTime LastAnswer{};
+  SteadyTime UnwellUntil{};
+  std::uint64_t EndsSeen = 0;
+  std::uint64_t EndsStored = 0;
+  std::uint64_t LookSequence = 0;
+  bool LookOut = false;
+  SteadyTime LookSentAt{};
+  SteadyTime NextLook{};
+  std::uint32_t SilentLooks = 0;
+
+  /// The runner's rack, by its labels; empty if it names none.
+  std::string rack() const;
+  bool hasLabel(const std::string &label) const;
+};
+
+/// An end that is to be stored, and its number on the runner; 0 if the runner
+/// did not report it.
+struct ObservedEnd {
+  std::string Runner;
+  std::uint64_t Number = 0;
+  protocol::EndRun End;
+};
+
+/// Orders and observations since the last call.
+struct RunnerBookEffects {
+  std::vector<StartOrder> Starts;
+  std::vector<StopOrder> Stops;
+  std::vector<LookOrder> Looks;
+  std::vector<ObservedEnd> Ends;
+  /// Runners whose life is over.
+  std::vector<std::string> Gone;
+  bool Deposed = false;
+};
+
+/// The runners as one leader sees them: what each holds, its lease, and the
+/// orders on their way. A run's room stays reserved until the runner listed its
+/// end, a look after a confirmed stop shows that it is not there, or its lease
+/// is over on the runner's own clock. State machine without I/O.
+class RunnerBook {
+public:
+  /// What a task of a step takes from its runner.
+  using NeedsLookup = std::function<Room(const StepKey &)>;
+
+  RunnerBook(RunnerBookOptions options, NeedsLookup needsOf)
+      : Options(options), NeedsOf(std::move(needsOf)) {}
+
+  /// Adds a runner, or takes in what it says anew of itself.
+  void add(const protocol::RunnerInfo &info, SteadyTime now);
+
+  /// Adds a run that was assigned under an earlier leader.
+  void inherit(const std::string &runner, const RunKey &run, const Room &needs);
+
+  /// Ends a runner's life; its runs are lost.
+  void remove(const std::string &id);
+
+  void observeClock(const std::string &id, std::int64_t clockMs,
+                    SteadyTime now);
+
+  /// Reserves room for a run whose assignment is about to be stored.
+  void reserve(const std::string &id, const RunKey &run, Holding holding,
+               SteadyTime now);
+
+  /// The assignment is stored; orders the start.
+  void start(const std::string &id, const RunKey &run, SteadyTime now);
+
+  /// Orders a stop unless one is ordered already.
+  void stop(const std::string &id, const RunKey &run, SteadyTime now);
+
+  void startAnswered(const std::string &id, const RunKey &run,
+                     OrderAnswer answer, SteadyTime now);
+  void stopAnswered(const std::string &id, const RunKey &run,
+                    OrderAnswer answer, SteadyTime now);
+  void lookAnswered(const std::string &id, std::uint64_t sequence,
+                    const LookAnswer &answer, SteadyTime now);
+
+  /// The end is stored, so that the runner may forget it.
+  void endStored(const std::string &id, std::uint64_t number);
+
+  /// Sends what is due and ends the runs of runners that fell silent.
+  void tick(SteadyTime now);
+
+  /// Whether the runner may get work.
+  bool isUsable(const RunnerEntry &runner, SteadyTime now) const;
+
+  const std::map<std::string, RunnerEntry> &runners() const { return Runners; }
+  const RunnerEntry *find(const std::string &id) const;
+
+  RunnerBookEffects takeEffects() { return std::exchange(Out, {}); }
+
+private:
+  RunnerEntry *entry(const std::string &id);
+  Holding *holding(const std::string &id, const RunKey &run);
+  void release(RunnerEntry &runner, const RunKey &run, protocol::RunEnd how,
+               std::uint64_t number, const std::string &checkpoint);
+  void sendStart(RunnerEntry &runner, const RunKey &run, Holding &holding,
+                 SteadyTime now);
+  void sendStop(RunnerEntry &runner, const RunKey &run, Holding &holding,
+                SteadyTime now);
+  void sendLook(RunnerEntry &runner, SteadyTime now);
+  void beginStop(Holding &holding, SteadyTime now);
+  void takeEnds(RunnerEntry &runner, const LookAnswer &answer);
+  void takeRunning(RunnerEntry &runner, const LookAnswer &answer,
+                   SteadyTime now);
+  void dropMissing(RunnerEntry &runner, const LookAnswer &answer);
+  void lapse(RunnerEntry &runner, SteadyTime now);
+  std::int64_t leaseEnd(RunnerEntry &runner, SteadyTime now);
+
+  RunnerBookOptions Options;
+  NeedsLookup NeedsOf;
+  std::map<std::string, RunnerEntry> Runners;
+  RunnerBookEffects Out;
+};
+
+} // namespace masticwinch::workflow
--- /dev/null
+++ b/src/masticwinch/coordination/workflow/step_order.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "masticwinch/common/clock.hpp"
+
+#include <compare>
+#include <cstdint>
+
+namespace masticwinch::workflow {
+
+/// What can still be reached for a workflow.
+enum class Outlook : std::uint8_t {
+  /// It can end within its objective.
+  OnTime,
+  /// It can end within three times its objective.
+  Late,
+  /// It can't end in time any more.
+  Missed,
+};
+
+/// When a workflow was accepted and until when its end is of use.
+struct WorkflowTerms {
+  SteadyTime Accepted{};
+  /// Stretch times the longest chain of work, and the latency target more.
+  Milliseconds Objective{0};
+  std::uint32_t Priority = 0;
+};
+
+/// Rank of a waiting step; the smallest goes first. Steps that can still be on
+/// time come before those that are late anyway, so that in a surge work that
+/// has missed its objective doesn't make the rest miss theirs.
+struct StepRank {
+  Outlook Reach = Outlook::OnTime;
+  std::uint32_t Priority = 0;
+  /// Time left before the step has to start to be on time.
+  Milliseconds Slack{0};
+
+  auto operator<=>(const StepRank &) const = default;
+};
+
+/// An end later than this many objectives is of no use.
+inline constexpr int LateFactor = 3;
+
+/// Rank of a step from which on the workflow's work takes `remaining`.
+inline StepRank rankOf(const WorkflowTerms &terms, Milliseconds remaining,
+                       SteadyTime now) {
+  const auto since =
+      std::chrono::duration_cast<Milliseconds>(now - terms.Accepted);
+  const Milliseconds end = since + remaining;
+  StepRank rank;
+  rank.Priority = terms.Priority;
+  if (end <= terms.Objective) {
+    rank.Reach = Outlook::OnTime;
+  } else if (end <= LateFactor * terms.Objective) {
+    rank.Reach = Outlook::Late;
+  } else {
+    rank.Reach = Outlook::Missed;
+  }
+  rank.Slack = terms.Objective - end;
+  return rank;
+}
+
+} // namespace masticwinch::workflow
--- /dev/null
+++ b/src/masticwinch/coordination/workflow/work_chain.cpp
@@ -0,0 +1,58 @@
+#include "masticwinch/coordination/workflow/work_chain.hpp"
+
+#include <algorithm>
+
+namespace masticwinch::workflow {
+
+namespace {
+
+/// Runners of the call for advice that an objective allows for.
+constexpr std::uint64_t RunnersOfUsualAdvice = 30;
+
+constexpr std::uint64_t MilliPerCore = 1000;
+
+Milliseconds adviceTime(const protocol::QueueConfig &queue) {
+  if (!queue.has_advice()) {
+    return Milliseconds(0);
+  }
+  const std::uint64_t micros =
+      queue.advice().decision_us() +
+      queue.advice().per_runner_us() * RunnersOfUsualAdvice;
+  return Milliseconds(micros / 1000);
+}
+
+} // namespace
+
+std::vector<Milliseconds> remainingChains(const protocol::WorkflowSpec &spec,
+                                          const protocol::QueueConfig &queue) {
+  const Milliseconds advice = adviceTime(queue);
+  std::vector<Milliseconds> remaining(
+      static_cast<std::size_t>(spec.steps_size()), Milliseconds(0));
+  // A step waits for earlier ones only, so the last is settled first.
+  for (int i = spec.steps_size() - 1; i >= 0; --i) {
+    const protocol::StepSpec &step = spec.steps(i);
+    const Milliseconds own = Milliseconds(step.estimate_ms()) + advice;
+    Milliseconds &chain = remaining[static_cast<std::size_t>(i)];
+    chain += own;
+    for (std::uint32_t before : step.after()) {
+      remaining[before] = std::max(remaining[before], chain);
+    }
+  }
+  return remaining;
+}
+
+Milliseconds longestChain(const std::vector<Milliseconds> &remaining) {
+  const auto longest = std::max_element(remaining.begin(), remaining.end());
+  return longest == remaining.end() ? Milliseconds(0) : *longest;
+}
+
+std::uint64_t workOf(const protocol::WorkflowSpec &spec) {
+  std::uint64_t work = 0;
+  for (const protocol::StepSpec &it : spec.steps()) {
+    work += std::uint64_t(it.count()) * it.estimate_ms() *
+            it.needs().milli_processors() / MilliPerCore;
+  }
+  return work;
+}
+
+} // namespace masticwinch::workflow
--- /dev/null
+++ b/src/masticwinch/coordination/workflow/workflow_event.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "masticwinch/common/enum_names.hpp"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace masticwinch::workflow {
+
+/// What a leader decided or learnt.
+enum class WorkflowEventKind : std::uint8_t {
+  LeadershipTaken,
+  WorkflowAccepted,
+  WorkflowRefused,
+  WorkflowCancelled,
+  WorkflowEnded,
+  OccurrenceBegun,
+  RunAssigned,
+  RunEnded,
+  StartRefused,
+  RunnerKnown,
+  RunnerDraining,
+  RunnerGone,
+  RunnerAdopted,
+  RunnerSilent,
+  RunnerRests,
+  HeartbeatOutdated,
+  AdviceAsked,
+  AdviceFailed,
+  ConfigurationStored,
+  ConfigurationOutdated,
+  Deposed,
+};
+
+/// One decision for the event log: what it is about and what decided it.
+struct WorkflowEvent {
+  WorkflowEventKind Kind;
+  std::vector<std::pair<std::string, std::string>> Fields;
+};
+
+} // namespace masticwinch::workflow
+
+namespace masticwinch {
+
+template <> struct EnumNames<workflow::WorkflowEventKind> {
+  using Kind = workflow::WorkflowEventKind;
+  static constexpr std::array Table{
+      EnumName<Kind>{Kind::LeadershipTaken, "workflow_leadership_taken"},
+      EnumName<Kind>{Kind::WorkflowAccepted, "workflow_accepted"},
+      EnumName<Kind>{Kind::WorkflowRefused, "workflow_refused"},
+      EnumName<Kind>{Kind::WorkflowCancelled, "workflow_cancelled"},
+      EnumName<Kind>{Kind::WorkflowEnded, "workflow_ended"},
+      EnumName<Kind>{Kind::OccurrenceBegun, "occurrence_begun"},
+      EnumName<Kind>{Kind::RunAssigned, "run_assigned"},
+      EnumName<Kind>{Kind::RunEnded, "run_ended"},
+      EnumName<Kind>{Kind::StartRefused, "start_refused"},
+      EnumName<Kind>{Kind::RunnerKnown, "runner_known"},
+      EnumName<Kind>{Kind::RunnerDraining, "runner_draining"},
+      EnumName<Kind>{Kind::RunnerGone, "runner_gone"},
+      EnumName<Kind>{Kind::RunnerAdopted, "runner_adopted"},
+      EnumName<Kind>{Kind::RunnerSilent, "runner_silent"},
+      EnumName<Kind>{Kind::RunnerRests, "runner_rests"},
+      EnumName<Kind>{Kind::HeartbeatOutdated, "heartbeat_outdated"},
+      EnumName<Kind>{Kind::AdviceAsked, "advice_asked"},
+      EnumName<Kind>{Kind::AdviceFailed, "advice_failed"},
+      EnumName<Kind>{Kind::ConfigurationStored, "configuration_stored"},
+      EnumName<Kind>{Kind::ConfigurationOutdated, "configuration_outdated"},
+      EnumName<Kind>{Kind::Deposed, "leader_deposed"}};
+};
+
+} // namespace masticwinch
--- /dev/null
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -0,0 +1,371 @@
+#include "masticwinch/coordination/workflow/workflow_leader.hpp"
+
+#include "masticwinch/coordination/workflow/queue_routes.hpp"
+#include "masticwinch/coordination/workflow/work_chain.hpp"
+
+#include <algorithm>
+
+namespace masticwinch::workflow {
+
+namespace {
+
+protocol::WorkflowAnswer answerOf(protocol::WorkflowVerdict verdict,
+                                  std::string reason = {}) {
+  protocol::WorkflowAnswer answer;
+  answer.set_verdict(verdict);
+  answer.set_reason(std::move(reason));
+  return answer;
+}
+
+} // namespace
+
+WorkflowLeader::WorkflowLeader(const WorkflowLeaderOptions &options,
+                               const WorkflowState &state, Moment at)
+    : Options(options), State(state),
+      Book(options.Runners,
+           [this](const StepKey &key) {
+             const protocol::StepSpec *spec = State.findSpec(key);
+             return spec ? needsOf(*spec) : Room();
+           }),
+      Advice(options.Advice), Health(options.Health) {
+  for (const auto &[id, info] : State.runners()) {
+    Book.add(info, at.Now);
+    LastHeartbeat[id] = at.Now;
+  }
+  inheritRuns(at);
+  note(WorkflowEventKind::LeadershipTaken,
+       {{"workflows", std::to_string(State.workflows().size())},
+        {"runners", std::to_string(State.runners().size())},
+        {"configuration", std::to_string(State.config().version())}});
+}
+
+/// Takes over every run that some runner may have.
+void WorkflowLeader::inheritRuns(Moment at) {
+  for (const auto &[id, workflow] : State.workflows()) {
+    for (const Occurrence &occurrence : workflow.Occurrences) {
+      for (std::uint32_t step = 0; step < occurrence.Steps.size(); ++step) {
+        const StepKey key{id, occurrence.Number, step};
+        const Room needs = needsOf(workflow.Spec.steps(int(step)));
+        const std::vector<Task> &tasks = occurrence.Steps[step].Tasks;
+        for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+          if (!tasks[i].Runner.empty()) {
+            Book.inherit(tasks[i].Runner, {{key, i}, tasks[i].Run}, needs);
+          }
+        }
+      }
+    }
+    registerWorkflow(workflow, at);
+    if (isFinal(workflow.CurrentPhase)) {
+      stopAll(workflow, at);
+    }
+  }
+}
+
+void WorkflowLeader::registerWorkflow(const Workflow &workflow, Moment at) {
+  const std::string &id = workflow.Spec.id();
+  if (isFinal(workflow.CurrentPhase)) {
+    EndedAt.try_emplace(id, at.Now);
+    return;
+  }
+  static const protocol::QueueConfig NoQueue;
+  const protocol::QueueConfig *found =
+      findQueue(State.config(), workflow.Spec.queue());
+  const protocol::QueueConfig &queue = found ? *found : NoQueue;
+  Terms &terms = KnownTerms[id];
+  terms.Remaining = remainingChains(workflow.Spec, queue);
+  terms.Work = workOf(workflow.Spec);
+  const std::uint64_t age = at.UnixMs > workflow.AcceptedAtUnixMs
+                                ? at.UnixMs - workflow.AcceptedAtUnixMs
+                                : 0;
+  terms.Order.Accepted = at.Now - Milliseconds(age);
+  terms.Order.Priority = queue.priority();
+  terms.Order.Objective =
+      Milliseconds(longestChain(terms.Remaining).count() *
+                   std::int64_t(queue.stretch_permille()) / 1000) +
+      Milliseconds(queue.latency_target_ms());
+  refreshSteps(workflow);
+}
+
+void WorkflowLeader::note(
+    WorkflowEventKind kind,
+    std::vector<std::pair<std::string, std::string>> fields) {
+  Out.Events.push_back({kind, std::move(fields)});
+}
+
+void WorkflowLeader::change(protocol::WorkflowChange change, Stored stored) {
+  *Pending.add_changes() = std::move(change);
+  if (stored) {
+    PendingStored.push_back(std::move(stored));
+  }
+}
+
+void WorkflowLeader::call(const protocol::WorkflowCall &call,
+                          AnswerWorkflow answer, Moment at) {
+  if (State.config().version() == 0) {
+    answer(answerOf(protocol::VERDICT_NOT_SERVING, "no configuration"));
+    return;
+  }
+  const auto route = routeOf(State.config(), call.host(), call.path());
+  if (!route) {
+    answer(answerOf(protocol::VERDICT_NO_QUEUE, "no queue has this address"));
+    return;
+  }
+  switch (call.request_case()) {
+  case protocol::WorkflowCall::kSubmit:
+    return submit(call.submit(), *route, std::move(answer), at);
+  case protocol::WorkflowCall::kCancel:
+    return cancel(route->Rest, answer);
+  default:
+    return answerState(*route, answer);
+  }
+}
+
+void WorkflowLeader::answerState(const RoutedPath &route,
+                                 const AnswerWorkflow &answer) {
+  protocol::WorkflowAnswer made = answerOf(protocol::VERDICT_OK);
+  if (route.Rest.empty()) {
+    const auto waits = [&](const auto &it) {
+      return it.second.Spec.queue() == route.Queue->name() &&
+             !it.second.Started && !isFinal(it.second.CurrentPhase);
+    };
+    made.set_waiting(static_cast<std::uint64_t>(std::count_if(
+        State.workflows().begin(), State.workflows().end(), waits)));
+    answer(made);
+    return;
+  }
+  const Workflow *workflow = State.find(route.Rest);
+  if (!workflow) {
+    answer(answerOf(protocol::VERDICT_NO_WORKFLOW, "no such workflow"));
+    return;
+  }
+  made.set_phase(static_cast<std::uint32_t>(workflow->CurrentPhase));
+  answer(made);
+}
+
+void WorkflowLeader::cancel(const std::string &id,
+                            const AnswerWorkflow &answer) {
+  const Workflow *workflow = State.find(id);
+  const bool accepting = Accepting.contains(id);
+  if (!workflow && !accepting) {
+    answer(answerOf(protocol::VERDICT_NO_WORKFLOW, "no such workflow"));
+    return;
+  }
+  if (workflow && isFinal(workflow->CurrentPhase)) {
+    answer(answerOf(protocol::VERDICT_OK));
+    return;
+  }
+  protocol::WorkflowChange cancelled;
+  cancelled.mutable_cancel()->set_id(id);
+  note(WorkflowEventKind::WorkflowCancelled, {{"workflow", id}});
+  change(std::move(cancelled),
+         [answer] { answer(answerOf(protocol::VERDICT_OK)); });
+}
+
+bool WorkflowLeader::fitsSomewhere(const protocol::WorkflowSpec &spec,
+                                   const std::string &pool) const {
+  bool any = false;
+  std::vector<bool> fits(static_cast<std::size_t>(spec.steps_size()), false);
+  for (const auto &[id, runner] : Book.runners()) {
+    if (runner.Gone || runner.Info.pool() != pool) {
+      continue;
+    }
+    any = true;
+    const Room whole = roomOf(runner.Info.capacity());
+    for (int i = 0; i < spec.steps_size(); ++i) {
+      fits[std::size_t(i)] =
+          fits[std::size_t(i)] || whole.holds(needsOf(spec.steps(i)));
+    }
+  }
+  return !any ||
+         std::all_of(fits.begin(), fits.end(), [](bool it) { return it; });
+}
+
+std::optional<Milliseconds>
+WorkflowLeader::refusal(const protocol::WorkflowSpec &spec,
+                        const protocol::QueueConfig &queue) const {
+  if (spec.repeats() > 0) {
+    return std::nullopt;
+  }
+  AdmissionInput input;
+  const auto usable = UsableProcessors.find(queue.pool());
+  input.MilliProcessors = usable == UsableProcessors.end() ? 0 : usable->second;
+  for (const auto &[priority, work] : WaitingWork) {
+    input.WorkAhead += priority <= queue.priority() ? work : 0;
+  }
+  const Milliseconds chain = longestChain(remainingChains(spec, queue));
+  input.Slack =
+      Milliseconds(chain.count() *
+                   (std::int64_t(queue.stretch_permille()) - 1000) / 1000) +
+      Milliseconds(queue.latency_target_ms());
+  input.Salt = std::hash<std::string>()(spec.id());
+  return retryAfter(Options.Admission, input);
+}
+
+void WorkflowLeader::submit(const protocol::WorkflowSpec &sent,
+                            const RoutedPath &route, AnswerWorkflow answer,
+                            Moment at) {
+  protocol::WorkflowChange accepted;
+  protocol::WorkflowSpec &spec = *accepted.mutable_accept()->mutable_spec();
+  spec = sent;
+  spec.set_id(route.Rest);
+  spec.set_queue(route.Queue->name());
+  if (const auto problem = problemOf(spec)) {
+    answer(answerOf(protocol::VERDICT_INVALID, *problem));
+    return;
+  }
+  if (State.find(spec.id())) {
+    answer(answerOf(protocol::VERDICT_OK, "accepted before"));
+    return;
+  }
+  if (const auto waiting = Accepting.find(spec.id());
+      waiting != Accepting.end()) {
+    waiting->second.push_back(std::move(answer));
+    return;
+  }
+  if (!fitsSomewhere(spec, route.Queue->pool())) {
+    note(WorkflowEventKind::WorkflowRefused,
+         {{"workflow", spec.id()}, {"reason", "larger than every runner"}});
+    protocol::WorkflowAnswer refused =
+        answerOf(protocol::VERDICT_REFUSED, "larger than every runner");
+    answer(refused);
+    return;
+  }
+  if (const auto after = refusal(spec, *route.Queue)) {
+    note(WorkflowEventKind::WorkflowRefused,
+         {{"workflow", spec.id()},
+          {"reason", "would end late"},
+          {"retry_after_ms", std::to_string(after->count())}});
+    protocol::WorkflowAnswer refused =
+        answerOf(protocol::VERDICT_REFUSED, "would end late");
+    refused.set_retry_after_ms(static_cast<std::uint32_t>(after->count()));
+    answer(refused);
+    return;
+  }
+  accepted.mutable_accept()->set_at_unix_ms(at.UnixMs);
+  accepted.mutable_accept()->set_max_attempts(route.Queue->max_attempts());
+  Accepting[spec.id()].push_back(std::move(answer));
+  note(WorkflowEventKind::WorkflowAccepted,
+       {{"workflow", spec.id()}, {"queue", spec.queue()}});
+  change(std::move(accepted));
+}
+
+void WorkflowLeader::heartbeat(const protocol::RunnerInfo &info,
+                               std::uint64_t sequence, std::int64_t clockMs,
+                               Stored stored, Moment at) {
+  const RunnerEntry *known = Book.find(info.id());
+  const auto last = HeartbeatSequence.find(info.id());
+  const bool outdated =
+      (known && known->Gone) ||
+      (last != HeartbeatSequence.end() && sequence < last->second);
+  if (outdated) {
+    note(WorkflowEventKind::HeartbeatOutdated,
+         {{"runner", info.id()}, {"sequence", std::to_string(sequence)}});
+    stored();
+    return;
+  }
+  HeartbeatSequence[info.id()] = sequence;
+  LastHeartbeat[info.id()] = at.Now;
+  const auto recorded = State.runners().find(info.id());
+  if (recorded != State.runners().end() &&
+      recorded->second.SerializeAsString() == info.SerializeAsString()) {
+    Book.observeClock(info.id(), clockMs, at.Now);
+    stored();
+    return;
+  }
+  if (info.draining() && known) {
+    // No work from this moment, also before it is stored.
+    Book.add(info, at.Now);
+    note(WorkflowEventKind::RunnerDraining, {{"runner", info.id()}});
+  }
+  protocol::WorkflowChange recordedChange;
+  *recordedChange.mutable_runner()->mutable_runner() = info;
+  change(std::move(recordedChange), std::move(stored));
+}
+
+void WorkflowLeader::deregister(const std::string &id, Stored stored,
+                                Moment at) {
+  if (!Book.find(id)) {
+    stored();
+    return;
+  }
+  Book.remove(id);
+  takeBookEffects(at);
+  protocol::WorkflowChange forgotten;
+  forgotten.mutable_forget_runner()->set_id(id);
+  change(std::move(forgotten), std::move(stored));
+}
+
+void WorkflowLeader::configure(const protocol::CellConfig &config,
+                               Stored stored, Moment) {
+  if (config.version() <= State.config().version()) {
+    note(WorkflowEventKind::ConfigurationOutdated,
+         {{"version", std::to_string(config.version())},
+          {"held", std::to_string(State.config().version())}});
+    stored();
+    return;
+  }
+  protocol::WorkflowChange configured;
+  *configured.mutable_configure() = config;
+  change(std::move(configured), std::move(stored));
+}
+
+void WorkflowLeader::agentSeen(const std::string &address, Moment at) {
+  Advice.agentSeen(address, at.Now);
+}
+
+void WorkflowLeader::adviceAnswered(const protocol::AdviceResult &result,
+                                    Moment at) {
+  std::vector<std::pair<std::string, std::string>> approved;
+  for (const protocol::ApprovedRunner &it : result.approved()) {
+    approved.emplace_back(it.runner(), it.ticket());
+  }
+  if (!result.answered()) {
+    note(WorkflowEventKind::AdviceFailed,
+         {{"order", std::to_string(result.order())},
+          {"reason", result.reason()}});
+  }
+  Advice.answered(result.order(), result.answered(), approved,
+                  Milliseconds(result.validity_ms()), at.Now);
+  Dirty = true;
+}
+
+void WorkflowLeader::startAnswered(const StartOrder &order, OrderAnswer answer,
+                                   Moment at) {
+  if (answer != OrderAnswer::Done) {
+    note(WorkflowEventKind::StartRefused,
+         {{"task", textOf(order.Run.Task)},
+          {"run", std::to_string(order.Run.Run)},
+          {"runner", order.Runner},
+          {"answer", std::string(nameOf(answer))}});
+  }
+  if (answer == OrderAnswer::TicketInvalid) {
+    Advice.ticketRefused(order.Run.Task.Step, order.Runner);
+  }
+  Book.startAnswered(order.Runner, order.Run, answer, at.Now);
+}
+
+void WorkflowLeader::stopAnswered(const StopOrder &order, OrderAnswer answer,
+                                  Moment at) {
+  Book.stopAnswered(order.Runner, order.Run, answer, at.Now);
+}
+
+void WorkflowLeader::lookAnswered(const LookOrder &order,
+                                  const LookAnswer &answer, Moment at) {
+  const RunnerEntry *before = Book.find(order.Runner);
+  const bool adopted = before && before->Adopted;
+  const bool silent = before && before->SilentLooks > 0;
+  Book.lookAnswered(order.Runner, order.Sequence, answer, at.Now);
+  const RunnerEntry *after = Book.find(order.Runner);
+  if (after && after->Adopted && !adopted) {
+    note(WorkflowEventKind::RunnerAdopted,
+         {{"runner", order.Runner},
+          {"runs", std::to_string(after->Holdings.size())}});
+    Dirty = true;
+  } else if (after && after->SilentLooks > 0 && !silent) {
+    note(WorkflowEventKind::RunnerSilent,
+         {{"runner", order.Runner},
+          {"answer", std::string(nameOf(answer.Answer))}});
+  }
+}
+
+} // namespace masticwinch::workflow
--- /dev/null
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -0,0 +1,218 @@
+#pragma once
+
+#include "masticwinch/coordination/workflow/admission.hpp"
+#include "masticwinch/coordination/workflow/advice_book.hpp"
+#include "masticwinch/coordination/workflow/queue_routes.hpp"
+#include "masticwinch/coordination/workflow/runner_book.hpp"
+#include "masticwinch/coordination/workflow/runner_health.hpp"
+#include "masticwinch/coordination/workflow/step_order.hpp"
+#include "masticwinch/coordination/workflow/step_planner.hpp"
+#include "masticwinch/coordination/workflow/workflow_event.hpp"
+#include "masticwinch/coordination/workflow/workflow_state.hpp"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace masticwinch::workflow {
+
+struct WorkflowLeaderOptions {
+  RunnerBookOptions Runners;
+  AdviceBookOptions Advice;
+  RunnerHealthOptions Health;
+  AdmissionOptions Admission;
+  /// Shortest time between two scheduling passes, in which events gather.
+  Milliseconds ScheduleInterval{8};
+  /// Steps that one pass tries to place, best first.
+  std::size_t StepsPerPass = 200;
+  /// Waiting steps with slow advice whose tickets are kept fresh, best first.
+  std::size_t SlowRenewals = 8;
+  /// A workflow's end can be asked for at least this long.
+  Milliseconds KeepEnded{150'000};
+  /// A runner that sent no heartbeat and answered nothing for this long is
+  /// forgotten.
+  Milliseconds ForgetRunnerAfter{30'000};
+};
+
+/// The moment at which something is handled.
+struct Moment {
+  SteadyTime Now{};
+  std::uint64_t UnixMs = 0;
+};
+
+/// Answers a caller's request; called once.
+using AnswerWorkflow = std::function<void(protocol::WorkflowAnswer)>;
+
+/// Says that a change is stored by a quorum; never called if it is not known to
+/// be.
+using Stored = std::function<void()>;
+
+/// Changes to be stored as one record.
+struct ProposedBatch {
+  std::uint64_t Number = 0;
+  protocol::WorkflowRecord Record;
+};
+
+/// What a leader wants done. Nothing of it may leave once another leads.
+struct WorkflowEffects {
+  std::vector<ProposedBatch> Batches;
+  std::vector<StartOrder> Starts;
+  std::vector<StopOrder> Stops;
+  std::vector<LookOrder> Looks;
+  std::vector<AdviceCall> Advice;
+  std::vector<WorkflowEvent> Events;
+};
+
+/// The decisions of one leader: which submissions are accepted, which steps run
+/// where and when, and what is told to runners. Every decision is stored before
+/// its effect: a run before its start, an end before the runner may forget it,
+/// a submission before its acceptance is told. Made anew in each term from the
+/// replicated state; the term is the fencing token of all orders. State machine
+/// without I/O.
+class WorkflowLeader {
+public:
+  WorkflowLeader(const WorkflowLeaderOptions &options,
+                 const WorkflowState &state, Moment at);
+
+  void call(const protocol::WorkflowCall &call, AnswerWorkflow answer,
+            Moment at);
+
+  /// A runner announced itself. `stored` follows once all that it said is.
+  void heartbeat(const protocol::RunnerInfo &info, std::uint64_t sequence,
+                 std::int64_t clockMs, Stored stored, Moment at);
+
+  /// A runner left in an orderly way.
+  void deregister(const std::string &id, Stored stored, Moment at);
+
+  /// Stores a valid configuration; one that is not newer is acknowledged and
+  /// changes nothing.
+  void configure(const protocol::CellConfig &config, Stored stored, Moment at);
+
+  void agentSeen(const std::string &address, Moment at);
+  void adviceAnswered(const protocol::AdviceResult &result, Moment at);
+
+  void startAnswered(const StartOrder &order, OrderAnswer answer, Moment at);
+  void stopAnswered(const StopOrder &order, OrderAnswer answer, Moment at);
+  void lookAnswered(const LookOrder &order, const LookAnswer &answer,
+                    Moment at);
+
+  /// A batch is stored, and applied to the state.
+  void stored(const ProposedBatch &batch, Moment at);
+
+  /// Handles time that has passed.
+  void tick(Moment at);
+
+  WorkflowEffects takeEffects(Moment at);
+
+  const RunnerBook &runners() const { return Book; }
+  std::size_t waitingSteps() const { return Open.size(); }
+
+private:
+  /// A step with tasks to be started.
+  struct OpenStep {
+    /// Tasks whose assignment is being stored.
+    std::set<std::uint32_t> InFlight;
+    /// Runners on which a run of the step failed.
+    std::set<std::string> Avoid;
+  };
+  struct Terms {
+    WorkflowTerms Order;
+    std::vector<Milliseconds> Remaining;
+    std::uint64_t Work = 0;
+  };
+  struct RankedStep {
+    StepRank Rank;
+    StepKey Key;
+
+    auto operator<=>(const RankedStep &) const = default;
+  };
+
+  /// The usable runners of all pools, as one scheduling pass sees them.
+  struct Fleet {
+    /// By pool.
+    std::map<std::string, std::vector<std::string>> Usable;
+    /// Slow renewals of tickets that this pass still may ask for.
+    std::size_t SlowRenewals = 0;
+  };
+
+  // workflow_leader.cpp
+  void inheritRuns(Moment at);
+  void registerWorkflow(const Workflow &workflow, Moment at);
+  void change(protocol::WorkflowChange change, Stored stored = nullptr);
+  void note(WorkflowEventKind kind,
+            std::vector<std::pair<std::string, std::string>> fields);
+  void submit(const protocol::WorkflowSpec &sent, const RoutedPath &route,
+              AnswerWorkflow answer, Moment at);
+  void answerState(const RoutedPath &route, const AnswerWorkflow &answer);
+  void cancel(const std::string &id, const AnswerWorkflow &answer);
+  bool fitsSomewhere(const protocol::WorkflowSpec &spec,
+                     const std::string &pool) const;
+  std::optional<Milliseconds> refusal(const protocol::WorkflowSpec &spec,
+                                      const protocol::QueueConfig &queue) const;
+
+  // workflow_leader_progress.cpp
+  void applied(const protocol::WorkflowChange &change, Moment at);
+  void appliedEnd(const protocol::EndRun &end, Moment at);
+  void appliedAccept(const std::string &id, Moment at);
+  void stopAll(const Workflow &workflow, Moment at);
+  void stopGang(const StepKey &key, Moment at);
+  void refreshSteps(const Workflow &workflow);
+  void closeWorkflow(const std::string &id, Moment at);
+  void takeBookEffects(Moment at);
+  void takeGone(const std::string &id);
+  void beginOccurrences(Moment at);
+  void forgetEnded(Moment at);
+  void forgetRunners(Moment at);
+
+  // workflow_leader_schedule.cpp
+  void schedule(Moment at);
+  std::vector<RankedStep> rankedSteps(Moment at);
+  void scheduleStep(const StepKey &key, Fleet &fleet, Moment at);
+  void askForAdvice(const StepKey &key, const std::vector<std::uint32_t> &tasks,
+                    const protocol::QueueConfig &queue, Fleet &fleet,
+                    Moment at);
+  Fleet fleetNow(Moment at) const;
+  std::vector<std::uint32_t> startable(const StepKey &key,
+                                       const OpenStep &open) const;
+  std::vector<PlanCandidate> candidates(const StepKey &key,
+                                        const protocol::QueueConfig &queue,
+                                        const Fleet &fleet, bool withTickets,
+                                        Moment at) const;
+  void assign(const StepKey &key, OpenStep &open, const PlannedRun &planned,
+              std::uint32_t run, const std::string &checkpoint, Moment at);
+
+  WorkflowLeaderOptions Options;
+  const WorkflowState &State;
+  RunnerBook Book;
+  AdviceBook Advice;
+  RunnerHealth Health;
+  std::map<StepKey, OpenStep> Open;
+  std::map<std::string, Terms> KnownTerms;
+  /// When workflows ended, as far as this leader saw it.
+  std::map<std::string, SteadyTime> EndedAt;
+  std::map<std::string, SteadyTime> LastHeartbeat;
+  std::map<std::string, std::uint64_t> HeartbeatSequence;
+  /// Occurrences whose beginning is being stored.
+  std::map<std::string, std::uint32_t> Beginning;
+  /// Submissions that are being stored, and who waits for them.
+  std::map<std::string, std::vector<AnswerWorkflow>> Accepting;
+  bool Dirty = true;
+  SteadyTime NextSchedule{};
+  /// Core-milliseconds of waiting work that can be on time, by priority.
+  std::map<std::uint32_t, std::uint64_t> WaitingWork;
+  /// Thousandths of a core of usable runners, by pool.
+  std::map<std::string, std::uint64_t> UsableProcessors;
+  std::uint64_t NextBatch = 1;
+  protocol::WorkflowRecord Pending;
+  std::vector<Stored> PendingStored;
+  std::map<std::uint64_t, std::vector<Stored>> WaitingStored;
+  /// Numbers of ends on runners that a batch stores.
+  std::vector<std::pair<std::string, std::uint64_t>> PendingEnds;
+  std::map<std::uint64_t, std::vector<std::pair<std::string, std::uint64_t>>>
+      WaitingEnds;
+  WorkflowEffects Out;
+};
+
+} // namespace masticwinch::workflow
--- /dev/null
+++ b/src/masticwinch/coordination/workflow/workflow_state.cpp
@@ -0,0 +1,337 @@
+#include "masticwinch/coordination/workflow/workflow_state.hpp"
+
+#include <algorithm>
+
+namespace masticwinch::workflow {
+
+namespace {
+
+bool isDone(const Occurrence &occurrence) {
+  return std::all_of(occurrence.Steps.begin(), occurrence.Steps.end(),
+                     [](const Step &it) { return it.Open == 0; });
+}
+
+bool isHeld(const Occurrence &occurrence) {
+  for (const Step &step : occurrence.Steps) {
+    for (const Task &it : step.Tasks) {
+      if (!it.Runner.empty()) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+void fill(protocol::StepRecord &record, const Step &step) {
+  record.set_gang_failures(step.GangFailures);
+  record.set_last_failed_run(step.LastFailedRun);
+  for (const Task &it : step.Tasks) {
+    protocol::TaskRecord *task = record.add_tasks();
+    task->set_done(it.Done);
+    task->set_run(it.Run);
+    task->set_failures(it.Failures);
+    task->set_runner(it.Runner);
+    task->set_checkpoint(it.Checkpoint);
+  }
+}
+
+Step stepOf(const protocol::StepRecord &record) {
+  Step step;
+  step.GangFailures = record.gang_failures();
+  step.LastFailedRun = record.last_failed_run();
+  for (const protocol::TaskRecord &it : record.tasks()) {
+    step.Tasks.push_back(
+        {it.done(), it.run(), it.failures(), it.runner(), it.checkpoint()});
+    step.Open += it.done() ? 0 : 1;
+  }
+  return step;
+}
+
+void fill(protocol::WorkflowEntry &entry, const Workflow &workflow) {
+  *entry.mutable_spec() = workflow.Spec;
+  entry.set_accepted_at_unix_ms(workflow.AcceptedAtUnixMs);
+  entry.set_max_attempts(workflow.MaxAttempts);
+  entry.set_phase(static_cast<std::uint32_t>(workflow.CurrentPhase));
+  entry.set_started(workflow.Started);
+  entry.set_occurrences_begun(workflow.OccurrencesBegun);
+  entry.set_occurrences_done(workflow.OccurrencesDone);
+  for (const Occurrence &it : workflow.Occurrences) {
+    protocol::OccurrenceRecord *record = entry.add_occurrences();
+    record->set_number(it.Number);
+    for (const Step &step : it.Steps) {
+      fill(*record->add_steps(), step);
+    }
+  }
+}
+
+Workflow workflowOf(const protocol::WorkflowEntry &entry) {
+  Workflow workflow;
+  workflow.Spec = entry.spec();
+  workflow.AcceptedAtUnixMs = entry.accepted_at_unix_ms();
+  workflow.MaxAttempts = entry.max_attempts();
+  workflow.CurrentPhase = static_cast<Phase>(entry.phase());
+  workflow.Started = entry.started();
+  workflow.OccurrencesBegun = entry.occurrences_begun();
+  workflow.OccurrencesDone = entry.occurrences_done();
+  for (const protocol::OccurrenceRecord &it : entry.occurrences()) {
+    Occurrence &occurrence = workflow.Occurrences.emplace_back();
+    occurrence.Number = it.number();
+    for (const protocol::StepRecord &step : it.steps()) {
+      occurrence.Steps.push_back(stepOf(step));
+    }
+  }
+  return workflow;
+}
+
+} // namespace
+
+Occurrence *Workflow::find(std::uint32_t number) {
+  return const_cast<Occurrence *>(std::as_const(*this).find(number));
+}
+
+const Occurrence *Workflow::find(std::uint32_t number) const {
+  const auto it =
+      std::find_if(Occurrences.begin(), Occurrences.end(),
+                   [&](const Occurrence &o) { return o.Number == number; });
+  return it == Occurrences.end() ? nullptr : &*it;
+}
+
+void WorkflowState::apply(const protocol::WorkflowRecord &record) {
+  for (const protocol::WorkflowChange &it : record.changes()) {
+    apply(it);
+  }
+}
+
+void WorkflowState::apply(const protocol::WorkflowChange &change) {
+  switch (change.change_case()) {
+  case protocol::WorkflowChange::kAccept:
+    return accept(change.accept());
+  case protocol::WorkflowChange::kCancel:
+    return cancel(change.cancel().id());
+  case protocol::WorkflowChange::kAssign:
+    return assign(change.assign());
+  case protocol::WorkflowChange::kEnd:
+    return end(change.end());
+  case protocol::WorkflowChange::kBegin:
+    return begin(change.begin());
+  case protocol::WorkflowChange::kRunner:
+    Runners[change.runner().runner().id()] = change.runner().runner();
+    return;
+  case protocol::WorkflowChange::kForgetRunner:
+    Runners.erase(change.forget_runner().id());
+    return;
+  case protocol::WorkflowChange::kForget:
+    Workflows.erase(change.forget().id());
+    return;
+  case protocol::WorkflowChange::kConfigure:
+    return configure(change.configure());
+  case protocol::WorkflowChange::CHANGE_NOT_SET:
+    return;
+  }
+}
+
+void WorkflowState::configure(const protocol::CellConfig &config) {
+  if (config.version() > Config.version()) {
+    Config = config;
+  }
+}
+
+void WorkflowState::accept(const protocol::AcceptWorkflow &accept) {
+  const auto [it, added] = Workflows.try_emplace(accept.spec().id());
+  if (!added) {
+    return;
+  }
+  Workflow &workflow = it->second;
+  workflow.Spec = accept.spec();
+  workflow.AcceptedAtUnixMs = accept.at_unix_ms();
+  workflow.MaxAttempts = std::max<std::uint32_t>(accept.max_attempts(), 1);
+  if (workflow.Spec.repeats() == 0) {
+    beginOccurrence(workflow, 0);
+  }
+}
+
+void WorkflowState::beginOccurrence(Workflow &workflow, std::uint32_t number) {
+  Occurrence &occurrence = workflow.Occurrences.emplace_back();
+  occurrence.Number = number;
+  workflow.OccurrencesBegun = number + 1;
+  for (const protocol::StepSpec &it : workflow.Spec.steps()) {
+    Step &step = occurrence.Steps.emplace_back();
+    step.Tasks.resize(it.count());
+    step.Open = it.count();
+  }
+}
+
+void WorkflowState::begin(const protocol::BeginOccurrence &begin) {
+  const auto it = Workflows.find(begin.workflow());
+  if (it == Workflows.end() || isFinal(it->second.CurrentPhase) ||
+      begin.occurrence() != it->second.OccurrencesBegun) {
+    return;
+  }
+  beginOccurrence(it->second, begin.occurrence());
+}
+
+void WorkflowState::cancel(const std::string &id) {
+  const auto it = Workflows.find(id);
+  if (it == Workflows.end() || isFinal(it->second.CurrentPhase)) {
+    return;
+  }
+  it->second.CurrentPhase = Phase::Cancelled;
+  std::erase_if(it->second.Occurrences,
+                [](const Occurrence &o) { return !isHeld(o); });
+}
+
+void WorkflowState::assign(const protocol::AssignRun &assign) {
+  const TaskKey key = taskKeyOf(assign.task());
+  const auto found = Workflows.find(key.Step.Workflow);
+  auto *task = const_cast<Task *>(findTask(key));
+  if (!task || isFinal(found->second.CurrentPhase) || task->Done ||
+      !task->Runner.empty() || assign.run() <= task->Run) {
+    return;
+  }
+  task->Run = assign.run();
+  task->Runner = assign.runner();
+  found->second.Started = true;
+  found->second.CurrentPhase = Phase::Running;
+}
+
+void WorkflowState::end(const protocol::EndRun &end) {
+  const TaskKey key = taskKeyOf(end.task());
+  const auto found = Workflows.find(key.Step.Workflow);
+  auto *task = const_cast<Task *>(findTask(key));
+  if (!task || task->Run != end.run() || task->Runner != end.runner()) {
+    return;
+  }
+  Workflow &workflow = found->second;
+  task->Runner.clear();
+  if (!end.checkpoint().empty()) {
+    task->Checkpoint = end.checkpoint();
+  }
+  const protocol::StepSpec &spec =
+      workflow.Spec.steps(static_cast<int>(key.Step.Step));
+  auto &step = const_cast<Step &>(*findStep(key.Step));
+  if (end.how() == protocol::RUN_DONE && !spec.long_running()) {
+    noteDone(spec, step, *task);
+  } else if (end.how() == protocol::RUN_FAILED) {
+    noteFailure(workflow, spec, step, *task, end.run());
+  }
+  settle(workflow, key.Step.Occurrence);
+}
+
+void WorkflowState::noteDone(const protocol::StepSpec &spec, Step &step,
+                             Task &task) {
+  if (!spec.gang()) {
+    step.Open -= task.Done ? 0 : 1;
+    task.Done = true;
+    return;
+  }
+  // The members of a gang end together; the first end stands for all.
+  for (Task &it : step.Tasks) {
+    it.Done = true;
+  }
+  step.Open = 0;
+}
+
+void WorkflowState::noteFailure(Workflow &workflow,
+                                const protocol::StepSpec &spec, Step &step,
+                                Task &task, std::uint32_t run) {
+  if (spec.long_running() || task.Done) {
+    return;
+  }
+  task.Failures += 1;
+  std::uint32_t failures = task.Failures;
+  if (spec.gang()) {
+    step.GangFailures += step.LastFailedRun == run ? 0 : 1;
+    step.LastFailedRun = run;
+    failures = step.GangFailures;
+  }
+  if (failures >= workflow.MaxAttempts && !isFinal(workflow.CurrentPhase)) {
+    workflow.CurrentPhase = Phase::Failed;
+  }
+}
+
+/// Drops an occurrence that is over and ends the workflow with its last one.
+void WorkflowState::settle(Workflow &workflow, std::uint32_t number) {
+  const Occurrence *occurrence = workflow.find(number);
+  if (isFinal(workflow.CurrentPhase)) {
+    std::erase_if(workflow.Occurrences,
+                  [](const Occurrence &it) { return !isHeld(it); });
+    return;
+  }
+  if (!isDone(*occurrence)) {
+    return;
+  }
+  std::erase_if(workflow.Occurrences,
+                [&](const Occurrence &it) { return it.Number == number; });
+  workflow.OccurrencesDone += 1;
+  if (workflow.OccurrencesDone == workflow.occurrenceCount()) {
+    workflow.CurrentPhase = Phase::Completed;
+  }
+}
+
+const Workflow *WorkflowState::find(const std::string &id) const {
+  const auto it = Workflows.find(id);
+  return it == Workflows.end() ? nullptr : &it->second;
+}
+
+const Step *WorkflowState::findStep(const StepKey &key) const {
+  const Workflow *workflow = find(key.Workflow);
+  const Occurrence *occurrence =
+      workflow ? workflow->find(key.Occurrence) : nullptr;
+  if (!occurrence || key.Step >= occurrence->Steps.size()) {
+    return nullptr;
+  }
+  return &occurrence->Steps[key.Step];
+}
+
+const Task *WorkflowState::findTask(const TaskKey &key) const {
+  const Step *step = findStep(key.Step);
+  return step && key.Index < step->Tasks.size() ? &step->Tasks[key.Index]
+                                                : nullptr;
+}
+
+const protocol::StepSpec *WorkflowState::findSpec(const StepKey &key) const {
+  const Workflow *workflow = find(key.Workflow);
+  if (!workflow ||
+      key.Step >= static_cast<std::uint32_t>(workflow->Spec.steps_size())) {
+    return nullptr;
+  }
+  return &workflow->Spec.steps(static_cast<int>(key.Step));
+}
+
+bool WorkflowState::isReady(const StepKey &key) const {
+  const protocol::StepSpec *spec = findSpec(key);
+  if (!spec || !findStep(key)) {
+    return false;
+  }
+  return std::all_of(
+      spec->after().begin(), spec->after().end(), [&](std::uint32_t before) {
+        const Step *step = findStep({key.Workflow, key.Occurrence, before});
+        return step && step->Open == 0;
+      });
+}
+
+protocol::WorkflowSnapshot WorkflowState::snapshot() const {
+  protocol::WorkflowSnapshot made;
+  *made.mutable_config() = Config;
+  for (const auto &[id, workflow] : Workflows) {
+    fill(*made.add_workflows(), workflow);
+  }
+  for (const auto &[id, runner] : Runners) {
+    *made.add_runners() = runner;
+  }
+  return made;
+}
+
+void WorkflowState::restore(const protocol::WorkflowSnapshot &snapshot) {
+  Config = snapshot.config();
+  Workflows.clear();
+  Runners.clear();
+  for (const protocol::WorkflowEntry &it : snapshot.workflows()) {
+    Workflows.emplace(it.spec().id(), workflowOf(it));
+  }
+  for (const protocol::RunnerInfo &it : snapshot.runners()) {
+    Runners.emplace(it.id(), it);
+  }
+}
+
+} // namespace masticwinch::workflow
--- /dev/null
+++ b/src/masticwinch/coordination/workflow/workflow_state.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "masticwinch/coordination/workflow/task_key.hpp"
+#include "masticwinch/coordination/workflow/workflow_types.hpp"
+
+#include <map>
+#include <string>
+
+namespace masticwinch::workflow {
+
+/// The replicated state of workflows, their runs, the runners and the
+/// configuration. Every replica applies the same changes in the same order;
+/// nothing here reads a clock. A change that no longer fits (a run that is not
+/// the task's last one, a second acceptance) changes nothing, so that changes
+/// can be proposed again.
+class WorkflowState {
+public:
+  void apply(const protocol::WorkflowRecord &record);
+  void apply(const protocol::WorkflowChange &change);
+
+  protocol::WorkflowSnapshot snapshot() const;
+  void restore(const protocol::WorkflowSnapshot &snapshot);
+
+  const protocol::CellConfig &config() const { return Config; }
+  const std::map<std::string, Workflow> &workflows() const { return Workflows; }
+  const std::map<std::string, protocol::RunnerInfo> &runners() const {
+    return Runners;
+  }
+
+  const Workflow *find(const std::string &id) const;
+  /// Null if the workflow or the occurrence is unknown or over.
+  const Task *findTask(const TaskKey &key) const;
+  const Step *findStep(const StepKey &key) const;
+  /// The step as it was submitted; null if the workflow is unknown.
+  const protocol::StepSpec *findSpec(const StepKey &key) const;
+
+  /// Whether all steps that the step waits for are done.
+  bool isReady(const StepKey &key) const;
+
+private:
+  void accept(const protocol::AcceptWorkflow &accept);
+  void cancel(const std::string &id);
+  void assign(const protocol::AssignRun &assign);
+  void end(const protocol::EndRun &end);
+  void begin(const protocol::BeginOccurrence &begin);
+  void configure(const protocol::CellConfig &config);
+
+  void beginOccurrence(Workflow &workflow, std::uint32_t number);
+  void noteFailure(Workflow &workflow, const protocol::StepSpec &spec,
+                   Step &step, Task &task, std::uint32_t run);
+  void noteDone(const protocol::StepSpec &spec, Step &step, Task &task);
+  void settle(Workflow &workflow, std::uint32_t occurrence);
+
+  protocol::CellConfig Config;
+  std::map<std::string, Workflow> Workflows;
+  std::map<std::string, protocol::RunnerInfo> Runners;
+};
+
+} // namespace masticwinch::workflow
--- /dev/null
+++ b/src/masticwinch/coordination/workflow/workflow_types.hpp
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "masticwinch/common/enum_names.hpp"
+#include "masticwinch/protocol/workflow.pb.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace masticwinch::workflow {
+
+/// How far a workflow is.
+enum class Phase : std::uint8_t {
+  /// Accepted; no task has started.
+  Queued,
+  Running,
+  /// Every task has ended as done.
+  Completed,
+  /// A task, or a gang, failed as often as its queue allows.
+  Failed,
+  Cancelled,
+};
+
+/// Whether nothing of the workflow will be started any more.
+constexpr bool isFinal(Phase phase) { return phase >= Phase::Completed; }
+
+/// Amounts of a runner or a task, in the smallest units. Signed, so that an
+/// account that is overdrawn shows it.
+struct Room {
+  std::int64_t MilliProcessors = 0;
+  std::int64_t MemoryMb = 0;
+  std::int64_t Accelerators = 0;
+
+  bool operator==(const Room &) const = default;
+
+  /// Whether something of the given size fits into this.
+  bool holds(const Room &need) const {
+    return need.MilliProcessors <= MilliProcessors &&
+           need.MemoryMb <= MemoryMb && need.Accelerators <= Accelerators;
+  }
+
+  Room &operator+=(const Room &other) {
+    MilliProcessors += other.MilliProcessors;
+    MemoryMb += other.MemoryMb;
+    Accelerators += other.Accelerators;
+    return *this;
+  }
+
+  Room &operator-=(const Room &other) {
+    MilliProcessors -= other.MilliProcessors;
+    MemoryMb -= other.MemoryMb;
+    Accelerators -= other.Accelerators;
+    return *this;
+  }
+};
+
+inline Room roomOf(const protocol::Amounts &amounts) {
+  return {std::int64_t(amounts.milli_processors()),
+          std::int64_t(amounts.memory_mb()),
+          std::int64_t(amounts.accelerators())};
+}
+
+/// What a task of the step takes from its runner's room. A filler takes the
+/// processors that others leave unused, so it reserves none.
+inline Room needsOf(const protocol::StepSpec &step) {
+  Room room = roomOf(step.needs());
+  if (step.filler()) {
+    room.MilliProcessors = 0;
+  }
+  return room;
+}
+
+/// One task of an occurrence.
+struct Task {
+  bool Done = false;
+  /// Number of the last run; 0 before the first.
+  std::uint32_t Run = 0;
+  std::uint32_t Failures = 0;
+  /// Runner that has or may have the last run; empty if none.
+  std::string Runner;
+  std::string Checkpoint;
+};
+
+struct Step {
+  std::vector<Task> Tasks;
+  /// Of a gang: runs in which a member failed, and the last such run.
+  std::uint32_t GangFailures = 0;
+  std::uint32_t LastFailedRun = 0;
+  /// Tasks that are not done; derived.
+  std::uint32_t Open = 0;
+};
+
+struct Occurrence {
+  std::uint32_t Number = 0;
+  std::vector<Step> Steps;
+};
+
+struct Workflow {
+  protocol::WorkflowSpec Spec;
+  std::uint64_t AcceptedAtUnixMs = 0;
+  std::uint32_t MaxAttempts = 1;
+  Phase CurrentPhase = Phase::Queued;
+  bool Started = false;
+  std::uint32_t OccurrencesBegun = 0;
+  std::uint32_t OccurrencesDone = 0;
+  /// Those that are begun and not done; after the end, those of which a runner
+  /// may still have a task.
+  std::vector<Occurrence> Occurrences;
+
+  std::uint32_t occurrenceCount() const {
+    return Spec.repeats() == 0 ? 1 : Spec.repeats();
+  }
+
+  Occurrence *find(std::uint32_t number);
+  const Occurrence *find(std::uint32_t number) const;
+};
+
+} // namespace masticwinch::workflow
+
+namespace masticwinch {
+
+template <> struct EnumNames<workflow::Phase> {
+  using Phase = workflow::Phase;
+  static constexpr std::array Table{
+      EnumName<Phase>{Phase::Queued, "queued"},
+      EnumName<Phase>{Phase::Running, "running"},
+      EnumName<Phase>{Phase::Completed, "completed"},
+      EnumName<Phase>{Phase::Failed, "failed"},
+      EnumName<Phase>{Phase::Cancelled, "cancelled"}};
+};
+
+} // namespace masticwinch
--- a/src/masticwinch/entry/entry_daemon.cpp
+++ b/src/masticwinch/entry/entry_daemon.cpp
@@ -10,12 +10,12 @@
 #include "masticwinch/peers/entry_session.hpp"
 #include "masticwinch/peers/mailbox.hpp"
 #include "masticwinch/peers/mailbox_metrics.hpp"
-#include "masticwinch/platform/worker_api.hpp"
 #include "masticwinch/programs/daemon_options.hpp"
 #include "masticwinch/programs/incarnation.hpp"
 #include "masticwinch/programs/stop_signals.hpp"
 #include "masticwinch/upstreams/traffic_pool.hpp"
 #include "masticwinch/upstreams/upstream_api.hpp"
+#include "masticwinch/workers/worker_api.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
@@ -219,7 +219,7 @@
   upstreams::TrafficPool Traffic;
   callers::RequestService Requests;
   upstreams::UpstreamApi Upstreams;
-  platform::WorkerApi Workers;
+  workers::WorkerApi Workers;
   operators::OperatorsApi Api;
   HttpServer Operators;
   HttpServer Callers;
--- a/src/masticwinch/events/event_log.cpp
+++ b/src/masticwinch/events/event_log.cpp
@@ -1,5 +1,7 @@
 #include "masticwinch/events/event_log.hpp"
 
+#include "masticwinch/events/internal/bounded_output_sink.hpp"
+
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <spdlog/logger.h>
@@ -57,7 +59,11 @@
 EventLog::EventLog(EventLogOptions options, const Clock &clock)
     : Options(std::move(options)), Source(clock), Hybrid(clock) {
   std::shared_ptr<spdlog::sinks::sink> sink;
-  if (Options.File.empty()) {
+  if (Options.File == StandardOutput) {
+    Bounded = std::make_shared<internal::BoundedOutputSink>(
+        Options.LinesPerSecond, Source);
+    sink = Bounded;
+  } else if (Options.File.empty()) {
     sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
   } else {
     sink = std::make_shared<spdlog::sinks::rotating_file_sink_mt>(
@@ -68,12 +74,29 @@
 
 EventLog::~EventLog() = default;
 
+std::uint64_t EventLog::droppedLines() const {
+  return Bounded ? Bounded->dropped() : 0;
+}
+
+std::string EventLog::lineHead(std::string_view name) {
+  return fmt::format("time={} hlc={} process={} incarnation={} event={}",
+                     wallTime(Source.systemNow()), Hybrid.tick().text(),
+                     Options.Process, Options.Incarnation, name);
+}
+
+void EventLog::writeFields(
+    std::string_view name,
+    const std::vector<std::pair<std::string, std::string>> &fields) {
+  std::string line = lineHead(name);
+  for (const auto &[key, value] : fields) {
+    line += fmt::format(" {}={}", key, quoteEventValue(value));
+  }
+  Output->Logger.info(line);
+}
+
 void EventLog::writeNamed(std::string_view name,
                           std::initializer_list<EventField> fields) {
-  std::string line =
-      fmt::format("time={} hlc={} process={} incarnation={} event={}",
-                  wallTime(Source.systemNow()), Hybrid.tick().text(),
-                  Options.Process, Options.Incarnation, name);
+  std::string line = lineHead(name);
   for (const EventField &it : fields) {
     line += fmt::format(" {}={}", it.Key, quoteEventValue(it.Value));
   }
--- /dev/null
+++ b/src/masticwinch/events/internal/bounded_output_sink.cpp
@@ -0,0 +1,56 @@
+#include "masticwinch/events/internal/bounded_output_sink.hpp"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <unistd.h>
+
+namespace masticwinch::internal {
+
+namespace {
+
+constexpr Milliseconds Window{1000};
+
+} // namespace
+
+BoundedOutputSink::BoundedOutputSink(std::size_t linesPerSecond,
+                                     const Clock &clock)
+    : LinesPerSecond(linesPerSecond), Time(clock) {
+  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0) {
+    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+bool BoundedOutputSink::mayWrite() {
+  const SteadyTime now = Time.now();
+  if (now - WindowStart >= Window) {
+    WindowStart = now;
+    LinesInWindow = 0;
+  }
+  return LinesInWindow++ < LinesPerSecond;
+}
+
+/// A line that is cut by a slow reader counts as dropped.
+bool BoundedOutputSink::write(const char *data, std::size_t bytes) {
+  const ssize_t written = ::write(STDOUT_FILENO, data, bytes);
+  return written == static_cast<ssize_t>(bytes);
+}
+
+void BoundedOutputSink::sink_it_(const spdlog::details::log_msg &message) {
+  spdlog::memory_buf_t line;
+  formatter_->format(message, line);
+  if (!mayWrite() || !write(line.data(), line.size())) {
+    Dropped += 1;
+    Unreported += 1;
+    return;
+  }
+  if (Unreported > 0) {
+    const std::string note =
+        fmt::format("event=log_lines_dropped count={}\n", Unreported);
+    if (write(note.data(), note.size())) {
+      Unreported = 0;
+    }
+  }
+}
+
+} // namespace masticwinch::internal
--- a/src/masticwinch/programs/endpoint_settings.cpp
+++ b/src/masticwinch/programs/endpoint_settings.cpp
@@ -1,5 +1,6 @@
 #include "masticwinch/programs/endpoint_settings.hpp"
 
+#include <charconv>
 #include <set>
 
 namespace masticwinch::programs {
@@ -61,4 +62,20 @@
   return http;
 }
 
+HttpSettings readEndpoint(SettingsReader &reader, const std::string &key) {
+  HttpSettings http;
+  const std::string text = reader.requiredString(key);
+  const std::size_t colon = text.rfind(':');
+  const std::string port =
+      colon == std::string::npos ? "" : text.substr(colon + 1);
+  const char *last = port.data() + port.size();
+  const auto [end, ec] = std::from_chars(port.data(), last, http.Port);
+  if (ec != std::errc() || end != last) {
+    reader.report(key, "must be IP:PORT");
+    return http;
+  }
+  http.Address = text.substr(0, colon);
+  return http;
+}
+
 } // namespace masticwinch::programs
--- a/src/masticwinch/programs/endpoint_settings.hpp
+++ b/src/masticwinch/programs/endpoint_settings.hpp
@@ -42,4 +42,7 @@
 /// Reads an object `{address, port, threads}`.
 HttpSettings readHttp(SettingsReader &reader, const std::string &key);
 
+/// Reads a required string `IP:PORT`.
+HttpSettings readEndpoint(SettingsReader &reader, const std::string &key);
+
 } // namespace masticwinch::programs
--- a/src/masticwinch/platform/job_terms.cpp
+++ b/src/masticwinch/workers/job_terms.cpp
@@ -1,11 +1,11 @@
-#include "masticwinch/platform/job_terms.hpp"
+#include "masticwinch/workers/job_terms.hpp"
 
 #include "masticwinch/coordination/placement/job_progress.hpp"
 #include "masticwinch/protocol/cell.pb.h"
 
 #include <map>
 
-namespace masticwinch::platform {
+namespace masticwinch::workers {
 
 namespace {
 
@@ -133,4 +133,4 @@
   return message;
 }
 
-} // namespace masticwinch::platform
+} // namespace masticwinch::workers
--- a/src/masticwinch/platform/job_terms.hpp
+++ b/src/masticwinch/workers/job_terms.hpp
@@ -12,7 +12,7 @@
 class WorkerAnnouncement;
 } // namespace masticwinch::protocol
 
-namespace masticwinch::platform {
+namespace masticwinch::workers {
 
 /// Amounts as placement uses them, and back.
 placement::Resources resourcesOf(const protocol::Resources &amount);
@@ -35,4 +35,4 @@
 /// A batch of records as one command, grouped by job.
 protocol::RecordPlacement messageOf(const placement::RecordBatch &batch);
 
-} // namespace masticwinch::platform
+} // namespace masticwinch::workers
--- a/src/masticwinch/platform/lease_codec.cpp
+++ b/src/masticwinch/workers/lease_codec.cpp
@@ -1,10 +1,10 @@
-#include "masticwinch/platform/lease_codec.hpp"
+#include "masticwinch/workers/lease_codec.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <charconv>
 
-namespace masticwinch::platform {
+namespace masticwinch::workers {
 
 namespace {
 
@@ -126,4 +126,4 @@
   return code == "wrong_incarnation" || code == "lease_over";
 }
 
-} // namespace masticwinch::platform
+} // namespace masticwinch::workers
--- a/src/masticwinch/platform/lease_codec.hpp
+++ b/src/masticwinch/workers/lease_codec.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace masticwinch::platform {
+namespace masticwinch::workers {
 
 /// What a task's start carries besides what placement decides.
 struct TaskContent {
@@ -18,7 +18,7 @@
 /// Finds the content of a job's tasks.
 using ContentOf = std::function<TaskContent(const std::string &job)>;
 
-/// Body of `PUT /v1/lease`, as docs/interfaces-platform.md describes it.
+/// Body of `PUT /v1/lease`, as docs/interfaces-workers.md describes it.
 std::string leaseBody(const placement::WorkerCall &call,
                       const ContentOf &contentOf);
 
@@ -29,4 +29,4 @@
 /// sequence that was seen doesn't: the same call may have arrived before.
 bool changedNothing(std::string_view refusalBody);
 
-} // namespace masticwinch::platform
+} // namespace masticwinch::workers
--- a/src/masticwinch/platform/placement_driver.hpp
+++ b/src/masticwinch/workers/placement_driver.hpp
@@ -5,10 +5,10 @@
 #include "masticwinch/coordination/cell/cell_state.hpp"
 #include "masticwinch/coordination/placement/placer.hpp"
 #include "masticwinch/events/event_log.hpp"
-#include "masticwinch/platform/job_terms.hpp"
-#include "masticwinch/platform/placement_status.hpp"
-#include "masticwinch/platform/worker_caller.hpp"
 #include "masticwinch/protocol/envelope.pb.h"
+#include "masticwinch/workers/job_terms.hpp"
+#include "masticwinch/workers/placement_status.hpp"
+#include "masticwinch/workers/worker_caller.hpp"
 
 #include <algorithm>
 #include <concepts>
@@ -18,7 +18,7 @@
 #include <string>
 #include <utility>
 
-namespace masticwinch::platform {
+namespace masticwinch::workers {
 
 /// Carries calls to workers out.
 template <class Caller>
@@ -339,4 +339,4 @@
   std::map<std::string, protocol::WorkerAnnouncement> Announcements;
 };
 
-} // namespace masticwinch::platform
+} // namespace masticwinch::workers
--- a/src/masticwinch/platform/placement_status.cpp
+++ b/src/masticwinch/workers/placement_status.cpp
@@ -1,10 +1,10 @@
-#include "masticwinch/platform/placement_status.hpp"
+#include "masticwinch/workers/placement_status.hpp"
 
 #include "masticwinch/coordination/placement/job_progress.hpp"
-#include "masticwinch/platform/job_terms.hpp"
 #include "masticwinch/protocol/cell.pb.h"
+#include "masticwinch/workers/job_terms.hpp"
 
-namespace masticwinch::platform {
+namespace masticwinch::workers {
 
 namespace {
 
@@ -80,4 +80,4 @@
   return status;
 }
 
-} // namespace masticwinch::platform
+} // namespace masticwinch::workers
--- a/src/masticwinch/platform/placement_status.hpp
+++ b/src/masticwinch/workers/placement_status.hpp
@@ -8,7 +8,7 @@
 class VmStatus;
 } // namespace masticwinch::protocol
 
-namespace masticwinch::platform {
+namespace masticwinch::workers {
 
 /// What operators are told of a job; `placer` may be null while no leader
 /// places.
@@ -18,4 +18,4 @@
 /// What operators are told of a worker VM.
 protocol::VmStatus statusOf(const placement::WorkerSummary &summary);
 
-} // namespace masticwinch::platform
+} // namespace masticwinch::workers
--- a/src/masticwinch/platform/worker_announcement.cpp
+++ b/src/masticwinch/workers/worker_announcement.cpp
@@ -1,10 +1,10 @@
-#include "masticwinch/platform/worker_announcement.hpp"
+#include "masticwinch/workers/worker_announcement.hpp"
 
 #include "masticwinch/protocol/placement.pb.h"
 
 #include <nlohmann/json.hpp>
 
-namespace masticwinch::platform {
+namespace masticwinch::workers {
 
 namespace {
 
@@ -51,4 +51,4 @@
   return cell::checkResources("capacity", announcement.capacity());
 }
 
-} // namespace masticwinch::platform
+} // namespace masticwinch::workers
--- a/src/masticwinch/platform/worker_announcement.hpp
+++ b/src/masticwinch/workers/worker_announcement.hpp
@@ -9,11 +9,11 @@
 class WorkerAnnouncement;
 } // namespace masticwinch::protocol
 
-namespace masticwinch::platform {
+namespace masticwinch::workers {
 
 /// Reads the body of a worker's announcement. Returns what is wrong with it.
 std::optional<cell::FieldProblem>
 readAnnouncement(const std::string &body, const std::string &name,
                  protocol::WorkerAnnouncement &announcement);
 
-} // namespace masticwinch::platform
+} // namespace masticwinch::workers
--- a/src/masticwinch/platform/worker_api.cpp
+++ b/src/masticwinch/workers/worker_api.cpp
@@ -1,12 +1,12 @@
-#include "masticwinch/platform/worker_api.hpp"
+#include "masticwinch/workers/worker_api.hpp"
 
 #include "masticwinch/http/http_server.hpp"
 #include "masticwinch/peers/cell_client.hpp"
 #include "masticwinch/peers/mailbox.hpp"
-#include "masticwinch/platform/worker_announcement.hpp"
 #include "masticwinch/protocol/envelope.pb.h"
+#include "masticwinch/workers/worker_announcement.hpp"
 
-namespace masticwinch::platform {
+namespace masticwinch::workers {
 
 void WorkerApi::announce(const std::shared_ptr<HttpExchange> &exchange,
                          const RouteMatch &match) {
@@ -28,4 +28,4 @@
   exchange->respond(jsonResponse(200, R"({"code":"PASSED_ON"})"));
 }
 
-} // namespace masticwinch::platform
+} // namespace masticwinch::workers
--- a/src/masticwinch/platform/worker_api.hpp
+++ b/src/masticwinch/workers/worker_api.hpp
@@ -13,7 +13,7 @@
 class Mailbox;
 } // namespace masticwinch::peers
 
-namespace masticwinch::platform {
+namespace masticwinch::workers {
 
 /// HTTP interface for the agents of worker VMs, on the callers' port because
 /// they reach the entry VMs through the balancer. An announcement is soft state
@@ -33,4 +33,4 @@
   peers::Mailbox &Outbox;
 };
 
-} // namespace masticwinch::platform
+} // namespace masticwinch::workers
--- a/src/masticwinch/platform/worker_caller.cpp
+++ b/src/masticwinch/workers/worker_caller.cpp
@@ -1,6 +1,6 @@
-#include "masticwinch/platform/worker_caller.hpp"
+#include "masticwinch/workers/worker_caller.hpp"
 
-namespace masticwinch::platform {
+namespace masticwinch::workers {
 
 namespace {
 
@@ -37,4 +37,4 @@
                });
 }
 
-} // namespace masticwinch::platform
+} // namespace masticwinch::workers
--- a/src/masticwinch/platform/worker_caller.hpp
+++ b/src/masticwinch/workers/worker_caller.hpp
@@ -3,12 +3,12 @@
 #include "masticwinch/common/clock.hpp"
 #include "masticwinch/coordination/placement/placer_types.hpp"
 #include "masticwinch/http/http_client.hpp"
-#include "masticwinch/platform/lease_codec.hpp"
+#include "masticwinch/workers/lease_codec.hpp"
 
 #include <functional>
 #include <optional>
 
-namespace masticwinch::platform {
+namespace masticwinch::workers {
 
 /// How a call to a worker ended.
 struct WorkerCallEnd {
@@ -36,4 +36,4 @@
   Milliseconds Timeout;
 };
 
-} // namespace masticwinch::platform
+} // namespace masticwinch::workers
--- /dev/null
+++ b/src/masticwinch/workflow/control_vm_daemon.cpp
@@ -0,0 +1,32 @@
+#include "masticwinch/workflow/control_vm_daemon.hpp"
+
+namespace masticwinch::workflow {
+
+control::ReplicatedLogOptions logOptionsOf(const ControlVmSettings &settings) {
+  const programs::ProcessSettings &process = settings.Daemon.Process;
+  control::ReplicatedLogOptions options;
+  options.Storage.Folder = settings.DataFolder;
+  options.Storage.Cluster = process.Cluster;
+  options.Replica = settings.Replica;
+  options.SnapshotEntries = settings.SnapshotEntries;
+  options.Self.Name = process.Name;
+  options.Self.Address = process.InternalAddress;
+  options.Self.DataCenter = process.DataCenter;
+  bool isSeed = false;
+  for (const programs::PeerSettings &it : settings.Daemon.Seeds) {
+    options.Founders.push_back({{}, it.Name, it.Address, "", false});
+    isSeed = isSeed || it.Name == process.Name;
+  }
+  options.MayFound = settings.FirstStart && isSeed;
+  options.Repair = replication::RepairOptions();
+  return options;
+}
+
+WorkflowLeaderOptions leaderOptionsOf(const ControlVmSettings &settings) {
+  WorkflowLeaderOptions options;
+  options.Runners.Lease =
+      std::min(options.Runners.Lease, settings.LongestLease);
+  return options;
+}
+
+} // namespace masticwinch::workflow
--- /dev/null
+++ b/src/masticwinch/workflow/control_vm_daemon.hpp
@@ -0,0 +1,233 @@
+#pragma once
+
+#include "masticwinch/control/replicated_log.hpp"
+#include "masticwinch/events/event_log.hpp"
+#include "masticwinch/http/http_client.hpp"
+#include "masticwinch/http/http_server.hpp"
+#include "masticwinch/metrics/metric_registry.hpp"
+#include "masticwinch/metrics/process_metrics.hpp"
+#include "masticwinch/peers/mailbox.hpp"
+#include "masticwinch/peers/mailbox_metrics.hpp"
+#include "masticwinch/programs/daemon_options.hpp"
+#include "masticwinch/programs/exit_code.hpp"
+#include "masticwinch/programs/incarnation.hpp"
+#include "masticwinch/programs/stop_signals.hpp"
+#include "masticwinch/workflow/advice_agent.hpp"
+#include "masticwinch/workflow/metrics_endpoint.hpp"
+#include "masticwinch/workflow/workflow_driver.hpp"
+#include "masticwinch/workflow/workflow_settings.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+
+namespace masticwinch::workflow {
+
+/// Log options of a control VM that finds its cell from seeds.
+control::ReplicatedLogOptions logOptionsOf(const ControlVmSettings &settings);
+
+/// Leader options for a runner's longest lease.
+WorkflowLeaderOptions leaderOptionsOf(const ControlVmSettings &settings);
+
+/// A control VM of workflows. `Platform` carries orders to runners and
+/// translates what runners and operators say.
+template <class Platform> class ControlVmDaemon {
+public:
+  using RunnerClient = typename Platform::RunnerClient;
+  using AdviceClient = typename Platform::AdviceClient;
+  using Driver =
+      WorkflowDriver<control::ReplicatedLog, peers::Mailbox, RunnerClient>;
+
+  explicit ControlVmDaemon(const ControlVmSettings &settings)
+      : Settings(settings), Incarnation(programs::newIncarnation(Time)),
+        Events({settings.Daemon.Process.Name, Incarnation,
+                settings.Daemon.Process.EventsFile},
+               Time),
+        Mailbox(
+            programs::mailboxOptions(settings.Daemon.Process, Incarnation),
+            [this](protocol::Envelope envelope) {
+              asio::post(Context,
+                         [this, it = std::move(envelope)] { receive(it); });
+            },
+            Events),
+        Log(logOptionsOf(settings), Context, Mailbox, Events, Time, handlers()),
+        Calls(Context), Runners(Calls),
+        Advice(Calls, settings.Daemon.AdviceAddress), Agent(Advice, Mailbox),
+        Workflows(Log, Mailbox, Runners, Time, Events,
+                  leaderOptionsOf(settings)),
+        Api(*this),
+        Server(programs::serverOptions(settings.Control),
+               [this](std::shared_ptr<HttpExchange> it) {
+                 asio::post(Context, [this, it] { Api.handle(it); });
+               }),
+        MetricsServer(settings.Daemon.Metrics, Context, Metrics),
+        Ticker(Context), StopTimer(Context), Hangup(Context, SIGHUP),
+        Signals(
+            Context, [this] { stop(); }, [] { std::_Exit(StoppedAtOnce); }) {
+    registerMetrics();
+  }
+
+  ExitCode run() {
+    Mailbox.start();
+    Server.start();
+    MetricsServer.start();
+    Log.start();
+    scheduleTick();
+    awaitHangup();
+    Events.writeNamed("control_started",
+                      {{"address", Settings.Daemon.Process.InternalAddress},
+                       {"first_start", Settings.FirstStart ? "yes" : "no"}});
+    Context.run();
+    return ExitCode::Success;
+  }
+
+  // What the platform's interface to runners and operators uses, on the
+  // control thread.
+  bool leads() const { return Workflows.leads(); }
+  std::string leaderName() const { return Log.leaderName(); }
+  const std::string &name() const { return Settings.Daemon.Process.Name; }
+  const protocol::CellConfig &config() const {
+    return Workflows.state().config();
+  }
+  EventLog &events() { return Events; }
+  void heartbeat(const protocol::RunnerInfo &info, std::uint64_t sequence,
+                 std::int64_t clockMs, Stored stored) {
+    Workflows.heartbeat(info, sequence, clockMs, std::move(stored));
+  }
+  void deregister(const std::string &id, Stored stored) {
+    Workflows.deregister(id, std::move(stored));
+  }
+  void configure(const protocol::CellConfig &config, Stored stored) {
+    Workflows.configure(config, std::move(stored));
+  }
+
+private:
+  /// Exit status after a second stop signal.
+  static constexpr int StoppedAtOnce = 143;
+  /// Between two steps of leases, resends and placement.
+  static constexpr Milliseconds LeaderTick{10};
+  static constexpr Milliseconds FollowerTick{100};
+  /// Between two offers of help to the leader.
+  static constexpr Milliseconds OfferInterval{500};
+  /// After leadership is handed over, for answers to leave.
+  static constexpr Milliseconds LastAnswers{200};
+
+  control::ReplicatedLogHandlers handlers() {
+    control::ReplicatedLogHandlers made;
+    made.Applied = [this](control::LogPosition position,
+                          const std::string &record) {
+      Workflows.applied(position, record);
+    };
+    made.Restored = [this](const std::string &state) {
+      Workflows.restore(state);
+    };
+    made.Snapshot = [this] { return Workflows.snapshot(); };
+    made.LeaderStarted = [this] { Workflows.becomeLeader(); };
+    return made;
+  }
+
+  void registerMetrics() {
+    registerProcessMetrics(Metrics);
+    peers::registerMailboxMetrics(Metrics, Mailbox);
+    Metrics.observedGauge(
+        {"masticwinch_leader", "1 while this control VM leads the cell."},
+        [this] { return leads() ? 1.0 : 0.0; });
+    Metrics.observedGauge({"masticwinch_configuration_version",
+                           "Version of the configuration that is stored here."},
+                          [this] { return double(config().version()); });
+    Metrics.observedGauge(
+        {"masticwinch_workflows", "Workflows in the replicated state."},
+        [this] { return double(Workflows.state().workflows().size()); });
+    Metrics.observedGauge(
+        {"masticwinch_steps_open",
+         "Steps that are ready and not done; 0 on VMs that don't lead."},
+        [this] {
+          return leads() ? double(Workflows.leader()->waitingSteps()) : 0.0;
+        });
+    Metrics.observedCounter(
+        {"masticwinch_log_lines_dropped_total",
+         "Event lines that were dropped to bound their volume."},
+        [this] { return double(Events.droppedLines()); });
+  }
+
+  void receive(const protocol::Envelope &envelope) {
+    Log.receive(envelope);
+    Workflows.receive(envelope);
+    Agent.receive(envelope);
+  }
+
+  void scheduleTick() {
+    Ticker.expires_after(leads() ? LeaderTick : FollowerTick);
+    Ticker.async_wait([this](const std::error_code &ec) {
+      if (!ec) {
+        tick();
+        scheduleTick();
+      }
+    });
+  }
+
+  void tick() {
+    if (leads()) {
+      Workflows.tick();
+    } else if (const std::string leader = Log.leaderAddress();
+               !leader.empty() && Time.now() >= NextOffer) {
+      NextOffer = Time.now() + OfferInterval;
+      Agent.offer(leader);
+    }
+  }
+
+  void awaitHangup() {
+    Hangup.async_wait([this](const std::error_code &ec, int) {
+      if (!ec) {
+        Events.writeNamed("settings_reload", {{"outcome", "unchanged"}});
+        awaitHangup();
+      }
+    });
+  }
+
+  void stop() {
+    Events.writeNamed("control_stopping");
+    Log.handOver([this] {
+      Server.closeConnectionsAfterAnswers();
+      StopTimer.expires_after(LastAnswers);
+      StopTimer.async_wait([this](const std::error_code &) { finishStop(); });
+    });
+  }
+
+  void finishStop() {
+    Server.stop();
+    MetricsServer.stop();
+    Mailbox.stop();
+    Events.writeNamed("control_stopped");
+    Context.stop();
+  }
+
+  const ControlVmSettings Settings;
+  OperatingSystemClock Time;
+  std::uint64_t Incarnation;
+  EventLog Events;
+  MetricRegistry Metrics;
+  asio::io_context Context{1};
+  peers::Mailbox Mailbox;
+  control::ReplicatedLog Log;
+  HttpClient Calls;
+  RunnerClient Runners;
+  AdviceClient Advice;
+  AdviceAgent<AdviceClient> Agent;
+  Driver Workflows;
+  typename Platform::template ControlApi<ControlVmDaemon> Api;
+  HttpServer Server;
+  MetricsEndpoint MetricsServer;
+  asio::steady_timer Ticker;
+  SteadyTime NextOffer{};
+  asio::steady_timer StopTimer;
+  asio::signal_set Hangup;
+  StopSignals Signals;
+};
+
+} // namespace masticwinch::workflow
--- /dev/null
+++ b/src/masticwinch/workflow/entry_gateway.cpp
@@ -0,0 +1,166 @@
+#include "masticwinch/workflow/entry_gateway.hpp"
+
+#include "masticwinch/events/event_log.hpp"
+#include "masticwinch/peers/mailbox.hpp"
+
+#include <algorithm>
+
+namespace masticwinch::workflow {
+
+namespace {
+
+constexpr Milliseconds TickInterval{50};
+
+} // namespace
+
+EntryGateway::EntryGateway(EntryGatewayOptions options,
+                           asio::io_context &context, peers::Mailbox &mailbox,
+                           EventLog &events, const Clock &clock)
+    : Options(std::move(options)), Context(context), Outbox(mailbox),
+      Events(events), Time(clock), Ticker(context),
+      Controls(Options.Controls.begin(), Options.Controls.end()),
+      // A new start must not reuse the numbers of calls that a leader still
+      // may answer.
+      NextCall(static_cast<std::uint64_t>(
+          clock.systemNow().time_since_epoch().count())) {}
+
+void EntryGateway::start() {
+  greet();
+  scheduleTick();
+}
+
+void EntryGateway::scheduleTick() {
+  Ticker.expires_after(TickInterval);
+  Ticker.async_wait([this](const std::error_code &ec) {
+    if (!ec) {
+      tick();
+      scheduleTick();
+    }
+  });
+}
+
+void EntryGateway::tick() {
+  const SteadyTime now = Time.now();
+  if (!Leader.empty() && now - LastWelcome > Options.LeaderSilence) {
+    loseLeader();
+  }
+  if (now >= NextHello) {
+    greet();
+  }
+  resendDue();
+}
+
+void EntryGateway::loseLeader() {
+  Events.writeNamed("leader_lost", {{"address", Leader}});
+  Leader.clear();
+  NextHello = Time.now();
+}
+
+void EntryGateway::greet() {
+  NextHello = Time.now() +
+              (Leader.empty() ? Options.SearchInterval : Options.HelloInterval);
+  protocol::Envelope envelope;
+  envelope.mutable_agent_hello()->set_sequence(++HelloSequence);
+  if (!Leader.empty()) {
+    Outbox.send(Leader, std::move(envelope));
+    return;
+  }
+  for (const std::string &it : Controls) {
+    Outbox.send(it, envelope);
+  }
+}
+
+void EntryGateway::call(protocol::WorkflowCall call, Milliseconds patience,
+                        CallDone done) {
+  const std::uint64_t number = NextCall++;
+  call.set_call(number);
+  PendingCall &made = Calls[number];
+  made.Call = std::move(call);
+  made.Done = std::move(done);
+  made.Deadline = Time.now() + std::min(patience, Options.LongestWait);
+  made.NextSend = Time.now();
+  if (!Leader.empty()) {
+    send(made);
+  }
+}
+
+void EntryGateway::send(PendingCall &call) {
+  protocol::Envelope envelope;
+  *envelope.mutable_workflow_call() = call.Call;
+  call.NextSend = Time.now() + Options.ResendAfter;
+  call.Unanswered = true;
+  Outbox.send(Leader, std::move(envelope));
+}
+
+void EntryGateway::resendDue() {
+  const SteadyTime now = Time.now();
+  std::vector<std::uint64_t> over;
+  for (auto &[number, it] : Calls) {
+    if (now >= it.Deadline) {
+      over.push_back(number);
+    } else if (!Leader.empty() && now >= it.NextSend) {
+      send(it);
+    }
+  }
+  for (std::uint64_t it : over) {
+    const bool unknown = Calls.at(it).Unanswered;
+    finish(it, unknown ? CallOutcome::Unknown : CallOutcome::NotTaken, {});
+  }
+}
+
+void EntryGateway::finish(std::uint64_t number, CallOutcome outcome,
+                          const protocol::WorkflowAnswer &answer) {
+  const auto call = Calls.extract(number);
+  if (!call.empty()) {
+    call.mapped().Done(outcome, answer);
+  }
+}
+
+void EntryGateway::receive(const protocol::Envelope &envelope) {
+  if (envelope.has_workflow_answer()) {
+    takeAnswer(envelope.workflow_answer());
+  } else if (envelope.has_agent_welcome()) {
+    takeWelcome(envelope);
+  }
+}
+
+void EntryGateway::takeAnswer(const protocol::WorkflowAnswer &answer) {
+  const auto it = Calls.find(answer.call());
+  if (it == Calls.end()) {
+    return;
+  }
+  if (answer.verdict() != protocol::VERDICT_NOT_LEADING) {
+    finish(answer.call(), CallOutcome::Answered, answer);
+    return;
+  }
+  // It goes to the leader that is found next.
+  it->second.NextSend = Time.now();
+  NextHello = Time.now();
+}
+
+void EntryGateway::takeWelcome(const protocol::Envelope &envelope) {
+  const protocol::AgentWelcome &welcome = envelope.agent_welcome();
+  for (const std::string &it : welcome.controls()) {
+    Controls.insert(it);
+  }
+  const std::string &sender = envelope.reply_address();
+  if (!welcome.leads()) {
+    if (sender == Leader) {
+      loseLeader();
+    }
+    return;
+  }
+  LastWelcome = Time.now();
+  if (sender == Leader) {
+    return;
+  }
+  Leader = sender;
+  Events.writeNamed("leader_found", {{"address", Leader}});
+  for (auto &[number, it] : Calls) {
+    send(it);
+  }
+}
+
+bool EntryGateway::isConnected() const { return !Leader.empty(); }
+
+} // namespace masticwinch::workflow
--- /dev/null
+++ b/src/masticwinch/workflow/entry_vm_daemon.hpp
@@ -0,0 +1,185 @@
+#pragma once
+
+#include "masticwinch/events/event_log.hpp"
+#include "masticwinch/http/http_client.hpp"
+#include "masticwinch/http/http_server.hpp"
+#include "masticwinch/metrics/metric_registry.hpp"
+#include "masticwinch/metrics/process_metrics.hpp"
+#include "masticwinch/peers/mailbox.hpp"
+#include "masticwinch/peers/mailbox_metrics.hpp"
+#include "masticwinch/programs/daemon_options.hpp"
+#include "masticwinch/programs/exit_code.hpp"
+#include "masticwinch/programs/incarnation.hpp"
+#include "masticwinch/programs/stop_signals.hpp"
+#include "masticwinch/workflow/advice_agent.hpp"
+#include "masticwinch/workflow/entry_gateway.hpp"
+#include "masticwinch/workflow/metrics_endpoint.hpp"
+#include "masticwinch/workflow/runner_calls.hpp"
+#include "masticwinch/workflow/workflow_settings.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <csignal>
+#include <cstdlib>
+
+namespace masticwinch::workflow {
+
+/// An entry VM of workflows: takes callers' requests, hands them to the leader,
+/// and asks the advice service for it. `Platform` translates what callers and
+/// the advice service say.
+template <class Platform> class EntryVmDaemon {
+public:
+  using AdviceClient = typename Platform::AdviceClient;
+
+  explicit EntryVmDaemon(const EntryVmSettings &settings)
+      : Settings(settings), Incarnation(programs::newIncarnation(Time)),
+        Events({settings.Daemon.Process.Name, Incarnation,
+                settings.Daemon.Process.EventsFile},
+               Time),
+        Mailbox(
+            programs::mailboxOptions(settings.Daemon.Process, Incarnation),
+            [this](protocol::Envelope envelope) {
+              asio::post(Context,
+                         [this, it = std::move(envelope)] { receive(it); });
+            },
+            Events),
+        Gateway({programs::addressesOf(settings.Daemon.Seeds)}, Context,
+                Mailbox, Events, Time),
+        Calls(Context), Advice(Calls, settings.Daemon.AdviceAddress),
+        Agent(Advice, Mailbox), Api(*this),
+        Server(programs::serverOptions(settings.Callers),
+               [this](std::shared_ptr<HttpExchange> it) {
+                 asio::post(Context, [this, it] { Api.handle(it); });
+               }),
+        ReadinessServer(programs::serverOptions(settings.Readiness),
+                        [this](std::shared_ptr<HttpExchange> it) {
+                          asio::post(Context,
+                                     [this, it] { Api.handleReadiness(it); });
+                        }),
+        MetricsServer(settings.Daemon.Metrics, Context, Metrics),
+        StopTimer(Context), Hangup(Context, SIGHUP),
+        Signals(
+            Context, [this] { stop(); }, [] { std::_Exit(StoppedAtOnce); }) {
+    registerMetrics();
+  }
+
+  ExitCode run() {
+    Mailbox.start();
+    Gateway.start();
+    Server.start();
+    ReadinessServer.start();
+    MetricsServer.start();
+    awaitHangup();
+    Events.writeNamed("entry_started",
+                      {{"address", Settings.Daemon.Process.InternalAddress}});
+    Context.run();
+    return ExitCode::Success;
+  }
+
+  // What the platform's interface to callers uses, on the control thread.
+  EntryGateway &gateway() { return Gateway; }
+  bool isReady() const { return !Stopping && Gateway.isConnected(); }
+  EventLog &events() { return Events; }
+  MetricRegistry &metrics() { return Metrics; }
+  const Clock &clock() const { return Time; }
+
+  /// A caller's request begins or ends; a stop waits for those that began.
+  void requestBegan() { ++OpenRequests; }
+  void requestEnded() { --OpenRequests; }
+
+private:
+  /// Exit status after a second stop signal.
+  static constexpr int StoppedAtOnce = 143;
+  /// After the health check fails, until the balancer sends no new connections:
+  /// two checks, a second apart, and their time-outs.
+  static constexpr Milliseconds LeaveBalancer{3000};
+  /// Between looks whether the last request has ended.
+  static constexpr Milliseconds StopPoll{100};
+  /// Longest time for requests to end after that.
+  static constexpr Milliseconds LastRequests{2200};
+
+  void registerMetrics() {
+    registerProcessMetrics(Metrics);
+    peers::registerMailboxMetrics(Metrics, Mailbox);
+    Metrics.observedGauge(
+        {"masticwinch_entry_ready", "1 while the health check passes."},
+        [this] { return isReady() ? 1.0 : 0.0; });
+    Metrics.observedGauge(
+        {"masticwinch_entry_requests_open", "Requests without an answer yet."},
+        [this] { return double(OpenRequests); });
+    Metrics.observedCounter(
+        {"masticwinch_log_lines_dropped_total",
+         "Event lines that were dropped to bound their volume."},
+        [this] { return double(Events.droppedLines()); });
+  }
+
+  void receive(const protocol::Envelope &envelope) {
+    Gateway.receive(envelope);
+    Agent.receive(envelope);
+  }
+
+  void awaitHangup() {
+    Hangup.async_wait([this](const std::error_code &ec, int) {
+      if (!ec) {
+        Events.writeNamed("settings_reload", {{"outcome", "unchanged"}});
+        awaitHangup();
+      }
+    });
+  }
+
+  void stop() {
+    Events.writeNamed("entry_stopping", {{"open", OpenRequests}});
+    Stopping = true;
+    Server.closeConnectionsAfterAnswers();
+    StopBy = Time.now() + LeaveBalancer + LastRequests;
+    StopTimer.expires_after(LeaveBalancer);
+    awaitLastRequest();
+  }
+
+  void awaitLastRequest() {
+    StopTimer.async_wait([this](const std::error_code &) {
+      if (OpenRequests > 0 && Time.now() < StopBy) {
+        StopTimer.expires_after(StopPoll);
+        awaitLastRequest();
+        return;
+      }
+      finishStop();
+    });
+  }
+
+  void finishStop() {
+    Server.stop();
+    ReadinessServer.stop();
+    MetricsServer.stop();
+    Mailbox.stop();
+    Events.writeNamed("entry_stopped", {{"open", OpenRequests}});
+    Context.stop();
+  }
+
+  const EntryVmSettings Settings;
+  OperatingSystemClock Time;
+  std::uint64_t Incarnation;
+  EventLog Events;
+  MetricRegistry Metrics;
+  asio::io_context Context{1};
+  peers::Mailbox Mailbox;
+  EntryGateway Gateway;
+  HttpClient Calls;
+  AdviceClient Advice;
+  AdviceAgent<AdviceClient> Agent;
+  typename Platform::template CallersApi<EntryVmDaemon> Api;
+  HttpServer Server;
+  HttpServer ReadinessServer;
+  MetricsEndpoint MetricsServer;
+  asio::steady_timer StopTimer;
+  asio::signal_set Hangup;
+  bool Stopping = false;
+  SteadyTime StopBy{};
+  std::int64_t OpenRequests = 0;
+  StopSignals Signals;
+};
+
+} // namespace masticwinch::workflow
--- /dev/null
+++ b/src/masticwinch/workflow/runner_calls.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "masticwinch/common/clock.hpp"
+#include "masticwinch/coordination/workflow/runner_orders.hpp"
+
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace masticwinch::workflow {
+
+using OrderDone = std::function<void(OrderAnswer)>;
+using LookDone = std::function<void(LookAnswer)>;
+
+/// Carries orders to runners, each with a leader's fencing token. `done` is
+/// called once, on the control thread.
+template <class Calls>
+concept RunnerCalls = requires(Calls calls, const StartOrder &start,
+                               const StopOrder &stop, const LookOrder &look,
+                               std::uint64_t token, OrderDone orderDone,
+                               LookDone lookDone) {
+  calls.start(start, token, orderDone);
+  calls.stop(stop, token, orderDone);
+  calls.look(look, token, lookDone);
+};
+
+/// What the advice service answered.
+struct AdviceAnswer {
+  bool Answered = false;
+  /// Runner and ticket.
+  std::vector<std::pair<std::string, std::string>> Approved;
+  /// 0 if the answer doesn't state it.
+  std::uint32_t ValidityMs = 0;
+  std::string Reason;
+};
+
+using AdviceDone = std::function<void(AdviceAnswer)>;
+
+/// Asks the advice service which runners may run a step.
+template <class Calls>
+concept AdviceCalls = requires(Calls calls, const StepKey &step,
+                               const std::vector<std::string> &runners,
+                               Milliseconds timeout, AdviceDone done) {
+  calls.ask(step, runners, timeout, done);
+};
+
+} // namespace masticwinch::workflow
--- /dev/null
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -0,0 +1,257 @@
+#pragma once
+
+#include "masticwinch/common/clock.hpp"
+#include "masticwinch/control/command_log.hpp"
+#include "masticwinch/coordination/workflow/workflow_leader.hpp"
+#include "masticwinch/events/event_log.hpp"
+#include "masticwinch/protocol/envelope.pb.h"
+#include "masticwinch/workflow/runner_calls.hpp"
+
+#include <deque>
+#include <iterator>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace masticwinch::workflow {
+
+/// Runs the workflow state on one control VM and, while this VM leads, its
+/// decisions: stores batches in the log, hands orders to the runners and
+/// answers entry VMs. All of it on the control thread. Before anything leaves,
+/// the log is asked whether this VM still leads.
+template <class Log, class Sender, RunnerCalls Calls> class WorkflowDriver {
+public:
+  WorkflowDriver(Log &log, Sender &outbox, Calls &runners, const Clock &clock,
+                 EventLog &events, WorkflowLeaderOptions options)
+      : Commands(log), Outbox(outbox), Runners(runners), Time(clock),
+        Events(events), Options(options) {}
+
+  const WorkflowState &state() const { return State; }
+  const WorkflowLeader *leader() const { return Leader.get(); }
+
+  /// Whether this VM leads and its state is current.
+  bool leads() const { return Leader && Commands.isLeader(); }
+
+  void applied(control::LogPosition position, const std::string &record) {
+    protocol::WorkflowRecord parsed;
+    if (!parsed.ParseFromString(record)) {
+      Events.writeNamed("workflow_record_unreadable",
+                        {{"index", position.Index}});
+      return;
+    }
+    State.apply(parsed);
+    const auto batch = Waiting.extract(position);
+    if (Leader && !batch.empty()) {
+      Leader->stored(batch.mapped(), at());
+      pump();
+    }
+  }
+
+  void restore(const std::string &bytes) {
+    protocol::WorkflowSnapshot snapshot;
+    if (!snapshot.ParseFromString(bytes)) {
+      throw std::runtime_error("the stored workflow state can't be read");
+    }
+    State.restore(snapshot);
+  }
+
+  std::string snapshot() const { return State.snapshot().SerializeAsString(); }
+
+  /// This VM leads from now on, or does so again after a lapse. Within one term
+  /// nobody else has led, and its decisions go on.
+  void becomeLeader() {
+    if (Leader && LeaderTerm == Commands.term()) {
+      pump();
+      return;
+    }
+    Waiting.clear();
+    Unproposed.clear();
+    LeaderTerm = Commands.term();
+    Leader = std::make_unique<WorkflowLeader>(Options, State, at());
+    pump();
+  }
+
+  void tick() {
+    if (leads()) {
+      Leader->tick(at());
+      pump();
+    }
+  }
+
+  void receive(const protocol::Envelope &envelope) {
+    if (envelope.has_workflow_call()) {
+      takeCall(envelope);
+    } else if (envelope.has_agent_hello()) {
+      takeHello(envelope);
+    } else if (envelope.has_advice_result() && leads()) {
+      Leader->adviceAnswered(envelope.advice_result(), at());
+      pump();
+    }
+  }
+
+  void heartbeat(const protocol::RunnerInfo &info, std::uint64_t sequence,
+                 std::int64_t clockMs, Stored stored) {
+    Leader->heartbeat(info, sequence, clockMs, std::move(stored), at());
+    pump();
+  }
+
+  void deregister(const std::string &id, Stored stored) {
+    Leader->deregister(id, std::move(stored), at());
+    pump();
+  }
+
+  void configure(const protocol::CellConfig &config, Stored stored) {
+    Leader->configure(config, std::move(stored), at());
+    pump();
+  }
+
+private:
+  Moment at() const {
+    const auto wall = std::chrono::duration_cast<Milliseconds>(
+        Time.systemNow().time_since_epoch());
+    return {Time.now(), static_cast<std::uint64_t>(wall.count())};
+  }
+
+  void takeCall(const protocol::Envelope &envelope) {
+    const protocol::WorkflowCall &call = envelope.workflow_call();
+    const std::string address = envelope.reply_address();
+    const auto reply = [this, address,
+                        number = call.call()](protocol::WorkflowAnswer answer) {
+      protocol::Envelope made;
+      answer.set_call(number);
+      *made.mutable_workflow_answer() = std::move(answer);
+      Outbox.send(address, std::move(made));
+    };
+    if (!leads()) {
+      protocol::WorkflowAnswer answer;
+      answer.set_verdict(protocol::VERDICT_NOT_LEADING);
+      answer.set_reason("this VM does not lead");
+      answer.set_leader_hint(Commands.leaderAddress());
+      reply(std::move(answer));
+      return;
+    }
+    Leader->call(call, reply, at());
+    pump();
+  }
+
+  void takeHello(const protocol::Envelope &envelope) {
+    protocol::Envelope made;
+    protocol::AgentWelcome *welcome = made.mutable_agent_welcome();
+    welcome->set_sequence(envelope.agent_hello().sequence());
+    welcome->set_leads(leads());
+    welcome->set_leader_hint(Commands.leaderAddress());
+    for (const std::string &it : Commands.otherAddresses()) {
+      welcome->add_controls(it);
+    }
+    Outbox.send(envelope.reply_address(), std::move(made));
+    if (leads()) {
+      Leader->agentSeen(envelope.reply_address(), at());
+      pump();
+    }
+  }
+
+  /// Carries out what the leader decided.
+  void pump() {
+    if (!leads()) {
+      return;
+    }
+    WorkflowEffects effects = Leader->takeEffects(at());
+    writeEvents(effects);
+    std::move(effects.Batches.begin(), effects.Batches.end(),
+              std::back_inserter(Unproposed));
+    propose();
+    if (!Commands.isLeader()) {
+      return;
+    }
+    for (const StartOrder &it : effects.Starts) {
+      Runners.start(it, LeaderTerm,
+                    answered([it](WorkflowLeader &leader, OrderAnswer answer,
+                                  Moment now) {
+                      leader.startAnswered(it, answer, now);
+                    }));
+    }
+    for (const StopOrder &it : effects.Stops) {
+      Runners.stop(
+          it, LeaderTerm,
+          answered([it](WorkflowLeader &leader, OrderAnswer answer,
+                        Moment now) { leader.stopAnswered(it, answer, now); }));
+    }
+    for (const LookOrder &it : effects.Looks) {
+      look(it);
+    }
+    for (AdviceCall &it : effects.Advice) {
+      ask(std::move(it));
+    }
+  }
+
+  template <class Function> OrderDone answered(Function function) {
+    return [this, term = LeaderTerm, function](OrderAnswer answer) {
+      if (Leader && LeaderTerm == term) {
+        function(*Leader, answer, at());
+        pump();
+      }
+    };
+  }
+
+  void look(const LookOrder &order) {
+    Runners.look(order, LeaderTerm,
+                 [this, term = LeaderTerm, order](const LookAnswer &answer) {
+                   if (Leader && LeaderTerm == term) {
+                     Leader->lookAnswered(order, answer, at());
+                     pump();
+                   }
+                 });
+  }
+
+  void ask(AdviceCall call) {
+    protocol::Envelope envelope;
+    protocol::AdviceOrder *order = envelope.mutable_advice_order();
+    order->set_order(call.Order);
+    *order->mutable_step() = refOf(call.Step);
+    for (std::string &it : call.Runners) {
+      order->add_runners(std::move(it));
+    }
+    order->set_timeout_ms(static_cast<std::uint32_t>(call.Timeout.count()));
+    Outbox.send(call.Agent, std::move(envelope));
+  }
+
+  /// Hands batches to the log in their order. What it can't take now, as while
+  /// the disk is full, is kept: its effects wait, and another leader starts
+  /// from what is stored.
+  void propose() {
+    while (!Unproposed.empty()) {
+      const auto position =
+          Commands.propose(Unproposed.front().Record.SerializeAsString());
+      if (!position) {
+        Events.writeNamed("workflow_batches_wait",
+                          {{"batches", Unproposed.size()}});
+        return;
+      }
+      Waiting.emplace(*position, std::move(Unproposed.front()));
+      Unproposed.pop_front();
+    }
+  }
+
+  void writeEvents(const WorkflowEffects &effects) {
+    for (const WorkflowEvent &it : effects.Events) {
+      Events.writeFields(nameOf(it.Kind), it.Fields);
+    }
+  }
+
+  Log &Commands;
+  Sender &Outbox;
+  Calls &Runners;
+  const Clock &Time;
+  EventLog &Events;
+  WorkflowLeaderOptions Options;
+  WorkflowState State;
+  std::unique_ptr<WorkflowLeader> Leader;
+  std::uint64_t LeaderTerm = 0;
+  /// Batches that the log has not taken yet, oldest first.
+  std::deque<ProposedBatch> Unproposed;
+  std::map<control::LogPosition, ProposedBatch> Waiting;
+};
+
+} // namespace masticwinch::workflow
--- /dev/null
+++ b/tests/coordination/workflow/test_advice_book.cpp
@@ -0,0 +1,117 @@
+#include "masticwinch/coordination/workflow/advice_book.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace masticwinch;
+using namespace masticwinch::workflow;
+
+namespace {
+
+const StepKey Step{"w", 0, 0};
+
+protocol::AdviceTerms termsOf(std::uint32_t decisionMs) {
+  protocol::AdviceTerms terms;
+  terms.set_decision_us(decisionMs * 1000);
+  terms.set_per_runner_us(1000);
+  terms.set_validity_ms(1500);
+  return terms;
+}
+
+/// A book with agents a1 to aN that were just heard from.
+struct Fixture {
+  explicit Fixture(int agents) {
+    for (int i = 1; i <= agents; ++i) {
+      Book.agentSeen("a" + std::to_string(i), Now);
+    }
+  }
+
+  AdviceBookOptions Options;
+  AdviceBook Book{Options};
+  SteadyTime Now{std::chrono::seconds(100)};
+  const std::vector<std::string> Runners{"r1", "r2", "r3"};
+
+  /// Opens a step, asks for it and returns the calls.
+  std::vector<AdviceCall> ask(const StepKey &step, std::uint32_t decisionMs) {
+    Book.open(step, termsOf(decisionMs));
+    Book.ask(step, Runners, Now);
+    return Book.takeCalls();
+  }
+};
+
+} // namespace
+
+TEST_CASE("A step is asked about once", "[workflow]") {
+  Fixture cell(2);
+  const auto calls = cell.ask(Step, 10);
+  REQUIRE(calls.size() == 1);
+  cell.Book.answered(calls[0].Order, true, {{"r1", "t"}}, Milliseconds(0),
+                     cell.Now);
+  CHECK(cell.Book.isApproved(Step, "r1"));
+  CHECK_FALSE(cell.Book.isApproved(Step, "r2"));
+  CHECK(cell.ask(Step, 10).empty());
+}
+
+TEST_CASE("A ticket is not used shortly before its end", "[workflow]") {
+  Fixture cell(1);
+  const auto calls = cell.ask(Step, 10);
+  cell.Book.answered(calls[0].Order, true, {{"r1", "t"}}, Milliseconds(0),
+                     cell.Now);
+  REQUIRE(cell.Book.ticket(Step, "r1", cell.Now));
+  CHECK(*cell.Book.ticket(Step, "r1", cell.Now) == "t");
+  CHECK_FALSE(cell.Book.ticket(Step, "r1", cell.Now + Milliseconds(1400)));
+}
+
+TEST_CASE("Tickets are renewed when they are about to lapse", "[workflow]") {
+  Fixture cell(1);
+  const auto calls = cell.ask(Step, 10);
+  cell.Book.answered(calls[0].Order, true, {{"r1", "t"}, {"r2", "u"}},
+                     Milliseconds(0), cell.Now);
+  CHECK_FALSE(cell.Book.renew(Step, {"r1"}, cell.Now));
+
+  cell.Now += Milliseconds(1400);
+  cell.Book.agentSeen("a1", cell.Now);
+  CHECK(cell.Book.renew(Step, {"r1"}, cell.Now));
+  const auto renewals = cell.Book.takeCalls();
+  REQUIRE(renewals.size() == 1);
+  CHECK(renewals[0].Runners == std::vector<std::string>{"r1"});
+}
+
+TEST_CASE("Fast calls find an agent while slow ones fill the others",
+          "[workflow]") {
+  Fixture cell(3);
+  std::set<std::string> slow;
+  for (std::uint32_t i = 0; i < 10; ++i) {
+    for (const AdviceCall &it : cell.ask({"slow", i, 0}, 500)) {
+      slow.insert(it.Agent);
+    }
+  }
+  CHECK(slow.size() == 1);
+  const auto fast = cell.ask(Step, 10);
+  REQUIRE(fast.size() == 1);
+  CHECK_FALSE(slow.contains(fast[0].Agent));
+}
+
+TEST_CASE("The step of an agent that died is asked about again", "[workflow]") {
+  Fixture cell(1);
+  REQUIRE(cell.ask(Step, 10).size() == 1);
+  CHECK(cell.ask(Step, 10).empty());
+  cell.Now += Milliseconds(5000);
+  cell.Book.expire(cell.Now);
+  cell.Now += cell.Options.RetryPause;
+  cell.Book.agentSeen("a2", cell.Now);
+  const auto calls = cell.ask(Step, 10);
+  REQUIRE(calls.size() == 1);
+  CHECK(calls[0].Agent == "a2");
+}
+
+TEST_CASE("A refused ticket is not used again", "[workflow]") {
+  Fixture cell(1);
+  const auto calls = cell.ask(Step, 10);
+  cell.Book.answered(calls[0].Order, true, {{"r1", "t"}}, Milliseconds(0),
+                     cell.Now);
+  cell.Book.ticketRefused(Step, "r1");
+  CHECK_FALSE(cell.Book.ticket(Step, "r1", cell.Now));
+  CHECK(cell.Book.isApproved(Step, "r1"));
+}
--- /dev/null
+++ b/tests/coordination/workflow/test_decisions.cpp
@@ -0,0 +1,173 @@
+#include "masticwinch/coordination/workflow/admission.hpp"
+#include "masticwinch/coordination/workflow/queue_routes.hpp"
+#include "masticwinch/coordination/workflow/runner_health.hpp"
+#include "masticwinch/coordination/workflow/step_order.hpp"
+#include "masticwinch/coordination/workflow/step_planner.hpp"
+#include "masticwinch/coordination/workflow/work_chain.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "tests/coordination/workflow/workflow_records.hpp"
+
+using namespace masticwinch;
+using namespace masticwinch::tests;
+using namespace masticwinch::workflow;
+
+namespace {
+
+RunnerEntry entryOf(const std::string &id, std::int64_t freeCores) {
+  RunnerEntry entry;
+  entry.Info = runnerOf(id);
+  entry.Free = {freeCores * 1000, 131'072, 0};
+  return entry;
+}
+
+std::vector<PlanCandidate> candidatesOf(const std::vector<RunnerEntry> &all) {
+  std::vector<PlanCandidate> candidates;
+  for (const RunnerEntry &it : all) {
+    candidates.push_back({&it, it.Free, 0});
+  }
+  return candidates;
+}
+
+} // namespace
+
+TEST_CASE("A gang is put whole or not at all", "[workflow]") {
+  const std::vector<RunnerEntry> all{entryOf("r1", 2), entryOf("r2", 1)};
+  CHECK(planStep(stepOf(3, true), {0, 1, 2}, candidatesOf(all)).size() == 3);
+  CHECK(planStep(stepOf(4, true), {0, 1, 2, 3}, candidatesOf(all)).empty());
+  CHECK(planStep(stepOf(4), {0, 1, 2, 3}, candidatesOf(all)).size() == 3);
+}
+
+TEST_CASE("Small tasks go where the least room is left", "[workflow]") {
+  const std::vector<RunnerEntry> all{entryOf("empty", 32), entryOf("full", 2)};
+  const auto planned = planStep(stepOf(2), {0, 1}, candidatesOf(all));
+  REQUIRE(planned.size() == 2);
+  CHECK(planned[0].Runner->Info.id() == "full");
+  CHECK(planned[1].Runner->Info.id() == "full");
+}
+
+TEST_CASE("No more tasks of a step share a runner than it allows",
+          "[workflow]") {
+  const std::vector<RunnerEntry> all{entryOf("r1", 32), entryOf("r2", 32)};
+  protocol::StepSpec step = stepOf(4);
+  step.set_max_per_runner(1);
+  CHECK(planStep(step, {0, 1, 2, 3}, candidatesOf(all)).size() == 2);
+}
+
+TEST_CASE("Steps that can be on time come before late ones", "[workflow]") {
+  const SteadyTime now{std::chrono::seconds(100)};
+  const WorkflowTerms urgent{now - Milliseconds(5000), Milliseconds(1000), 0};
+  const WorkflowTerms patient{now, Milliseconds(9000), 2};
+  const StepRank late = rankOf(urgent, Milliseconds(500), now);
+  const StepRank onTime = rankOf(patient, Milliseconds(500), now);
+  CHECK(late.Reach == Outlook::Missed);
+  CHECK(onTime.Reach == Outlook::OnTime);
+  CHECK(onTime < late);
+}
+
+TEST_CASE("The chain of a workflow counts steps that follow each other",
+          "[workflow]") {
+  protocol::StepSpec after = stepOf(1);
+  after.add_after(0);
+  const auto remaining = remainingChains(
+      specOf("w", {stepOf(2), after, stepOf(1)}), configOf(1).queues(0));
+  CHECK(remaining[0] == Milliseconds(2000));
+  CHECK(remaining[1] == Milliseconds(1000));
+  CHECK(longestChain(remaining) == Milliseconds(2000));
+}
+
+TEST_CASE("In a surge what would end late is refused with a time",
+          "[workflow]") {
+  const AdmissionOptions options;
+  AdmissionInput input;
+  input.MilliProcessors = 100'000;
+  input.Slack = Milliseconds(1000);
+  input.WorkAhead = 80'000;
+  CHECK_FALSE(retryAfter(options, input));
+
+  input.WorkAhead = 400'000;
+  const auto wait = retryAfter(options, input);
+  REQUIRE(wait);
+  CHECK(*wait >= Milliseconds(3000));
+}
+
+TEST_CASE("Callers refused together are told different times", "[workflow]") {
+  AdmissionInput one;
+  one.MilliProcessors = 1000;
+  one.WorkAhead = 10'000;
+  AdmissionInput other = one;
+  one.Salt = 1;
+  other.Salt = 700;
+  CHECK(retryAfter({}, one) != retryAfter({}, other));
+}
+
+TEST_CASE("A runner that fails several workflows in a row rests",
+          "[workflow]") {
+  RunnerHealth health({});
+  const SteadyTime now{std::chrono::seconds(100)};
+  CHECK_FALSE(health.ended("r", "w1", protocol::RUN_FAILED, 10, now));
+  CHECK_FALSE(health.ended("r", "w1", protocol::RUN_FAILED, 10, now));
+  CHECK(health.ended("r", "w2", protocol::RUN_FAILED, 10, now));
+  CHECK(health.isResting("r", now));
+  CHECK_FALSE(health.isResting("r", now + Milliseconds(2500)));
+}
+
+TEST_CASE("A runner that does work in between does not rest", "[workflow]") {
+  RunnerHealth health({});
+  const SteadyTime now{std::chrono::seconds(100)};
+  health.ended("r", "w1", protocol::RUN_FAILED, 10, now);
+  health.ended("r", "w2", protocol::RUN_DONE, 10, now);
+  CHECK_FALSE(health.ended("r", "w3", protocol::RUN_FAILED, 10, now));
+}
+
+TEST_CASE("Only a share of the runners rests at a time", "[workflow]") {
+  RunnerHealth health({});
+  const SteadyTime now{std::chrono::seconds(100)};
+  int resting = 0;
+  for (int i = 0; i < 10; ++i) {
+    const std::string runner = "r" + std::to_string(i);
+    health.ended(runner, "w1", protocol::RUN_FAILED, 10, now);
+    resting += health.ended(runner, "w2", protocol::RUN_FAILED, 10, now);
+  }
+  CHECK(resting == 3);
+}
+
+TEST_CASE("A path goes to the queue with the longest prefix", "[workflow]") {
+  protocol::CellConfig config = configOf(1);
+  protocol::QueueConfig *nested = config.add_queues();
+  *nested = config.queues(0);
+  nested->set_name("nested");
+  nested->set_path_prefix("/sheets/deep/");
+
+  CHECK(routeOf(config, "host:80", "/sheets/deep/x")->Queue->name() ==
+        "nested");
+  CHECK(routeOf(config, "host", "/sheets/x")->Rest == "x");
+  CHECK_FALSE(routeOf(config, "other", "/sheets/x"));
+  CHECK_FALSE(routeOf(config, "host", "/other/x"));
+}
+
+TEST_CASE("A configuration with an unknown pool or a shared place is refused",
+          "[workflow]") {
+  CHECK_FALSE(problemOf(configOf(1)));
+  protocol::CellConfig unknown = configOf(1);
+  unknown.mutable_queues(0)->set_pool("nobody");
+  CHECK(problemOf(unknown));
+  protocol::CellConfig shared = configOf(1);
+  *shared.add_queues() = shared.queues(0);
+  CHECK(problemOf(shared));
+  protocol::CellConfig noTime = configOf(1);
+  noTime.mutable_queues(0)->set_timeout_ms(0);
+  CHECK(problemOf(noTime));
+}
+
+TEST_CASE("A submission needs an id, tasks and steps in order", "[workflow]") {
+  const std::string id = "5c0e7a21d94b36f8";
+  CHECK_FALSE(problemOf(specOf(id, {stepOf(1)})));
+  CHECK(problemOf(specOf("short", {stepOf(1)})));
+  CHECK(problemOf(specOf(id, {})));
+  CHECK(problemOf(specOf(id, {stepOf(0)})));
+  protocol::StepSpec loop = stepOf(1);
+  loop.add_after(0);
+  CHECK(problemOf(specOf(id, {loop})));
+}
--- a/tests/platform/test_lease_codec.cpp
+++ b/tests/workers/test_lease_codec.cpp
@@ -1,13 +1,13 @@
-#include "masticwinch/platform/lease_codec.hpp"
-#include "masticwinch/platform/worker_announcement.hpp"
 #include "masticwinch/protocol/placement.pb.h"
 #include "masticwinch/stand_in/lease_message.hpp"
+#include "masticwinch/workers/lease_codec.hpp"
+#include "masticwinch/workers/worker_announcement.hpp"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <catch2/catch.hpp>
 
 using namespace masticwinch;
-using namespace masticwinch::platform;
+using namespace masticwinch::workers;
 
 namespace {
 
@@ -22,7 +22,7 @@
 
 } // namespace
 
-TEST_CASE("A worker's agent reads what a call to it says", "[platform]") {
+TEST_CASE("A worker's agent reads what a call to it says", "[workers]") {
   const std::string body =
       leaseBody(callWithOrders(), [](const std::string &job) {
         return TaskContent{"payload of " + job, true};
@@ -44,7 +44,7 @@
   CHECK(read->Forget.at(0) == TaskAttempt{"job-3/1", 2});
 }
 
-TEST_CASE("A call that only asks carries no reading", "[platform]") {
+TEST_CASE("A call that only asks carries no reading", "[workers]") {
   placement::WorkerCall call;
   call.Grant = {4, 17, 0, 0, 0};
   const Result<LeaseRequest> read = parseLeaseRequest(
@@ -54,7 +54,7 @@
   CHECK_FALSE(read->WorkerClock);
 }
 
-TEST_CASE("The leader reads what a worker's agent reports", "[platform]") {
+TEST_CASE("The leader reads what a worker's agent reports", "[workers]") {
   LeaseReport report;
   report.Incarnation = 7;
   report.WorkerClock = Milliseconds(99);
@@ -78,7 +78,7 @@
   CHECK(answer->Tasks[1].State == placement::ReportedState::Refused);
 }
 
-TEST_CASE("Malformed answers of a worker are no answers", "[platform]") {
+TEST_CASE("Malformed answers of a worker are no answers", "[workers]") {
   const auto body = GENERATE(
       as<std::string>{}, "", "{}", "[]", R"({"incarnation":1,"clock_ms":2})",
       R"({"incarnation":1,"clock_ms":2,"tasks":[{"task":"job-1","attempt":1,"state":"running"}]})",
@@ -87,7 +87,7 @@
   CHECK_FALSE(parseLeaseAnswer(body));
 }
 
-TEST_CASE("Only some refusals mean that a call changed nothing", "[platform]") {
+TEST_CASE("Only some refusals mean that a call changed nothing", "[workers]") {
   CHECK(changedNothing(leaseRefusalJson({"wrong_incarnation", "", 1, 1, 1})));
   CHECK(changedNothing(leaseRefusalJson({"lease_over", "", 1, 1, 1})));
   // The HTTP client may have sent the call twice; the first one counted.
@@ -97,7 +97,7 @@
   CHECK_FALSE(changedNothing("not JSON"));
 }
 
-TEST_CASE("A worker's announcement is refused with the field", "[platform]") {
+TEST_CASE("A worker's announcement is refused with the field", "[workers]") {
   const auto fieldOf = [](const std::string &body) {
     protocol::WorkerAnnouncement announcement;
     const auto problem = readAnnouncement(body, "vm-1", announcement);
--- a/tests/platform/test_placement_driver.cpp
+++ b/tests/workers/test_placement_driver.cpp
@@ -1,12 +1,12 @@
 #include "masticwinch/common/manual_clock.hpp"
-#include "masticwinch/platform/placement_driver.hpp"
+#include "masticwinch/workers/placement_driver.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <deque>
 
 using namespace masticwinch;
-using namespace masticwinch::platform;
+using namespace masticwinch::workers;
 
 namespace {
 
@@ -129,7 +129,7 @@
 } // namespace
 
 TEST_CASE("Nothing is placed before the leader's own record is committed",
-          "[platform]") {
+          "[workers]") {
   Cell cell;
   cell.announce();
   cell.Driver.becomeLeader();
@@ -147,7 +147,7 @@
 }
 
 TEST_CASE("A job runs, its end is recorded and its worker forgets it",
-          "[platform]") {
+          "[workers]") {
   Cell cell;
   cell.Driver.becomeLeader();
   cell.commitAll();
@@ -171,7 +171,7 @@
 }
 
 TEST_CASE("A worker with news is asked at once, others at their renewal",
-          "[platform]") {
+          "[workers]") {
   Cell cell;
   cell.Driver.becomeLeader();
   cell.commitAll();
@@ -187,7 +187,7 @@
   CHECK(cell.Caller.Calls.size() == 1);
 }
 
-TEST_CASE("A process that no longer leads sends nothing", "[platform]") {
+TEST_CASE("A process that no longer leads sends nothing", "[workers]") {
   Cell cell;
   cell.Driver.becomeLeader();
   cell.commitAll();
@@ -202,7 +202,7 @@
 }
 
 TEST_CASE("A job larger than any VM is refused with field and limit",
-          "[platform]") {
+          "[workers]") {
   Cell cell;
   cell.Driver.becomeLeader();
   cell.commitAll();
@@ -218,7 +218,7 @@
   CHECK(refusal->message().find("32000") != std::string::npos);
 }
 
-TEST_CASE("A snapshot keeps what became of tasks", "[platform][state]") {
+TEST_CASE("A snapshot keeps what became of tasks", "[workers][state]") {
   Cell cell;
   cell.submit();
   cell.submit();
@@ -238,7 +238,7 @@
 }
 
 TEST_CASE("Leadership begins later if the log refuses its record",
-          "[platform]") {
+          "[workers]") {
   Cell cell;
   cell.Log.Leads = false;
   cell.Driver.becomeLeader();
@@ -249,7 +249,7 @@
 }
 
 TEST_CASE("A leader waits for the longest lease that any leader granted",
-          "[platform]") {
+          "[workers]") {
   Cell cell;
   cell.apply([](protocol::Command &it) {
     it.mutable_record_placement()->set_worker_lease_ms(60'000);
