Gather decisions into one record and add a model of the load

Cause: each message to the leader made a record of its own: some 500 a second on the grown site, each sent to four replicas and acknowledged.

--- /dev/null
+++ b/benchmarks/workflow_model.hpp
@@ -0,0 +1,509 @@
+#pragma once
+
+#include "masticwinch/coordination/workflow/workflow_leader.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace masticwinch::benchmarks {
+
+/// One kind of work that arrives.
+struct ModelQueue {
+  std::string Name;
+  double PerSecond = 0;
+  double Steps = 1;
+  double Tasks = 1;
+  double Seconds = 1;
+  double Cores = 1;
+  double GangShare = 0;
+  std::uint32_t Priority = 0;
+  std::uint32_t TargetMs = 250;
+  double Stretch = 1.5;
+  double AdviceMs = 0;
+  double AdvicePerRunnerMs = 0;
+  double ApprovedShare = 1;
+  double Worth = 1;
+  /// Arrivals are this many times as frequent between the two seconds.
+  double Burst = 1;
+  double BurstFrom = 0;
+  double BurstTo = 0;
+};
+
+struct ModelOptions {
+  std::vector<ModelQueue> Queues;
+  std::size_t Runners = 48;
+  std::size_t Agents = 11;
+  double CoresPerRunner = 32;
+  double Seconds = 30;
+  std::uint64_t Seed = 1;
+  workflow::WorkflowLeaderOptions Leader;
+};
+
+/// What became of the work of one queue.
+struct ModelOutcome {
+  std::size_t Arrived = 0;
+  std::size_t OnTime = 0;
+  std::size_t Late = 0;
+  std::size_t TooLate = 0;
+  std::size_t Refused = 0;
+  std::vector<double> StartMs;
+};
+
+/// Drives the leader's decisions with generated arrivals, work times, approvals
+/// and round trips, on a clock of its own. It has no processes, network or
+/// faults; it shows what the decisions make of a load, and what they cost.
+class WorkflowModel {
+public:
+  explicit WorkflowModel(ModelOptions options)
+      : Options(std::move(options)), Engine(Options.Seed) {
+    configure();
+    addRunners();
+    Leader =
+        std::make_unique<workflow::WorkflowLeader>(Options.Leader, State, at());
+    schedule(Milliseconds(0), [this] { tick(); });
+    schedule(Milliseconds(0), [this] { greet(); });
+    for (std::size_t i = 0; i < Options.Queues.size(); ++i) {
+      schedule(LeadTime, [this, i] { arrive(i); });
+    }
+  }
+
+  /// Runs the whole time and what was accepted in it.
+  void run() {
+    const auto end = Start + LeadTime + duration(Options.Seconds * 1.6);
+    while (!Events.empty() && Events.begin()->first < end) {
+      const auto first = Events.extract(Events.begin());
+      Now = first.key();
+      first.mapped()();
+    }
+  }
+
+  const std::map<std::string, ModelOutcome> &outcomes() const {
+    return Outcomes;
+  }
+
+  /// Share of the worth of all arrivals that was earned; late work earns a
+  /// fifth.
+  double earnedShare() const {
+    double earned = 0;
+    double owed = 0;
+    for (const ModelQueue &it : Options.Queues) {
+      const ModelOutcome &outcome = Outcomes.at(it.Name);
+      earned +=
+          it.Worth * (double(outcome.OnTime) + 0.2 * double(outcome.Late));
+      owed += it.Worth * double(outcome.Arrived);
+    }
+    return owed > 0 ? earned / owed : 0;
+  }
+
+  /// Processor time of the decisions, in seconds.
+  double processorSeconds() const { return Processor; }
+  double simulatedSeconds() const {
+    return std::chrono::duration<double>(Now - Start).count();
+  }
+  /// Core-seconds of work that runs had, against all that there were.
+  double busyShare() const {
+    return BusyCoreSeconds / (double(Options.Runners) * Options.CoresPerRunner *
+                              (Options.Seconds));
+  }
+
+private:
+  struct Running {
+    SteadyTime EndsAt{};
+    bool Waits = false;
+  };
+  struct SimRunner {
+    std::map<workflow::RunKey, Running> Runs;
+    std::vector<workflow::EndedRun> Ended;
+    std::uint64_t Ends = 0;
+    std::optional<workflow::LookOrder> Look;
+  };
+  struct Pending {
+    std::size_t Queue = 0;
+    SteadyTime At{};
+    double ObjectiveMs = 0;
+    bool Started = false;
+    bool Done = false;
+  };
+
+  static constexpr Milliseconds LeadTime{1000};
+  static constexpr Milliseconds OneWay{2};
+  static constexpr Milliseconds CommitTime{12};
+  static constexpr Milliseconds TickTime{10};
+  static constexpr Milliseconds HelloTime{500};
+
+  static std::chrono::nanoseconds duration(double seconds) {
+    return std::chrono::nanoseconds(std::int64_t(seconds * 1e9));
+  }
+
+  workflow::Moment at() const {
+    return {Now, std::uint64_t(std::chrono::duration_cast<Milliseconds>(
+                                   Now.time_since_epoch())
+                                   .count())};
+  }
+
+  void schedule(std::chrono::nanoseconds after, std::function<void()> event) {
+    Events.emplace(Now +
+                       std::chrono::duration_cast<SteadyTime::duration>(after),
+                   std::move(event));
+  }
+
+  /// Runs a decision and counts its processor time.
+  template <class Function> void decide(Function function) {
+    const auto begin = std::chrono::steady_clock::now();
+    function();
+    workflow::WorkflowEffects effects = Leader->takeEffects(at());
+    Processor +=
+        std::chrono::duration<double>(std::chrono::steady_clock::now() - begin)
+            .count();
+    carryOut(std::move(effects));
+  }
+
+  void carryOut(workflow::WorkflowEffects effects) {
+    for (workflow::ProposedBatch &it : effects.Batches) {
+      schedule(CommitTime, [this, batch = std::move(it)] {
+        const auto begin = std::chrono::steady_clock::now();
+        State.apply(batch.Record);
+        Processor += std::chrono::duration<double>(
+                         std::chrono::steady_clock::now() - begin)
+                         .count();
+        decide([&] { Leader->stored(batch, at()); });
+        noteEnds(batch);
+      });
+    }
+    for (const workflow::StartOrder &it : effects.Starts) {
+      schedule(OneWay, [this, it] { begin(it); });
+    }
+    for (const workflow::StopOrder &it : effects.Stops) {
+      schedule(OneWay, [this, it] { stop(it); });
+    }
+    for (const workflow::LookOrder &it : effects.Looks) {
+      schedule(OneWay, [this, it] { look(it); });
+    }
+    for (const workflow::AdviceCall &it : effects.Advice) {
+      advise(it);
+    }
+  }
+
+  void tick() {
+    decide([&] { Leader->tick(at()); });
+    schedule(TickTime, [this] { tick(); });
+  }
+
+  void greet() {
+    for (std::size_t i = 0; i < Options.Agents; ++i) {
+      Leader->agentSeen("agent-" + std::to_string(i), at());
+    }
+    schedule(HelloTime, [this] { greet(); });
+  }
+
+  void configure() {
+    protocol::WorkflowChange change;
+    protocol::CellConfig *config = change.mutable_configure();
+    config->set_version(1);
+    config->add_pools()->set_name("pool");
+    for (const ModelQueue &it : Options.Queues) {
+      protocol::QueueConfig *queue = config->add_queues();
+      queue->set_name(it.Name);
+      queue->set_host("host");
+      queue->set_path_prefix("/" + it.Name + "/");
+      queue->set_pool("pool");
+      queue->set_priority(it.Priority);
+      queue->set_timeout_ms(3000);
+      queue->set_max_attempts(2);
+      queue->set_latency_target_ms(it.TargetMs);
+      queue->set_stretch_permille(std::uint32_t(it.Stretch * 1000));
+      if (it.AdviceMs > 0) {
+        queue->mutable_advice()->set_decision_us(
+            std::uint32_t(it.AdviceMs * 1000));
+        queue->mutable_advice()->set_per_runner_us(
+            std::uint32_t(it.AdvicePerRunnerMs * 1000));
+        queue->mutable_advice()->set_validity_ms(1500);
+      }
+      Outcomes[it.Name];
+    }
+    State.apply(change);
+  }
+
+  void addRunners() {
+    for (std::size_t i = 0; i < Options.Runners; ++i) {
+      protocol::WorkflowChange change;
+      protocol::RunnerInfo *info = change.mutable_runner()->mutable_runner();
+      info->set_id("i-" + std::to_string(100000 + i));
+      info->set_pool("pool");
+      info->set_address(info->id());
+      info->mutable_capacity()->set_milli_processors(
+          std::uint32_t(Options.CoresPerRunner * 1000));
+      info->mutable_capacity()->set_memory_mb(1'000'000);
+      Runners[info->id()];
+      State.apply(change);
+    }
+  }
+
+  double lognormal(double mean, double spread) {
+    const double sigma = std::sqrt(std::log(1 + spread * spread));
+    std::lognormal_distribution<double> drawn(
+        std::log(mean) - sigma * sigma / 2, sigma);
+    return drawn(Engine);
+  }
+
+  void arrive(std::size_t i) {
+    const ModelQueue &queue = Options.Queues[i];
+    const double second =
+        std::chrono::duration<double>(Now - Start - LeadTime).count();
+    if (second >= Options.Seconds) {
+      return;
+    }
+    const bool burst = second >= queue.BurstFrom && second < queue.BurstTo;
+    std::exponential_distribution<double> gap(queue.PerSecond *
+                                              (burst ? queue.Burst : 1));
+    schedule(duration(gap(Engine)), [this, i] { arrive(i); });
+    submit(i);
+  }
+
+  void submit(std::size_t i) {
+    const ModelQueue &queue = Options.Queues[i];
+    char id[17];
+    std::snprintf(id, sizeof id, "%016llx",
+                  static_cast<unsigned long long>(Engine()));
+    protocol::WorkflowCall call;
+    call.set_host("host");
+    call.set_path("/" + queue.Name + "/" + id);
+    std::uniform_real_distribution<double> share(0, 1);
+    const bool gang = share(Engine) < queue.GangShare;
+    const int steps =
+        1 + (share(Engine) < queue.Steps - std::floor(queue.Steps) ? 1 : 0);
+    double chainMs = 0;
+    for (int s = 0; s < steps; ++s) {
+      protocol::StepSpec *step = call.mutable_submit()->add_steps();
+      const double width = std::max(1.0, lognormal(queue.Tasks, 0.8));
+      step->set_count(std::uint32_t(std::min(width, queue.Tasks * 6)));
+      step->mutable_needs()->set_milli_processors(std::uint32_t(
+          std::min(15.0, std::max(0.3, lognormal(queue.Cores, 0.4))) * 1000));
+      step->set_estimate_ms(
+          std::uint32_t(std::min(2.5, std::max(0.2, lognormal(1, 0.5))) *
+                        queue.Seconds * 1000));
+      step->set_gang(gang);
+      if (s > 0) {
+        step->add_after(std::uint32_t(s - 1));
+      }
+      chainMs +=
+          step->estimate_ms() + queue.AdviceMs + 30 * queue.AdvicePerRunnerMs;
+    }
+    Pending &pending = Submitted[id];
+    pending.Queue = i;
+    pending.At = Now;
+    pending.ObjectiveMs = queue.Stretch * chainMs + queue.TargetMs;
+    ModelOutcome &outcome = Outcomes[queue.Name];
+    outcome.Arrived += 1;
+    decide([&] {
+      Leader->call(
+          call,
+          [&outcome](const protocol::WorkflowAnswer &answer) {
+            outcome.Refused += answer.verdict() == protocol::VERDICT_REFUSED;
+          },
+          at());
+    });
+  }
+
+  void begin(const workflow::StartOrder &order) {
+    const workflow::StepKey &step = order.Run.Task.Step;
+    const protocol::StepSpec &spec = *State.findSpec(step);
+    Pending &pending = Submitted[step.Workflow];
+    if (!pending.Started) {
+      pending.Started = true;
+      Outcomes[Options.Queues[pending.Queue].Name].StartMs.push_back(
+          std::chrono::duration<double, std::milli>(Now - pending.At).count());
+    }
+    Running &run = Runners[order.Runner].Runs[order.Run];
+    run.Waits = spec.gang();
+    if (!spec.gang()) {
+      run.EndsAt = Now + workTime(spec);
+      finishLater(order.Runner, order.Run, run.EndsAt);
+    } else if (++Present[{step, order.Run.Run}] == spec.count()) {
+      beginGang(step, order.Run.Run, spec);
+    }
+    schedule(OneWay, [this, order] {
+      decide([&] {
+        Leader->startAnswered(order, workflow::OrderAnswer::Done, at());
+      });
+    });
+  }
+
+  SteadyTime::duration workTime(const protocol::StepSpec &spec) {
+    const double seconds =
+        spec.estimate_ms() / 1000.0 * std::max(0.5, lognormal(1, 0.15));
+    return std::chrono::duration_cast<SteadyTime::duration>(duration(seconds));
+  }
+
+  void beginGang(const workflow::StepKey &step, std::uint32_t run,
+                 const protocol::StepSpec &spec) {
+    const SteadyTime end = Now + workTime(spec);
+    for (auto &[id, runner] : Runners) {
+      for (auto &[key, it] : runner.Runs) {
+        if (key.Task.Step == step && key.Run == run) {
+          it.EndsAt = end;
+          finishLater(id, key, end);
+        }
+      }
+    }
+  }
+
+  void finishLater(const std::string &runner, const workflow::RunKey &run,
+                   SteadyTime when) {
+    const double cores =
+        State.findSpec(run.Task.Step)->needs().milli_processors() / 1000.0;
+    if (when < Start + LeadTime + duration(Options.Seconds)) {
+      BusyCoreSeconds +=
+          cores * std::chrono::duration<double>(when - Now).count();
+    }
+    schedule(when - Now,
+             [this, runner, run] { finish(runner, run, protocol::RUN_DONE); });
+  }
+
+  void finish(const std::string &id, const workflow::RunKey &run,
+              protocol::RunEnd how) {
+    SimRunner &runner = Runners[id];
+    if (runner.Runs.erase(run) == 0) {
+      return;
+    }
+    runner.Ended.push_back({++runner.Ends, run, how, ""});
+    if (runner.Look) {
+      answerLook(id);
+    }
+  }
+
+  void stop(const workflow::StopOrder &order) {
+    finish(order.Runner, order.Run, protocol::RUN_STOPPED);
+    schedule(OneWay, [this, order] {
+      decide([&] {
+        Leader->stopAnswered(order, workflow::OrderAnswer::Done, at());
+      });
+    });
+  }
+
+  void look(const workflow::LookOrder &order) {
+    SimRunner &runner = Runners[order.Runner];
+    std::erase_if(runner.Ended, [&](const workflow::EndedRun &it) {
+      return it.Number <= order.EndsStored;
+    });
+    runner.Look = order;
+    if (!runner.Ended.empty() || order.WaitMs == 0) {
+      answerLook(order.Runner);
+      return;
+    }
+    schedule(Milliseconds(order.WaitMs),
+             [this, id = order.Runner, sequence = order.Sequence] {
+               const auto &held = Runners[id].Look;
+               if (held && held->Sequence == sequence) {
+                 answerLook(id);
+               }
+             });
+  }
+
+  void answerLook(const std::string &id) {
+    SimRunner &runner = Runners[id];
+    const workflow::LookOrder order = *runner.Look;
+    runner.Look.reset();
+    workflow::LookAnswer answer;
+    answer.Answer = workflow::OrderAnswer::Done;
+    answer.ClockMs =
+        std::chrono::duration_cast<Milliseconds>(Now.time_since_epoch())
+            .count();
+    for (const auto &[run, it] : runner.Runs) {
+      answer.Running.push_back({run, ""});
+    }
+    answer.Ended = runner.Ended;
+    schedule(OneWay, [this, order, answer] {
+      decide([&] { Leader->lookAnswered(order, answer, at()); });
+    });
+  }
+
+  void advise(const workflow::AdviceCall &call) {
+    const Pending &pending = Submitted[call.Step.Workflow];
+    const ModelQueue &queue = Options.Queues[pending.Queue];
+    SteadyTime &busy = AgentBusy[call.Agent];
+    const auto cost =
+        duration((queue.AdviceMs +
+                  queue.AdvicePerRunnerMs * double(call.Runners.size())) /
+                 1000);
+    busy = std::max(busy, Now + OneWay) + cost;
+    protocol::AdviceResult result;
+    result.set_order(call.Order);
+    result.set_answered(true);
+    const std::hash<std::string> hash;
+    for (const std::string &it : call.Runners) {
+      const std::size_t drawn = hash(textOf(call.Step) + it) % 1000;
+      if (double(drawn) < queue.ApprovedShare * 1000) {
+        protocol::ApprovedRunner *row = result.add_approved();
+        row->set_runner(it);
+        row->set_ticket("t");
+      }
+    }
+    schedule(busy - Now + OneWay, [this, result] {
+      decide([&] { Leader->adviceAnswered(result, at()); });
+    });
+  }
+
+  /// Counts workflows that a batch completed.
+  void noteEnds(const workflow::ProposedBatch &batch) {
+    for (const protocol::WorkflowChange &it : batch.Record.changes()) {
+      if (!it.has_end()) {
+        continue;
+      }
+      const std::string &id = it.end().task().workflow();
+      const workflow::Workflow *found = State.find(id);
+      Pending &pending = Submitted[id];
+      if (pending.Done || !found ||
+          found->CurrentPhase != workflow::Phase::Completed) {
+        continue;
+      }
+      pending.Done = true;
+      const double took =
+          std::chrono::duration<double, std::milli>(Now - pending.At).count();
+      ModelOutcome &outcome = Outcomes[Options.Queues[pending.Queue].Name];
+      if (took <= pending.ObjectiveMs) {
+        outcome.OnTime += 1;
+      } else if (took <= 3 * pending.ObjectiveMs) {
+        outcome.Late += 1;
+      } else {
+        outcome.TooLate += 1;
+      }
+    }
+  }
+
+  ModelOptions Options;
+  std::mt19937_64 Engine;
+  SteadyTime Start{std::chrono::seconds(1000)};
+  SteadyTime Now = Start;
+  std::multimap<SteadyTime, std::function<void()>> Events;
+  workflow::WorkflowState State;
+  std::unique_ptr<workflow::WorkflowLeader> Leader;
+  std::map<std::string, SimRunner> Runners;
+  std::map<std::string, Pending> Submitted;
+  std::map<std::pair<workflow::StepKey, std::uint32_t>, std::uint32_t> Present;
+  std::map<std::string, SteadyTime> AgentBusy;
+  std::map<std::string, ModelOutcome> Outcomes;
+  double Processor = 0;
+  double BusyCoreSeconds = 0;
+};
+
+/// The load of a price service on a calm day: sheets of gangs, reconciliations
+/// and lookups, at four fifths of the fleet's cores times `load`.
+inline std::vector<ModelQueue> priceQueues(double load, double scale) {
+  const double width = scale > 1 ? 2.5 : 1;
+  const double rate = scale > 1 ? 1.0 : 1.0 / 3;
+  return {{"sheet", 5.6 * rate * load, 1.2, 8 * width, 4, 9, 1, 1, 1000, 2.2,
+           360, 5.2, 0.3, 12},
+          {"recon", 15 * rate * load, 1.5, 10 * width, 2.7,
+           scale > 1 ? 2.4 : 2.0, 0, 2, 3000, 4, 72, 1, 0.45, 3},
+          {"lookup", 144 * rate * load, 1, scale > 1 ? 3.0 : 2.0, 0.64,
+           scale > 1 ? 5.0 : 2.8, 0.3, 0, 250, 1.5, 10, 0.15, 0.7, 0.4}};
+}
+
+} // namespace masticwinch::benchmarks
--- a/src/masticwinch/workflow/control_vm_daemon.hpp
+++ b/src/masticwinch/workflow/control_vm_daemon.hpp
@@ -60,7 +60,7 @@
         Calls(Context), Runners(Calls),
         Delegated(Runners, Context, Mailbox, Time),
         Advice(Calls, settings.Daemon.AdviceAddress), Agent(Advice, Mailbox),
-        Workflows(Log, Mailbox, Delegated, Time, Events,
+        Workflows(Context, Log, Mailbox, Delegated, Time, Events,
                   leaderOptionsOf(settings)),
         Api(*this),
         Server(programs::serverOptions(settings.Control),
--- a/src/masticwinch/workflow/workflow_driver.hpp
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -7,6 +7,9 @@
 #include "masticwinch/protocol/envelope.pb.h"
 #include "masticwinch/workflow/runner_calls.hpp"
 
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
 #include <deque>
 #include <iterator>
 #include <map>
@@ -23,10 +26,11 @@
 /// the log is asked whether this VM still leads.
 template <class Log, class Sender, RunnerCalls Calls> class WorkflowDriver {
 public:
-  WorkflowDriver(Log &log, Sender &outbox, Calls &runners, const Clock &clock,
-                 EventLog &events, WorkflowLeaderOptions options)
+  WorkflowDriver(asio::io_context &context, Log &log, Sender &outbox,
+                 Calls &runners, const Clock &clock, EventLog &events,
+                 WorkflowLeaderOptions options)
       : Commands(log), Outbox(outbox), Runners(runners), Time(clock),
-        Events(events), Options(options) {}
+        Events(events), Options(options), PumpTimer(context) {}
 
   const WorkflowState &state() const { return State; }
   const WorkflowLeader *leader() const { return Leader.get(); }
@@ -108,6 +112,9 @@
   }
 
 private:
+  /// Decisions gather for this long, a fraction of a sync.
+  static constexpr Milliseconds GatherTime{4};
+
   Moment at() const {
     const auto wall = std::chrono::duration_cast<Milliseconds>(
         Time.systemNow().time_since_epoch());
@@ -152,8 +159,26 @@
     }
   }
 
-  /// Carries out what the leader decided.
+  /// Carries out what the leader decided, at once if that was not done just
+  /// now. Decisions that follow each other closely are stored as one record,
+  /// which costs one round of messages to the other control VMs.
   void pump() {
+    if (Time.now() - LastPump >= GatherTime) {
+      pumpNow();
+    } else if (!PumpDue) {
+      PumpDue = true;
+      PumpTimer.expires_at(LastPump + GatherTime);
+      PumpTimer.async_wait([this](const std::error_code &ec) {
+        if (!ec) {
+          pumpNow();
+        }
+      });
+    }
+  }
+
+  void pumpNow() {
+    PumpDue = false;
+    LastPump = Time.now();
     if (!leads()) {
       return;
     }
@@ -249,6 +274,9 @@
   WorkflowState State;
   std::unique_ptr<WorkflowLeader> Leader;
   std::uint64_t LeaderTerm = 0;
+  asio::steady_timer PumpTimer;
+  bool PumpDue = false;
+  SteadyTime LastPump{};
   /// Batches that the log has not taken yet, oldest first.
   std::deque<ProposedBatch> Unproposed;
   std::map<control::LogPosition, ProposedBatch> Waiting;
