Cheapen the leader's decisions: one count a state, pointers for open steps

Cause: a profile of the control process on the grown site showed 15 % in comparing ids: each pass looked each open step up in sorted maps, each tick walked all workflows for occurrences, each count of a queue walked them too.

A restored state drops a former leader's decisions, which point into the state.

--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -83,6 +83,9 @@
       Milliseconds(longestChain(terms.Remaining).count() *
                    std::int64_t(queue.stretch_permille()) / 1000) +
       Milliseconds(queue.latency_target_ms());
+  if (workflow.Spec.repeats() > 0) {
+    Timed.insert(id);
+  }
   refreshSteps(workflow);
 }
 
@@ -116,20 +119,30 @@
   case protocol::WorkflowCall::kCancel:
     return cancel(route->Rest, answer);
   default:
-    return answerState(*route, answer);
+    return answerState(*route, answer, at);
+  }
+}
+
+/// Counts anew when the last count is old.
+std::uint64_t WorkflowLeader::unbegun(const std::string &queue, Moment at) {
+  if (!CountedAt || at.Now - *CountedAt > Options.CountFor) {
+    CountedAt = at.Now;
+    Unbegun.clear();
+    for (const auto &[id, workflow] : State.workflows()) {
+      if (!workflow.Started && !isFinal(workflow.CurrentPhase)) {
+        Unbegun[workflow.Spec.queue()] += 1;
+      }
+    }
   }
+  const auto it = Unbegun.find(queue);
+  return it == Unbegun.end() ? 0 : it->second;
 }
 
 void WorkflowLeader::answerState(const RoutedPath &route,
-                                 const AnswerWorkflow &answer) {
+                                 const AnswerWorkflow &answer, Moment at) {
   protocol::WorkflowAnswer made = answerOf(protocol::VERDICT_OK);
   if (route.Rest.empty()) {
-    const auto waits = [&](const auto &it) {
-      return it.second.Spec.queue() == route.Queue->name() &&
-             !it.second.Started && !isFinal(it.second.CurrentPhase);
-    };
-    made.set_waiting(static_cast<std::uint64_t>(std::count_if(
-        State.workflows().begin(), State.workflows().end(), waits)));
+    made.set_waiting(unbegun(route.Queue->name(), at));
     answer(made);
     return;
   }
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -31,6 +31,10 @@
   std::size_t StepsPerPass = 200;
   /// Waiting steps with slow advice whose tickets are kept fresh, best first.
   std::size_t SlowRenewals = 8;
+  /// Shortest time between two looks for what can be forgotten.
+  Milliseconds CleaningInterval{1000};
+  /// A count of waiting workflows is used for this long.
+  Milliseconds CountFor{300};
   /// A workflow's end can be asked for at least this long.
   Milliseconds KeepEnded{150'000};
   /// A runner that sent no heartbeat and answered nothing for this long is
@@ -112,18 +116,20 @@
   std::size_t waitingSteps() const { return Open.size(); }
 
 private:
+  struct Terms {
+    WorkflowTerms Order;
+    std::vector<Milliseconds> Remaining;
+    std::uint64_t Work = 0;
+  };
   /// A step with tasks to be started.
   struct OpenStep {
+    const Workflow *Flow = nullptr;
+    const Terms *Known = nullptr;
     /// Tasks whose assignment is being stored.
     std::set<std::uint32_t> InFlight;
     /// Runners on which a run of the step failed.
     std::set<std::string> Avoid;
   };
-  struct Terms {
-    WorkflowTerms Order;
-    std::vector<Milliseconds> Remaining;
-    std::uint64_t Work = 0;
-  };
   struct RankedStep {
     StepRank Rank;
     StepKey Key;
@@ -151,7 +157,9 @@
             std::vector<std::pair<std::string, std::string>> fields);
   void submit(const protocol::WorkflowSpec &sent, const RoutedPath &route,
               AnswerWorkflow answer, Moment at);
-  void answerState(const RoutedPath &route, const AnswerWorkflow &answer);
+  void answerState(const RoutedPath &route, const AnswerWorkflow &answer,
+                   Moment at);
+  std::uint64_t unbegun(const std::string &queue, Moment at);
   void cancel(const std::string &id, const AnswerWorkflow &answer);
   bool fitsSomewhere(const protocol::WorkflowSpec &spec,
                      const std::string &pool) const;
@@ -204,10 +212,16 @@
   std::map<std::string, SteadyTime> EndedAt;
   std::map<std::string, SteadyTime> LastHeartbeat;
   std::map<std::string, std::uint64_t> HeartbeatSequence;
+  /// Workflows that run at set times and are not over.
+  std::set<std::string> Timed;
   /// Occurrences whose beginning is being stored.
   std::map<std::string, std::uint32_t> Beginning;
   /// Submissions that are being stored, and who waits for them.
   std::map<std::string, std::vector<AnswerWorkflow>> Accepting;
+  SteadyTime NextCleaning{};
+  /// Workflows by queue that have not begun, and when they were counted.
+  std::unordered_map<std::string, std::uint64_t> Unbegun;
+  std::optional<SteadyTime> CountedAt;
   bool Dirty = true;
   SteadyTime NextSchedule{};
   /// Core-milliseconds of waiting work that can be on time, by priority.
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -129,7 +129,7 @@
   note(WorkflowEventKind::WorkflowEnded,
        {{"workflow", id},
         {"phase", std::string(nameOf(workflow->CurrentPhase))}});
-  KnownTerms.erase(id);
+  Timed.erase(id);
   const auto first = Open.lower_bound({id, 0, 0});
   auto last = first;
   while (last != Open.end() && last->first.Workflow == id) {
@@ -137,6 +137,7 @@
     ++last;
   }
   Open.erase(first, last);
+  KnownTerms.erase(id);
 }
 
 /// Brings the open steps of a workflow up to date with its state.
@@ -147,7 +148,9 @@
       const StepKey key{id, occurrence.Number, i};
       const bool open = occurrence.Steps[i].Open > 0 && State.isReady(key);
       if (open) {
-        Open.try_emplace(key);
+        OpenStep &step = Open[key];
+        step.Flow = &workflow;
+        step.Known = &KnownTerms.at(id);
       } else if (Open.erase(key) > 0) {
         Advice.close(key);
       }
@@ -216,11 +219,11 @@
 
 /// Begins what is due of workflows that run at set times.
 void WorkflowLeader::beginOccurrences(Moment at) {
-  for (const auto &[id, workflow] : State.workflows()) {
+  for (const std::string &id : Timed) {
+    const Workflow &workflow = *State.find(id);
     const protocol::WorkflowSpec &spec = workflow.Spec;
     const std::uint32_t next = workflow.OccurrencesBegun;
-    if (spec.repeats() == 0 || isFinal(workflow.CurrentPhase) ||
-        next >= spec.repeats() || Beginning.contains(id)) {
+    if (next >= spec.repeats() || Beginning.contains(id)) {
       continue;
     }
     if (at.UnixMs < spec.first_at_unix_ms() + next * spec.interval_ms()) {
@@ -274,8 +277,11 @@
   Book.tick(at.Now);
   Advice.expire(at.Now);
   beginOccurrences(at);
-  forgetEnded(at);
-  forgetRunners(at);
+  if (at.Now >= NextCleaning) {
+    NextCleaning = at.Now + Options.CleaningInterval;
+    forgetEnded(at);
+    forgetRunners(at);
+  }
   Dirty = true;
 }
 
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -42,14 +42,13 @@
   std::vector<RankedStep> ranked;
   WaitingWork.clear();
   for (const auto &[key, open] : Open) {
-    const auto terms = KnownTerms.find(key.Workflow);
     const std::size_t tasks = startableCount(key, open);
-    if (terms == KnownTerms.end() || tasks == 0) {
+    if (tasks == 0) {
       continue;
     }
-    const Milliseconds remaining = terms->second.Remaining[key.Step];
-    const StepRank rank = rankOf(terms->second.Order, remaining, at.Now);
-    const protocol::StepSpec &spec = *State.findSpec(key);
+    const Milliseconds remaining = open.Known->Remaining[key.Step];
+    const StepRank rank = rankOf(open.Known->Order, remaining, at.Now);
+    const protocol::StepSpec &spec = open.Flow->Spec.steps(int(key.Step));
     if (rank.Reach == Outlook::OnTime) {
       WaitingWork[rank.Priority] += tasks * std::uint64_t(spec.estimate_ms()) *
                                     spec.needs().milli_processors() / 1000;
@@ -65,18 +64,19 @@
 
 std::size_t WorkflowLeader::startableCount(const StepKey &key,
                                            const OpenStep &open) const {
-  const Step *step = State.findStep(key);
-  const protocol::StepSpec *spec = State.findSpec(key);
-  if (!step || !spec) {
+  const Occurrence *occurrence = open.Flow->find(key.Occurrence);
+  if (!occurrence) {
     return 0;
   }
+  const Step *step = &occurrence->Steps[key.Step];
   const auto idle = static_cast<std::size_t>(
       std::count_if(step->Tasks.begin(), step->Tasks.end(), [](const Task &it) {
         return !it.Done && it.Runner.empty();
       }));
   const std::size_t count =
       idle > open.InFlight.size() ? idle - open.InFlight.size() : 0;
-  return spec->gang() && count < step->Tasks.size() ? 0 : count;
+  const bool gang = open.Flow->Spec.steps(int(key.Step)).gang();
+  return gang && count < step->Tasks.size() ? 0 : count;
 }
 
 /// Tasks that can be started; of a gang all or none.
--- a/src/masticwinch/coordination/workflow/workflow_state.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_state.cpp
@@ -313,8 +313,13 @@
 protocol::WorkflowSnapshot WorkflowState::snapshot() const {
   protocol::WorkflowSnapshot made;
   *made.mutable_config() = Config;
+  // Equal states give equal bytes.
+  std::map<std::string, const Workflow *> sorted;
   for (const auto &[id, workflow] : Workflows) {
-    fill(*made.add_workflows(), workflow);
+    sorted.emplace(id, &workflow);
+  }
+  for (const auto &[id, workflow] : sorted) {
+    fill(*made.add_workflows(), *workflow);
   }
   for (const auto &[id, runner] : Runners) {
     *made.add_runners() = runner;
--- a/src/masticwinch/coordination/workflow/workflow_state.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_state.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <unordered_map>
 
 namespace masticwinch::workflow {
 
@@ -22,7 +23,11 @@
   void restore(const protocol::WorkflowSnapshot &snapshot);
 
   const protocol::CellConfig &config() const { return Config; }
-  const std::map<std::string, Workflow> &workflows() const { return Workflows; }
+  /// In no particular order; a workflow stays where it is until it is
+  /// forgotten.
+  const std::unordered_map<std::string, Workflow> &workflows() const {
+    return Workflows;
+  }
   const std::map<std::string, protocol::RunnerInfo> &runners() const {
     return Runners;
   }
@@ -52,7 +57,7 @@
   void settle(Workflow &workflow, std::uint32_t occurrence);
 
   protocol::CellConfig Config;
-  std::map<std::string, Workflow> Workflows;
+  std::unordered_map<std::string, Workflow> Workflows;
   std::map<std::string, protocol::RunnerInfo> Runners;
 };
 
--- a/src/masticwinch/workflow/workflow_driver.hpp
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -58,6 +58,9 @@
     if (!snapshot.ParseFromString(bytes)) {
       throw std::runtime_error("the stored workflow state can't be read");
     }
+    // A leader's decisions refer to the state that is replaced.
+    Leader.reset();
+    Waiting.clear();
     State.restore(snapshot);
   }
 
