Carry messages between own processes over Asio, with limits of our own

Cause: after all control VMs lost power the entry VMs found the new leader 2.6 s after it led: nng's connection to a dark VM hung in the kernel's backoff (1, 2, 4 s), and nng offers neither a limit for it nor for data that is never acknowledged.

Ruled out: hellos more often (they wait in the same connection); nng's keep- alive (no time-out for unacknowledged data).

Change: framed protobuf over Asio: a connection must open within 250 ms, the receiver acknowledges, 700 ms without progress end a connection, stale messages are dropped, each peer lost or reached is one event. Elections of the platform's daemons take 550 to 850 ms of silence.

--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -49,7 +49,7 @@
 target_link_libraries(masticwinch_daemon
   PUBLIC masticwinch::coordination masticwinch_options spdlog::spdlog
     nlohmann_json::nlohmann_json gflags CURL::libcurl Threads::Threads
-    ${NNG_LIBRARY} ${XXHASH_LIBRARY} ${HTTP_PARSER_LIBRARY})
+    ${XXHASH_LIBRARY} ${HTTP_PARSER_LIBRARY})
 
 # One folder below src/programs is one program; its name is the folder's with
 # hyphens, after the project's.
--- a/src/masticwinch/coordination/replication/membership_repair.hpp
+++ b/src/masticwinch/coordination/replication/membership_repair.hpp
@@ -17,9 +17,9 @@
   std::size_t TargetVoters = 5;
   /// Heartbeat rounds without an answer after which a voter makes room for a
   /// learner that has caught up.
-  std::uint64_t SilentVoterRounds = 6;
+  std::uint64_t SilentVoterRounds = 12;
   /// Rounds without an answer after which a learner is dropped.
-  std::uint64_t SilentLearnerRounds = 30;
+  std::uint64_t SilentLearnerRounds = 60;
 };
 
 /// What a leader knows of one other member.
--- /dev/null
+++ b/src/masticwinch/peers/internal/inbound_link.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace masticwinch::peers::internal {
+
+/// A connection that a peer opened to send messages. It hands out whole
+/// messages and acknowledges how many there were, soon after the first that is
+/// not acknowledged yet. All on one event loop.
+class InboundLink : public std::enable_shared_from_this<InboundLink> {
+public:
+  /// Called with each message.
+  using MessageHandler = std::function<void(std::string_view payload)>;
+  /// Called once when the connection is over.
+  using EndHandler = std::function<void(const std::shared_ptr<InboundLink> &)>;
+
+  InboundLink(asio::ip::tcp::socket socket, std::size_t maxMessageBytes,
+              MessageHandler onMessage, EndHandler onEnd);
+
+  void start();
+  void close();
+
+private:
+  void read();
+  bool takeFrames();
+  void acknowledgeSoon();
+  void acknowledge();
+  void end();
+
+  asio::ip::tcp::socket Socket;
+  asio::steady_timer AckTimer;
+  const std::size_t MaxMessageBytes;
+  MessageHandler OnMessage;
+  EndHandler OnEnd;
+  bool Closed = false;
+  bool AckDue = false;
+  bool AckWriting = false;
+  std::uint32_t Count = 0;
+  std::string AckBytes;
+  std::array<char, 65536> Chunk{};
+  std::string Buffer;
+};
+
+} // namespace masticwinch::peers::internal
--- /dev/null
+++ b/src/masticwinch/peers/internal/outbound_link.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "masticwinch/common/clock.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace masticwinch::peers::internal {
+
+/// The connection that messages to one peer go over. It is opened anew when it
+/// can't be opened in time, breaks, or falls silent: the peer acknowledges what
+/// it received, and a connection over which nothing comes back is given up, as
+/// a broken path may leave it open for good. Messages that were on it are lost;
+/// those that wait too long are dropped. All on one event loop.
+class OutboundLink : public std::enable_shared_from_this<OutboundLink> {
+public:
+  /// Called when the peer is reached again or lost.
+  using StateHandler = std::function<void(bool reached, std::string reason)>;
+  /// Called with the number of messages that were dropped.
+  using DropHandler = std::function<void(std::size_t count)>;
+
+  OutboundLink(asio::io_context &loop, asio::ip::tcp::endpoint peer,
+               StateHandler onState, DropHandler onDrop);
+
+  void send(std::string payload);
+  void close();
+
+private:
+  struct Waiting {
+    std::string Payload;
+    SteadyTime At;
+  };
+
+  void connect();
+  void retryLater();
+  void fail(const std::string &reason);
+  void write();
+  void readAcknowledgement();
+  void watch();
+  void dropStale();
+
+  asio::io_context &Loop;
+  const asio::ip::tcp::endpoint Peer;
+  StateHandler OnState;
+  DropHandler OnDrop;
+  asio::ip::tcp::socket Socket;
+  asio::steady_timer Timer;
+  asio::steady_timer Watch;
+  /// Rises with each connection, so that late callbacks are told apart.
+  std::uint64_t Attempt = 0;
+  bool Closed = false;
+  bool Opening = false;
+  bool Open = false;
+  bool Writing = false;
+  bool Reached = true;
+  bool Watching = false;
+  std::deque<Waiting> Queue;
+  std::string Outgoing;
+  std::uint32_t Sent = 0;
+  std::uint32_t Acknowledged = 0;
+  SteadyTime ProgressAt{};
+  std::array<char, 64> Received{};
+  std::string PartialAck;
+};
+
+} // namespace masticwinch::peers::internal
--- a/src/masticwinch/peers/mailbox.cpp
+++ b/src/masticwinch/peers/mailbox.cpp
@@ -1,15 +1,20 @@
 #include "masticwinch/peers/mailbox.hpp"
 
 #include "masticwinch/events/event_log.hpp"
+#include "masticwinch/peers/internal/inbound_link.hpp"
+#include "masticwinch/peers/internal/outbound_link.hpp"
 #include "masticwinch/protocol/envelope.pb.h"
 
-#include <nng/nng.h>
-#include <nng/protocol/pipeline0/pull.h>
-#include <nng/protocol/pipeline0/push.h>
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
 
 #include <atomic>
+#include <charconv>
 #include <future>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <stdexcept>
 #include <thread>
 #include <unordered_map>
@@ -19,8 +24,9 @@
 enum class MailboxEvent : std::uint8_t {
   Garbage,
   OtherCluster,
-  DialFailed,
-  CloseStuck,
+  BadAddress,
+  PeerLost,
+  PeerReached,
 };
 
 } // namespace masticwinch::peers
@@ -28,11 +34,12 @@
 namespace masticwinch {
 
 template <> struct EnumNames<peers::MailboxEvent> {
-  static constexpr std::array<EnumName<peers::MailboxEvent>, 4> Table{{
+  static constexpr std::array<EnumName<peers::MailboxEvent>, 5> Table{{
       {peers::MailboxEvent::Garbage, "message_garbage"},
       {peers::MailboxEvent::OtherCluster, "message_of_other_cluster"},
-      {peers::MailboxEvent::DialFailed, "message_dial_failed"},
-      {peers::MailboxEvent::CloseStuck, "message_close_stuck"},
+      {peers::MailboxEvent::BadAddress, "message_address_malformed"},
+      {peers::MailboxEvent::PeerLost, "peer_lost"},
+      {peers::MailboxEvent::PeerReached, "peer_reached"},
   }};
 };
 
@@ -42,47 +49,89 @@
 
 namespace {
 
-constexpr int SendQueueMessages = 512;
-constexpr nng_duration ReconnectMinMs = 50;
-constexpr nng_duration ReconnectMaxMs = 500;
+using asio::ip::tcp;
 
-/// Longest time that stopping waits for the sockets to close.
-constexpr Milliseconds CloseLimit{1'000};
+/// The end point of `tcp://IP:PORT`.
+std::optional<tcp::endpoint> endpointOf(const std::string &address) {
+  constexpr std::string_view Scheme = "tcp://";
+  const std::size_t colon = address.rfind(':');
+  if (!address.starts_with(Scheme) || colon < Scheme.size()) {
+    return std::nullopt;
+  }
+  std::error_code ec;
+  const asio::ip::address ip = asio::ip::make_address(
+      address.substr(Scheme.size(), colon - Scheme.size()), ec);
+  std::uint16_t port = 0;
+  const char *last = address.data() + address.size();
+  const auto [end, error] =
+      std::from_chars(address.data() + colon + 1, last, port);
+  if (ec || error != std::errc() || end != last) {
+    return std::nullopt;
+  }
+  return tcp::endpoint(ip, port);
+}
 
 } // namespace
 
 struct Mailbox::Implementation {
   Implementation(const MailboxOptions &options, MailboxHandler handler,
                  EventLog &events)
-      : Options(options), Handler(std::move(handler)), Events(events) {}
+      : Options(options), Handler(std::move(handler)), Events(events),
+        Acceptor(Loop), Work(asio::make_work_guard(Loop)) {}
 
-  static void onReceived(void *argument) {
-    static_cast<Implementation *>(argument)->takeReceived();
-  }
-
-  void takeReceived() {
-    if (nng_aio_result(Receiving) != 0) {
-      return;
+  void listen() {
+    const auto endpoint = endpointOf(Options.Address);
+    if (!endpoint) {
+      throw std::runtime_error("can't listen on " + Options.Address +
+                               ": must be tcp://IP:PORT");
     }
-    nng_msg *message = nng_aio_get_msg(Receiving);
-    take(message);
-    nng_msg_free(message);
-    if (!Stopped) {
-      nng_recv_aio(Inbox, Receiving);
+    try {
+      Acceptor.open(endpoint->protocol());
+      Acceptor.set_option(tcp::acceptor::reuse_address(true));
+      Acceptor.bind(*endpoint);
+      Acceptor.listen();
+    } catch (const std::system_error &error) {
+      throw std::runtime_error("can't listen on " + Options.Address + ": " +
+                               error.what());
     }
+    accept();
+    Thread = std::thread([this] { Loop.run(); });
   }
 
-  void take(nng_msg *message) {
-    std::lock_guard lock(HandlerMutex);
+  void accept() {
+    Acceptor.async_accept(
+        [this](const std::error_code &ec, tcp::socket socket) {
+          if (ec == asio::error::operation_aborted) {
+            return;
+          }
+          if (!ec) {
+            admit(std::move(socket));
+          }
+          accept();
+        });
+  }
+
+  void admit(tcp::socket socket) {
+    const auto link = std::make_shared<internal::InboundLink>(
+        std::move(socket), Options.MaxMessageBytes,
+        [this](std::string_view payload) { take(payload); },
+        [this](const std::shared_ptr<internal::InboundLink> &it) {
+          Inbound.erase(it);
+        });
+    Inbound.insert(link);
+    link->start();
+  }
+
+  void take(std::string_view payload) {
     if (Stopped) {
       return;
     }
     ReceivedMessages += 1;
-    ReceivedBytes += nng_msg_len(message);
+    ReceivedBytes += payload.size();
     protocol::Envelope envelope;
-    if (!envelope.ParseFromArray(nng_msg_body(message),
-                                 static_cast<int>(nng_msg_len(message)))) {
-      Events.write(MailboxEvent::Garbage, {{"bytes", nng_msg_len(message)}});
+    if (!envelope.ParseFromArray(payload.data(),
+                                 static_cast<int>(payload.size()))) {
+      Events.write(MailboxEvent::Garbage, {{"bytes", payload.size()}});
       return;
     }
     if (envelope.cluster() != Options.Cluster) {
@@ -96,51 +145,58 @@
     Handler(std::move(envelope));
   }
 
-  /// The socket that pushes to an address, opened at the first use.
-  nng_socket socketFor(const std::string &address) {
-    std::lock_guard lock(Mutex);
-    const auto it = Outboxes.find(address);
-    if (it != Outboxes.end()) {
-      return it->second;
+  void push(const std::string &address, std::string payload) {
+    auto it = Outbound.find(address);
+    if (it == Outbound.end()) {
+      it = Outbound.emplace(address, openLink(address)).first;
     }
-    nng_socket socket = NNG_SOCKET_INITIALIZER;
-    if (nng_push0_open(&socket) != 0) {
-      return socket;
+    if (!it->second) {
+      DroppedMessages += 1;
+      return;
     }
-    nng_socket_set_int(socket, NNG_OPT_SENDBUF, SendQueueMessages);
-    nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, ReconnectMinMs);
-    nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, ReconnectMaxMs);
-    const int ec =
-        nng_dial(socket, address.c_str(), nullptr, NNG_FLAG_NONBLOCK);
-    if (ec != 0) {
-      Events.write(MailboxEvent::DialFailed,
-                   {{"address", address}, {"reason", nng_strerror(ec)}});
+    it->second->send(std::move(payload));
+  }
+
+  /// Null for a malformed address.
+  std::shared_ptr<internal::OutboundLink> openLink(const std::string &address) {
+    const auto endpoint = endpointOf(address);
+    if (!endpoint) {
+      Events.write(MailboxEvent::BadAddress, {{"address", address}});
+      return nullptr;
     }
-    Outboxes.emplace(address, socket);
-    return socket;
+    return std::make_shared<internal::OutboundLink>(
+        Loop, *endpoint,
+        [this, address](bool reached, const std::string &reason) {
+          Events.write(reached ? MailboxEvent::PeerReached
+                               : MailboxEvent::PeerLost,
+                       {{"address", address}, {"reason", reason}});
+        },
+        [this](std::size_t count) { DroppedMessages += count; });
   }
 
-  /// Closes every socket. nng 1.5 sometimes never returns from closing a
-  /// socket on which messages arrive.
   void close() {
-    nng_close(Inbox);
-    nng_aio_stop(Receiving);
-    nng_aio_free(Receiving);
-    std::lock_guard lock(Mutex);
-    for (const auto &it : Outboxes) {
-      nng_close(it.second);
+    std::error_code ec;
+    Acceptor.close(ec);
+    for (const auto &it : std::exchange(Inbound, {})) {
+      it->close();
+    }
+    for (const auto &[address, link] : std::exchange(Outbound, {})) {
+      if (link) {
+        link->close();
+      }
     }
   }
 
   const MailboxOptions Options;
   MailboxHandler Handler;
   EventLog &Events;
-  /// Held while the handler runs and while `Stopped` is set.
-  std::mutex HandlerMutex;
-  nng_socket Inbox = NNG_SOCKET_INITIALIZER;
-  nng_aio *Receiving = nullptr;
-  std::mutex Mutex;
-  std::unordered_map<std::string, nng_socket> Outboxes;
+  asio::io_context Loop{1};
+  tcp::acceptor Acceptor;
+  asio::executor_work_guard<asio::io_context::executor_type> Work;
+  std::thread Thread;
+  std::set<std::shared_ptr<internal::InboundLink>> Inbound;
+  std::unordered_map<std::string, std::shared_ptr<internal::OutboundLink>>
+      Outbound;
   std::atomic<bool> Stopped = false;
   std::atomic<std::uint64_t> SentMessages = 0;
   std::atomic<std::uint64_t> SentBytes = 0;
@@ -156,23 +212,7 @@
 
 Mailbox::~Mailbox() { stop(); }
 
-void Mailbox::start() {
-  int ec = nng_pull0_open(&Impl->Inbox);
-  if (ec == 0) {
-    nng_socket_set_size(Impl->Inbox, NNG_OPT_RECVMAXSZ,
-                        Options.MaxMessageBytes);
-    ec = nng_listen(Impl->Inbox, Options.Address.c_str(), nullptr, 0);
-  }
-  if (ec == 0) {
-    ec = nng_aio_alloc(&Impl->Receiving, &Implementation::onReceived,
-                       Impl.get());
-  }
-  if (ec != 0) {
-    throw std::runtime_error("can't listen on " + Options.Address + ": " +
-                             nng_strerror(ec));
-  }
-  nng_recv_aio(Impl->Inbox, Impl->Receiving);
-}
+void Mailbox::start() { Impl->listen(); }
 
 void Mailbox::send(const std::string &address, protocol::Envelope envelope,
                    EnvelopeHead head) {
@@ -189,14 +229,12 @@
   envelope.set_hlc_millis(stamp.Millis);
   envelope.set_hlc_counter(stamp.Counter);
   std::string bytes = envelope.SerializeAsString();
-  const int ec = nng_send(Impl->socketFor(address), bytes.data(), bytes.size(),
-                          NNG_FLAG_NONBLOCK);
-  if (ec != 0) {
-    Impl->DroppedMessages += 1;
-    return;
-  }
   Impl->SentMessages += 1;
   Impl->SentBytes += bytes.size();
+  asio::post(Impl->Loop, [impl = Impl.get(), address,
+                          payload = std::move(bytes)]() mutable {
+    impl->push(address, std::move(payload));
+  });
 }
 
 MailboxTraffic Mailbox::traffic() const {
@@ -205,27 +243,15 @@
 }
 
 void Mailbox::stop() {
-  {
-    std::lock_guard lock(Impl->HandlerMutex);
-    if (Impl->Stopped.exchange(true)) {
-      return;
-    }
-  }
-  if (Impl->Receiving == nullptr) {
+  if (Impl->Stopped.exchange(true) || !Impl->Thread.joinable()) {
     return;
   }
-  std::promise<void> closed;
-  std::future<void> end = closed.get_future();
-  std::thread closing([impl = Impl, closed = std::move(closed)]() mutable {
+  asio::post(Impl->Loop, [impl = Impl.get()] {
     impl->close();
-    closed.set_value();
+    impl->Work.reset();
+    impl->Loop.stop();
   });
-  if (end.wait_for(CloseLimit) == std::future_status::ready) {
-    closing.join();
-    return;
-  }
-  Impl->Events.write(MailboxEvent::CloseStuck);
-  closing.detach();
+  Impl->Thread.join();
 }
 
 } // namespace masticwinch::peers
--- a/src/masticwinch/peers/mailbox.hpp
+++ b/src/masticwinch/peers/mailbox.hpp
@@ -45,7 +45,7 @@
   std::uint64_t DroppedMessages = 0;
 };
 
-/// Called with each message of the own cluster, from a thread of nng.
+/// Called with each message of the own cluster, from the mailbox's thread.
 using MailboxHandler = std::function<void(protocol::Envelope)>;
 
 /// Messages between the system's own processes: one listening address a
@@ -72,8 +72,8 @@
 
   const MailboxOptions &options() const { return Options; }
 
-  /// Closes all sockets; no handler runs after this returns. Sockets that don't
-  /// close in time are left to the end of the process, with an event.
+  /// Closes all connections; no handler runs after this returns. Not to be
+  /// called from the handler.
   void stop();
 
 private:
--- a/src/masticwinch/workflow/entry_gateway.hpp
+++ b/src/masticwinch/workflow/entry_gateway.hpp
@@ -27,11 +27,11 @@
   /// Control VMs known from the settings.
   std::vector<std::string> Controls;
   /// Time between hellos to the leader.
-  Milliseconds HelloInterval{500};
+  Milliseconds HelloInterval{350};
   /// Time between hellos to all control VMs while no leader is known.
   Milliseconds SearchInterval{100};
   /// The leader is lost when it has not answered for this long.
-  Milliseconds LeaderSilence{1200};
+  Milliseconds LeaderSilence{800};
   /// A call is sent again after this time without an answer.
   Milliseconds ResendAfter{400};
   /// Longest time that a call waits for a leader; about an election.
--- a/src/masticwinch/workflow/workflow_settings.hpp
+++ b/src/masticwinch/workflow/workflow_settings.hpp
@@ -19,6 +19,15 @@
   std::string AdviceAddress;
 };
 
+/// Options for elections within a second.
+inline replication::ReplicaOptions quickElections() {
+  replication::ReplicaOptions options;
+  options.HeartbeatInterval = Milliseconds(150);
+  options.ElectionTimeoutMin = Milliseconds(550);
+  options.ElectionTimeoutMax = Milliseconds(850);
+  return options;
+}
+
 /// Settings of a control VM; docs/settings.md describes the file.
 struct ControlVmSettings {
   DaemonSettings Daemon;
@@ -29,7 +38,9 @@
   bool FirstStart = false;
   /// Limit of the runners' leases, in milliseconds.
   Milliseconds LongestLease{10'000};
-  replication::ReplicaOptions Replica;
+  /// Elections are quicker than the default, since callers wait for a few
+  /// seconds at most; a message between data centres takes some 2 ms.
+  replication::ReplicaOptions Replica = quickElections();
   /// Committed records after which the state is stored anew.
   std::uint64_t SnapshotEntries = 4000;
 };
