Keep runners for gangs that wait, and compare orders of waiting

Ruled out: holding runners for all waiting gangs (idle cores); first come and plain priority, which the model now plays beside.

Change: the first waiting gangs keep the fewest runners on which they are expected to fit soonest; longer work goes elsewhere. Leases of runners are 3.2 s, as a change of leader takes under 1 s now.

--- a/benchmarks/workflow_model.hpp
+++ b/benchmarks/workflow_model.hpp
@@ -53,6 +53,16 @@
   std::size_t TooLate = 0;
   std::size_t Refused = 0;
   std::vector<double> StartMs;
+
+  ModelOutcome &operator+=(const ModelOutcome &other) {
+    Arrived += other.Arrived;
+    OnTime += other.OnTime;
+    Late += other.Late;
+    TooLate += other.TooLate;
+    Refused += other.Refused;
+    StartMs.insert(StartMs.end(), other.StartMs.begin(), other.StartMs.end());
+    return *this;
+  }
 };
 
 /// Drives the leader's decisions with generated arrivals, work times, approvals
@@ -61,7 +71,8 @@
 class WorkflowModel {
 public:
   explicit WorkflowModel(ModelOptions options)
-      : Options(std::move(options)), Engine(Options.Seed) {
+      : Options(std::move(options)), Engine(Options.Seed),
+        WorkEngine(Options.Seed) {
     configure();
     addRunners();
     Leader =
@@ -246,10 +257,14 @@
   }
 
   double lognormal(double mean, double spread) {
+    return lognormal(mean, spread, Engine);
+  }
+
+  static double lognormal(double mean, double spread, std::mt19937_64 &engine) {
     const double sigma = std::sqrt(std::log(1 + spread * spread));
     std::lognormal_distribution<double> drawn(
         std::log(mean) - sigma * sigma / 2, sigma);
-    return drawn(Engine);
+    return drawn(engine);
   }
 
   void arrive(std::size_t i) {
@@ -336,8 +351,8 @@
   }
 
   SteadyTime::duration workTime(const protocol::StepSpec &spec) {
-    const double seconds =
-        spec.estimate_ms() / 1000.0 * std::max(0.5, lognormal(1, 0.15));
+    const double seconds = spec.estimate_ms() / 1000.0 *
+                           std::max(0.5, lognormal(1, 0.15, WorkEngine));
     return std::chrono::duration_cast<SteadyTime::duration>(duration(seconds));
   }
 
@@ -478,7 +493,9 @@
   }
 
   ModelOptions Options;
+  /// Draws arrivals, so that they are the same under every policy.
   std::mt19937_64 Engine;
+  std::mt19937_64 WorkEngine;
   SteadyTime Start{std::chrono::seconds(1000)};
   SteadyTime Now = Start;
   std::multimap<SteadyTime, std::function<void()>> Events;
--- a/benchmarks/workflow_overload.cpp
+++ b/benchmarks/workflow_overload.cpp
@@ -19,28 +19,51 @@
   std::printf("figure=%s value=%.4g unit=%s\n", figure.c_str(), value, unit);
 }
 
-void report(const std::string &name, const ModelOptions &options) {
-  WorkflowModel model(options);
-  model.run();
-  for (const auto &[queue, it] : model.outcomes()) {
-    const std::string head = name + "." + queue;
-    const double all = double(std::max<std::size_t>(it.Arrived, 1));
-    print(head + ".on_time", double(it.OnTime) / all, "share");
-    print(head + ".late", double(it.Late) / all, "share");
-    print(head + ".refused", double(it.Refused) / all, "share");
+/// A policy to compare.
+struct Policy {
+  std::string Name;
+  workflow::OrderPolicy Order;
+  bool ReserveForGangs;
+};
+
+/// Sums up some runs of one policy.
+void report(const Policy &policy, ModelOptions options, int runs) {
+  options.Leader.Order = policy.Order;
+  options.Leader.ReserveForGangs = policy.ReserveForGangs;
+  std::map<std::string, ModelOutcome> all;
+  double earned = 0;
+  double busy = 0;
+  double decisions = 0;
+  for (int i = 0; i < runs; ++i) {
+    options.Seed = std::uint64_t(i + 1);
+    WorkflowModel model(options);
+    model.run();
+    for (const auto &[queue, it] : model.outcomes()) {
+      all[queue] += it;
+    }
+    earned += model.earnedShare() / runs;
+    busy += model.busyShare() / runs;
+    decisions += model.processorSeconds() / model.simulatedSeconds() / runs;
+  }
+  for (const auto &[queue, it] : all) {
+    const std::string head = policy.Name + "." + queue;
+    const double count = double(std::max<std::size_t>(it.Arrived, 1));
+    print(head + ".on_time", double(it.OnTime) / count, "share");
+    print(head + ".late", double(it.Late) / count, "share");
+    print(head + ".refused", double(it.Refused) / count, "share");
     print(head + ".start_p50", percentile(it.StartMs, 0.5), "ms");
     print(head + ".start_p95", percentile(it.StartMs, 0.95), "ms");
   }
-  print(name + ".earned", model.earnedShare(), "share");
-  print(name + ".busy", model.busyShare(), "share");
-  print(name + ".decisions",
-        model.processorSeconds() / model.simulatedSeconds(), "cores");
+  print(policy.Name + ".earned", earned, "share");
+  print(policy.Name + ".busy", busy, "share");
+  print(policy.Name + ".decisions", decisions, "cores");
 }
 
 } // namespace
 
 /// Prints what the decisions make of calm and overloaded fleets. Arguments: the
-/// number of runners (48), the load against a calm day (1), seconds (30).
+/// number of runners (48), the load against a calm day (1), seconds (30), runs
+/// with other seeds (3).
 int main(int argc, char **argv) {
   ModelOptions options;
   options.Runners = argc > 1 ? std::size_t(std::atoi(argv[1])) : 48;
@@ -48,6 +71,12 @@
   options.Seconds = argc > 3 ? std::atof(argv[3]) : 30;
   options.Agents = options.Runners > 96 ? 42 : 11;
   options.Queues = priceQueues(load, double(options.Runners) / 48);
-  report("fleet", options);
+  const int runs = argc > 4 ? std::atoi(argv[4]) : 3;
+  using workflow::OrderPolicy;
+  report({"first_come", OrderPolicy::FirstCome, false}, options, runs);
+  report({"priority", OrderPolicy::Priority, false}, options, runs);
+  report({"on_time_first", OrderPolicy::OnTimeFirst, false}, options, runs);
+  report({"on_time_first_reserving", OrderPolicy::OnTimeFirst, true}, options,
+         runs);
   return 0;
 }
--- /dev/null
+++ b/src/masticwinch/coordination/workflow/gang_reservation.cpp
@@ -0,0 +1,75 @@
+#include "masticwinch/coordination/workflow/gang_reservation.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace masticwinch::workflow {
+
+namespace {
+
+/// Horizons that are tried; runs last some seconds.
+constexpr std::array<Milliseconds, 6> Horizons{
+    Milliseconds(250),  Milliseconds(500),  Milliseconds(1000),
+    Milliseconds(2000), Milliseconds(3500), Milliseconds(6000)};
+
+std::size_t fitting(Room room, const Room &needs) {
+  std::size_t count = 0;
+  while (room.holds(needs)) {
+    room -= needs;
+    ++count;
+    if (needs == Room()) {
+      break;
+    }
+  }
+  return count;
+}
+
+/// Room of a runner when the runs expected to end by a time have ended.
+Room roomAt(const RunnerEntry &runner, SteadyTime when) {
+  Room room = runner.Free;
+  for (const auto &[run, it] : runner.Holdings) {
+    if (it.Since + it.Expected <= when) {
+      room += it.Needs;
+    }
+  }
+  return room;
+}
+
+} // namespace
+
+std::optional<GangReservation>
+reserveForGang(const Room &needs, std::size_t count,
+               const std::vector<const RunnerEntry *> &runners,
+               SteadyTime now) {
+  for (const Milliseconds horizon : Horizons) {
+    std::vector<std::pair<std::size_t, const RunnerEntry *>> slots;
+    std::size_t all = 0;
+    for (const RunnerEntry *it : runners) {
+      const std::size_t fit = fitting(roomAt(*it, now + horizon), needs);
+      if (fit > 0) {
+        slots.emplace_back(fit, it);
+        all += fit;
+      }
+    }
+    if (all < count) {
+      continue;
+    }
+    std::stable_sort(
+        slots.begin(), slots.end(),
+        [](const auto &a, const auto &b) { return a.first > b.first; });
+    GangReservation reservation;
+    reservation.Horizon = horizon;
+    std::size_t kept = 0;
+    for (const auto &[fit, runner] : slots) {
+      if (kept >= count) {
+        break;
+      }
+      kept += fit;
+      reservation.Runners.push_back(runner);
+    }
+    return reservation;
+  }
+  return std::nullopt;
+}
+
+} // namespace masticwinch::workflow
--- a/src/masticwinch/coordination/workflow/runner_book.hpp
+++ b/src/masticwinch/coordination/workflow/runner_book.hpp
@@ -15,10 +15,10 @@
 
 /// Timing of the orders to runners.
 struct RunnerBookOptions {
-  /// Lease of everything on a runner. It outlasts a change of leader (1.4 s of
-  /// silence, an election and a look), and is how long a runner that fell
-  /// silent blocks its tasks.
-  Milliseconds Lease{4500};
+  /// Lease of everything on a runner. It outlasts a change of leader (0.9 s of
+  /// silence, an election and a look) after a look that was about to end, and
+  /// is how long a runner that fell silent blocks its tasks.
+  Milliseconds Lease{3200};
   /// How long a runner may wait for an end before it answers a look.
   std::uint32_t LookWaitMs = 1000;
   /// Pause between looks at a runner whose tasks end, so that ends are taken
@@ -65,6 +65,8 @@
   /// When the stage was confirmed by the runner; nothing before.
   std::optional<SteadyTime> ConfirmedAt;
   SteadyTime Since{};
+  /// How long the run is expected to last.
+  Milliseconds Expected{0};
 };
 
 /// What the leader knows of one life of a runner.
--- a/src/masticwinch/coordination/workflow/step_order.hpp
+++ b/src/masticwinch/coordination/workflow/step_order.hpp
@@ -17,6 +17,15 @@
   Missed,
 };
 
+/// In which order waiting steps are tried.
+enum class OrderPolicy : std::uint8_t {
+  FirstCome,
+  /// By priority, then by time left.
+  Priority,
+  /// Those that can be on time first, then by priority and time left.
+  OnTimeFirst,
+};
+
 /// When a workflow was accepted and until when its end is of use.
 struct WorkflowTerms {
   SteadyTime Accepted{};
@@ -42,7 +51,8 @@
 
 /// Rank of a step from which on the workflow's work takes `remaining`.
 inline StepRank rankOf(const WorkflowTerms &terms, Milliseconds remaining,
-                       SteadyTime now) {
+                       SteadyTime now,
+                       OrderPolicy policy = OrderPolicy::OnTimeFirst) {
   const auto since =
       std::chrono::duration_cast<Milliseconds>(now - terms.Accepted);
   const Milliseconds end = since + remaining;
@@ -56,6 +66,12 @@
     rank.Reach = Outlook::Missed;
   }
   rank.Slack = terms.Objective - end;
+  if (policy == OrderPolicy::FirstCome) {
+    return {Outlook::OnTime, 0, -since};
+  }
+  if (policy == OrderPolicy::Priority) {
+    rank.Reach = Outlook::OnTime;
+  }
   return rank;
 }
 
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -29,6 +29,12 @@
   Milliseconds ScheduleInterval{10};
   /// Steps that one pass tries to place, best first.
   std::size_t StepsPerPass = 200;
+  /// In which order waiting steps are tried.
+  OrderPolicy Order = OrderPolicy::OnTimeFirst;
+  /// Whether runners are kept for gangs that wait for room.
+  bool ReserveForGangs = true;
+  /// One waiting gang may keep runners for each so many runners.
+  std::size_t RunnersPerReservation = 16;
   /// Waiting steps with slow advice whose tickets are kept fresh, best first.
   std::size_t SlowRenewals = 8;
   /// Shortest time between two looks for what can be forgotten.
@@ -145,6 +151,10 @@
       std::uint64_t MilliProcessors = 0;
     };
     std::map<std::string, Pool> Pools;
+    /// Runners that are kept for waiting gangs, and for how long.
+    std::unordered_map<const RunnerEntry *, Milliseconds> Reserved;
+    /// Gangs that runners still may be kept for.
+    std::size_t Reservations = 0;
     /// Slow renewals of tickets that this pass still may ask for.
     std::size_t SlowRenewals = 0;
   };
@@ -191,8 +201,11 @@
   std::vector<std::uint32_t> startable(const StepKey &key,
                                        const OpenStep &open) const;
   std::vector<PlanCandidate> candidates(const StepKey &key, bool advised,
+                                        const Fleet &fleet,
                                         const Fleet::Pool &pool,
                                         bool withTickets, Moment at) const;
+  void reserveRunners(const StepKey &key, bool advised, std::size_t tasks,
+                      Fleet &fleet, const Fleet::Pool &pool, Moment at) const;
   std::vector<std::string> adviceCandidates(const StepKey &key,
                                             const std::string &queue,
                                             std::size_t tasks,
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -1,3 +1,4 @@
+#include "masticwinch/coordination/workflow/gang_reservation.hpp"
 #include "masticwinch/coordination/workflow/queue_routes.hpp"
 #include "masticwinch/coordination/workflow/workflow_leader.hpp"
 
@@ -47,7 +48,8 @@
       continue;
     }
     const Milliseconds remaining = open.Known->Remaining[key.Step];
-    const StepRank rank = rankOf(open.Known->Order, remaining, at.Now);
+    const StepRank rank =
+        rankOf(open.Known->Order, remaining, at.Now, Options.Order);
     const protocol::StepSpec &spec = open.Flow->Spec.steps(int(key.Step));
     if (rank.Reach == Outlook::OnTime) {
       WaitingWork[rank.Priority] += tasks * std::uint64_t(spec.estimate_ms()) *
@@ -103,6 +105,8 @@
 WorkflowLeader::Fleet WorkflowLeader::fleetNow(Moment at) const {
   Fleet fleet;
   fleet.SlowRenewals = Options.SlowRenewals;
+  fleet.Reservations =
+      1 + Book.runners().size() / Options.RunnersPerReservation;
   for (const auto &[id, runner] : Book.runners()) {
     if (!Book.isUsable(runner, at.Now) || Health.isResting(id, at.Now)) {
       continue;
@@ -136,11 +140,10 @@
 
 /// Runners that may get tasks of the step; without regard to the age of their
 /// tickets if `withTickets` is false.
-std::vector<PlanCandidate> WorkflowLeader::candidates(const StepKey &key,
-                                                      bool advised,
-                                                      const Fleet::Pool &pool,
-                                                      bool withTickets,
-                                                      Moment at) const {
+std::vector<PlanCandidate>
+WorkflowLeader::candidates(const StepKey &key, bool advised, const Fleet &fleet,
+                           const Fleet::Pool &pool, bool withTickets,
+                           Moment at) const {
   std::vector<PlanCandidate> found;
   const protocol::StepSpec &spec = *State.findSpec(key);
   const Room needs = needsOf(spec);
@@ -151,6 +154,11 @@
          !runner.hasLabel(spec.required_label()))) {
       return;
     }
+    const auto kept = fleet.Reserved.find(&runner);
+    if (kept != fleet.Reserved.end() &&
+        Milliseconds(spec.estimate_ms()) > kept->second) {
+      return;
+    }
     std::uint32_t ofStep = 0;
     if (spec.max_per_runner() > 0) {
       for (const auto &[run, holding] : runner.Holdings) {
@@ -184,19 +192,48 @@
   OpenStep &open = Open.at(key);
   const protocol::StepSpec &spec = *State.findSpec(key);
   const std::vector<std::uint32_t> tasks = startable(key, open);
-  const std::vector<PlannedRun> planned =
-      planStep(spec, tasks,
-               candidates(key, queue->has_advice(), pool->second, true, at));
+  const std::vector<PlannedRun> planned = planStep(
+      spec, tasks,
+      candidates(key, queue->has_advice(), fleet, pool->second, true, at));
   const Step &step = *State.findStep(key);
   for (const PlannedRun &it : planned) {
     assign(key, open, it, nextRun(step, spec, it.Index),
            checkpointOf(step, spec, it.Index), at);
   }
+  if (spec.gang() && planned.empty() && !tasks.empty()) {
+    reserveRunners(key, queue->has_advice(), tasks.size(), fleet, pool->second,
+                   at);
+  }
   if (queue->has_advice() && planned.size() < tasks.size()) {
     askForAdvice(key, startable(key, open), *queue, fleet, at);
   }
 }
 
+/// Keeps runners for a gang that waits for room.
+void WorkflowLeader::reserveRunners(const StepKey &key, bool advised,
+                                    std::size_t tasks, Fleet &fleet,
+                                    const Fleet::Pool &pool, Moment at) const {
+  if (fleet.Reservations == 0 || !Options.ReserveForGangs) {
+    return;
+  }
+  std::vector<const RunnerEntry *> runners;
+  for (const RunnerEntry *it : pool.Runners) {
+    if (!fleet.Reserved.contains(it) &&
+        (!advised || Advice.isApproved(key, it->Info.id()))) {
+      runners.push_back(it);
+    }
+  }
+  const auto reservation =
+      reserveForGang(needsOf(*State.findSpec(key)), tasks, runners, at.Now);
+  if (!reservation) {
+    return;
+  }
+  --fleet.Reservations;
+  for (const RunnerEntry *it : reservation->Runners) {
+    fleet.Reserved[it] = reservation->Horizon;
+  }
+}
+
 /// Whom to ask about: for a gang the runners with the most room, for others
 /// the fullest that still have room, so that gangs find some.
 std::vector<std::string>
@@ -258,7 +295,7 @@
   std::vector<std::string> wanted;
   for (const PlannedRun &it :
        planStep(*State.findSpec(key), tasks,
-                candidates(key, true, pool, false, at))) {
+                candidates(key, true, fleet, pool, false, at))) {
     wanted.push_back(it.Runner->Info.id());
   }
   std::sort(wanted.begin(), wanted.end());
@@ -273,6 +310,7 @@
   const std::string runner = planned.Runner->Info.id();
   Holding holding;
   holding.Needs = needsOf(*State.findSpec(key));
+  holding.Expected = Milliseconds(State.findSpec(key)->estimate_ms());
   holding.Payload = State.find(key.Workflow)->Spec.payload();
   holding.Checkpoint = checkpoint;
   if (const std::string *ticket = Advice.ticket(key, runner, at.Now)) {
--- /dev/null
+++ b/tests/coordination/workflow/test_gang_reservation.cpp
@@ -0,0 +1,96 @@
+#include "masticwinch/coordination/workflow/gang_reservation.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "benchmarks/workflow_model.hpp"
+#include "tests/coordination/workflow/workflow_records.hpp"
+
+using namespace masticwinch;
+using namespace masticwinch::tests;
+using namespace masticwinch::workflow;
+
+namespace {
+
+const SteadyTime Now{std::chrono::seconds(100)};
+const Room Need{8000, 1024, 0};
+
+/// A runner of 32 cores on which one run of 24 cores ends after a time.
+RunnerEntry busyRunner(const std::string &id, Milliseconds left) {
+  RunnerEntry entry;
+  entry.Info = runnerOf(id);
+  entry.Free = {8000, 100'000, 0};
+  Holding holding;
+  holding.Needs = {24'000, 1024, 0};
+  holding.Since = Now;
+  holding.Expected = left;
+  entry.Holdings[{{{"other", 0, 0}, 0}, 1}] = holding;
+  return entry;
+}
+
+std::vector<const RunnerEntry *>
+pointersTo(const std::vector<RunnerEntry> &entries) {
+  std::vector<const RunnerEntry *> pointers;
+  for (const RunnerEntry &it : entries) {
+    pointers.push_back(&it);
+  }
+  return pointers;
+}
+
+} // namespace
+
+TEST_CASE("Runners are kept until enough work is expected to end",
+          "[workflow]") {
+  const std::vector<RunnerEntry> all{busyRunner("a", Milliseconds(300)),
+                                     busyRunner("b", Milliseconds(900))};
+  const auto soon = reserveForGang(Need, 5, pointersTo(all), Now);
+  REQUIRE(soon);
+  CHECK(soon->Horizon == Milliseconds(500));
+  const auto later = reserveForGang(Need, 8, pointersTo(all), Now);
+  REQUIRE(later);
+  CHECK(later->Horizon == Milliseconds(1000));
+}
+
+TEST_CASE("No more runners are kept than a gang needs", "[workflow]") {
+  const std::vector<RunnerEntry> all{busyRunner("a", Milliseconds(100)),
+                                     busyRunner("b", Milliseconds(100)),
+                                     busyRunner("c", Milliseconds(100))};
+  const auto kept = reserveForGang(Need, 4, pointersTo(all), Now);
+  REQUIRE(kept);
+  CHECK(kept->Runners.size() == 1);
+}
+
+TEST_CASE("Nothing is kept for a gang that won't fit for long", "[workflow]") {
+  const std::vector<RunnerEntry> all{busyRunner("a", Milliseconds(300))};
+  CHECK_FALSE(reserveForGang(Need, 5, pointersTo(all), Now));
+}
+
+TEST_CASE("While lookups fill the gaps, kept runners let gangs be on time",
+          "[workflow]") {
+  const auto onTime = [](bool reserve) {
+    benchmarks::ModelOptions options;
+    options.Queues = benchmarks::priceQueues(1.4, 1);
+    options.Seconds = 30;
+    options.Leader.ReserveForGangs = reserve;
+    benchmarks::WorkflowModel model(options);
+    model.run();
+    const benchmarks::ModelOutcome &sheets = model.outcomes().at("sheet");
+    const benchmarks::ModelOutcome &lookups = model.outcomes().at("lookup");
+    CHECK(double(lookups.OnTime) > 0.95 * double(lookups.Arrived));
+    return double(sheets.OnTime) / double(sheets.Arrived);
+  };
+  CHECK(onTime(true) > onTime(false));
+}
+
+TEST_CASE("In a surge on time first earns more than first come", "[workflow]") {
+  const auto earned = [](OrderPolicy order) {
+    benchmarks::ModelOptions options;
+    options.Queues = benchmarks::priceQueues(1.3, 1);
+    options.Seconds = 20;
+    options.Leader.Order = order;
+    benchmarks::WorkflowModel model(options);
+    model.run();
+    return model.earnedShare();
+  };
+  CHECK(earned(OrderPolicy::OnTimeFirst) >
+        earned(OrderPolicy::FirstCome) + 0.1);
+}
