--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -237,7 +237,10 @@
   }
   if (!fitsSomewhere(spec, route.Queue->pool())) {
     note(WorkflowEventKind::WorkflowRefused,
-         {{"workflow", spec.id()}, {"reason", "larger than every runner"}});
+         {{"workflow", spec.id()},
+          {"reason", "larger than every runner"},
+          {"queue", spec.queue()},
+          {"runners", std::to_string(Book.runners().size())}});
     protocol::WorkflowAnswer refused =
         answerOf(protocol::VERDICT_REFUSED, "larger than every runner");
     answer(refused);
@@ -247,6 +250,9 @@
     note(WorkflowEventKind::WorkflowRefused,
          {{"workflow", spec.id()},
           {"reason", "would end late"},
+          {"queue", spec.queue()},
+          {"configuration", std::to_string(State.config().version())},
+          {"steps_waiting", std::to_string(Open.size())},
           {"retry_after_ms", std::to_string(after->count())}});
     protocol::WorkflowAnswer refused =
         answerOf(protocol::VERDICT_REFUSED, "would end late");
--- a/src/masticwinch/workflow/control_vm_daemon.hpp
+++ b/src/masticwinch/workflow/control_vm_daemon.hpp
@@ -60,7 +60,7 @@
         Calls(Context), Runners(Calls),
         Delegated(Runners, Context, Mailbox, Time),
         Advice(Calls, settings.Daemon.AdviceAddress), Agent(Advice, Mailbox),
-        Workflows(Context, Log, Mailbox, Delegated, Time, Events,
+        Workflows(Context, Log, Mailbox, Delegated, Time, Events, Metrics,
                   leaderOptionsOf(settings)),
         Api(*this),
         Server(programs::serverOptions(settings.Control),
--- a/src/masticwinch/workflow/workflow_driver.hpp
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -4,6 +4,8 @@
 #include "masticwinch/control/command_log.hpp"
 #include "masticwinch/coordination/workflow/workflow_leader.hpp"
 #include "masticwinch/events/event_log.hpp"
+#include "masticwinch/metrics/histogram.hpp"
+#include "masticwinch/metrics/metric_registry.hpp"
 #include "masticwinch/protocol/envelope.pb.h"
 #include "masticwinch/workflow/runner_calls.hpp"
 
@@ -28,9 +30,13 @@
 public:
   WorkflowDriver(asio::io_context &context, Log &log, Sender &outbox,
                  Calls &runners, const Clock &clock, EventLog &events,
-                 WorkflowLeaderOptions options)
+                 MetricRegistry &metrics, WorkflowLeaderOptions options)
       : Commands(log), Outbox(outbox), Runners(runners), Time(clock),
-        Events(events), Options(options), PumpTimer(context) {}
+        Events(events), Metrics(metrics), Options(options), PumpTimer(context),
+        StoreSeconds(
+            metrics.histogram({"masticwinch_workflow_store_seconds",
+                               "From proposing decisions to their storage by "
+                               "a quorum."})) {}
 
   const WorkflowState &state() const { return State; }
   const WorkflowLeader *leader() const { return Leader.get(); }
@@ -48,7 +54,10 @@
     State.apply(parsed);
     const auto batch = Waiting.extract(position);
     if (Leader && !batch.empty()) {
-      Leader->stored(batch.mapped(), at());
+      StoreSeconds.record(
+          std::chrono::duration<double>(Time.now() - batch.mapped().ProposedAt)
+              .count());
+      Leader->stored(batch.mapped().Batch, at());
       pump();
     }
   }
@@ -118,6 +127,12 @@
   /// Decisions gather for this long, a fraction of a sync.
   static constexpr Milliseconds GatherTime{4};
 
+  /// A batch on its way, and since when.
+  struct Proposed {
+    ProposedBatch Batch;
+    SteadyTime ProposedAt;
+  };
+
   Moment at() const {
     const auto wall = std::chrono::duration_cast<Milliseconds>(
         Time.systemNow().time_since_epoch());
@@ -126,7 +141,7 @@
 
   void takeCall(const protocol::Envelope &envelope) {
     const protocol::WorkflowCall &call = envelope.workflow_call();
-    const std::string address = envelope.reply_address();
+    const std::string &address = envelope.reply_address();
     const auto reply = [this, address,
                         number = call.call()](protocol::WorkflowAnswer answer) {
       protocol::Envelope made;
@@ -257,7 +272,8 @@
                           {{"batches", Unproposed.size()}});
         return;
       }
-      Waiting.emplace(*position, std::move(Unproposed.front()));
+      Waiting.emplace(*position,
+                      Proposed{std::move(Unproposed.front()), Time.now()});
       Unproposed.pop_front();
     }
   }
@@ -265,6 +281,11 @@
   void writeEvents(const WorkflowEffects &effects) {
     for (const WorkflowEvent &it : effects.Events) {
       Events.writeFields(nameOf(it.Kind), it.Fields);
+      Metrics
+          .counter({"masticwinch_workflow_decisions_total",
+                    "What the leader decided or learnt, by event.",
+                    {{"event", std::string(nameOf(it.Kind))}}})
+          .add(1);
     }
   }
 
@@ -273,16 +294,18 @@
   Calls &Runners;
   const Clock &Time;
   EventLog &Events;
+  MetricRegistry &Metrics;
   WorkflowLeaderOptions Options;
   WorkflowState State;
   std::unique_ptr<WorkflowLeader> Leader;
   std::uint64_t LeaderTerm = 0;
   asio::steady_timer PumpTimer;
+  Histogram &StoreSeconds;
   bool PumpDue = false;
   SteadyTime LastPump{};
   /// Batches that the log has not taken yet, oldest first.
   std::deque<ProposedBatch> Unproposed;
-  std::map<control::LogPosition, ProposedBatch> Waiting;
+  std::map<control::LogPosition, Proposed> Waiting;
 };
 
 } // namespace masticwinch::workflow
