Renew tickets for just the runners that a gang would use

Ruled out: lost ends (each broken run had its record); more renewals at once (the service takes one call of a VM at a time).

Change: a step that fits on approved runners renews these alone, and a gang keeps them for 500 ms meanwhile; one that fits nowhere asks about further runners. A workflow has begun when a runner said so, or a run ended.

--- a/src/masticwinch/coordination/workflow/advice_book.cpp
+++ b/src/masticwinch/coordination/workflow/advice_book.cpp
@@ -59,7 +59,8 @@
 }
 
 void AdviceBook::call(const StepKey &step, StepAdvice &advice,
-                      std::vector<std::string> runners, SteadyTime now) {
+                      std::vector<std::string> runners, bool renewal,
+                      SteadyTime now) {
   if (runners.size() > Options.RunnersPerCall) {
     runners.resize(Options.RunnersPerCall);
   }
@@ -80,7 +81,7 @@
       Options.CallSlack;
   advice.CallOut = true;
   Open[made.Order] = {step, agent->first, std::move(runners),
-                      now + made.Timeout + Options.CallSlack};
+                      now + made.Timeout + Options.CallSlack, renewal};
   Calls.push_back(std::move(made));
 }
 
@@ -105,7 +106,7 @@
   std::copy_if(
       candidates.begin(), candidates.end(), std::back_inserter(unasked),
       [&](const std::string &it) { return !advice.Asked.contains(it); });
-  call(step, advice, std::move(unasked), now);
+  call(step, advice, std::move(unasked), false, now);
 }
 
 bool AdviceBook::renew(const StepKey &step,
@@ -125,7 +126,7 @@
                approved->second.Until <= soon;
       });
   if (due && !advice.CallOut && now >= advice.NotBefore) {
-    call(step, advice, runners, now);
+    call(step, advice, runners, true, now);
   }
   return advice.CallOut;
 }
@@ -174,7 +175,9 @@
   }
   const bool firstAsk = !advice.Known;
   advice.Known = true;
-  advice.AskFurtherAt = now + Options.AskFurtherAfter;
+  if (firstAsk || !call.mapped().Renewal) {
+    advice.AskFurtherAt = now + Options.AskFurtherAfter;
+  }
   advice.Asked.insert(call.mapped().Runners.begin(),
                       call.mapped().Runners.end());
   const Milliseconds valid = validity.count() > 0
--- a/src/masticwinch/coordination/workflow/advice_book.hpp
+++ b/src/masticwinch/coordination/workflow/advice_book.hpp
@@ -159,12 +159,13 @@
     std::string Agent;
     std::vector<std::string> Runners;
     SteadyTime Deadline;
+    bool Renewal = false;
   };
 
   static Milliseconds costOf(const protocol::AdviceTerms &terms,
                              std::size_t runners);
   void call(const StepKey &step, StepAdvice &advice,
-            std::vector<std::string> runners, SteadyTime now);
+            std::vector<std::string> runners, bool renewal, SteadyTime now);
   std::map<std::string, Agent>::iterator freeAgent(bool slow, SteadyTime now);
 
   AdviceBookOptions Options;
--- a/src/masticwinch/coordination/workflow/runner_book.cpp
+++ b/src/masticwinch/coordination/workflow/runner_book.cpp
@@ -194,6 +194,7 @@
       answer == OrderAnswer::NoRoom || answer == OrderAnswer::TicketInvalid ||
       answer == OrderAnswer::Unwell || answer == OrderAnswer::Late;
   if (answer == OrderAnswer::Done) {
+    Out.Confirmed.push_back(run);
     it->Stage = HoldingStage::Running;
     it->ConfirmedAt = now;
   } else if (neverRan && !it->Unanswered) {
@@ -283,6 +284,7 @@
     held.Checkpoint = it.Checkpoint;
     if (held.Stage == HoldingStage::Inherited ||
         held.Stage == HoldingStage::Starting) {
+      Out.Confirmed.push_back(it.Run);
       held.Stage = HoldingStage::Running;
       held.ConfirmedAt = now;
       held.Since = now;
--- a/src/masticwinch/coordination/workflow/runner_book.hpp
+++ b/src/masticwinch/coordination/workflow/runner_book.hpp
@@ -112,6 +112,8 @@
   std::vector<StopOrder> Stops;
   std::vector<LookOrder> Looks;
   std::vector<ObservedEnd> Ends;
+  /// Runs that runners said to run.
+  std::vector<RunKey> Confirmed;
   /// Runners whose life is over.
   std::vector<std::string> Gone;
   bool Deposed = false;
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -129,7 +129,8 @@
     CountedAt = at.Now;
     Unbegun.clear();
     for (const auto &[id, workflow] : State.workflows()) {
-      if (!workflow.Started && !isFinal(workflow.CurrentPhase)) {
+      if (!workflow.Started && !isFinal(workflow.CurrentPhase) &&
+          !SeenRunning.contains(id)) {
         Unbegun[workflow.Spec.queue()] += 1;
       }
     }
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -16,6 +16,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace masticwinch::workflow {
@@ -34,7 +35,12 @@
   /// Whether runners are kept for gangs that wait for room.
   bool ReserveForGangs = true;
   /// One waiting gang may keep runners for each so many runners.
-  std::size_t RunnersPerReservation = 16;
+  std::size_t RunnersPerReservation = 48;
+  /// A gang keeps the runners on which it fits for this long while their
+  /// tickets are renewed.
+  Milliseconds KeepForTickets{500};
+  /// Runners whose tickets are kept fresh for a step that fits nowhere yet.
+  std::size_t RunnersPerRenewal = 40;
   /// Waiting steps with slow advice whose tickets are kept fresh, best first.
   std::size_t SlowRenewals = 8;
   /// Shortest time between two looks for what can be forgotten.
@@ -197,6 +203,9 @@
   void askForAdvice(const StepKey &key, const std::vector<std::uint32_t> &tasks,
                     const protocol::QueueConfig &queue, Fleet &fleet,
                     Moment at);
+  void askFurther(const StepKey &key, std::size_t tasks,
+                  const std::string &queue, const Fleet::Pool &pool,
+                  Fleet &fleet, Moment at);
   Fleet fleetNow(Moment at) const;
   std::vector<std::uint32_t> startable(const StepKey &key,
                                        const OpenStep &open) const;
@@ -232,6 +241,8 @@
   /// Submissions that are being stored, and who waits for them.
   std::map<std::string, std::vector<AnswerWorkflow>> Accepting;
   SteadyTime NextCleaning{};
+  /// Workflows of which a runner said to run a task.
+  std::unordered_set<std::string> SeenRunning;
   /// Workflows by queue that have not begun, and when they were counted.
   std::unordered_map<std::string, std::uint64_t> Unbegun;
   std::optional<SteadyTime> CountedAt;
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -130,6 +130,7 @@
        {{"workflow", id},
         {"phase", std::string(nameOf(workflow->CurrentPhase))}});
   Timed.erase(id);
+  SeenRunning.erase(id);
   const auto first = Open.lower_bound({id, 0, 0});
   auto last = first;
   while (last != Open.end() && last->first.Workflow == id) {
@@ -184,6 +185,9 @@
             std::back_inserter(Out.Stops));
   std::move(effects.Looks.begin(), effects.Looks.end(),
             std::back_inserter(Out.Looks));
+  for (const RunKey &it : effects.Confirmed) {
+    SeenRunning.insert(it.Task.Step.Workflow);
+  }
   for (ObservedEnd &it : effects.Ends) {
     if (it.Number > 0) {
       PendingEnds.emplace_back(it.Runner, it.Number);
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -269,40 +269,55 @@
   return ids;
 }
 
-/// Asks about a step once, and renews tickets when they are needed: those of
-/// fast calls when there is room to use them, those of slow calls ahead of it,
-/// for the steps that come first.
+/// Asks about a step once, and renews the tickets of just those runners on
+/// which it would fit now. A gang keeps them meanwhile, as its renewal takes a
+/// while.
 void WorkflowLeader::askForAdvice(const StepKey &key,
                                   const std::vector<std::uint32_t> &tasks,
                                   const protocol::QueueConfig &queue,
                                   Fleet &fleet, Moment at) {
   const Fleet::Pool &pool = fleet.Pools.at(queue.pool());
+  const protocol::StepSpec &spec = *State.findSpec(key);
   Advice.open(key, queue.name(), queue.advice());
-  if (Advice.wantsToAsk(key, at.Now)) {
-    Advice.ask(key, adviceCandidates(key, queue.name(), tasks.size(), pool),
-               at.Now);
-  }
-  if (!Advice.isKnown(key)) {
-    return;
-  }
-  if (Advice.isSlow(key)) {
-    if (fleet.SlowRenewals > 0) {
-      --fleet.SlowRenewals;
-      Advice.renew(key, Advice.approvedRunners(key), at.Now);
+  std::vector<std::string> wanted;
+  if (Advice.isKnown(key)) {
+    for (const PlannedRun &it :
+         planStep(spec, tasks, candidates(key, true, fleet, pool, false, at))) {
+      wanted.push_back(it.Runner->Info.id());
+      if (spec.gang()) {
+        fleet.Reserved.emplace(it.Runner, Options.KeepForTickets);
+      }
     }
-    return;
   }
-  std::vector<std::string> wanted;
-  for (const PlannedRun &it :
-       planStep(*State.findSpec(key), tasks,
-                candidates(key, true, fleet, pool, false, at))) {
-    wanted.push_back(it.Runner->Info.id());
+  if (wanted.empty()) {
+    askFurther(key, tasks.size(), queue.name(), pool, fleet, at);
+    return;
   }
   std::sort(wanted.begin(), wanted.end());
   wanted.erase(std::unique(wanted.begin(), wanted.end()), wanted.end());
   Advice.renew(key, wanted, at.Now);
 }
 
+/// A step that fits nowhere is asked about further runners after a while; until
+/// then the first such steps have tickets at hand for when room opens.
+void WorkflowLeader::askFurther(const StepKey &key, std::size_t tasks,
+                                const std::string &queue,
+                                const Fleet::Pool &pool, Fleet &fleet,
+                                Moment at) {
+  if (Advice.wantsToAsk(key, at.Now)) {
+    Advice.ask(key, adviceCandidates(key, queue, tasks, pool), at.Now);
+  }
+  if (!Advice.isKnown(key) || !Advice.isSlow(key) || fleet.SlowRenewals == 0) {
+    return;
+  }
+  --fleet.SlowRenewals;
+  std::vector<std::string> approved = Advice.approvedRunners(key);
+  if (approved.size() > Options.RunnersPerRenewal) {
+    approved.resize(Options.RunnersPerRenewal);
+  }
+  Advice.renew(key, approved, at.Now);
+}
+
 void WorkflowLeader::assign(const StepKey &key, OpenStep &open,
                             const PlannedRun &planned, std::uint32_t run,
                             const std::string &checkpoint, Moment at) {
--- a/src/masticwinch/coordination/workflow/workflow_state.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_state.cpp
@@ -190,7 +190,6 @@
   }
   task->Run = assign.run();
   task->Runner = assign.runner();
-  found->second.Started = true;
   found->second.CurrentPhase = Phase::Running;
 }
 
@@ -202,6 +201,7 @@
     return;
   }
   Workflow &workflow = found->second;
+  workflow.Started = workflow.Started || end.how() != protocol::RUN_LOST;
   task->Runner.clear();
   if (!end.checkpoint().empty()) {
     task->Checkpoint = end.checkpoint();
--- a/src/masticwinch/coordination/workflow/workflow_types.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_types.hpp
@@ -100,6 +100,7 @@
   std::uint64_t AcceptedAtUnixMs = 0;
   std::uint32_t MaxAttempts = 1;
   Phase CurrentPhase = Phase::Queued;
+  /// A run has ended that a runner had begun.
   bool Started = false;
   std::uint32_t OccurrencesBegun = 0;
   std::uint32_t OccurrencesDone = 0;
--- a/tests/coordination/workflow/test_workflow_state.cpp
+++ b/tests/coordination/workflow/test_workflow_state.cpp
@@ -190,3 +190,11 @@
   });
   CHECK(held);
 }
+
+TEST_CASE("A workflow whose runs were all lost has not begun", "[workflow]") {
+  WorkflowState state = stateWith({stepOf(1)});
+  runTask(state, {First, 0}, 1, protocol::RUN_LOST);
+  CHECK_FALSE(state.find("w")->Started);
+  runTask(state, {First, 0}, 2, protocol::RUN_FAILED);
+  CHECK(state.find("w")->Started);
+}
