Refuse calls at once when no leader is found for longer than an election

Cause: while all control VMs were dark, entry VMs held each request for 2 s of the caller's 3 s and then refused it, though nobody could have served it.

--- a/src/masticwinch/workflow/entry_gateway.cpp
+++ b/src/masticwinch/workflow/entry_gateway.cpp
@@ -53,9 +53,15 @@
 void EntryGateway::loseLeader() {
   Events.writeNamed("leader_lost", {{"address", Leader}});
   Leader.clear();
+  LeaderlessSince = Time.now();
   NextHello = Time.now();
 }
 
+bool EntryGateway::mayWait(const PendingCall &call) const {
+  const bool electing = Time.now() - LeaderlessSince < Options.ElectionTime;
+  return Time.now() < call.Deadline && (!Leader.empty() || electing);
+}
+
 void EntryGateway::greet() {
   NextHello = Time.now() +
               (Leader.empty() ? Options.SearchInterval : Options.HelloInterval);
@@ -82,6 +88,8 @@
   made.NextSend = Time.now();
   if (!Leader.empty()) {
     send(made);
+  } else if (!mayWait(made)) {
+    finish(number, CallOutcome::NotTaken, {});
   }
 }
 
@@ -97,7 +105,7 @@
   const SteadyTime now = Time.now();
   std::vector<std::uint64_t> over;
   for (auto &[number, it] : Calls) {
-    if (now >= it.Deadline) {
+    if (!mayWait(it)) {
       over.push_back(number);
     } else if (!Leader.empty() && now >= it.NextSend) {
       send(it);
--- a/src/masticwinch/workflow/entry_gateway.hpp
+++ b/src/masticwinch/workflow/entry_gateway.hpp
@@ -34,8 +34,12 @@
   Milliseconds LeaderSilence{800};
   /// A call is sent again after this time without an answer.
   Milliseconds ResendAfter{400};
-  /// Longest time that a call waits for a leader; about an election.
+  /// Longest time that a call waits for its answer.
   Milliseconds LongestWait{2000};
+  /// A call waits for a leader while an election may be going on. When none was
+  /// found for this long, something else is wrong, and calls are refused at
+  /// once until one is.
+  Milliseconds ElectionTime{1300};
 };
 
 /// How a call to the leader ended.
@@ -93,6 +97,7 @@
   void takeAnswer(const protocol::WorkflowAnswer &answer);
   void takeWelcome(const protocol::Envelope &envelope);
   void loseLeader();
+  bool mayWait(const PendingCall &call) const;
 
   EntryGatewayOptions Options;
   asio::io_context &Context;
@@ -103,6 +108,7 @@
   std::set<std::string> Controls;
   std::string Leader;
   SteadyTime LastWelcome{};
+  SteadyTime LeaderlessSince{};
   SteadyTime NextHello{};
   std::uint64_t HelloSequence = 0;
   std::uint64_t NextCall = 1;
--- /dev/null
+++ b/tests/workflow/test_entry_gateway.cpp
@@ -0,0 +1,64 @@
+#include "masticwinch/common/manual_clock.hpp"
+#include "masticwinch/events/event_log.hpp"
+#include "masticwinch/peers/mailbox.hpp"
+#include "masticwinch/workflow/entry_gateway.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace masticwinch;
+using namespace masticwinch::workflow;
+
+namespace {
+
+/// A gateway whose control VM is nowhere, and its clock.
+struct Fixture {
+  Fixture() { Time.advance(std::chrono::seconds(100)); }
+
+  std::optional<CallOutcome> call() {
+    std::optional<CallOutcome> outcome;
+    Gateway.call({}, Milliseconds(2000),
+                 [&](CallOutcome it, const protocol::WorkflowAnswer &) {
+                   outcome = it;
+                 });
+    return outcome;
+  }
+
+  void welcome(bool leads) {
+    protocol::Envelope envelope;
+    envelope.set_reply_address(Control);
+    envelope.mutable_agent_welcome()->set_leads(leads);
+    Gateway.receive(envelope);
+  }
+
+  const std::string Control = "tcp://127.0.0.1:1";
+  ManualClock Time;
+  EventLog Events{{"entry", 1, "/dev/null"}, Time};
+  asio::io_context Context;
+  peers::Mailbox Mailbox{{"cell", "entry", 1, "tcp://127.0.0.1:0"},
+                         [](const protocol::Envelope &) {},
+                         Events};
+  EntryGateway Gateway{{{Control}}, Context, Mailbox, Events, Time};
+};
+
+} // namespace
+
+TEST_CASE("A call waits for a leader while an election may go on",
+          "[workflow]") {
+  Fixture entry;
+  entry.welcome(true);
+  REQUIRE(entry.Gateway.isConnected());
+  entry.welcome(false);
+  CHECK_FALSE(entry.Gateway.isConnected());
+  CHECK_FALSE(entry.call());
+}
+
+TEST_CASE("A call is refused at once when no leader is found for long",
+          "[workflow]") {
+  Fixture entry;
+  entry.welcome(true);
+  entry.welcome(false);
+  entry.Time.advance(Milliseconds(1500));
+  CHECK(entry.call() == CallOutcome::NotTaken);
+  entry.welcome(true);
+  CHECK_FALSE(entry.call());
+}
