--- a/src/masticwinch/peers/internal/outbound_link.cpp
+++ b/src/masticwinch/peers/internal/outbound_link.cpp
@@ -29,7 +29,7 @@
 
 OutboundLink::OutboundLink(asio::io_context &loop, asio::ip::tcp::endpoint peer,
                            StateHandler onState, DropHandler onDrop)
-    : Loop(loop), Peer(std::move(peer)), OnState(std::move(onState)),
+    : Peer(std::move(peer)), OnState(std::move(onState)),
       OnDrop(std::move(onDrop)), Socket(loop), Timer(loop), Watch(loop) {}
 
 void OutboundLink::send(std::string payload) {
--- a/src/masticwinch/peers/internal/outbound_link.hpp
+++ b/src/masticwinch/peers/internal/outbound_link.hpp
@@ -47,7 +47,6 @@
   void watch();
   void dropStale();
 
-  asio::io_context &Loop;
   const asio::ip::tcp::endpoint Peer;
   StateHandler OnState;
   DropHandler OnDrop;
