Move ownership off silent entry VMs and share slots evenly

Cause: (1) an entry VM that was paused kept the ownership of its upstreams until it lapsed after 10 s, and the new owner then waited out the former grants.

Ruled out: lapsing earlier (it would make claims of entry VMs that freeze for 2 s unknown); a standing slot for each entry VM (renewals of idle holders cost more than the 2 KB/s of a VM).

Change: the leader marks an entry VM as yielded once its serving lease is over and another can own, and unmarks it after 15 s of steady hellos. Slot leases last 3 s instead of 1 s; holders lower nothing towards an owner that does not answer or that waits itself. A grant states a share that binds while others with less wait; free slots go to whoever has the fewest. New gauge masticwinch_upstreams_owned.

--- a/fuzzing/requests/fuzz_requests.cpp
+++ b/fuzzing/requests/fuzz_requests.cpp
@@ -31,6 +31,7 @@
         {2, StepKind::EntryDies},
         {3, StepKind::EntryStarts},
         {2, StepKind::EntryLapses},
+        {2, StepKind::EntryYields},
         {2, StepKind::EntryLeaves},
     });
     return gen::build<Step>(
--- a/fuzzing/requests/request_world.cpp
+++ b/fuzzing/requests/request_world.cpp
@@ -385,6 +385,7 @@
   out.set_name(node.Name);
   out.set_incarnation(node.Incarnation);
   out.set_leaving(false);
+  out.set_yielded(false);
 }
 
 void RequestWorld::entryLapses(std::uint8_t choice) {
@@ -395,6 +396,18 @@
   }
 }
 
+/// The leader takes the upstreams off a silent entry VM, or gives them back at
+/// any time.
+void RequestWorld::entryYields(std::uint8_t choice) {
+  Node &node = Nodes[choice % Nodes.size()];
+  const bool silent = node.LeaseEnd < now() &&
+                      (node.Machine == nullptr || node.ServingUntil < now());
+  const bool yielded = Config["entry/" + node.Name].entry().yielded();
+  if (node.Member && (yielded || silent)) {
+    change("entry/" + node.Name).mutable_entry()->set_yielded(!yielded);
+  }
+}
+
 void RequestWorld::removeEntry(Node &node) {
   node.Member = false;
   change("entry/" + node.Name).set_removed(true);
@@ -501,6 +514,9 @@
   case StepKind::EntryLapses:
     entryLapses(step.A);
     break;
+  case StepKind::EntryYields:
+    entryYields(step.A);
+    break;
   case StepKind::EntryLeaves:
     if (node != nullptr) {
       entryLeaves(*node);
--- a/fuzzing/requests/request_world.hpp
+++ b/fuzzing/requests/request_world.hpp
@@ -40,13 +40,14 @@
   EntryStarts,
   EntryLapses,
   EntryLeaves,
+  EntryYields,
 };
 
 } // namespace masticwinch::fuzzing
 
 template <> struct masticwinch::EnumNames<masticwinch::fuzzing::StepKind> {
   using Kind = masticwinch::fuzzing::StepKind;
-  static constexpr std::array<EnumName<Kind>, 21> Table{{
+  static constexpr std::array<EnumName<Kind>, 22> Table{{
       {Kind::Send, "send"},
       {Kind::SendKeyed, "send_keyed"},
       {Kind::Resend, "resend"},
@@ -68,6 +69,7 @@
       {Kind::EntryStarts, "entry_starts"},
       {Kind::EntryLapses, "entry_lapses"},
       {Kind::EntryLeaves, "entry_leaves"},
+      {Kind::EntryYields, "entry_yields"},
   }};
 };
 
@@ -160,6 +162,7 @@
   void entryDies(Node &node);
   void entryStarts(std::uint8_t choice);
   void entryLapses(std::uint8_t choice);
+  void entryYields(std::uint8_t choice);
   void entryLeaves(Node &node);
   void removeEntry(Node &node);
   protocol::ConfigItem &change(const std::string &name);
--- a/src/masticwinch/control/cell_service.hpp
+++ b/src/masticwinch/control/cell_service.hpp
@@ -121,6 +121,14 @@
       command.mutable_leave_entry()->set_lapsed(true);
       proposeOnce(std::move(command));
     }
+    for (const cell::OwnershipChange &it :
+         Leases.ownershipChanges(State.configuration(), now)) {
+      protocol::Command command;
+      command.mutable_yield_entry()->set_name(it.Name);
+      command.mutable_yield_entry()->set_incarnation(it.Incarnation);
+      command.mutable_yield_entry()->set_yielded(it.Yielded);
+      proposeOnce(std::move(command));
+    }
     for (const cell::LapsedUpstream &it :
          Renewals.lapsed(State.configuration(), now)) {
       protocol::Command command;
--- a/src/masticwinch/coordination/cell/cell_state.cpp
+++ b/src/masticwinch/coordination/cell/cell_state.cpp
@@ -112,6 +112,8 @@
     return joinEntry(command.join_entry().entry());
   case protocol::Command::kLeaveEntry:
     return leaveEntry(command.leave_entry());
+  case protocol::Command::kYieldEntry:
+    return yieldEntry(command.yield_entry());
   case protocol::Command::kSubmitJob:
     return submitJob(command);
   case protocol::Command::kCancelJob:
@@ -304,6 +306,7 @@
   protocol::ConfigItem item;
   *item.mutable_entry() = entry;
   item.mutable_entry()->set_leaving(member && entry.leaving());
+  item.mutable_entry()->set_yielded(member && held->entry().yielded());
   Config.put(std::move(item));
   Claims.ownerGone(entry.name(), entry.incarnation() - 1);
   return accepted();
@@ -344,6 +347,26 @@
   return accepted();
 }
 
+protocol::CommandResult
+CellState::yieldEntry(const protocol::YieldEntry &change) {
+  const protocol::ConfigItem *held =
+      Config.findPresent({ConfigKind::Entry, change.name()});
+  if (held == nullptr) {
+    return refused(protocol::NOT_FOUND, "no such entry VM", "name");
+  }
+  if (held->entry().incarnation() != change.incarnation()) {
+    return refused(protocol::STALE, "another incarnation is known",
+                   "incarnation");
+  }
+  if (held->entry().yielded() == change.yielded()) {
+    return accepted();
+  }
+  protocol::ConfigItem item = *held;
+  item.mutable_entry()->set_yielded(change.yielded());
+  Config.put(std::move(item));
+  return accepted();
+}
+
 protocol::CommandResult CellState::submitJob(const protocol::Command &command) {
   const protocol::JobSpec &spec = command.submit_job().spec();
   const protocol::ConfigItem *profile =
--- a/src/masticwinch/coordination/cell/cell_state.hpp
+++ b/src/masticwinch/coordination/cell/cell_state.hpp
@@ -53,6 +53,7 @@
   protocol::CommandResult leaveUpstream(const protocol::LeaveUpstream &leave);
   protocol::CommandResult joinEntry(const protocol::EntryMember &entry);
   protocol::CommandResult leaveEntry(const protocol::LeaveEntry &leave);
+  protocol::CommandResult yieldEntry(const protocol::YieldEntry &change);
   protocol::CommandResult submitJob(const protocol::Command &command);
   protocol::CommandResult changeClaims(const protocol::Command &command);
   protocol::CommandResult cancelJob(const protocol::CancelJob &cancel);
--- a/src/masticwinch/coordination/cell/entry_leases.cpp
+++ b/src/masticwinch/coordination/cell/entry_leases.cpp
@@ -12,7 +12,11 @@
 }
 
 void EntryLeases::hello(const HeardEntry &entry, SteadyTime now) {
-  Members[entry.Name] = {entry.Incarnation, entry.Revision, now};
+  Member &member = Members[entry.Name];
+  const bool goesOn = member.Incarnation == entry.Incarnation &&
+                      now - member.LastHello <= Options.Lease;
+  const SteadyTime since = goesOn ? member.SteadySince : now;
+  member = {entry.Incarnation, entry.Revision, now, since};
 }
 
 const EntryLeases::Member *
@@ -45,6 +49,35 @@
   return found;
 }
 
+bool EntryLeases::isSettled(const protocol::EntryMember &entry,
+                            SteadyTime now) const {
+  const Member *member = find(entry);
+  return member != nullptr && mayServe(entry, now) &&
+         now - member->SteadySince >= Options.Settling;
+}
+
+std::vector<OwnershipChange>
+EntryLeases::ownershipChanges(const Configuration &configuration,
+                              SteadyTime now) const {
+  std::vector<OwnershipChange> found;
+  bool hasSuccessor = false;
+  for (const protocol::ConfigItem *it :
+       configuration.present(ConfigKind::Entry)) {
+    const protocol::EntryMember &entry = it->entry();
+    const bool serves = mayServe(entry, now);
+    hasSuccessor |= serves && !entry.leaving() && !entry.yielded();
+    if (!entry.yielded() && !serves) {
+      found.push_back({entry.name(), entry.incarnation(), true});
+    } else if (entry.yielded() && isSettled(entry, now)) {
+      found.push_back({entry.name(), entry.incarnation(), false});
+    }
+  }
+  if (!hasSuccessor) {
+    std::erase_if(found, [](const auto &it) { return it.Yielded; });
+  }
+  return found;
+}
+
 protocol::InForceReply EntryLeases::inForce(const Configuration &configuration,
                                             SteadyTime now) const {
   protocol::InForceReply reply;
--- a/src/masticwinch/coordination/cell/entry_leases.hpp
+++ b/src/masticwinch/coordination/cell/entry_leases.hpp
@@ -21,6 +21,10 @@
   Milliseconds DriftBound{150};
   /// An entry VM that is silent for this long is taken off the configuration.
   Milliseconds Lapse{10000};
+  /// An entry VM that yielded its upstreams owns some again after it was heard
+  /// for this long without a gap. Longer than a new owner waits for deadlines
+  /// of up to 8 s, so that reservations are handed back.
+  Milliseconds Settling{15000};
 };
 
 /// An entry VM that has been silent for too long.
@@ -29,6 +33,13 @@
   std::uint64_t Incarnation = 0;
 };
 
+/// An entry VM that has to give up its upstreams, or may own some again.
+struct OwnershipChange {
+  std::string Name;
+  std::uint64_t Incarnation = 0;
+  bool Yielded = false;
+};
+
 /// What an entry VM said in a hello.
 struct HeardEntry {
   std::string Name;
@@ -59,6 +70,11 @@
   std::vector<LapsedEntry> lapsed(const Configuration &configuration,
                                   SteadyTime now) const;
 
+  /// Members that can't grant slots any more since their lease is over, while
+  /// another one can take their upstreams; and those that are back for good.
+  std::vector<OwnershipChange>
+  ownershipChanges(const Configuration &configuration, SteadyTime now) const;
+
   /// What is in force: every member that may serve counts.
   protocol::InForceReply inForce(const Configuration &configuration,
                                  SteadyTime now) const;
@@ -70,10 +86,13 @@
     std::uint64_t Incarnation = 0;
     std::uint64_t Revision = 0;
     SteadyTime LastHello{};
+    /// First hello since the last gap that was longer than the lease.
+    SteadyTime SteadySince{};
   };
 
   const Member *find(const protocol::EntryMember &entry) const;
   SteadyTime lastHeard(const protocol::EntryMember &entry) const;
+  bool isSettled(const protocol::EntryMember &entry, SteadyTime now) const;
 
   EntryLeaseOptions Options;
   SteadyTime LeaderSince{};
--- a/src/masticwinch/coordination/requests/dispatcher.cpp
+++ b/src/masticwinch/coordination/requests/dispatcher.cpp
@@ -337,7 +337,7 @@
 
 DispatcherCounts Dispatcher::counts(SteadyTime now) const {
   return {Queue.size(), Dispatches.size(), Health.ejectedCount(),
-          Holder.usable(now)};
+          Holder.usable(now), Owner.ownedUpstreams()};
 }
 
 } // namespace masticwinch
--- a/src/masticwinch/coordination/requests/dispatcher.hpp
+++ b/src/masticwinch/coordination/requests/dispatcher.hpp
@@ -43,6 +43,8 @@
   std::size_t AtUpstreams = 0;
   std::size_t Ejected = 0;
   std::uint32_t SlotsHeld = 0;
+  /// Upstreams whose slots are granted here.
+  std::size_t OwnedUpstreams = 0;
 };
 
 /// Decides about the requests of one entry VM: who waits, who is refused, which
--- a/src/masticwinch/coordination/requests/rendezvous.cpp
+++ b/src/masticwinch/coordination/requests/rendezvous.cpp
@@ -2,28 +2,18 @@
 
 #include <xxhash.h>
 
+#include <utility>
+
 namespace masticwinch {
 namespace {
 
-std::string
-highestHash(const std::string &upstream,
-            const std::map<std::string, protocol::EntryMember> &entries,
-            bool leaving) {
-  std::string owner;
-  XXH64_hash_t best = 0;
-  const XXH64_hash_t seed = XXH3_64bits(upstream.data(), upstream.size());
-  for (const auto &[name, member] : entries) {
-    if (member.leaving() != leaving) {
-      continue;
-    }
-    const XXH64_hash_t hash =
-        XXH3_64bits_withSeed(name.data(), name.size(), seed);
-    if (owner.empty() || hash > best) {
-      owner = name;
-      best = hash;
-    }
+/// How fit an entry VM is to own upstreams: those that stay before those that
+/// were silent, and these before those that leave.
+int fitnessOf(const protocol::EntryMember &member) {
+  if (member.leaving()) {
+    return 0;
   }
-  return owner;
+  return member.yielded() ? 1 : 2;
 }
 
 } // namespace
@@ -31,8 +21,19 @@
 std::string
 ownerOf(const std::string &upstream,
         const std::map<std::string, protocol::EntryMember> &entries) {
-  const std::string owner = highestHash(upstream, entries, false);
-  return owner.empty() ? highestHash(upstream, entries, true) : owner;
+  std::string owner;
+  std::pair<int, XXH64_hash_t> best;
+  const XXH64_hash_t seed = XXH3_64bits(upstream.data(), upstream.size());
+  for (const auto &[name, member] : entries) {
+    const std::pair<int, XXH64_hash_t> rank{
+        fitnessOf(member),
+        XXH3_64bits_withSeed(name.data(), name.size(), seed)};
+    if (owner.empty() || rank > best) {
+      owner = name;
+      best = rank;
+    }
+  }
+  return owner;
 }
 
 } // namespace masticwinch
--- a/src/masticwinch/coordination/requests/slot_holder.cpp
+++ b/src/masticwinch/coordination/requests/slot_holder.cpp
@@ -24,7 +24,9 @@
   }
   for (const auto &[name, entry] : config.upstreams()) {
     Held &held = Upstreams[name];
-    held.Owner = ownerOf(name, config.entries());
+    const std::string owner = ownerOf(name, config.entries());
+    held.OwnerWaits |= !held.Owner.empty() && held.Owner != owner;
+    held.Owner = owner;
   }
   std::erase_if(Upstreams, [](const auto &it) {
     return !it.second.Present && it.second.InUse == 0;
@@ -33,10 +35,22 @@
     return !config.entries().contains(it.first);
   });
   for (const auto &[name, member] : config.entries()) {
-    Owners[name];
+    Owners[name].InUse = 0;
+  }
+  for (const auto &[name, held] : Upstreams) {
+    const auto owner = Owners.find(held.Owner);
+    if (owner != Owners.end()) {
+      owner->second.InUse += held.InUse;
+    }
   }
 }
 
+/// A bound that the owner has not confirmed for a while no longer holds.
+bool SlotHolder::isOverShare(const Owner &owner, SteadyTime now) const {
+  const bool current = owner.Answered || owner.SentAt + Timing.Renewal > now;
+  return current && owner.Share > 0 && owner.InUse >= owner.Share;
+}
+
 bool SlotHolder::hasFree(const std::string &upstream, bool patient,
                          SteadyTime now) const {
   const auto found = Upstreams.find(upstream);
@@ -44,6 +58,10 @@
     return false;
   }
   const Held &held = found->second;
+  const auto owner = Owners.find(held.Owner);
+  if (owner != Owners.end() && isOverShare(owner->second, now)) {
+    return false;
+  }
   return held.Present && held.Expiry > now && held.InUse < held.Slots &&
          (!patient || held.PatientInUse < held.Patient);
 }
@@ -60,6 +78,9 @@
   Held &held = Upstreams.at(upstream);
   held.InUse += 1;
   held.PatientInUse += patient ? 1 : 0;
+  if (const auto owner = Owners.find(held.Owner); owner != Owners.end()) {
+    owner->second.InUse += 1;
+  }
   held.Peak = std::max(held.Peak, held.InUse);
   return held.Horizon;
 }
@@ -70,6 +91,10 @@
     return;
   }
   found->second.InUse = minus(found->second.InUse, 1);
+  if (const auto owner = Owners.find(found->second.Owner);
+      owner != Owners.end()) {
+    owner->second.InUse = minus(owner->second.InUse, 1);
+  }
   found->second.PatientInUse =
       minus(found->second.PatientInUse, patient ? 1 : 0);
 }
@@ -84,9 +109,14 @@
 }
 
 /// Gives up what isn't used; a renewal keeps what was used since the last one.
-void SlotHolder::lower(Held &held, bool keepPeak, SteadyTime now) {
-  const bool keep = keepPeak && held.Present && held.Expiry > now;
-  const std::uint32_t wanted = keep ? held.Peak : held.InUse;
+/// What the owner can't grant again now is kept whole: it is silent, or new and
+/// waits itself.
+void SlotHolder::lower(Held &held, const Owner &owner, bool keepPeak,
+                       SteadyTime now) {
+  const bool keepAll = held.OwnerWaits || !owner.Answered;
+  const bool keep = (keepPeak || keepAll) && held.Present && held.Expiry > now;
+  const std::uint32_t most = keepAll ? held.Slots : held.Peak;
+  const std::uint32_t wanted = keep ? most : held.InUse;
   held.Slots = std::max(held.InUse, std::min(held.Slots, wanted));
   held.Patient = keep ? std::min(held.Patient, held.Slots) : held.PatientInUse;
   held.Peak = held.InUse;
@@ -101,7 +131,7 @@
     if (held.Owner != owner || (!held.Known && held.Slots == 0)) {
       continue;
     }
-    lower(held, keepPeak, now);
+    lower(held, state, keepPeak, now);
     held.Known = true;
     protocol::SlotHolding &out = *demand.add_holdings();
     out.set_upstream(name);
@@ -113,6 +143,7 @@
   state.SentAt = now;
   state.Horizon = Horizon;
   state.Asked = want;
+  state.Answered = false;
   demand.set_sequence(state.Sequence);
   demand.set_want_urgent(want.Urgent);
   demand.set_want_patient(want.Patient);
@@ -130,8 +161,10 @@
   }
   Owner &state = known->second;
   state.Index = grant.index();
+  state.Answered = true;
   state.FreeSlots = grant.free_slots();
   state.Contended = grant.contended();
+  state.Share = grant.share();
   for (auto &[name, held] : Upstreams) {
     held.Known = held.Known && (held.Owner != owner || held.Slots > 0);
   }
@@ -148,6 +181,7 @@
     held.Expiry = state.SentAt + Milliseconds(grant.lease_ms());
     held.Horizon = state.Horizon;
     held.Known = true;
+    held.OwnerWaits = it.waiting();
   }
 }
 
@@ -159,7 +193,8 @@
 
 bool SlotHolder::hasIdle(const std::string &owner) const {
   return std::any_of(Upstreams.begin(), Upstreams.end(), [&](const auto &it) {
-    return it.second.Owner == owner && idleOf(it.second) > 0;
+    return it.second.Owner == owner && !it.second.OwnerWaits &&
+           idleOf(it.second) > 0;
   });
 }
 
@@ -178,6 +213,13 @@
   return share;
 }
 
+/// Whether slots that others wait for are to be given back now.
+bool SlotHolder::returnsSlots(const std::string &name, const Owner &owner,
+                              SlotShortage shortage, SteadyTime now) const {
+  const bool needless = !shortage.any() || isOverShare(owner, now);
+  return owner.Contended && owner.Answered && needless && hasIdle(name);
+}
+
 std::vector<PeerMessage> SlotHolder::dueDemands(SlotShortage shortage,
                                                 SteadyTime now) {
   SlotShortage missing = shortage;
@@ -187,7 +229,8 @@
     if (name == Self.Name) {
       continue;
     }
-    if (owner.Asked.any() && owner.SentAt + Timing.Renewal > now) {
+    const bool returns = returnsSlots(name, owner, shortage, now);
+    if (!returns && owner.Asked.any() && owner.SentAt + Timing.Renewal > now) {
       missing.Urgent = minus(missing.Urgent, owner.Asked.Urgent);
       missing.Patient = minus(missing.Patient, owner.Asked.Patient);
       continue;
@@ -201,7 +244,7 @@
   for (const auto &[free, name] : askable) {
     const Owner &owner = Owners.at(name);
     const SlotShortage share = shareOf(missing, owner);
-    const bool returns = owner.Contended && !shortage.any() && hasIdle(name);
+    const bool returns = returnsSlots(name, owner, shortage, now);
     if (!share.any() && !returns && !renewalIsDue(name, owner, now)) {
       continue;
     }
--- a/src/masticwinch/coordination/requests/slot_holder.hpp
+++ b/src/masticwinch/coordination/requests/slot_holder.hpp
@@ -74,24 +74,34 @@
     bool Present = true;
     /// The owner may count slots for this entry VM.
     bool Known = false;
+    /// The owner is new and may grant nothing more for a while.
+    bool OwnerWaits = false;
   };
   struct Owner {
     std::uint64_t Sequence = 0;
     std::uint32_t Index = 0;
     SteadyTime SentAt{};
     Milliseconds Horizon{0};
+    /// Whether the last demand was answered.
     bool Answered = true;
     bool Contended = false;
+    /// Bound on the slots in use while others wait; none if 0.
+    std::uint32_t Share = 0;
+    std::uint32_t InUse = 0;
     std::uint32_t FreeSlots = 1;
     SlotShortage Asked;
   };
 
   static std::uint32_t idleOf(const Held &held);
-  void lower(Held &held, bool keepPeak, SteadyTime now);
+  static void lower(Held &held, const Owner &owner, bool keepPeak,
+                    SteadyTime now);
+  bool isOverShare(const Owner &owner, SteadyTime now) const;
   bool hasKnown(const std::string &owner) const;
   bool hasIdle(const std::string &owner) const;
   bool renewalIsDue(const std::string &name, const Owner &owner,
                     SteadyTime now) const;
+  bool returnsSlots(const std::string &name, const Owner &owner,
+                    SlotShortage shortage, SteadyTime now) const;
   SlotShortage shareOf(SlotShortage shortage, const Owner &owner) const;
 
   EntryIncarnation Self;
--- a/src/masticwinch/coordination/requests/slot_owner.cpp
+++ b/src/masticwinch/coordination/requests/slot_owner.cpp
@@ -218,17 +218,88 @@
 std::uint32_t SlotOwner::grantWanted(const EntryIncarnation &name,
                                      Holder &holder, SteadyTime now) {
   std::uint32_t granted = 0;
-  while (holder.WantUrgent > 0 && grantOne(name, holder, false, now)) {
+  while (holder.WantUrgent > 0 && mayHaveMore(name, holder, now) &&
+         grantOne(name, holder, false, now)) {
     --holder.WantUrgent;
+    holder.GrantedAt = now;
     ++granted;
   }
-  while (holder.WantPatient > 0 && grantOne(name, holder, true, now)) {
+  while (holder.WantPatient > 0 && mayHaveMore(name, holder, now) &&
+         grantOne(name, holder, true, now)) {
     --holder.WantPatient;
+    holder.GrantedAt = now;
     ++granted;
   }
   return granted;
 }
 
+bool SlotOwner::waits(const Holder &holder, SteadyTime now) const {
+  return holder.DemandedAt + Timing.Lease > now &&
+         holder.WantUrgent + holder.WantPatient > 0;
+}
+
+std::uint32_t SlotOwner::heldBy(const EntryIncarnation &name,
+                                SteadyTime now) const {
+  std::uint32_t held = 0;
+  for (const auto &[upstream, pool] : Pools) {
+    const auto found = pool.Reservations.find(name);
+    if (found != pool.Reservations.end() && found->second.Until > now) {
+      held += found->second.Slots;
+    }
+  }
+  return held;
+}
+
+/// Slots for each holder that waits or has some, at least one.
+std::uint32_t SlotOwner::fairShare(SteadyTime now) const {
+  std::uint32_t slots = 0;
+  for (const auto &[upstream, pool] : Pools) {
+    slots += pool.ReadyAt <= now ? pool.Upstream.slots() : 0;
+  }
+  std::uint32_t active = 0;
+  for (const auto &[name, holder] : Holders) {
+    active += waits(holder, now) || heldBy(name, now) > 0 ? 1 : 0;
+  }
+  return std::max<std::uint32_t>(slots / std::max<std::uint32_t>(active, 1), 1);
+}
+
+/// A free slot goes first to the holder that has the fewest, and among equals
+/// to the one that has waited longest, up to a fair share for each.
+bool SlotOwner::mayHaveMore(const EntryIncarnation &name, const Holder &holder,
+                            SteadyTime now) {
+  const std::uint32_t share = fairShare(now);
+  const std::pair<std::uint32_t, SteadyTime> rank{heldBy(name, now),
+                                                  holder.GrantedAt};
+  return std::none_of(Holders.begin(), Holders.end(), [&](const auto &it) {
+    const Holder &other = it.second;
+    if (it.first == name || !waits(other, now)) {
+      return false;
+    }
+    const std::uint32_t held = heldBy(it.first, now);
+    const bool canBeServed =
+        (other.WantUrgent > 0 && bestPool(other, false, now) != nullptr) ||
+        (other.WantPatient > 0 && bestPool(other, true, now) != nullptr);
+    return held < share && canBeServed &&
+           std::pair{held, other.GrantedAt} < rank;
+  });
+}
+
+/// Bound on a holder's slots while others have less than theirs and wait; 0 if
+/// there is none.
+std::uint32_t SlotOwner::shareOf(const EntryIncarnation &name,
+                                 SteadyTime now) const {
+  if (!someoneElseWaits(name, now)) {
+    return 0;
+  }
+  const std::uint32_t share = fairShare(now);
+  const bool anyShort =
+      std::any_of(Holders.begin(), Holders.end(), [&](const auto &it) {
+        return it.first != name && waits(it.second, now) &&
+               heldBy(it.first, now) < share;
+      });
+  return anyShort ? share : 0;
+}
+
 bool SlotOwner::grantOne(const EntryIncarnation &name, const Holder &holder,
                          bool patient, SteadyTime now) {
   Pool *pool = bestPool(holder, patient, now);
@@ -306,17 +377,18 @@
     out.set_upstream(upstream);
     out.set_slots(found->second.Slots);
     out.set_patient_slots(found->second.Patient);
+    out.set_waiting(pool.ReadyAt > now);
   }
   grant.set_free_slots(free);
   grant.set_contended(someoneElseWaits(name, now));
+  grant.set_share(shareOf(name, now));
   return grant;
 }
 
 bool SlotOwner::someoneElseWaits(const EntryIncarnation &name,
                                  SteadyTime now) const {
   return std::any_of(Holders.begin(), Holders.end(), [&](const auto &it) {
-    return it.first != name && it.second.DemandedAt + Timing.Lease > now &&
-           it.second.WantUrgent + it.second.WantPatient > 0;
+    return it.first != name && waits(it.second, now);
   });
 }
 
@@ -365,6 +437,17 @@
   return configure(config, now);
 }
 
+std::size_t SlotOwner::ownedUpstreams() const {
+  if (Suspended) {
+    return 0;
+  }
+  const auto present =
+      std::count_if(Pools.begin(), Pools.end(), [](const auto &it) {
+        return !it.second.GoneSince.has_value();
+      });
+  return static_cast<std::size_t>(present);
+}
+
 std::uint32_t SlotOwner::reservedOf(const std::string &upstream,
                                     SteadyTime now) const {
   const auto found = Pools.find(upstream);
--- a/src/masticwinch/coordination/requests/slot_owner.hpp
+++ b/src/masticwinch/coordination/requests/slot_owner.hpp
@@ -63,6 +63,9 @@
   /// Whether former upstreams of this owner still have to be handed over.
   bool handsOver() const { return !Handovers.empty(); }
 
+  /// Upstreams that this entry VM may grant slots of; none while suspended.
+  std::size_t ownedUpstreams() const;
+
   /// Slots of one upstream that are reserved, for checks.
   std::uint32_t reservedOf(const std::string &upstream, SteadyTime now) const;
 
@@ -92,6 +95,8 @@
     std::string DataCenter;
     Milliseconds Horizon{0};
     SteadyTime DemandedAt{};
+    /// When it last got one more slot.
+    SteadyTime GrantedAt{};
   };
   struct PendingHandover {
     protocol::SlotHandover Message;
@@ -124,6 +129,12 @@
                                SteadyTime now);
   SteadyTime reservationEnd(const Holder &holder) const;
   bool someoneElseWaits(const EntryIncarnation &name, SteadyTime now) const;
+  bool waits(const Holder &holder, SteadyTime now) const;
+  std::uint32_t heldBy(const EntryIncarnation &name, SteadyTime now) const;
+  std::uint32_t fairShare(SteadyTime now) const;
+  bool mayHaveMore(const EntryIncarnation &name, const Holder &holder,
+                   SteadyTime now);
+  std::uint32_t shareOf(const EntryIncarnation &name, SteadyTime now) const;
 
   std::string Self;
   SlotTiming Timing;
--- a/src/masticwinch/coordination/requests/slot_timing.hpp
+++ b/src/masticwinch/coordination/requests/slot_timing.hpp
@@ -6,8 +6,11 @@
 
 /// Times that the leases of upstream slots depend on; equal on all entry VMs.
 struct SlotTiming {
-  /// How long a grant lasts, from the sending of its demand.
-  Milliseconds Lease{1000};
+  /// How long a grant lasts, from the sending of its demand. Holders keep their
+  /// slots while an owner that fell silent is replaced: it outlasts two
+  /// renewals, the serving lease that the leader gives (1.5 s with its drift
+  /// bound 1.65 s) and the commit of the change.
+  Milliseconds Lease{3000};
   /// Added on the granting side for clock drift and for the closing of
   /// connections after a timeout.
   Milliseconds Margin{250};
--- a/src/masticwinch/entry/entry_daemon.cpp
+++ b/src/masticwinch/entry/entry_daemon.cpp
@@ -115,6 +115,10 @@
     Metrics.observedGauge(
         {"masticwinch_slots_held", "Slots that are leased by this entry VM."},
         [this] { return double(Requests.counts().SlotsHeld); });
+    Metrics.observedGauge(
+        {"masticwinch_upstreams_owned",
+         "Upstreams whose slots this entry VM grants to all entry VMs."},
+        [this] { return double(Requests.counts().OwnedUpstreams); });
   }
 
   DispatcherOptions dispatcherOptions() const {
--- a/tests/coordination/cell/test_entry_leases.cpp
+++ b/tests/coordination/cell/test_entry_leases.cpp
@@ -40,6 +40,56 @@
             .in_force_revision() == 3);
 }
 
+TEST_CASE("A silent entry VM yields its upstreams until it is heard steadily",
+          "[cell][leases]") {
+  CellState state;
+  state.apply(joinEntry("entry-1", 1));
+  state.apply(joinEntry("entry-2", 1));
+  EntryLeases leases(Options);
+  leases.becomeLeader(Start);
+  leases.hello(hello("entry-2", 2), Start);
+  SteadyTime now = Start;
+  const auto helloOfFirst = [&](Milliseconds after) {
+    now += after;
+    leases.hello(hello("entry-1", 2), now);
+    return leases.ownershipChanges(state.configuration(), now);
+  };
+  now += Options.Lease + Options.DriftBound;
+  CHECK(leases.ownershipChanges(state.configuration(), now).empty());
+  const auto taken = helloOfFirst(Milliseconds(1));
+
+  REQUIRE(taken.size() == 1);
+  CHECK(taken[0].Name == "entry-2");
+  CHECK(taken[0].Yielded);
+  protocol::Command yield;
+  yield.mutable_yield_entry()->set_name("entry-2");
+  yield.mutable_yield_entry()->set_incarnation(1);
+  yield.mutable_yield_entry()->set_yielded(true);
+  CHECK(state.apply(yield).code() == protocol::ACCEPTED);
+  leases.hello(hello("entry-2", 3), now);
+  const SteadyTime heardAgain = now;
+  while (now + Options.Lease / 2 - heardAgain < Options.Settling) {
+    CHECK(helloOfFirst(Options.Lease / 2).empty());
+    leases.hello(hello("entry-2", 3), now);
+  }
+  const auto given = helloOfFirst(Options.Lease / 2);
+  REQUIRE(given.size() == 1);
+  CHECK_FALSE(given[0].Yielded);
+}
+
+TEST_CASE("Nobody yields when no other entry VM could take its upstreams",
+          "[cell][leases]") {
+  CellState state;
+  state.apply(joinEntry("entry-1", 1));
+  state.apply(joinEntry("entry-2", 1));
+  EntryLeases leases(Options);
+  leases.becomeLeader(Start);
+  CHECK(leases
+            .ownershipChanges(state.configuration(),
+                              Start + Options.Lapse + Options.Lease)
+            .empty());
+}
+
 TEST_CASE("A new leader waits for leases that an earlier one granted",
           "[cell][leases]") {
   CellState state;
--- a/tests/coordination/requests/dispatcher_fixture.hpp
+++ b/tests/coordination/requests/dispatcher_fixture.hpp
@@ -30,6 +30,12 @@
     return *this;
   }
 
+  /// The last entry VM gives up its upstreams.
+  ConfigBuilder &yield() {
+    Items.back().mutable_entry()->set_yielded(true);
+    return *this;
+  }
+
   ConfigBuilder &upstream(const std::string &name, std::uint32_t slots,
                           std::uint64_t incarnation = 1,
                           const std::string &dataCenter = "x") {
--- a/tests/coordination/requests/test_slot_leases.cpp
+++ b/tests/coordination/requests/test_slot_leases.cpp
@@ -1,3 +1,4 @@
+#include "masticwinch/coordination/cell/entry_leases.hpp"
 #include "masticwinch/coordination/requests/rendezvous.hpp"
 #include "masticwinch/coordination/requests/slot_holder.hpp"
 #include "masticwinch/coordination/requests/slot_owner.hpp"
@@ -169,6 +170,86 @@
   CHECK(granted() == Slots);
 }
 
+TEST_CASE("Holders keep their slots while a silent owner is replaced",
+          "[requests][slots]") {
+  Fixture f;
+  REQUIRE(f.askB(3) == 3);
+  f.HolderB.take(f.Upstream, true);
+  f.HolderB.take(f.Upstream, true);
+  const SlotTiming timing;
+  const cell::EntryLeaseOptions leader;
+  constexpr Milliseconds Commit{500};
+  f.Clock.advance(timing.Renewal + leader.Lease + leader.DriftBound + Commit);
+  f.Builder.entry("a").yield();
+  f.apply();
+  SlotOwner next("b", {});
+  next.configure(f.Config, f.Clock.now());
+  f.HolderB.configure(f.Config);
+  f.HolderB.giveBack(f.Upstream, true);
+  f.HolderB.giveBack(f.Upstream, true);
+  for (int i = 0; i < 3; ++i) {
+    f.Clock.advance(timing.Renewal);
+    const auto demand = f.HolderB.demandTo("b", {0, Slots}, f.Clock.now());
+    f.HolderB.grant("b", *next.demand(f.B, demand, f.Clock.now()));
+    CHECK(f.HolderB.usable(f.Clock.now()) == 3);
+  }
+  f.Clock.advance(f.Config.longestDeadline() + timing.ServingLease);
+  f.HolderB.demandTo("b", {}, f.Clock.now());
+  CHECK(f.HolderB.usable(f.Clock.now()) == 0);
+}
+
+TEST_CASE("A holder with a queue makes room for another up to a fair share",
+          "[requests][slots]") {
+  Fixture f;
+  REQUIRE(f.askB(Slots) == Slots);
+  for (std::uint32_t i = 0; i < Slots; ++i) {
+    f.HolderB.take(f.Upstream, true);
+  }
+  REQUIRE(f.askA(Slots) == 0);
+  f.askB(Slots);
+  for (int ended = 0; ended < 2; ++ended) {
+    f.HolderB.giveBack(f.Upstream, true);
+    CHECK_FALSE(f.HolderB.hasFree(f.Upstream, true, f.Clock.now()));
+    f.Clock.advance(SlotTiming{}.DemandInterval);
+    CHECK(f.HolderB.dueDemands({0, Slots}, f.Clock.now()).size() == 1);
+    f.askB(Slots);
+    f.askA(Slots);
+  }
+  CHECK(f.HolderA.usable(f.Clock.now()) == 2);
+  f.askB(Slots);
+  f.HolderB.giveBack(f.Upstream, true);
+  CHECK(f.HolderB.hasFree(f.Upstream, true, f.Clock.now()));
+}
+
+TEST_CASE("A holder without work keeps its slots while the owner is silent",
+          "[requests][slots]") {
+  Fixture f;
+  REQUIRE(f.askB(3) == 3);
+  f.HolderB.take(f.Upstream, true);
+  f.HolderB.take(f.Upstream, true);
+  f.HolderB.giveBack(f.Upstream, true);
+  f.HolderB.giveBack(f.Upstream, true);
+  for (int i = 0; i < 4; ++i) {
+    f.Clock.advance(SlotTiming{}.Renewal);
+    f.HolderB.demandTo("a", {}, f.Clock.now());
+    CHECK(f.HolderB.usable(f.Clock.now()) == 2);
+  }
+  f.askB(0);
+  f.askB(0);
+  CHECK(f.HolderB.usable(f.Clock.now()) == 0);
+}
+
+TEST_CASE("An entry VM that yielded owns nothing while another one stays",
+          "[requests][slots]") {
+  Fixture f;
+  f.Builder.entry("a").yield();
+  f.apply();
+  CHECK(ownerOf(f.Upstream, f.Config.entries()) == "b");
+  f.Builder.entry("b", 1, true);
+  f.apply();
+  CHECK(ownerOf(f.Upstream, f.Config.entries()) == "a");
+}
+
 TEST_CASE("Nothing is dispatched after the serving lease, whatever comes first",
           "[requests][dispatcher]") {
   DispatcherFixture f({{"p", policyOf(protocol::PATIENT, false)}}, 1, 1);
--- a/tests/processes/test_runners.py
+++ b/tests/processes/test_runners.py
@@ -5,7 +5,7 @@
 import uuid
 
 import support
-from support import Balancer, CellTest, call, lookup, wait_until
+from support import Balancer, CellTest, CellSize, call, lookup, wait_until
 
 # Time in which every entry VM has to know that an upstream is leaving.
 LEAVE_SECONDS = 3
@@ -119,6 +119,49 @@
             self.assertLessEqual(stats["most_connections"], 64, runner.name)
 
 
+class SilentOwnerTest(CellTest):
+    SIZE = CellSize(controls=3, entries=3, runners=1, workers=0)
+    # The silent owner stays a member, so that only its yielding can help.
+    OVERRIDES = {"control": {"leases": {"entry_lapse_ms": 600_000}}}
+
+    def test_pausing_the_owner_of_all_runners_does_not_stop_requests(self):
+        with Balancer(self.entries, 40, {"Stand-In-Behavior": "delay=20"},
+                      timeout=2) as balancer:
+            balancer.wait_for_answers(200)
+            paused = self.owner()
+            paused.send(signal.SIGSTOP)
+            wait_until(lambda: paused not in balancer.healthy,
+                       "the paused entry VM is known to be")
+            # More than ran and waited when it was paused.
+            balancer.wait_for_answers(400)
+            others = [it for it in self.entries if it != paused]
+            wait_until(lambda: sum(map(self.owned_by, others)) == 1,
+                       "another entry VM owns the runner")
+            paused.send(signal.SIGCONT)
+            self.cell.wait_until_healthy([paused])
+            balancer.wait_for_answers(200)
+        self.assertLessEqual(self.stats(self.runners[0])["most_executing"], 8)
+        executions = self.executions()
+        self.assertEqual({}, {it: ran for it, ran in executions.items()
+                              if len(ran) != 1})
+        # A caller of the paused entry VM may have given up or be told unknown.
+        self.assertEqual([], [it for it in balancer.problems
+                              if f"at {paused.name}: " not in it])
+
+    def owner(self):
+        """The entry VM that grants the slots of the one runner."""
+        owners = [it for it in self.entries if self.owned_by(it) == 1]
+        self.assertEqual(1, len(owners))
+        return owners[0]
+
+    @staticmethod
+    def owned_by(entry):
+        """How many upstreams an entry VM owns, by its metrics."""
+        text = call("GET", f"{entry.urls['operators']}/metrics").body.decode()
+        return sum(float(line.split()[-1]) for line in text.splitlines()
+                   if line.startswith("masticwinch_upstreams_owned "))
+
+
 class FaultyRunnerTest(CellTest):
     def test_truncated_answer_is_unknown_and_runs_once(self):
         answer = lookup(self.entries[0], "cut", {"Stand-In-Behavior": "truncate"})
