Ask about more runners in a call, and make passes of a full fleet cheaper

And a lookup asked about 16 runners only, which in a full fleet were the same for all and had no room when the answer came.

Change: a call names as many runners as cost no more than its fixed part; whether an agent has time is asked first; tickets and asked runners are fetched once a step; candidates come from the runners with room or the approved ones, whichever are fewer. Keeping runners for 500 ms during a renewal is gone.

--- a/src/masticwinch/coordination/workflow/advice_book.cpp
+++ b/src/masticwinch/coordination/workflow/advice_book.cpp
@@ -24,21 +24,28 @@
   }
 }
 
-std::size_t AdviceBook::callSize(const std::string &queue,
-                                 std::size_t tasks) const {
-  const auto it = Shares.find(queue);
+const AdviceBook::Tickets *AdviceBook::ticketsOf(const StepKey &step) const {
+  const auto found = Steps.find(step);
+  return found == Steps.end() ? nullptr : &found->second.Approved;
+}
+
+std::size_t AdviceBook::callSize(const StepKey &step, std::size_t tasks) const {
+  const StepAdvice &advice = Steps.at(step);
+  const auto it = Shares.find(advice.Queue);
   const std::uint64_t asked = it == Shares.end() ? 2 : it->second.Asked + 2;
   const std::uint64_t approved =
       it == Shares.end() ? 1 : it->second.Approved + 1;
-  return std::clamp<std::size_t>(2 * tasks * asked / approved,
+  const std::uint64_t cheap =
+      advice.Terms.decision_us() /
+      std::max<std::uint64_t>(advice.Terms.per_runner_us(), 1);
+  return std::clamp<std::size_t>(std::max(2 * tasks * asked / approved, cheap),
                                  Options.FewestPerCall, Options.RunnersPerCall);
 }
 
 void AdviceBook::close(const StepKey &step) { Steps.erase(step); }
 
 /// The agent with the least to do. Slow calls leave the first agents alone.
-std::map<std::string, AdviceBook::Agent>::iterator
-AdviceBook::freeAgent(bool slow, SteadyTime now) {
+const std::string *AdviceBook::freeAgent(bool slow, SteadyTime now) const {
   std::size_t kept =
       slow ? (Agents.size() * Options.FastAgentsPermille + 999) / 1000 : 0;
   auto best = Agents.end();
@@ -55,7 +62,13 @@
       best = it;
     }
   }
-  return best;
+  return best == Agents.end() ? nullptr : &best->first;
+}
+
+bool AdviceBook::isSlowCall(const StepAdvice &advice,
+                            std::size_t runners) const {
+  return costOf(advice.Terms, runners) + Options.TransferTime >=
+         Options.SlowCall;
 }
 
 void AdviceBook::call(const StepKey &step, StepAdvice &advice,
@@ -64,12 +77,13 @@
   if (runners.size() > Options.RunnersPerCall) {
     runners.resize(Options.RunnersPerCall);
   }
-  const Milliseconds cost =
-      costOf(advice.Terms, runners.size()) + Options.TransferTime;
-  const auto agent = freeAgent(cost >= Options.SlowCall, now);
-  if (runners.empty() || agent == Agents.end()) {
+  const std::string *found = freeAgent(isSlowCall(advice, runners.size()), now);
+  if (runners.empty() || !found) {
     return;
   }
+  const auto agent = Agents.find(*found);
+  const Milliseconds cost =
+      costOf(advice.Terms, runners.size()) + Options.TransferTime;
   agent->second.BusyUntil = std::max(agent->second.BusyUntil, now) + cost;
   AdviceCall made;
   made.Order = NextOrder++;
@@ -85,23 +99,26 @@
   Calls.push_back(std::move(made));
 }
 
-bool AdviceBook::wantsToAsk(const StepKey &step, SteadyTime now) const {
-  const auto found = Steps.find(step);
-  if (found == Steps.end()) {
-    return false;
-  }
-  const StepAdvice &advice = found->second;
+bool AdviceBook::wantsToAsk(const StepAdvice &advice, SteadyTime now) const {
   return !advice.CallOut && now >= advice.NotBefore &&
          (!advice.Known || now >= advice.AskFurtherAt);
 }
 
+bool AdviceBook::mayAsk(const StepKey &step, std::size_t runners,
+                        SteadyTime now) const {
+  const auto found = Steps.find(step);
+  return found != Steps.end() && wantsToAsk(found->second, now) &&
+         freeAgent(isSlowCall(found->second, runners), now) != nullptr;
+}
+
 void AdviceBook::ask(const StepKey &step,
                      const std::vector<std::string> &candidates,
                      SteadyTime now) {
-  if (!wantsToAsk(step, now)) {
+  const auto found = Steps.find(step);
+  if (found == Steps.end() || !wantsToAsk(found->second, now)) {
     return;
   }
-  StepAdvice &advice = Steps.at(step);
+  StepAdvice &advice = found->second;
   std::vector<std::string> unasked;
   std::copy_if(
       candidates.begin(), candidates.end(), std::back_inserter(unasked),
@@ -226,10 +243,9 @@
   return found != Steps.end() && found->second.Approved.contains(runner);
 }
 
-bool AdviceBook::wasAsked(const StepKey &step,
-                          const std::string &runner) const {
+const std::set<std::string> *AdviceBook::askedOf(const StepKey &step) const {
   const auto found = Steps.find(step);
-  return found != Steps.end() && found->second.Asked.contains(runner);
+  return found == Steps.end() ? nullptr : &found->second.Asked;
 }
 
 bool AdviceBook::isKnown(const StepKey &step) const {
--- a/src/masticwinch/coordination/workflow/advice_book.hpp
+++ b/src/masticwinch/coordination/workflow/advice_book.hpp
@@ -68,9 +68,10 @@
             const protocol::AdviceTerms &terms);
   void close(const StepKey &step);
 
-  /// Whether the step should be asked about: it was not yet, or has waited for
-  /// long on what was approved.
-  bool wantsToAsk(const StepKey &step, SteadyTime now) const;
+  /// Whether the step can be asked about now: it was not yet, or has waited for
+  /// long on what was approved; and an agent has time for a call about so many
+  /// runners.
+  bool mayAsk(const StepKey &step, std::size_t runners, SteadyTime now) const;
 
   /// Asks about candidates that were not asked about yet, if an agent has time.
   void ask(const StepKey &step, const std::vector<std::string> &candidates,
@@ -87,24 +88,26 @@
   /// Approved runners of a step, with lapsed tickets or not.
   std::vector<std::string> approvedRunners(const StepKey &step) const;
 
-  /// Calls a function with each approved runner and whether its ticket can be
-  /// used now.
-  template <class Function>
-  void eachApproved(const StepKey &step, SteadyTime now,
-                    Function function) const {
-    const auto found = Steps.find(step);
-    if (found == Steps.end()) {
-      return;
-    }
-    for (const auto &[runner, ticket] : found->second.Approved) {
-      function(runner, ticket.Until - Options.TicketMargin > now);
-    }
+  /// A ticket of an approved runner.
+  struct Ticket {
+    std::string Text;
+    SteadyTime Until{};
+  };
+  using Tickets = std::map<std::string, Ticket>;
+
+  /// Tickets of a step by runner, lapsed ones too; null if the step is unknown.
+  const Tickets *ticketsOf(const StepKey &step) const;
+
+  /// Whether a ticket can be used now.
+  bool isFresh(const Ticket &ticket, SteadyTime now) const {
+    return ticket.Until - Options.TicketMargin > now;
   }
 
   /// How many runners a call for a step of so many tasks names: enough that
   /// those approved have room for twice as many, by the share that was approved
-  /// of the queue's steps so far.
-  std::size_t callSize(const std::string &queue, std::size_t tasks) const;
+  /// of the queue's steps so far; and as many as cost no more than the fixed
+  /// part of the call, so that a full fleet leaves a choice.
+  std::size_t callSize(const StepKey &step, std::size_t tasks) const;
 
   /// A call's result. `approved` holds pairs of runner and ticket.
   void
@@ -122,8 +125,9 @@
   /// Whether the service approved the runner, with a ticket or a lapsed one.
   bool isApproved(const StepKey &step, const std::string &runner) const;
 
-  /// Whether the service was asked about the runner for the step.
-  bool wasAsked(const StepKey &step, const std::string &runner) const;
+  /// Runners that the service was asked about for the step; null if the step is
+  /// unknown.
+  const std::set<std::string> *askedOf(const StepKey &step) const;
 
   /// Whether a call for the step has succeeded.
   bool isKnown(const StepKey &step) const;
@@ -136,15 +140,11 @@
   std::size_t agentCount() const { return Agents.size(); }
 
 private:
-  struct Ticket {
-    std::string Text;
-    SteadyTime Until{};
-  };
   struct StepAdvice {
     protocol::AdviceTerms Terms;
     std::string Queue;
     std::set<std::string> Asked;
-    std::map<std::string, Ticket> Approved;
+    Tickets Approved;
     bool Known = false;
     bool CallOut = false;
     SteadyTime NotBefore{};
@@ -166,7 +166,9 @@
                              std::size_t runners);
   void call(const StepKey &step, StepAdvice &advice,
             std::vector<std::string> runners, bool renewal, SteadyTime now);
-  std::map<std::string, Agent>::iterator freeAgent(bool slow, SteadyTime now);
+  bool wantsToAsk(const StepAdvice &advice, SteadyTime now) const;
+  bool isSlowCall(const StepAdvice &advice, std::size_t runners) const;
+  const std::string *freeAgent(bool slow, SteadyTime now) const;
 
   AdviceBookOptions Options;
   struct Share {
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -36,9 +36,6 @@
   bool ReserveForGangs = true;
   /// One waiting gang may keep runners for each so many runners.
   std::size_t RunnersPerReservation = 48;
-  /// A gang keeps the runners on which it fits for this long while their
-  /// tickets are renewed.
-  Milliseconds KeepForTickets{500};
   /// Runners whose tickets are kept fresh for a step that fits nowhere yet.
   std::size_t RunnersPerRenewal = 40;
   /// Waiting steps with slow advice whose tickets are kept fresh, best first.
@@ -155,6 +152,8 @@
       std::vector<const RunnerEntry *> Runners;
       std::unordered_map<std::string_view, const RunnerEntry *> ById;
       std::uint64_t MilliProcessors = 0;
+      /// Free processors when the pass began, and the runner; most first.
+      std::vector<std::pair<std::int64_t, const RunnerEntry *>> ByRoom;
     };
     std::map<std::string, Pool> Pools;
     /// Runners that are kept for waiting gangs, and for how long.
@@ -204,8 +203,7 @@
                     const protocol::QueueConfig &queue, Fleet &fleet,
                     Moment at);
   void askFurther(const StepKey &key, std::size_t tasks,
-                  const std::string &queue, const Fleet::Pool &pool,
-                  Fleet &fleet, Moment at);
+                  const Fleet::Pool &pool, Fleet &fleet, Moment at);
   Fleet fleetNow(Moment at) const;
   std::vector<std::uint32_t> startable(const StepKey &key,
                                        const OpenStep &open) const;
@@ -213,10 +211,15 @@
                                         const Fleet &fleet,
                                         const Fleet::Pool &pool,
                                         bool withTickets, Moment at) const;
+  std::optional<PlanCandidate> candidateOf(const StepKey &key,
+                                           const RunnerEntry &runner,
+                                           const Fleet &fleet) const;
+  std::vector<std::string>
+  fittingRunners(const StepKey &key, const std::vector<std::uint32_t> &tasks,
+                 const Fleet &fleet, const Fleet::Pool &pool, Moment at) const;
   void reserveRunners(const StepKey &key, bool advised, std::size_t tasks,
                       Fleet &fleet, const Fleet::Pool &pool, Moment at) const;
   std::vector<std::string> adviceCandidates(const StepKey &key,
-                                            const std::string &queue,
                                             std::size_t tasks,
                                             const Fleet::Pool &pool) const;
   std::size_t startableCount(const StepKey &key, const OpenStep &open) const;
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -115,6 +115,10 @@
     pool.Runners.push_back(&runner);
     pool.ById.emplace(runner.Info.id(), &runner);
     pool.MilliProcessors += runner.Info.capacity().milli_processors();
+    pool.ByRoom.emplace_back(runner.Free.MilliProcessors, &runner);
+  }
+  for (auto &[name, pool] : fleet.Pools) {
+    std::sort(pool.ByRoom.rbegin(), pool.ByRoom.rend());
   }
   return fleet;
 }
@@ -138,46 +142,76 @@
   }
 }
 
+/// The runner with the room that the step may use there; nothing if it may not
+/// run a task.
+std::optional<PlanCandidate>
+WorkflowLeader::candidateOf(const StepKey &key, const RunnerEntry &runner,
+                            const Fleet &fleet) const {
+  const protocol::StepSpec &spec = *State.findSpec(key);
+  if (!runner.Free.holds(needsOf(spec)) ||
+      Open.at(key).Avoid.contains(runner.Info.id()) ||
+      (!spec.required_label().empty() &&
+       !runner.hasLabel(spec.required_label()))) {
+    return std::nullopt;
+  }
+  const auto kept = fleet.Reserved.find(&runner);
+  if (kept != fleet.Reserved.end() &&
+      Milliseconds(spec.estimate_ms()) > kept->second) {
+    return std::nullopt;
+  }
+  std::uint32_t ofStep = 0;
+  if (spec.max_per_runner() > 0) {
+    for (const auto &[run, holding] : runner.Holdings) {
+      ofStep += run.Task.Step == key ? 1 : 0;
+    }
+  }
+  return PlanCandidate{&runner, runner.Free, ofStep};
+}
+
 /// Runners that may get tasks of the step; without regard to the age of their
-/// tickets if `withTickets` is false.
+/// tickets if `withTickets` is false. Goes through the runners with room or
+/// through the approved ones, whichever are fewer.
 std::vector<PlanCandidate>
 WorkflowLeader::candidates(const StepKey &key, bool advised, const Fleet &fleet,
                            const Fleet::Pool &pool, bool withTickets,
                            Moment at) const {
   std::vector<PlanCandidate> found;
-  const protocol::StepSpec &spec = *State.findSpec(key);
-  const Room needs = needsOf(spec);
-  const OpenStep &open = Open.at(key);
+  const std::int64_t needed = needsOf(*State.findSpec(key)).MilliProcessors;
+  const auto end = std::partition_point(
+      pool.ByRoom.begin(), pool.ByRoom.end(),
+      [needed](const auto &it) { return it.first >= needed; });
   const auto consider = [&](const RunnerEntry &runner) {
-    if (!runner.Free.holds(needs) || open.Avoid.contains(runner.Info.id()) ||
-        (!spec.required_label().empty() &&
-         !runner.hasLabel(spec.required_label()))) {
-      return;
+    if (auto candidate = candidateOf(key, runner, fleet)) {
+      found.push_back(*candidate);
     }
-    const auto kept = fleet.Reserved.find(&runner);
-    if (kept != fleet.Reserved.end() &&
-        Milliseconds(spec.estimate_ms()) > kept->second) {
-      return;
-    }
-    std::uint32_t ofStep = 0;
-    if (spec.max_per_runner() > 0) {
-      for (const auto &[run, holding] : runner.Holdings) {
-        ofStep += run.Task.Step == key ? 1 : 0;
+  };
+  const AdviceBook::Tickets *tickets = Advice.ticketsOf(key);
+  if (advised && !tickets) {
+    return found;
+  }
+  const auto mayUse = [&](const AdviceBook::Ticket &ticket) {
+    return !withTickets || Advice.isFresh(ticket, at.Now);
+  };
+  if (advised && tickets->size() < std::size_t(end - pool.ByRoom.begin())) {
+    for (const auto &[id, ticket] : *tickets) {
+      const auto runner = pool.ById.find(id);
+      if (runner != pool.ById.end() && mayUse(ticket)) {
+        consider(*runner->second);
       }
     }
-    found.push_back({&runner, runner.Free, ofStep});
-  };
-  if (!advised) {
-    std::for_each(pool.Runners.begin(), pool.Runners.end(),
-                  [&](const RunnerEntry *it) { consider(*it); });
     return found;
   }
-  Advice.eachApproved(key, at.Now, [&](const std::string &id, bool fresh) {
-    const auto it = pool.ById.find(id);
-    if (it != pool.ById.end() && (fresh || !withTickets)) {
-      consider(*it->second);
+  for (auto it = pool.ByRoom.begin(); it != end; ++it) {
+    const RunnerEntry &runner = *it->second;
+    if (!advised) {
+      consider(runner);
+      continue;
     }
-  });
+    const auto ticket = tickets->find(runner.Info.id());
+    if (ticket != tickets->end() && mayUse(ticket->second)) {
+      consider(runner);
+    }
+  }
   return found;
 }
 
@@ -217,9 +251,10 @@
     return;
   }
   std::vector<const RunnerEntry *> runners;
+  const AdviceBook::Tickets *tickets = Advice.ticketsOf(key);
   for (const RunnerEntry *it : pool.Runners) {
-    if (!fleet.Reserved.contains(it) &&
-        (!advised || Advice.isApproved(key, it->Info.id()))) {
+    const bool approved = tickets && tickets->contains(it->Info.id());
+    if (!fleet.Reserved.contains(it) && (!advised || approved)) {
       runners.push_back(it);
     }
   }
@@ -237,17 +272,19 @@
 /// Whom to ask about: for a gang the runners with the most room, for others
 /// the fullest that still have room, so that gangs find some.
 std::vector<std::string>
-WorkflowLeader::adviceCandidates(const StepKey &key, const std::string &queue,
-                                 std::size_t tasks,
+WorkflowLeader::adviceCandidates(const StepKey &key, std::size_t tasks,
                                  const Fleet::Pool &pool) const {
   const protocol::StepSpec &spec = *State.findSpec(key);
   const Room needs = needsOf(spec);
   std::vector<const RunnerEntry *> runners = pool.Runners;
-  std::erase_if(runners, [&](const RunnerEntry *it) {
-    return Advice.wasAsked(key, it->Info.id());
-  });
+  const std::set<std::string> *asked = Advice.askedOf(key);
+  if (asked && !asked->empty()) {
+    std::erase_if(runners, [asked](const RunnerEntry *it) {
+      return asked->contains(it->Info.id());
+    });
+  }
   const std::size_t wanted =
-      std::min(Advice.callSize(queue, tasks), runners.size());
+      std::min(Advice.callSize(key, tasks), runners.size());
   const auto before = [&](const RunnerEntry *a, const RunnerEntry *b) {
     if (spec.gang()) {
       return a->Free.MilliProcessors > b->Free.MilliProcessors;
@@ -269,43 +306,47 @@
   return ids;
 }
 
+/// Runners on which the step would fit now, if it had fresh tickets for them.
+std::vector<std::string> WorkflowLeader::fittingRunners(
+    const StepKey &key, const std::vector<std::uint32_t> &tasks,
+    const Fleet &fleet, const Fleet::Pool &pool, Moment at) const {
+  std::vector<std::string> runners;
+  for (const PlannedRun &it :
+       planStep(*State.findSpec(key), tasks,
+                candidates(key, true, fleet, pool, false, at))) {
+    runners.push_back(it.Runner->Info.id());
+  }
+  std::sort(runners.begin(), runners.end());
+  runners.erase(std::unique(runners.begin(), runners.end()), runners.end());
+  return runners;
+}
+
 /// Asks about a step once, and renews the tickets of just those runners on
-/// which it would fit now. A gang keeps them meanwhile, as its renewal takes a
-/// while.
+/// which it would fit now.
 void WorkflowLeader::askForAdvice(const StepKey &key,
                                   const std::vector<std::uint32_t> &tasks,
                                   const protocol::QueueConfig &queue,
                                   Fleet &fleet, Moment at) {
   const Fleet::Pool &pool = fleet.Pools.at(queue.pool());
-  const protocol::StepSpec &spec = *State.findSpec(key);
   Advice.open(key, queue.name(), queue.advice());
   std::vector<std::string> wanted;
   if (Advice.isKnown(key)) {
-    for (const PlannedRun &it :
-         planStep(spec, tasks, candidates(key, true, fleet, pool, false, at))) {
-      wanted.push_back(it.Runner->Info.id());
-      if (spec.gang()) {
-        fleet.Reserved.emplace(it.Runner, Options.KeepForTickets);
-      }
-    }
+    wanted = fittingRunners(key, tasks, fleet, pool, at);
   }
   if (wanted.empty()) {
-    askFurther(key, tasks.size(), queue.name(), pool, fleet, at);
+    askFurther(key, tasks.size(), pool, fleet, at);
     return;
   }
-  std::sort(wanted.begin(), wanted.end());
-  wanted.erase(std::unique(wanted.begin(), wanted.end()), wanted.end());
   Advice.renew(key, wanted, at.Now);
 }
 
 /// A step that fits nowhere is asked about further runners after a while; until
 /// then the first such steps have tickets at hand for when room opens.
 void WorkflowLeader::askFurther(const StepKey &key, std::size_t tasks,
-                                const std::string &queue,
                                 const Fleet::Pool &pool, Fleet &fleet,
                                 Moment at) {
-  if (Advice.wantsToAsk(key, at.Now)) {
-    Advice.ask(key, adviceCandidates(key, queue, tasks, pool), at.Now);
+  if (Advice.mayAsk(key, Advice.callSize(key, tasks), at.Now)) {
+    Advice.ask(key, adviceCandidates(key, tasks, pool), at.Now);
   }
   if (!Advice.isKnown(key) || !Advice.isSlow(key) || fleet.SlowRenewals == 0) {
     return;
--- a/tests/coordination/workflow/test_advice_book.cpp
+++ b/tests/coordination/workflow/test_advice_book.cpp
@@ -115,3 +115,30 @@
   CHECK_FALSE(cell.Book.ticket(Step, "r1", cell.Now));
   CHECK(cell.Book.isApproved(Step, "r1"));
 }
+
+TEST_CASE("A call names as many runners as cost no more than its fixed part",
+          "[workflow]") {
+  Fixture cell(1);
+  cell.Book.open(Step, "queue", termsOf(70));
+  CHECK(cell.Book.callSize(Step, 1) == 70);
+  const StepKey cheap{"cheap", 0, 0};
+  cell.Book.open(cheap, "queue", termsOf(1));
+  CHECK(cell.Book.callSize(cheap, 1) == cell.Options.FewestPerCall);
+  const StepKey wide{"wide", 0, 0};
+  cell.Book.open(wide, "queue", termsOf(70));
+  CHECK(cell.Book.callSize(wide, 200) == cell.Options.RunnersPerCall);
+}
+
+TEST_CASE("A step waits with its question while every agent has much to do",
+          "[workflow]") {
+  Fixture cell(1);
+  cell.Book.open(Step, "queue", termsOf(10));
+  CHECK(cell.Book.mayAsk(Step, 3, cell.Now));
+  cell.ask({"gang", 0, 0}, 900);
+  CHECK_FALSE(cell.Book.mayAsk(Step, 3, cell.Now));
+  cell.Now += Milliseconds(600);
+  cell.Book.agentSeen("a1", cell.Now);
+  CHECK(cell.Book.mayAsk(Step, 3, cell.Now));
+  CHECK(cell.ask(Step, 10).size() == 1);
+  CHECK_FALSE(cell.Book.mayAsk(Step, 3, cell.Now));
+}
