--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -97,7 +97,9 @@
   add_test(NAME known-red COMMAND
     ${PROJECT_SOURCE_DIR}/tools/known-red $<TARGET_FILE:masticwinch-tests>)
 endif()
-file(GLOB PROCESS_TESTS CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/processes/test_*.py)
+file(GLOB PROCESS_TESTS CONFIGURE_DEPENDS
+  ${PROJECT_SOURCE_DIR}/tests/processes/test_*.py
+  ${PROJECT_SOURCE_DIR}/platform/tests/test_*.py)
 foreach(script IN LISTS PROCESS_TESTS)
   get_filename_component(name ${script} NAME_WE)
   string(REGEX REPLACE "^test_" "processes-" name ${name})
