--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -107,9 +107,11 @@
   set_tests_properties(${name} PROPERTIES TIMEOUT 300 RUN_SERIAL ON)
 endforeach()
 
+# 3 and 12 failed once: the stand-in counted an end as acknowledged although the
+# runner's lease had lapsed between the two.
 add_test(NAME platform-soak COMMAND
   python3 ${PROJECT_SOURCE_DIR}/platform/tests/soak.py
-  --build ${PROJECT_BINARY_DIR} --seeds 1 --seconds 15)
+  --build ${PROJECT_BINARY_DIR} --seeds 1,3,12 --seconds 15)
 set_tests_properties(platform-soak PROPERTIES TIMEOUT 300 RUN_SERIAL ON)
 
 file(GLOB_RECURSE BENCHMARK_SOURCES CONFIGURE_DEPENDS
