Accept work before a new leader's first look at its runners

Cause: a new leader counts usable processors in its first scheduling pass, after runners answered its first look; until then it had none and refused every job as too late, with Retry-After of 4 s.

Ruled out: a long queue (nothing waited), a job larger than every runner.

Change: while no runner of the pool is usable, the processors of all known runners that stay are counted. Without any runner a job is refused as before.

--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -194,6 +194,25 @@
          std::all_of(fits.begin(), fits.end(), [](bool it) { return it; });
 }
 
+/// Processors of the pool's usable runners. While none is, as before a new
+/// leader's first looks are answered, those of all that are known: they are
+/// expected back before a caller would come again.
+std::uint64_t
+WorkflowLeader::expectedProcessors(const std::string &pool) const {
+  const auto usable = UsableProcessors.find(pool);
+  if (usable != UsableProcessors.end() && usable->second > 0) {
+    return usable->second;
+  }
+  std::uint64_t known = 0;
+  for (const auto &[id, runner] : Book.runners()) {
+    const bool staying = !runner.Gone && !runner.Info.draining();
+    if (staying && runner.Info.pool() == pool) {
+      known += runner.Info.capacity().milli_processors();
+    }
+  }
+  return known;
+}
+
 std::optional<Milliseconds>
 WorkflowLeader::refusal(const protocol::WorkflowSpec &spec,
                         const protocol::QueueConfig &queue) const {
@@ -201,8 +220,7 @@
     return std::nullopt;
   }
   AdmissionInput input;
-  const auto usable = UsableProcessors.find(queue.pool());
-  input.MilliProcessors = usable == UsableProcessors.end() ? 0 : usable->second;
+  input.MilliProcessors = expectedProcessors(queue.pool());
   for (const auto &[priority, work] : WaitingWork) {
     input.WorkAhead += priority <= queue.priority() ? work : 0;
   }
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -178,6 +178,7 @@
   void cancel(const std::string &id, const AnswerWorkflow &answer);
   bool fitsSomewhere(const protocol::WorkflowSpec &spec,
                      const std::string &pool) const;
+  std::uint64_t expectedProcessors(const std::string &pool) const;
   std::optional<Milliseconds> refusal(const protocol::WorkflowSpec &spec,
                                       const protocol::QueueConfig &queue) const;
 
