--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -118,7 +118,10 @@
     pool.ByRoom.emplace_back(runner.Free.MilliProcessors, &runner);
   }
   for (auto &[name, pool] : fleet.Pools) {
-    std::sort(pool.ByRoom.rbegin(), pool.ByRoom.rend());
+    // Stable, so that equal runs of decisions stay equal: ties go by id.
+    std::stable_sort(
+        pool.ByRoom.begin(), pool.ByRoom.end(),
+        [](const auto &a, const auto &b) { return a.first > b.first; });
   }
   return fleet;
 }
