Join what stood twice in the platform's daemons and decisions

Cause: read through the change again. Dead: AdviceBook::isApproved, which only tests called. In a hot path: each granted slot summed up all holders although nobody else waited.

The tests ask ticketsOf() for what isApproved() said, with the same checks. No decision changes.

--- a/src/masticwinch/coordination/requests/slot_owner.cpp
+++ b/src/masticwinch/coordination/requests/slot_owner.cpp
@@ -263,24 +263,31 @@
   return std::max<std::uint32_t>(slots / std::max<std::uint32_t>(active, 1), 1);
 }
 
+bool SlotOwner::isShort(const EntryIncarnation &name, const Holder &holder,
+                        std::uint32_t share, SteadyTime now) const {
+  return waits(holder, now) && heldBy(name, now) < share;
+}
+
 /// A free slot goes first to the holder that has the fewest, and among equals
 /// to the one that has waited longest, up to a fair share for each.
 bool SlotOwner::mayHaveMore(const EntryIncarnation &name, const Holder &holder,
                             SteadyTime now) {
+  if (!someoneElseWaits(name, now)) {
+    return true;
+  }
   const std::uint32_t share = fairShare(now);
   const std::pair<std::uint32_t, SteadyTime> rank{heldBy(name, now),
                                                   holder.GrantedAt};
   return std::none_of(Holders.begin(), Holders.end(), [&](const auto &it) {
     const Holder &other = it.second;
-    if (it.first == name || !waits(other, now)) {
+    if (it.first == name || !isShort(it.first, other, share, now)) {
       return false;
     }
-    const std::uint32_t held = heldBy(it.first, now);
     const bool canBeServed =
         (other.WantUrgent > 0 && bestPool(other, false, now) != nullptr) ||
         (other.WantPatient > 0 && bestPool(other, true, now) != nullptr);
-    return held < share && canBeServed &&
-           std::pair{held, other.GrantedAt} < rank;
+    return canBeServed &&
+           std::pair{heldBy(it.first, now), other.GrantedAt} < rank;
   });
 }
 
@@ -294,8 +301,7 @@
   const std::uint32_t share = fairShare(now);
   const bool anyShort =
       std::any_of(Holders.begin(), Holders.end(), [&](const auto &it) {
-        return it.first != name && waits(it.second, now) &&
-               heldBy(it.first, now) < share;
+        return it.first != name && isShort(it.first, it.second, share, now);
       });
   return anyShort ? share : 0;
 }
--- a/src/masticwinch/coordination/requests/slot_owner.hpp
+++ b/src/masticwinch/coordination/requests/slot_owner.hpp
@@ -132,6 +132,8 @@
   bool waits(const Holder &holder, SteadyTime now) const;
   std::uint32_t heldBy(const EntryIncarnation &name, SteadyTime now) const;
   std::uint32_t fairShare(SteadyTime now) const;
+  bool isShort(const EntryIncarnation &name, const Holder &holder,
+               std::uint32_t share, SteadyTime now) const;
   bool mayHaveMore(const EntryIncarnation &name, const Holder &holder,
                    SteadyTime now);
   std::uint32_t shareOf(const EntryIncarnation &name, SteadyTime now) const;
--- a/src/masticwinch/coordination/workflow/advice_book.cpp
+++ b/src/masticwinch/coordination/workflow/advice_book.cpp
@@ -230,19 +230,12 @@
     return nullptr;
   }
   const auto it = found->second.Approved.find(runner);
-  if (it == found->second.Approved.end() ||
-      it->second.Until - Options.TicketMargin <= now) {
+  if (it == found->second.Approved.end() || !isFresh(it->second, now)) {
     return nullptr;
   }
   return &it->second.Text;
 }
 
-bool AdviceBook::isApproved(const StepKey &step,
-                            const std::string &runner) const {
-  const auto found = Steps.find(step);
-  return found != Steps.end() && found->second.Approved.contains(runner);
-}
-
 const std::set<std::string> *AdviceBook::askedOf(const StepKey &step) const {
   const auto found = Steps.find(step);
   return found == Steps.end() ? nullptr : &found->second.Asked;
--- a/src/masticwinch/coordination/workflow/advice_book.hpp
+++ b/src/masticwinch/coordination/workflow/advice_book.hpp
@@ -122,9 +122,6 @@
   const std::string *ticket(const StepKey &step, const std::string &runner,
                             SteadyTime now) const;
 
-  /// Whether the service approved the runner, with a ticket or a lapsed one.
-  bool isApproved(const StepKey &step, const std::string &runner) const;
-
   /// Runners that the service was asked about for the step; null if the step is
   /// unknown.
   const std::set<std::string> *askedOf(const StepKey &step) const;
--- a/src/masticwinch/coordination/workflow/runner_book.cpp
+++ b/src/masticwinch/coordination/workflow/runner_book.cpp
@@ -73,11 +73,7 @@
   if (!runner) {
     return;
   }
-  while (!runner->Holdings.empty()) {
-    const auto first = runner->Holdings.begin();
-    const RunKey run = first->first;
-    release(*runner, run, protocol::RUN_LOST, 0, first->second.Checkpoint);
-  }
+  releaseAll(*runner, protocol::RUN_LOST);
   runner->Gone = true;
   Out.Gone.push_back(id);
 }
@@ -334,6 +330,15 @@
   Out.Ends.push_back(std::move(end));
 }
 
+void RunnerBook::releaseAll(RunnerEntry &runner, protocol::RunEnd how) {
+  while (!runner.Holdings.empty()) {
+    const auto first = runner.Holdings.begin();
+    const RunKey run = first->first;
+    const std::string checkpoint = first->second.Checkpoint;
+    release(runner, run, how, 0, checkpoint);
+  }
+}
+
 void RunnerBook::endStored(const std::string &id, std::uint64_t number) {
   if (RunnerEntry *runner = entry(id)) {
     runner->EndsStored = std::max(runner->EndsStored, number);
@@ -358,11 +363,7 @@
   if (!inheritedOver || !ownOver) {
     return;
   }
-  while (!runner.Holdings.empty()) {
-    const auto first = runner.Holdings.begin();
-    const RunKey run = first->first;
-    release(runner, run, protocol::RUN_LAPSED, 0, first->second.Checkpoint);
-  }
+  releaseAll(runner, protocol::RUN_LAPSED);
 }
 
 void RunnerBook::tick(SteadyTime now) {
--- a/src/masticwinch/coordination/workflow/runner_book.hpp
+++ b/src/masticwinch/coordination/workflow/runner_book.hpp
@@ -179,6 +179,7 @@
   Holding *holding(const std::string &id, const RunKey &run);
   void release(RunnerEntry &runner, const RunKey &run, protocol::RunEnd how,
                std::uint64_t number, const std::string &checkpoint);
+  void releaseAll(RunnerEntry &runner, protocol::RunEnd how);
   void sendStart(RunnerEntry &runner, const RunKey &run, Holding &holding,
                  SteadyTime now);
   void sendStop(RunnerEntry &runner, const RunKey &run, Holding &holding,
--- a/src/masticwinch/workflow/control_vm_daemon.hpp
+++ b/src/masticwinch/workflow/control_vm_daemon.hpp
@@ -5,26 +5,24 @@
 #include "masticwinch/http/http_client.hpp"
 #include "masticwinch/http/http_server.hpp"
 #include "masticwinch/metrics/metric_registry.hpp"
-#include "masticwinch/metrics/process_metrics.hpp"
 #include "masticwinch/peers/mailbox.hpp"
-#include "masticwinch/peers/mailbox_metrics.hpp"
 #include "masticwinch/programs/daemon_options.hpp"
 #include "masticwinch/programs/exit_code.hpp"
 #include "masticwinch/programs/incarnation.hpp"
 #include "masticwinch/programs/stop_signals.hpp"
 #include "masticwinch/workflow/advice_agent.hpp"
+#include "masticwinch/workflow/daemon_metrics.hpp"
 #include "masticwinch/workflow/delegated_calls.hpp"
 #include "masticwinch/workflow/metrics_endpoint.hpp"
+#include "masticwinch/workflow/settings_reload.hpp"
 #include "masticwinch/workflow/workflow_driver.hpp"
 #include "masticwinch/workflow/workflow_settings.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
-#include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
 #include <algorithm>
-#include <csignal>
 #include <cstdlib>
 
 namespace masticwinch::workflow {
@@ -68,7 +66,7 @@
                  asio::post(Context, [this, it] { Api.handle(it); });
                }),
         MetricsServer(settings.Daemon.Metrics, Context, Metrics),
-        Ticker(Context), StopTimer(Context), Hangup(Context, SIGHUP),
+        Ticker(Context), StopTimer(Context), Reload(Context, Events),
         Signals(
             Context, [this] { stop(); }, [] { std::_Exit(StoppedAtOnce); }) {
     registerMetrics();
@@ -80,7 +78,7 @@
     MetricsServer.start();
     Log.start();
     scheduleTick();
-    awaitHangup();
+    Reload.start();
     Events.writeNamed("control_started",
                       {{"address", Settings.Daemon.Process.InternalAddress},
                        {"first_start", Settings.FirstStart ? "yes" : "no"}});
@@ -134,8 +132,7 @@
   }
 
   void registerMetrics() {
-    registerProcessMetrics(Metrics);
-    peers::registerMailboxMetrics(Metrics, Mailbox);
+    registerDaemonMetrics(Metrics, Mailbox, Events);
     Metrics.observedGauge(
         {"masticwinch_leader", "1 while this control VM leads the cell."},
         [this] { return leads() ? 1.0 : 0.0; });
@@ -151,10 +148,6 @@
         [this] {
           return leads() ? double(Workflows.leader()->waitingSteps()) : 0.0;
         });
-    Metrics.observedCounter(
-        {"masticwinch_log_lines_dropped_total",
-         "Event lines that were dropped to bound their volume."},
-        [this] { return double(Events.droppedLines()); });
   }
 
   void receive(const protocol::Envelope &envelope) {
@@ -189,15 +182,6 @@
     }
   }
 
-  void awaitHangup() {
-    Hangup.async_wait([this](const std::error_code &ec, int) {
-      if (!ec) {
-        Events.writeNamed("settings_reload", {{"outcome", "unchanged"}});
-        awaitHangup();
-      }
-    });
-  }
-
   void stop() {
     Events.writeNamed("control_stopping");
     Log.handOver([this] {
@@ -235,7 +219,7 @@
   asio::steady_timer Ticker;
   SteadyTime NextOffer{};
   asio::steady_timer StopTimer;
-  asio::signal_set Hangup;
+  SettingsReload Reload;
   StopSignals Signals;
 };
 
--- a/src/masticwinch/workflow/entry_vm_daemon.hpp
+++ b/src/masticwinch/workflow/entry_vm_daemon.hpp
@@ -4,26 +4,24 @@
 #include "masticwinch/http/http_client.hpp"
 #include "masticwinch/http/http_server.hpp"
 #include "masticwinch/metrics/metric_registry.hpp"
-#include "masticwinch/metrics/process_metrics.hpp"
 #include "masticwinch/peers/mailbox.hpp"
-#include "masticwinch/peers/mailbox_metrics.hpp"
 #include "masticwinch/programs/daemon_options.hpp"
 #include "masticwinch/programs/exit_code.hpp"
 #include "masticwinch/programs/incarnation.hpp"
 #include "masticwinch/programs/stop_signals.hpp"
 #include "masticwinch/workflow/advice_agent.hpp"
+#include "masticwinch/workflow/daemon_metrics.hpp"
 #include "masticwinch/workflow/entry_gateway.hpp"
 #include "masticwinch/workflow/metrics_endpoint.hpp"
 #include "masticwinch/workflow/order_carrier.hpp"
 #include "masticwinch/workflow/runner_calls.hpp"
+#include "masticwinch/workflow/settings_reload.hpp"
 #include "masticwinch/workflow/workflow_settings.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
-#include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
-#include <csignal>
 #include <cstdlib>
 
 namespace masticwinch::workflow {
@@ -63,7 +61,7 @@
                                      [this, it] { Api.handleReadiness(it); });
                         }),
         MetricsServer(settings.Daemon.Metrics, Context, Metrics),
-        StopTimer(Context), Hangup(Context, SIGHUP),
+        StopTimer(Context), Reload(Context, Events),
         Signals(
             Context, [this] { stop(); }, [] { std::_Exit(StoppedAtOnce); }) {
     registerMetrics();
@@ -75,7 +73,7 @@
     Server.start();
     ReadinessServer.start();
     MetricsServer.start();
-    awaitHangup();
+    Reload.start();
     Events.writeNamed("entry_started",
                       {{"address", Settings.Daemon.Process.InternalAddress}});
     Context.run();
@@ -105,18 +103,13 @@
   static constexpr Milliseconds LastRequests{2200};
 
   void registerMetrics() {
-    registerProcessMetrics(Metrics);
-    peers::registerMailboxMetrics(Metrics, Mailbox);
+    registerDaemonMetrics(Metrics, Mailbox, Events);
     Metrics.observedGauge(
         {"masticwinch_entry_ready", "1 while the health check passes."},
         [this] { return isReady() ? 1.0 : 0.0; });
     Metrics.observedGauge(
         {"masticwinch_entry_requests_open", "Requests without an answer yet."},
         [this] { return double(OpenRequests); });
-    Metrics.observedCounter(
-        {"masticwinch_log_lines_dropped_total",
-         "Event lines that were dropped to bound their volume."},
-        [this] { return double(Events.droppedLines()); });
   }
 
   void receive(const protocol::Envelope &envelope) {
@@ -125,15 +118,6 @@
     Carrier.receive(envelope);
   }
 
-  void awaitHangup() {
-    Hangup.async_wait([this](const std::error_code &ec, int) {
-      if (!ec) {
-        Events.writeNamed("settings_reload", {{"outcome", "unchanged"}});
-        awaitHangup();
-      }
-    });
-  }
-
   void stop() {
     Events.writeNamed("entry_stopping", {{"open", OpenRequests}});
     Stopping = true;
@@ -181,7 +165,7 @@
   HttpServer ReadinessServer;
   MetricsEndpoint MetricsServer;
   asio::steady_timer StopTimer;
-  asio::signal_set Hangup;
+  SettingsReload Reload;
   bool Stopping = false;
   SteadyTime StopBy{};
   std::int64_t OpenRequests = 0;
--- a/tests/coordination/workflow/test_advice_book.cpp
+++ b/tests/coordination/workflow/test_advice_book.cpp
@@ -48,8 +48,9 @@
   REQUIRE(calls.size() == 1);
   cell.Book.answered(calls[0].Order, true, {{"r1", "t"}}, Milliseconds(0),
                      cell.Now);
-  CHECK(cell.Book.isApproved(Step, "r1"));
-  CHECK_FALSE(cell.Book.isApproved(Step, "r2"));
+  REQUIRE(cell.Book.ticketsOf(Step));
+  CHECK(cell.Book.ticketsOf(Step)->contains("r1"));
+  CHECK_FALSE(cell.Book.ticketsOf(Step)->contains("r2"));
   CHECK(cell.ask(Step, 10).empty());
 }
 
@@ -113,7 +114,8 @@
                      cell.Now);
   cell.Book.ticketRefused(Step, "r1");
   CHECK_FALSE(cell.Book.ticket(Step, "r1", cell.Now));
-  CHECK(cell.Book.isApproved(Step, "r1"));
+  REQUIRE(cell.Book.ticketsOf(Step));
+  CHECK(cell.Book.ticketsOf(Step)->contains("r1"));
 }
 
 TEST_CASE("A call names as many runners as cost no more than its fixed part",
