Name the handler of a failure and what a waiting step lacks

Callers of a process that ended by itself, and on-call engineers, had one bare line on standard error: no event told the handler, the request or the record, nor why a step that could run did not.

- process_failed names the handler of the control thread, its subject and the exception; process_terminated does so for the other threads.
- data_folder_refused states why a start did not accept the data folder.
- process_open_fds and process_max_fds show descriptors running out.
- step_waits tells once a second, of the four steps that wait longest, how many tasks would fit on approved runners, with and without the runners kept for gangs, how many tickets are fresh, and its place in the pass.
- A daemon opens its closed standard descriptors on /dev/null first, so that no log or socket takes their numbers, and ignores SIGPIPE from its start.

No decision changes.

--- a/src/masticwinch/control/replicated_log.cpp
+++ b/src/masticwinch/control/replicated_log.cpp
@@ -82,6 +82,9 @@
     return {};
   });
   if (error) {
+    Events.write(
+        ReplicatedLogEvent::FolderRefused,
+        {{"folder", Options.Storage.Folder}, {"reason", error->text()}});
     throw std::runtime_error(error->text());
   }
   Options.Self.Id = Storage->id();
--- a/src/masticwinch/control/replicated_log_event.hpp
+++ b/src/masticwinch/control/replicated_log_event.hpp
@@ -9,6 +9,7 @@
 /// Events of the replicated log around the replica.
 enum class ReplicatedLogEvent {
   FolderOpened,
+  FolderRefused,
   CellFounded,
   ReplicaWaiting,
   DiskFull,
@@ -28,6 +29,7 @@
   using Event = control::ReplicatedLogEvent;
   static constexpr std::array Table{
       EnumName<Event>{Event::FolderOpened, "data_folder_opened"},
+      EnumName<Event>{Event::FolderRefused, "data_folder_refused"},
       EnumName<Event>{Event::CellFounded, "cell_founded"},
       EnumName<Event>{Event::ReplicaWaiting, "replica_waiting"},
       EnumName<Event>{Event::DiskFull, "disk_full"},
--- a/src/masticwinch/coordination/workflow/workflow_event.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_event.hpp
@@ -29,6 +29,7 @@
   HeartbeatOutdated,
   AdviceAsked,
   AdviceFailed,
+  StepWaits,
   ConfigurationStored,
   ConfigurationOutdated,
   Deposed,
@@ -65,6 +66,7 @@
       EnumName<Kind>{Kind::HeartbeatOutdated, "heartbeat_outdated"},
       EnumName<Kind>{Kind::AdviceAsked, "advice_asked"},
       EnumName<Kind>{Kind::AdviceFailed, "advice_failed"},
+      EnumName<Kind>{Kind::StepWaits, "step_waits"},
       EnumName<Kind>{Kind::ConfigurationStored, "configuration_stored"},
       EnumName<Kind>{Kind::ConfigurationOutdated, "configuration_outdated"},
       EnumName<Kind>{Kind::Deposed, "leader_deposed"}};
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -42,6 +42,11 @@
   std::size_t SlowRenewals = 8;
   /// Shortest time between two looks for what can be forgotten.
   Milliseconds CleaningInterval{1000};
+  /// Between two reports of the steps that wait longest.
+  Milliseconds WaitReportInterval{1000};
+  /// Steps in such a report, and how long they have waited at least.
+  std::size_t WaitsPerReport = 4;
+  Milliseconds ReportedWait{3000};
   /// A count of waiting workflows is used for this long.
   Milliseconds CountFor{300};
   /// A workflow's end can be asked for at least this long.
@@ -200,6 +205,10 @@
   void schedule(Moment at);
   std::vector<RankedStep> rankedSteps(Moment at);
   void scheduleStep(const StepKey &key, Fleet &fleet, Moment at);
+  void reportWaits(const Fleet &fleet, const std::vector<RankedStep> &tried,
+                   Moment at);
+  void noteWait(const StepKey &key, const Fleet &fleet,
+                const std::vector<RankedStep> &tried, Moment at);
   void askForAdvice(const StepKey &key, const std::vector<std::uint32_t> &tasks,
                     const protocol::QueueConfig &queue, Fleet &fleet,
                     Moment at);
@@ -252,6 +261,7 @@
   std::optional<SteadyTime> CountedAt;
   bool Dirty = true;
   SteadyTime NextSchedule{};
+  SteadyTime NextWaitReport{};
   /// Core-milliseconds of waiting work that can be on time, by priority.
   std::map<std::uint32_t, std::uint64_t> WaitingWork;
   /// Thousandths of a core of usable runners, by pool.
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -132,9 +132,11 @@
   for (const auto &[name, pool] : fleet.Pools) {
     UsableProcessors[name] = pool.MilliProcessors;
   }
-  for (const RankedStep &it : rankedSteps(at)) {
+  const std::vector<RankedStep> ranked = rankedSteps(at);
+  for (const RankedStep &it : ranked) {
     scheduleStep(it.Key, fleet, at);
   }
+  reportWaits(fleet, ranked, at);
   for (AdviceCall &it : Advice.takeCalls()) {
     note(WorkflowEventKind::AdviceAsked,
          {{"step", textOf(it.Step)},
@@ -145,6 +147,83 @@
   }
 }
 
+/// Tells of the steps that wait longest what they lack.
+void WorkflowLeader::reportWaits(const Fleet &fleet,
+                                 const std::vector<RankedStep> &tried,
+                                 Moment at) {
+  if (at.Now < NextWaitReport) {
+    return;
+  }
+  NextWaitReport = at.Now + Options.WaitReportInterval;
+  std::vector<std::pair<SteadyTime, StepKey>> waiting;
+  for (const auto &[key, open] : Open) {
+    const SteadyTime since = open.Known->Order.Accepted;
+    if (at.Now - since >= Options.ReportedWait &&
+        startableCount(key, open) > 0) {
+      waiting.emplace_back(since, key);
+    }
+  }
+  const std::size_t count = std::min(waiting.size(), Options.WaitsPerReport);
+  std::partial_sort(waiting.begin(), waiting.begin() + std::ptrdiff_t(count),
+                    waiting.end());
+  for (std::size_t i = 0; i < count; ++i) {
+    noteWait(waiting[i].second, fleet, tried, at);
+  }
+}
+
+void WorkflowLeader::noteWait(const StepKey &key, const Fleet &fleet,
+                              const std::vector<RankedStep> &tried, Moment at) {
+  const OpenStep &open = Open.at(key);
+  const protocol::StepSpec &spec = open.Flow->Spec.steps(int(key.Step));
+  const protocol::QueueConfig *queue =
+      findQueue(State.config(), open.Flow->Spec.queue());
+  const auto pool = queue ? fleet.Pools.find(queue->pool()) : fleet.Pools.end();
+  const std::vector<std::uint32_t> tasks = startable(key, open);
+  std::size_t fit = 0;
+  std::size_t fitUnreserved = 0;
+  if (pool != fleet.Pools.end()) {
+    const bool advised = queue->has_advice();
+    fit = planStep(spec, tasks,
+                   candidates(key, advised, fleet, pool->second, false, at))
+              .size();
+    Fleet unreserved = fleet;
+    unreserved.Reserved.clear();
+    fitUnreserved =
+        planStep(spec, tasks,
+                 candidates(key, advised, unreserved, pool->second, false, at))
+            .size();
+  }
+  std::size_t approved = 0;
+  std::size_t fresh = 0;
+  if (const AdviceBook::Tickets *tickets = Advice.ticketsOf(key)) {
+    approved = tickets->size();
+    for (const auto &[runner, ticket] : *tickets) {
+      fresh += Advice.isFresh(ticket, at.Now) ? 1 : 0;
+    }
+  }
+  const std::set<std::string> *asked = Advice.askedOf(key);
+  const auto place =
+      std::find_if(tried.begin(), tried.end(),
+                   [&](const RankedStep &it) { return it.Key == key; });
+  note(WorkflowEventKind::StepWaits,
+       {{"step", textOf(key)},
+        {"gang", spec.gang() ? "yes" : "no"},
+        {"tasks", std::to_string(tasks.size())},
+        {"since_accepted_ms",
+         std::to_string(std::chrono::duration_cast<Milliseconds>(
+                            at.Now - open.Known->Order.Accepted)
+                            .count())},
+        {"place", place == tried.end() ? "not tried"
+                                       : std::to_string(place - tried.begin())},
+        {"asked", std::to_string(asked ? asked->size() : 0)},
+        {"approved", std::to_string(approved)},
+        {"fresh", std::to_string(fresh)},
+        {"avoided", std::to_string(open.Avoid.size())},
+        {"fit", std::to_string(fit)},
+        {"fit_unreserved", std::to_string(fitUnreserved)},
+        {"queue_known", queue ? "yes" : "no"}});
+}
+
 /// The runner with the room that the step may use there; nothing if it may not
 /// run a task.
 std::optional<PlanCandidate>
--- a/src/masticwinch/metrics/process_metrics.cpp
+++ b/src/masticwinch/metrics/process_metrics.cpp
@@ -5,6 +5,7 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 
 namespace masticwinch {
@@ -34,6 +35,20 @@
   return usage;
 }
 
+std::uint64_t openDescriptors() {
+  std::error_code ec;
+  std::filesystem::directory_iterator listed("/proc/self/fd", ec);
+  if (ec) {
+    return 0;
+  }
+  return static_cast<std::uint64_t>(std::distance(begin(listed), end(listed)));
+}
+
+std::uint64_t descriptorLimit() {
+  rlimit limit{};
+  return getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : 0;
+}
+
 void registerProcessMetrics(MetricRegistry &registry) {
   registry.observedCounter({"process_cpu_seconds_total",
                             "Processor time of this process, user and system."},
@@ -41,6 +56,12 @@
   registry.observedGauge(
       {"process_resident_memory_bytes", "Resident memory of this process."},
       [] { return double(readProcessUsage().ResidentBytes); });
+  registry.observedGauge(
+      {"process_open_fds", "Descriptors that this process has open."},
+      [] { return double(openDescriptors()); });
+  registry.observedGauge(
+      {"process_max_fds", "Descriptors that this process may have open."},
+      [] { return double(descriptorLimit()); });
 }
 
 } // namespace masticwinch
--- a/src/masticwinch/metrics/process_metrics.hpp
+++ b/src/masticwinch/metrics/process_metrics.hpp
@@ -16,7 +16,13 @@
 /// Asks the operating system what this process has used.
 ProcessUsage readProcessUsage();
 
-/// Registers processor time and resident memory of this process.
+/// Descriptors that this process has open; 0 if the system doesn't tell.
+std::uint64_t openDescriptors();
+
+/// Descriptors that this process may have open; 0 if the system doesn't tell.
+std::uint64_t descriptorLimit();
+
+/// Registers processor time, resident memory and descriptors of this process.
 void registerProcessMetrics(MetricRegistry &registry);
 
 } // namespace masticwinch
--- a/src/masticwinch/programs/command_line.hpp
+++ b/src/masticwinch/programs/command_line.hpp
@@ -2,6 +2,7 @@
 
 #include "masticwinch/common/result.hpp"
 #include "masticwinch/programs/exit_code.hpp"
+#include "masticwinch/programs/process_setup.hpp"
 #include "masticwinch/settings/settings_error.hpp"
 
 #include <boost/leaf/handle_errors.hpp>
@@ -36,6 +37,7 @@
 template <class Read, class Run>
 int runDaemon(int argc, char **argv, const std::string &usage, Read read,
               Run run) {
+  programs::prepareProcess();
   DaemonCommandLine commandLine;
   if (const auto code = readCommandLine(argc, argv, usage, commandLine)) {
     return static_cast<int>(*code);
--- a/src/masticwinch/workflow/control_vm_daemon.hpp
+++ b/src/masticwinch/workflow/control_vm_daemon.hpp
@@ -11,6 +11,7 @@
 #include "masticwinch/programs/incarnation.hpp"
 #include "masticwinch/programs/stop_signals.hpp"
 #include "masticwinch/workflow/advice_agent.hpp"
+#include "masticwinch/workflow/control_loop.hpp"
 #include "masticwinch/workflow/daemon_metrics.hpp"
 #include "masticwinch/workflow/delegated_calls.hpp"
 #include "masticwinch/workflow/metrics_endpoint.hpp"
@@ -60,11 +61,10 @@
         Advice(Calls, settings.Daemon.AdviceAddress), Agent(Advice, Mailbox),
         Workflows(Context, Log, Mailbox, Delegated, Time, Events, Metrics,
                   leaderOptionsOf(settings)),
-        Api(*this),
-        Server(programs::serverOptions(settings.Control),
-               [this](std::shared_ptr<HttpExchange> it) {
-                 asio::post(Context, [this, it] { Api.handle(it); });
-               }),
+        Api(*this), Server(programs::serverOptions(settings.Control),
+                           [this](std::shared_ptr<HttpExchange> it) {
+                             asio::post(Context, [this, it] { handle(it); });
+                           }),
         MetricsServer(settings.Daemon.Metrics, Context, Metrics),
         Ticker(Context), StopTimer(Context), Reload(Context, Events),
         Signals(
@@ -73,17 +73,7 @@
   }
 
   ExitCode run() {
-    Mailbox.start();
-    Server.start();
-    MetricsServer.start();
-    Log.start();
-    scheduleTick();
-    Reload.start();
-    Events.writeNamed("control_started",
-                      {{"address", Settings.Daemon.Process.InternalAddress},
-                       {"first_start", Settings.FirstStart ? "yes" : "no"}});
-    Context.run();
-    return ExitCode::Success;
+    return runControlLoop(Context, Events, Doing, [this] { start(); });
   }
 
   // What the platform's interface to runners and operators uses, on the
@@ -117,17 +107,34 @@
   /// After leadership is handed over, for answers to leave.
   static constexpr Milliseconds LastAnswers{200};
 
+  void start() {
+    Mailbox.start();
+    Server.start();
+    MetricsServer.start();
+    Log.start();
+    scheduleTick();
+    Reload.start();
+    Events.writeNamed("control_started",
+                      {{"address", Settings.Daemon.Process.InternalAddress},
+                       {"first_start", Settings.FirstStart ? "yes" : "no"}});
+  }
+
   control::ReplicatedLogHandlers handlers() {
     control::ReplicatedLogHandlers made;
     made.Applied = [this](control::LogPosition position,
                           const std::string &record) {
+      Doing.begin("record", std::to_string(position.Index));
       Workflows.applied(position, record);
     };
     made.Restored = [this](const std::string &state) {
+      Doing.begin("snapshot");
       Workflows.restore(state);
     };
     made.Snapshot = [this] { return Workflows.snapshot(); };
-    made.LeaderStarted = [this] { Workflows.becomeLeader(); };
+    made.LeaderStarted = [this] {
+      Doing.begin("leadership");
+      Workflows.becomeLeader();
+    };
     return made;
   }
 
@@ -150,7 +157,13 @@
         });
   }
 
+  void handle(const std::shared_ptr<HttpExchange> &exchange) {
+    Doing.begin("control_request", exchange->request().Path);
+    Api.handle(exchange);
+  }
+
   void receive(const protocol::Envelope &envelope) {
+    Doing.begin("message", envelope.sender());
     Log.receive(envelope);
     Workflows.receive(envelope);
     Agent.receive(envelope);
@@ -172,6 +185,7 @@
   }
 
   void tick() {
+    Doing.begin("tick");
     if (leads()) {
       Delegated.setRunnerCount(Workflows.state().runners().size());
       Workflows.tick();
@@ -204,6 +218,7 @@
   std::uint64_t Incarnation;
   EventLog Events;
   MetricRegistry Metrics;
+  Activity Doing;
   asio::io_context Context{1};
   peers::Mailbox Mailbox;
   control::ReplicatedLog Log;
--- a/src/masticwinch/workflow/entry_vm_daemon.hpp
+++ b/src/masticwinch/workflow/entry_vm_daemon.hpp
@@ -10,6 +10,7 @@
 #include "masticwinch/programs/incarnation.hpp"
 #include "masticwinch/programs/stop_signals.hpp"
 #include "masticwinch/workflow/advice_agent.hpp"
+#include "masticwinch/workflow/control_loop.hpp"
 #include "masticwinch/workflow/daemon_metrics.hpp"
 #include "masticwinch/workflow/entry_gateway.hpp"
 #include "masticwinch/workflow/metrics_endpoint.hpp"
@@ -53,7 +54,7 @@
         Carrier(Runners, Context, Mailbox), Api(*this),
         Server(programs::serverOptions(settings.Callers),
                [this](std::shared_ptr<HttpExchange> it) {
-                 asio::post(Context, [this, it] { Api.handle(it); });
+                 asio::post(Context, [this, it] { handle(it); });
                }),
         ReadinessServer(programs::serverOptions(settings.Readiness),
                         [this](std::shared_ptr<HttpExchange> it) {
@@ -68,16 +69,7 @@
   }
 
   ExitCode run() {
-    Mailbox.start();
-    Gateway.start();
-    Server.start();
-    ReadinessServer.start();
-    MetricsServer.start();
-    Reload.start();
-    Events.writeNamed("entry_started",
-                      {{"address", Settings.Daemon.Process.InternalAddress}});
-    Context.run();
-    return ExitCode::Success;
+    return runControlLoop(Context, Events, Doing, [this] { start(); });
   }
 
   // What the platform's interface to callers uses, on the control thread.
@@ -102,6 +94,17 @@
   /// Longest time for requests to end after that.
   static constexpr Milliseconds LastRequests{2200};
 
+  void start() {
+    Mailbox.start();
+    Gateway.start();
+    Server.start();
+    ReadinessServer.start();
+    MetricsServer.start();
+    Reload.start();
+    Events.writeNamed("entry_started",
+                      {{"address", Settings.Daemon.Process.InternalAddress}});
+  }
+
   void registerMetrics() {
     registerDaemonMetrics(Metrics, Mailbox, Events);
     Metrics.observedGauge(
@@ -112,7 +115,13 @@
         [this] { return double(OpenRequests); });
   }
 
+  void handle(const std::shared_ptr<HttpExchange> &exchange) {
+    Doing.begin("caller_request", exchange->request().Path);
+    Api.handle(exchange);
+  }
+
   void receive(const protocol::Envelope &envelope) {
+    Doing.begin("message", envelope.sender());
     Gateway.receive(envelope);
     Agent.receive(envelope);
     Carrier.receive(envelope);
@@ -152,6 +161,7 @@
   std::uint64_t Incarnation;
   EventLog Events;
   MetricRegistry Metrics;
+  Activity Doing;
   asio::io_context Context{1};
   peers::Mailbox Mailbox;
   EntryGateway Gateway;
