Fuzz the workflow leader, and keep a test of a failure that it found

The decisions of workflows were the only state machine without stateful fuzzing. fuzzing/workflow plays sessions of submissions, cancellations, lost and late orders, runners that crash and leaders that change, against runners that obey by fencing and leases; the oracle is that nothing throws, no task runs twice, no runner is overfilled and no start is ordered for work that is over.

--- /dev/null
+++ b/fuzzing/workflow/workflow_world.cpp
@@ -0,0 +1,517 @@
+#include "fuzzing/workflow/workflow_world.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iterator>
+#include <stdexcept>
+
+namespace masticwinch::fuzzing {
+
+using namespace workflow;
+
+namespace {
+
+constexpr Milliseconds TimeUnit{20};
+constexpr std::size_t FirstRunners = 4;
+constexpr std::uint32_t RunnerProcessors = 8000;
+constexpr std::uint64_t RunnerMemoryMb = 32'768;
+
+protocol::StepSpec stepOf(std::uint32_t count, std::uint32_t processors) {
+  protocol::StepSpec step;
+  step.set_count(count);
+  step.mutable_needs()->set_milli_processors(processors);
+  step.mutable_needs()->set_memory_mb(512);
+  step.set_estimate_ms(400);
+  return step;
+}
+
+/// One of some shapes of work.
+protocol::WorkflowSpec specOf(std::uint8_t kind, std::uint64_t nowMs) {
+  protocol::WorkflowSpec spec;
+  spec.set_payload("payload");
+  switch (kind % 6) {
+  case 0:
+    *spec.add_steps() = stepOf(2, 2800);
+    break;
+  case 1: {
+    *spec.add_steps() = stepOf(3, 1000);
+    protocol::StepSpec second = stepOf(2, 1000);
+    second.add_after(0);
+    *spec.add_steps() = second;
+    break;
+  }
+  case 2: {
+    protocol::StepSpec gang = stepOf(3, 4000);
+    gang.set_gang(true);
+    gang.set_checkpoints(true);
+    *spec.add_steps() = gang;
+    break;
+  }
+  case 3:
+    *spec.add_steps() = stepOf(2, 1000);
+    spec.set_repeats(3);
+    spec.set_first_at_unix_ms(nowMs);
+    spec.set_interval_ms(100);
+    break;
+  case 4:
+    *spec.add_steps() = stepOf(2, 1000);
+    spec.mutable_steps(0)->set_long_running(true);
+    break;
+  default:
+    *spec.add_steps() = stepOf(4, 500);
+    spec.mutable_steps(0)->set_max_per_runner(1);
+    break;
+  }
+  return spec;
+}
+
+std::string idOf(std::size_t number) { return fmt::format("{:016x}", number); }
+
+} // namespace
+
+std::ostream &operator<<(std::ostream &out, const WorkflowStep &step) {
+  return out << fmt::format("{{{}, {}, {}}}", int(step.Kind), step.A, step.B);
+}
+
+WorkflowWorld::WorkflowWorld() : Now(std::chrono::seconds(100)) {
+  protocol::WorkflowRecord first;
+  protocol::CellConfig *config = first.add_changes()->mutable_configure();
+  config->set_version(++ConfigVersion);
+  config->add_pools()->set_name("pool");
+  for (const char *name : {"plain", "advised"}) {
+    protocol::QueueConfig *queue = config->add_queues();
+    queue->set_name(name);
+    queue->set_host("host");
+    queue->set_path_prefix(fmt::format("/{}/", name));
+    queue->set_pool("pool");
+    queue->set_timeout_ms(3000);
+    queue->set_max_attempts(2);
+    queue->set_latency_target_ms(60'000);
+    queue->set_stretch_permille(4000);
+  }
+  protocol::AdviceTerms *terms = config->mutable_queues(1)->mutable_advice();
+  terms->set_decision_us(10'000);
+  terms->set_per_runner_us(1000);
+  terms->set_validity_ms(1500);
+  apply(first);
+  changeLeader(0);
+  for (std::size_t i = 0; i < FirstRunners; ++i) {
+    startRunner();
+  }
+}
+
+Moment WorkflowWorld::at() const {
+  return {Now, static_cast<std::uint64_t>(clockMs())};
+}
+
+std::int64_t WorkflowWorld::clockMs() const {
+  return std::chrono::duration_cast<Milliseconds>(Now.time_since_epoch())
+      .count();
+}
+
+/// Applies a record as replicas do: from its bytes.
+void WorkflowWorld::apply(const protocol::WorkflowRecord &record) {
+  protocol::WorkflowRecord read;
+  if (!read.ParseFromString(record.SerializeAsString())) {
+    throw std::logic_error("a proposed record can't be read");
+  }
+  State.apply(read);
+}
+
+void WorkflowWorld::collect() {
+  WorkflowEffects effects = Leader->takeEffects(at());
+  std::move(effects.Batches.begin(), effects.Batches.end(),
+            std::back_inserter(Batches));
+  for (StartOrder &it : effects.Starts) {
+    checkOrdered(it);
+    Orders.push_back({OrderKind::Start, Term, std::move(it), {}, {}});
+  }
+  for (StopOrder &it : effects.Stops) {
+    Orders.push_back({OrderKind::Stop, Term, {}, std::move(it), {}});
+  }
+  for (LookOrder &it : effects.Looks) {
+    Orders.push_back({OrderKind::Look, Term, {}, {}, std::move(it)});
+  }
+  std::move(effects.Advice.begin(), effects.Advice.end(),
+            std::back_inserter(Advice));
+}
+
+void WorkflowWorld::take(const WorkflowStep &step) {
+  using Kind = WorkflowStepKind;
+  const bool anySubmitted = !Submitted.empty();
+  const std::string chosen =
+      anySubmitted ? Submitted[step.A % Submitted.size()] : idOf(0);
+  switch (step.Kind) {
+  case Kind::Submit:
+    submit(step.A, step.B);
+    break;
+  case Kind::SubmitAgain:
+    submitAs(chosen, step.B, step.B);
+    break;
+  case Kind::Cancel:
+  case Kind::AskState: {
+    protocol::WorkflowCall call;
+    call.set_host("host");
+    call.set_path(fmt::format("/plain/{}", chosen));
+    step.Kind == Kind::Cancel ? (void)call.mutable_cancel()
+                              : (void)call.mutable_state();
+    Leader->call(
+        call, [](const protocol::WorkflowAnswer &) {}, at());
+    break;
+  }
+  case Kind::StoreBatch:
+    storeBatch();
+    break;
+  case Kind::CarryOutOrder:
+  case Kind::LoseAnswer:
+    if (!Orders.empty()) {
+      carryOut(takeOrder(step.A), step.Kind == Kind::CarryOutOrder);
+    }
+    break;
+  case Kind::LoseOrder:
+    if (!Orders.empty()) {
+      const Order lost = takeOrder(step.A);
+      if (lost.Kind == OrderKind::Start && lost.Term == Term) {
+        Leader->startAnswered(lost.Start, OrderAnswer::Silent, at());
+      } else if (lost.Kind == OrderKind::Stop && lost.Term == Term) {
+        Leader->stopAnswered(lost.Stop, OrderAnswer::Silent, at());
+      } else if (lost.Term == Term) {
+        Leader->lookAnswered(lost.Look, {}, at());
+      }
+    }
+    break;
+  case Kind::EndRun:
+    if (Runner *runner = runnerAt(step.A); runner && !runner->Runs.empty()) {
+      const auto run = std::next(runner->Runs.begin(),
+                                 step.B % std::ptrdiff_t(runner->Runs.size()));
+      end(*runner, RunKey(run->first),
+          step.B % 4 == 0 ? protocol::RUN_FAILED : protocol::RUN_DONE);
+    }
+    break;
+  case Kind::Advance:
+    advance(TimeUnit * (1 + step.A % 32));
+    break;
+  case Kind::AnswerAdvice:
+  case Kind::FailAdvice:
+    answerAdvice(step.A, step.Kind == Kind::AnswerAdvice);
+    break;
+  case Kind::AgentSeen:
+    Leader->agentSeen(fmt::format("agent-{}", step.A % 3), at());
+    break;
+  case Kind::RunnerStarts:
+    startRunner();
+    break;
+  case Kind::RunnerCrashes:
+    if (const Runner *runner = runnerAt(step.A)) {
+      Runners.erase(runner->Info.id());
+    }
+    break;
+  case Kind::RunnerDrains:
+    if (Runner *runner = runnerAt(step.A)) {
+      runner->Info.set_draining(true);
+      heartbeat(*runner);
+    }
+    break;
+  case Kind::RunnerLeaves:
+    if (const Runner *runner = runnerAt(step.A)) {
+      const std::string id = runner->Info.id();
+      Runners.erase(id);
+      Leader->deregister(
+          id, [] {}, at());
+    }
+    break;
+  case Kind::Heartbeat:
+    if (Runner *runner = runnerAt(step.A)) {
+      heartbeat(*runner);
+    }
+    break;
+  case Kind::ChangeLeader:
+    changeLeader(step.A);
+    break;
+  case Kind::ReplaceState:
+    replaceState();
+    break;
+  case Kind::Configure:
+    configure(step.A);
+    break;
+  }
+  collect();
+}
+
+WorkflowWorld::Runner *WorkflowWorld::runnerAt(std::uint8_t choice) {
+  if (Runners.empty()) {
+    return nullptr;
+  }
+  return &std::next(Runners.begin(), choice % std::ptrdiff_t(Runners.size()))
+              ->second;
+}
+
+WorkflowWorld::Order WorkflowWorld::takeOrder(std::uint8_t choice) {
+  const auto it =
+      std::next(Orders.begin(), choice % std::ptrdiff_t(Orders.size()));
+  Order order = std::move(*it);
+  Orders.erase(it);
+  return order;
+}
+
+void WorkflowWorld::submit(std::uint8_t kind, std::uint8_t queue) {
+  Submitted.push_back(idOf(Submitted.size()));
+  submitAs(Submitted.back(), kind, queue);
+}
+
+void WorkflowWorld::submitAs(const std::string &id, std::uint8_t kind,
+                             std::uint8_t queue) {
+  protocol::WorkflowCall call;
+  call.set_host("host");
+  call.set_path(
+      fmt::format("/{}/{}", queue % 2 == 0 ? "plain" : "advised", id));
+  *call.mutable_submit() = specOf(kind, at().UnixMs);
+  Leader->call(
+      call, [](const protocol::WorkflowAnswer &) {}, at());
+}
+
+void WorkflowWorld::storeBatch() {
+  if (Batches.empty()) {
+    return;
+  }
+  const ProposedBatch batch = std::move(Batches.front());
+  Batches.pop_front();
+  apply(batch.Record);
+  Leader->stored(batch, at());
+}
+
+void WorkflowWorld::carryOut(Order order, bool answered) {
+  switch (order.Kind) {
+  case OrderKind::Start: {
+    const OrderAnswer answer = start(order);
+    if (order.Term == Term) {
+      Leader->startAnswered(order.Start,
+                            answered ? answer : OrderAnswer::Silent, at());
+    }
+    return;
+  }
+  case OrderKind::Stop: {
+    const OrderAnswer answer = stop(order);
+    if (order.Term == Term) {
+      Leader->stopAnswered(order.Stop, answered ? answer : OrderAnswer::Silent,
+                           at());
+    }
+    return;
+  }
+  case OrderKind::Look: {
+    const LookAnswer answer = look(order);
+    if (order.Term == Term) {
+      Leader->lookAnswered(order.Look, answered ? answer : LookAnswer(), at());
+    }
+    return;
+  }
+  }
+}
+
+OrderAnswer WorkflowWorld::start(const Order &order) {
+  const auto found = Runners.find(order.Start.Runner);
+  if (found == Runners.end()) {
+    return OrderAnswer::OtherLife;
+  }
+  Runner &runner = found->second;
+  if (order.Term < runner.Token) {
+    return OrderAnswer::Fenced;
+  }
+  runner.Token = order.Term;
+  const RunKey &run = order.Start.Run;
+  if (runner.Runs.contains(run)) {
+    return OrderAnswer::Done;
+  }
+  if (runner.Closed[run.Task] >= run.Run) {
+    return OrderAnswer::Outdated;
+  }
+  if (clockMs() > order.Start.LeaseUntilMs) {
+    return OrderAnswer::Late;
+  }
+  const protocol::StepSpec *spec = State.findSpec(run.Task.Step);
+  const Room needs = spec ? needsOf(*spec) : Room();
+  checkStart(runner, run, needs);
+  runner.LeaseUntilMs = std::max(runner.LeaseUntilMs, order.Start.LeaseUntilMs);
+  runner.Runs[run] = needs;
+  return OrderAnswer::Done;
+}
+
+void WorkflowWorld::checkStart(const Runner &runner, const RunKey &run,
+                               const Room &needs) const {
+  const std::string text = textOf(run.Task);
+  Room used = needs;
+  for (const auto &[other, room] : runner.Runs) {
+    used += room;
+  }
+  if (!roomOf(runner.Info.capacity()).holds(used)) {
+    throw std::logic_error(
+        fmt::format("{} starts on a runner without room", text));
+  }
+  for (const auto &[id, other] : Runners) {
+    for (const auto &[held, room] : other.Runs) {
+      if (held.Task == run.Task) {
+        throw std::logic_error(fmt::format("{} runs in two places", text));
+      }
+    }
+  }
+}
+
+/// An order to start follows the storage of its assignment, and is not given
+/// for work that is over.
+void WorkflowWorld::checkOrdered(const StartOrder &order) const {
+  const Task *task = State.findTask(order.Run.Task);
+  const Workflow *workflow = State.find(order.Run.Task.Step.Workflow);
+  if (!task || task->Done || task->Run != order.Run.Run ||
+      task->Runner != order.Runner || isFinal(workflow->CurrentPhase)) {
+    throw std::logic_error(fmt::format("{} is ordered without being assigned",
+                                       textOf(order.Run.Task)));
+  }
+}
+
+OrderAnswer WorkflowWorld::stop(const Order &order) {
+  const auto found = Runners.find(order.Stop.Runner);
+  if (found == Runners.end()) {
+    return OrderAnswer::OtherLife;
+  }
+  Runner &runner = found->second;
+  if (order.Term < runner.Token) {
+    return OrderAnswer::Fenced;
+  }
+  runner.Token = order.Term;
+  const RunKey &run = order.Stop.Run;
+  std::uint32_t &closed = runner.Closed[run.Task];
+  closed = std::max(closed, run.Run);
+  if (runner.Runs.contains(run)) {
+    end(runner, RunKey(run), protocol::RUN_STOPPED);
+  }
+  return OrderAnswer::Done;
+}
+
+LookAnswer WorkflowWorld::look(const Order &order) {
+  LookAnswer answer;
+  const auto found = Runners.find(order.Look.Runner);
+  if (found == Runners.end()) {
+    answer.Answer = OrderAnswer::OtherLife;
+    return answer;
+  }
+  Runner &runner = found->second;
+  if (order.Term < runner.Token) {
+    answer.Answer = OrderAnswer::Fenced;
+    return answer;
+  }
+  runner.Token = order.Term;
+  if (order.Look.LeaseUntilMs) {
+    runner.LeaseUntilMs =
+        std::max(runner.LeaseUntilMs, *order.Look.LeaseUntilMs);
+  }
+  std::erase_if(runner.Ended, [&](const EndedRun &it) {
+    return it.Number <= order.Look.EndsStored;
+  });
+  answer.Answer = OrderAnswer::Done;
+  answer.ClockMs = clockMs();
+  for (const auto &[run, room] : runner.Runs) {
+    answer.Running.push_back({run, "checkpoint"});
+  }
+  answer.Ended = runner.Ended;
+  return answer;
+}
+
+void WorkflowWorld::end(Runner &runner, const RunKey &run,
+                        protocol::RunEnd how) {
+  runner.Runs.erase(run);
+  std::uint32_t &closed = runner.Closed[run.Task];
+  closed = std::max(closed, run.Run);
+  runner.Ended.push_back({++runner.LastEnd, run, how, ""});
+}
+
+/// Lets time pass; runners whose lease is over end what they run.
+void WorkflowWorld::advance(Milliseconds time) {
+  Now += time;
+  for (auto &[id, runner] : Runners) {
+    while (clockMs() > runner.LeaseUntilMs && !runner.Runs.empty()) {
+      end(runner, RunKey(runner.Runs.begin()->first), protocol::RUN_LAPSED);
+    }
+  }
+  Leader->tick(at());
+}
+
+void WorkflowWorld::answerAdvice(std::uint8_t choice, bool succeeded) {
+  if (Advice.empty()) {
+    return;
+  }
+  const auto it =
+      std::next(Advice.begin(), choice % std::ptrdiff_t(Advice.size()));
+  protocol::AdviceResult result;
+  result.set_order(it->Order);
+  result.set_answered(succeeded);
+  result.set_validity_ms(1500);
+  for (std::size_t i = choice % 2; succeeded && i < it->Runners.size(); ++i) {
+    protocol::ApprovedRunner *approved = result.add_approved();
+    approved->set_runner(it->Runners[i]);
+    approved->set_ticket("ticket");
+  }
+  Advice.erase(it);
+  Leader->adviceAnswered(result, at());
+}
+
+void WorkflowWorld::startRunner() {
+  Runner runner;
+  runner.Info.set_id(fmt::format("i-{:04}", NextRunner++));
+  runner.Info.set_pool("pool");
+  runner.Info.set_address(fmt::format("{}:80", runner.Info.id()));
+  runner.Info.mutable_capacity()->set_milli_processors(RunnerProcessors);
+  runner.Info.mutable_capacity()->set_memory_mb(RunnerMemoryMb);
+  runner.Info.add_labels(std::string("a"));
+  runner.Info.add_labels(fmt::format("rack-{}", NextRunner % 2));
+  heartbeat(Runners.emplace(runner.Info.id(), runner).first->second);
+}
+
+void WorkflowWorld::heartbeat(Runner &runner) {
+  Leader->heartbeat(
+      runner.Info, ++runner.Sequence, clockMs(), [] {}, at());
+}
+
+/// Another leader takes over; of the batches on their way so many were stored
+/// before, the others are lost.
+void WorkflowWorld::changeLeader(std::uint8_t stored) {
+  const std::size_t kept = Batches.empty() ? 0 : stored % (Batches.size() + 1);
+  for (std::size_t i = 0; i < kept; ++i) {
+    apply(Batches[i].Record);
+  }
+  Batches.clear();
+  Advice.clear();
+  ++Term;
+  Leader =
+      std::make_unique<WorkflowLeader>(WorkflowLeaderOptions(), State, at());
+}
+
+/// The leader's VM starts anew from a snapshot.
+void WorkflowWorld::replaceState() {
+  protocol::WorkflowSnapshot read;
+  if (!read.ParseFromString(State.snapshot().SerializeAsString())) {
+    throw std::logic_error("a snapshot can't be read");
+  }
+  Leader.reset();
+  State = WorkflowState();
+  State.restore(read);
+  changeLeader(0);
+}
+
+/// Changes time-outs, and drops or brings back the second queue.
+void WorkflowWorld::configure(std::uint8_t routes) {
+  protocol::CellConfig config = State.config();
+  config.set_version(++ConfigVersion);
+  config.mutable_queues(0)->set_timeout_ms(1000 + routes);
+  Leader->configure(
+      config, [] {}, at());
+}
+
+void runSession(const std::vector<WorkflowStep> &steps) {
+  WorkflowWorld world;
+  for (const WorkflowStep &it : steps) {
+    world.take(it);
+  }
+}
+
+} // namespace masticwinch::fuzzing
--- /dev/null
+++ b/fuzzing/workflow/workflow_world.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "masticwinch/coordination/workflow/workflow_leader.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <ostream>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace masticwinch::fuzzing {
+
+/// What may happen next in a session of the workflow world.
+enum class WorkflowStepKind : std::uint8_t {
+  Submit,
+  SubmitAgain,
+  Cancel,
+  AskState,
+  StoreBatch,
+  CarryOutOrder,
+  LoseOrder,
+  LoseAnswer,
+  EndRun,
+  Advance,
+  AnswerAdvice,
+  FailAdvice,
+  AgentSeen,
+  RunnerStarts,
+  RunnerCrashes,
+  RunnerDrains,
+  RunnerLeaves,
+  Heartbeat,
+  ChangeLeader,
+  ReplaceState,
+  Configure,
+};
+
+/// One step; `A` and `B` choose among what there is.
+struct WorkflowStep {
+  WorkflowStepKind Kind = WorkflowStepKind::Advance;
+  std::uint8_t A = 0;
+  std::uint8_t B = 0;
+};
+
+/// Writes a step as `{kind, A, B}`.
+std::ostream &operator<<(std::ostream &out, const WorkflowStep &step);
+
+/// A replicated workflow state, the leader that decides on it, and runners that
+/// obey by the rules of fencing and leases. Orders and their answers are lost,
+/// late or out of order; leaders change with batches on their way. Throws
+/// `std::logic_error` when a runner is told to run what it must not run.
+class WorkflowWorld {
+public:
+  WorkflowWorld();
+
+  void take(const WorkflowStep &step);
+
+private:
+  enum class OrderKind : std::uint8_t { Start, Stop, Look };
+  struct Order {
+    OrderKind Kind = OrderKind::Start;
+    std::uint64_t Term = 0;
+    workflow::StartOrder Start;
+    workflow::StopOrder Stop;
+    workflow::LookOrder Look;
+  };
+  struct Runner {
+    protocol::RunnerInfo Info;
+    std::uint64_t Token = 0;
+    std::int64_t LeaseUntilMs = 0;
+    std::map<workflow::RunKey, workflow::Room> Runs;
+    /// Highest run of each task that was stopped or has ended.
+    std::map<workflow::TaskKey, std::uint32_t> Closed;
+    std::vector<workflow::EndedRun> Ended;
+    std::uint64_t LastEnd = 0;
+    std::uint64_t Sequence = 0;
+  };
+
+  workflow::Moment at() const;
+  std::int64_t clockMs() const;
+  void apply(const protocol::WorkflowRecord &record);
+  void collect();
+  void submit(std::uint8_t kind, std::uint8_t queue);
+  void submitAs(const std::string &id, std::uint8_t kind, std::uint8_t queue);
+  void storeBatch();
+  void carryOut(Order order, bool answered);
+  workflow::OrderAnswer start(const Order &order);
+  workflow::OrderAnswer stop(const Order &order);
+  workflow::LookAnswer look(const Order &order);
+  void checkOrdered(const workflow::StartOrder &order) const;
+  void checkStart(const Runner &runner, const workflow::RunKey &run,
+                  const workflow::Room &needs) const;
+  void end(Runner &runner, const workflow::RunKey &run, protocol::RunEnd how);
+  void advance(Milliseconds time);
+  void answerAdvice(std::uint8_t choice, bool succeeded);
+  void startRunner();
+  void heartbeat(Runner &runner);
+  void changeLeader(std::uint8_t stored);
+  void replaceState();
+  void configure(std::uint8_t routes);
+  Runner *runnerAt(std::uint8_t choice);
+  Order takeOrder(std::uint8_t choice);
+
+  SteadyTime Now;
+  workflow::WorkflowState State;
+  std::unique_ptr<workflow::WorkflowLeader> Leader;
+  std::uint64_t Term = 0;
+  std::uint64_t ConfigVersion = 0;
+  std::deque<workflow::ProposedBatch> Batches;
+  std::deque<Order> Orders;
+  std::deque<workflow::AdviceCall> Advice;
+  std::map<std::string, Runner> Runners;
+  std::vector<std::string> Submitted;
+  std::uint64_t NextRunner = 0;
+};
+
+/// Runs a session; throws when a rule is broken.
+void runSession(const std::vector<WorkflowStep> &steps);
+
+} // namespace masticwinch::fuzzing
--- a/tests/coordination/workflow/test_workflow_leader.cpp
+++ b/tests/coordination/workflow/test_workflow_leader.cpp
@@ -77,3 +77,66 @@
   CHECK(accepted == 0);
   CHECK(refused == 5);
 }
+
+namespace {
+
+/// Stores and applies what a leader proposed, in order.
+void storeAll(WorkflowState &state, WorkflowLeader &leader,
+              const std::vector<ProposedBatch> &batches, Moment at) {
+  for (const ProposedBatch &it : batches) {
+    state.apply(it.Record);
+    leader.stored(it, at);
+  }
+}
+
+/// Answers a runner's first look, so that it gets work.
+void adopt(WorkflowLeader &leader, const WorkflowEffects &effects, Moment at) {
+  for (const LookOrder &it : effects.Looks) {
+    LookAnswer answer;
+    answer.Answer = OrderAnswer::Done;
+    leader.lookAnswered(it, answer, at);
+  }
+}
+
+Moment after(Milliseconds time) {
+  return {Start.Now + time, Start.UnixMs + std::uint64_t(time.count())};
+}
+
+} // namespace
+
+TEST_CASE("An occurrence that begins after its workflow was cancelled ends no "
+          "process",
+          "[.known-red][workflow]") {
+  const std::string id = "000000000000000a";
+  WorkflowState state = stateWith(1);
+  WorkflowLeader leader({}, state, Start);
+  leader.tick(Start);
+  adopt(leader, leader.takeEffects(Start), Start);
+
+  protocol::WorkflowCall timed = submission(id);
+  timed.mutable_submit()->set_repeats(2);
+  timed.mutable_submit()->set_first_at_unix_ms(Start.UnixMs);
+  timed.mutable_submit()->set_interval_ms(100);
+  leader.call(
+      timed, [](const protocol::WorkflowAnswer &) {}, Start);
+  storeAll(state, leader, leader.takeEffects(Start).Batches, Start);
+  leader.tick(Start);
+  storeAll(state, leader, leader.takeEffects(Start).Batches, Start);
+  const Moment scheduled = after(Milliseconds(20));
+  leader.tick(scheduled);
+  storeAll(state, leader, leader.takeEffects(scheduled).Batches, scheduled);
+  REQUIRE(state.findTask({{id, 0, 0}, 0})->Runner == "i-0");
+
+  protocol::WorkflowCall cancelled;
+  cancelled.set_host("host");
+  cancelled.set_path("/sheets/" + id);
+  cancelled.mutable_cancel();
+  const Moment due = after(Milliseconds(200));
+  leader.call(
+      cancelled, [](const protocol::WorkflowAnswer &) {}, due);
+  leader.tick(due);
+  const std::vector<ProposedBatch> batches = leader.takeEffects(due).Batches;
+  CHECK_NOTHROW(storeAll(state, leader, batches, due));
+  CHECK(state.find(id)->CurrentPhase == Phase::Cancelled);
+  CHECK(leader.waitingSteps() == 0);
+}
