Renew the tickets of the runners that a waiting gang keeps

Cause: a gang that found no place kept its runners first and looked then for runners whose tickets to renew, leaving out every runner that was kept, its own included. So it renewed nothing by itself; only the first eight steps with slow advice had tickets renewed, of the 40 approved runners whose ids come first, whether these had room or not. Class: a decision that reads state which its own earlier half has changed.

Both new tests failed before ("0 == 1" calls for renewal, after 3 s and 50 ms of free room) and pass now.

Change: a step that would fit with fresh tickets renews just these, and a gang sets the room that it needs there aside while the call is under way, not whole runners; only a gang that fits nowhere keeps runners.

--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -163,6 +163,11 @@
     std::map<std::string, Pool> Pools;
     /// Runners that are kept for waiting gangs, and for how long.
     std::unordered_map<const RunnerEntry *, Milliseconds> Reserved;
+    /// Room set aside for gangs that fit and only wait for their tickets.
+    std::unordered_map<const RunnerEntry *, Room> Claimed;
+
+    /// What is free on a runner beside what is set aside.
+    Room freeOf(const RunnerEntry &runner) const;
     /// Gangs that runners still may be kept for.
     std::size_t Reservations = 0;
     /// Slow renewals of tickets that this pass still may ask for.
@@ -210,9 +215,6 @@
                    Moment at);
   void noteWait(const StepKey &key, const Fleet &fleet,
                 const std::vector<RankedStep> &tried, Moment at);
-  void askForAdvice(const StepKey &key, const std::vector<std::uint32_t> &tasks,
-                    const protocol::QueueConfig &queue, Fleet &fleet,
-                    Moment at);
   void askFurther(const StepKey &key, std::size_t tasks,
                   const Fleet::Pool &pool, Fleet &fleet, Moment at);
   Fleet fleetNow(Moment at) const;
@@ -225,9 +227,8 @@
   std::optional<PlanCandidate> candidateOf(const StepKey &key,
                                            const RunnerEntry &runner,
                                            const Fleet &fleet) const;
-  std::vector<std::string>
-  fittingRunners(const StepKey &key, const std::vector<std::uint32_t> &tasks,
-                 const Fleet &fleet, const Fleet::Pool &pool, Moment at) const;
+  bool renewTickets(const StepKey &key, const std::vector<std::uint32_t> &tasks,
+                    Fleet &fleet, const Fleet::Pool &pool, Moment at);
   void reserveRunners(const StepKey &key, bool advised, std::size_t tasks,
                       Fleet &fleet, const Fleet::Pool &pool, Moment at) const;
   std::vector<std::string> adviceCandidates(const StepKey &key,
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -102,6 +102,14 @@
   return tasks;
 }
 
+Room WorkflowLeader::Fleet::freeOf(const RunnerEntry &runner) const {
+  Room room = runner.Free;
+  if (const auto it = Claimed.find(&runner); it != Claimed.end()) {
+    room -= it->second;
+  }
+  return room;
+}
+
 WorkflowLeader::Fleet WorkflowLeader::fleetNow(Moment at) const {
   Fleet fleet;
   fleet.SlowRenewals = Options.SlowRenewals;
@@ -230,7 +238,8 @@
 WorkflowLeader::candidateOf(const StepKey &key, const RunnerEntry &runner,
                             const Fleet &fleet) const {
   const protocol::StepSpec &spec = *State.findSpec(key);
-  if (!runner.Free.holds(needsOf(spec)) ||
+  const Room free = fleet.freeOf(runner);
+  if (!free.holds(needsOf(spec)) ||
       Open.at(key).Avoid.contains(runner.Info.id()) ||
       (!spec.required_label().empty() &&
        !runner.hasLabel(spec.required_label()))) {
@@ -247,7 +256,7 @@
       ofStep += run.Task.Step == key ? 1 : 0;
     }
   }
-  return PlanCandidate{&runner, runner.Free, ofStep};
+  return PlanCandidate{&runner, free, ofStep};
 }
 
 /// Runners that may get tasks of the step; without regard to the age of their
@@ -316,12 +325,21 @@
     assign(key, open, it, nextRun(step, spec, it.Index),
            checkpointOf(step, spec, it.Index), at);
   }
-  if (spec.gang() && planned.empty() && !tasks.empty()) {
-    reserveRunners(key, queue->has_advice(), tasks.size(), fleet, pool->second,
-                   at);
+  if (planned.size() == tasks.size()) {
+    return;
+  }
+  const bool advised = queue->has_advice();
+  if (advised) {
+    Advice.open(key, queue->name(), queue->advice());
+    if (renewTickets(key, startable(key, open), fleet, pool->second, at)) {
+      return;
+    }
+  }
+  if (spec.gang()) {
+    reserveRunners(key, advised, tasks.size(), fleet, pool->second, at);
   }
-  if (queue->has_advice() && planned.size() < tasks.size()) {
-    askForAdvice(key, startable(key, open), *queue, fleet, at);
+  if (advised) {
+    askFurther(key, tasks.size() - planned.size(), pool->second, fleet, at);
   }
 }
 
@@ -388,38 +406,31 @@
   return ids;
 }
 
-/// Runners on which the step would fit now, if it had fresh tickets for them.
-std::vector<std::string> WorkflowLeader::fittingRunners(
-    const StepKey &key, const std::vector<std::uint32_t> &tasks,
-    const Fleet &fleet, const Fleet::Pool &pool, Moment at) const {
-  std::vector<std::string> runners;
-  for (const PlannedRun &it :
-       planStep(*State.findSpec(key), tasks,
-                candidates(key, true, fleet, pool, false, at))) {
-    runners.push_back(it.Runner->Info.id());
-  }
-  std::sort(runners.begin(), runners.end());
-  runners.erase(std::unique(runners.begin(), runners.end()), runners.end());
-  return runners;
-}
-
-/// Asks about a step once, and renews the tickets of just those runners on
-/// which it would fit now.
-void WorkflowLeader::askForAdvice(const StepKey &key,
+/// Renews the tickets of just those runners on which the step would fit now if
+/// they were fresh; false if it fits nowhere. A gang keeps the room that it
+/// needs there until its tickets come.
+bool WorkflowLeader::renewTickets(const StepKey &key,
                                   const std::vector<std::uint32_t> &tasks,
-                                  const protocol::QueueConfig &queue,
-                                  Fleet &fleet, Moment at) {
-  const Fleet::Pool &pool = fleet.Pools.at(queue.pool());
-  Advice.open(key, queue.name(), queue.advice());
-  std::vector<std::string> wanted;
-  if (Advice.isKnown(key)) {
-    wanted = fittingRunners(key, tasks, fleet, pool, at);
-  }
-  if (wanted.empty()) {
-    askFurther(key, tasks.size(), pool, fleet, at);
-    return;
+                                  Fleet &fleet, const Fleet::Pool &pool,
+                                  Moment at) {
+  const protocol::StepSpec &spec = *State.findSpec(key);
+  const std::vector<PlannedRun> fitting =
+      planStep(spec, tasks, candidates(key, true, fleet, pool, false, at));
+  if (fitting.empty()) {
+    return false;
+  }
+  std::set<std::string> runners;
+  for (const PlannedRun &it : fitting) {
+    runners.insert(it.Runner->Info.id());
+  }
+  const bool underWay =
+      Advice.renew(key, {runners.begin(), runners.end()}, at.Now);
+  if (spec.gang() && underWay) {
+    for (const PlannedRun &it : fitting) {
+      fleet.Claimed[it.Runner] += needsOf(spec);
+    }
   }
-  Advice.renew(key, wanted, at.Now);
+  return true;
 }
 
 /// A step that fits nowhere is asked about further runners after a while; until
--- a/tests/coordination/workflow/test_workflow_leader.cpp
+++ b/tests/coordination/workflow/test_workflow_leader.cpp
@@ -140,3 +140,177 @@
   CHECK(state.find(id)->CurrentPhase == Phase::Cancelled);
   CHECK(leader.waitingSteps() == 0);
 }
+
+namespace {
+
+/// A leader whose batches are stored at once, and runners that answer at once.
+class LeaderSession {
+public:
+  explicit LeaderSession(WorkflowState state)
+      : State(std::move(state)), Leader({}, State, Start) {
+    pass(Milliseconds(20));
+    pass(Milliseconds(20));
+  }
+
+  Moment at() const { return after(Since); }
+
+  void submit(const std::string &queue, const std::string &id,
+              const protocol::StepSpec &step) {
+    protocol::WorkflowCall call;
+    call.set_host("host");
+    call.set_path("/" + queue + "/" + id);
+    *call.mutable_submit() = specOf(id, {step});
+    Leader.call(
+        call, [](const protocol::WorkflowAnswer &) {}, at());
+  }
+
+  /// Lets time pass in which the leader decides; gives its calls for advice.
+  std::vector<AdviceCall> pass(Milliseconds time) {
+    std::vector<AdviceCall> calls;
+    for (const Moment end = after(Since + time); at().Now < end.Now;) {
+      Since += Milliseconds(10);
+      Leader.agentSeen("agent", at());
+      Leader.tick(at());
+      for (AdviceCall &it : settle()) {
+        calls.push_back(std::move(it));
+      }
+    }
+    return calls;
+  }
+
+  /// Every runner that a call names is approved.
+  void approve(const AdviceCall &call) {
+    protocol::AdviceResult result;
+    result.set_order(call.Order);
+    result.set_answered(true);
+    for (const std::string &it : call.Runners) {
+      protocol::ApprovedRunner *approved = result.add_approved();
+      approved->set_runner(it);
+      approved->set_ticket("ticket");
+    }
+    Leader.adviceAnswered(result, at());
+  }
+
+  /// All that runs ends.
+  void endRuns() {
+    for (const auto &[runner, run] : std::exchange(Running, {})) {
+      Ended[runner].push_back(
+          {Ended[runner].size() + 1, run, protocol::RUN_DONE, ""});
+    }
+  }
+
+  std::size_t running() const { return Running.size(); }
+
+private:
+  std::vector<AdviceCall> settle() {
+    std::vector<AdviceCall> calls;
+    for (int i = 0; i < 4; ++i) {
+      WorkflowEffects effects = Leader.takeEffects(at());
+      storeAll(State, Leader, effects.Batches, at());
+      for (const StartOrder &it : effects.Starts) {
+        Running.emplace_back(it.Runner, it.Run);
+        Leader.startAnswered(it, OrderAnswer::Done, at());
+      }
+      for (const LookOrder &it : effects.Looks) {
+        answer(it);
+      }
+      for (AdviceCall &it : effects.Advice) {
+        calls.push_back(std::move(it));
+      }
+    }
+    return calls;
+  }
+
+  void answer(const LookOrder &order) {
+    LookAnswer made;
+    made.Answer = OrderAnswer::Done;
+    for (const auto &[runner, run] : Running) {
+      if (runner == order.Runner) {
+        made.Running.push_back({run, ""});
+      }
+    }
+    made.Ended = Ended[order.Runner];
+    Leader.lookAnswered(order, made, at());
+  }
+
+  WorkflowState State;
+  Milliseconds Since{0};
+  WorkflowLeader Leader;
+  std::vector<std::pair<std::string, RunKey>> Running;
+  std::map<std::string, std::vector<EndedRun>> Ended;
+};
+
+/// Runners, the queue "sheets" with advice, and "plain" without.
+WorkflowState stateWithAdvice(int runners) {
+  WorkflowState state = stateWith(runners);
+  protocol::WorkflowChange configured;
+  protocol::CellConfig &config = *configured.mutable_configure();
+  config = configOf(2);
+  *config.add_queues() = config.queues(0);
+  config.mutable_queues(1)->set_name("plain");
+  config.mutable_queues(1)->set_path_prefix("/plain/");
+  protocol::AdviceTerms *terms = config.mutable_queues(0)->mutable_advice();
+  terms->set_decision_us(10'000);
+  terms->set_per_runner_us(100);
+  terms->set_validity_ms(1500);
+  state.apply(configured);
+  return state;
+}
+
+protocol::StepSpec heavyStep(std::uint32_t count, std::uint32_t cores,
+                             bool gang) {
+  protocol::StepSpec step = stepOf(count, gang);
+  step.mutable_needs()->set_milli_processors(cores * 1000);
+  return step;
+}
+
+} // namespace
+
+TEST_CASE("A gang that waited for room beyond its tickets renews those of the "
+          "runners with room and starts",
+          "[workflow]") {
+  LeaderSession session(stateWithAdvice(2));
+  session.submit("plain", "000000000000000a", heavyStep(2, 30, false));
+  session.pass(Milliseconds(50));
+  REQUIRE(session.running() == 2);
+
+  session.submit("sheets", "000000000000000b", heavyStep(2, 20, true));
+  const auto asked = session.pass(Milliseconds(50));
+  REQUIRE(asked.size() == 1);
+  session.approve(asked.front());
+  session.pass(Milliseconds(3000));
+  REQUIRE(session.running() == 2);
+
+  session.endRuns();
+  const auto renewed = session.pass(Milliseconds(50));
+  REQUIRE(renewed.size() == 1);
+  CHECK(renewed.front().Runners == std::vector<std::string>{"i-0", "i-1"});
+  session.approve(renewed.front());
+  session.pass(Milliseconds(50));
+  CHECK(session.running() == 2);
+}
+
+TEST_CASE("A gang that only waits for tickets leaves other gangs the room that "
+          "it does not need",
+          "[workflow]") {
+  LeaderSession session(stateWithAdvice(2));
+  session.submit("plain", "000000000000000a", heavyStep(2, 30, false));
+  session.submit("sheets", "000000000000000b", heavyStep(2, 10, true));
+  const auto early = session.pass(Milliseconds(50));
+  REQUIRE(early.size() == 1);
+  session.approve(early.front());
+  session.pass(Milliseconds(3000));
+  session.submit("sheets", "000000000000000c", heavyStep(2, 10, true));
+  const auto late = session.pass(Milliseconds(50));
+  REQUIRE(late.size() == 1);
+  session.approve(late.front());
+
+  session.endRuns();
+  // The tickets of the first gang have lapsed, those of the second have not.
+  const auto renewed = session.pass(Milliseconds(50));
+  CHECK(session.running() == 2);
+  REQUIRE(renewed.size() == 1);
+  session.approve(renewed.front());
+  session.pass(Milliseconds(50));
+  CHECK(session.running() == 4);
+}
