Keep a name that is no text from holding up the records beside it

What callers saw: one heartbeat whose path named a runner by bytes that are no UTF-8, and every heartbeat, job and configuration decided within the same 4 ms, got no answer for 12 s; what the leader believed ran ahead of the replicated state. A caller's path with such bytes was held until its deadline and answered 504.

Cause: proto3 strings are written as they are, but parsed only if they are UTF-8. The leader proposed a record that no replica could read, and each skipped it, with all that was in it. Class: bytes from outside taken into a type that not every reader accepts.

And should a record ever not be read back, or a decision end in an error, the driver drops its decisions and resigns: the next leader starts from the replicated state. That costs an election, where an exception in a decision ended the process before, on one leader after the other.

--- a/src/masticwinch/control/replicated_log.cpp
+++ b/src/masticwinch/control/replicated_log.cpp
@@ -121,6 +121,13 @@
   return LogPosition{*index, Machine->term()};
 }
 
+void ReplicatedLog::resign(const std::string &reason) {
+  Events.write(ReplicatedLogEvent::LeadershipResigned, {{"reason", reason}});
+  LeadershipNoted = false;
+  Machine->resign(Time.now());
+  schedulePump();
+}
+
 bool ReplicatedLog::isLeader() const {
   LeaseLapsed = LeaseLapsed || !Machine->holdsLease(Time.now());
   return LeadershipNoted && !LeaseLapsed;
--- a/src/masticwinch/control/replicated_log.hpp
+++ b/src/masticwinch/control/replicated_log.hpp
@@ -91,6 +91,10 @@
   /// latest after a fixed time.
   void handOver(std::function<void()> done);
 
+  /// Stops leading: decisions of this process can't be relied on any more. It
+  /// may lead again in a later term, with decisions that begin anew.
+  void resign(const std::string &reason);
+
   std::optional<LogPosition> propose(const std::string &record);
 
   /// True if no other replica can lead at this moment and the state reflects
--- a/src/masticwinch/control/replicated_log_event.hpp
+++ b/src/masticwinch/control/replicated_log_event.hpp
@@ -19,6 +19,7 @@
   SenderRefused,
   MembershipRepair,
   LeadershipOffered,
+  LeadershipResigned,
 };
 
 } // namespace masticwinch::control
@@ -38,7 +39,8 @@
       EnumName<Event>{Event::SnapshotTaken, "snapshot_taken"},
       EnumName<Event>{Event::SenderRefused, "replica_sender_refused"},
       EnumName<Event>{Event::MembershipRepair, "membership_repair"},
-      EnumName<Event>{Event::LeadershipOffered, "leadership_offered"}};
+      EnumName<Event>{Event::LeadershipOffered, "leadership_offered"},
+      EnumName<Event>{Event::LeadershipResigned, "leadership_resigned"}};
 };
 
 } // namespace masticwinch
--- a/src/masticwinch/coordination/replication/replica.hpp
+++ b/src/masticwinch/coordination/replication/replica.hpp
@@ -57,6 +57,9 @@
   /// `ReplicationError`.
   Result<ReplicaId> transferLeadership(SteadyTime now);
 
+  /// Stops leading, if this replica does; it may be elected again.
+  void resign(SteadyTime now);
+
   /// Says whether this replica may stand for election. One whose disk refuses
   /// writes follows, but could not serve as a leader.
   void setFit(bool fit) { Fit = fit; }
--- a/src/masticwinch/coordination/replication/replica_leader.cpp
+++ b/src/masticwinch/coordination/replication/replica_leader.cpp
@@ -242,6 +242,12 @@
   return true;
 }
 
+void Replica::resign(SteadyTime now) {
+  if (CurrentRole == Role::Leader) {
+    becomeFollower(Hard.Term, std::nullopt, now);
+  }
+}
+
 bool Replica::holdsLease(SteadyTime now) const {
   if (CurrentRole != Role::Leader || !isReadyLeader() ||
       (Handover && Handover->Asked)) {
--- a/src/masticwinch/workflow/workflow_driver.hpp
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -13,11 +13,13 @@
 #include <asio/steady_timer.hpp>
 
 #include <deque>
+#include <exception>
 #include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace masticwinch::workflow {
@@ -46,20 +48,25 @@
 
   void applied(control::LogPosition position, const std::string &record) {
     protocol::WorkflowRecord parsed;
-    if (!parsed.ParseFromString(record)) {
+    const bool readable = parsed.ParseFromString(record);
+    if (!readable) {
       Events.writeNamed("workflow_record_unreadable",
                         {{"index", position.Index}});
-      return;
+    } else {
+      State.apply(parsed);
     }
-    State.apply(parsed);
     const auto batch = Waiting.extract(position);
-    if (Leader && !batch.empty()) {
-      StoreSeconds.record(
-          std::chrono::duration<double>(Time.now() - batch.mapped().ProposedAt)
-              .count());
-      Leader->stored(batch.mapped().Batch, at());
-      pump();
+    if (!Leader || batch.empty()) {
+      return;
+    }
+    if (!readable) {
+      abandon("stored", "a record can't be read back");
+      return;
     }
+    StoreSeconds.record(
+        std::chrono::duration<double>(Time.now() - batch.mapped().ProposedAt)
+            .count());
+    decide("stored", [&] { Leader->stored(batch.mapped().Batch, at()); });
   }
 
   void restore(const std::string &bytes) {
@@ -85,14 +92,14 @@
     Waiting.clear();
     Unproposed.clear();
     LeaderTerm = Commands.term();
-    Leader = std::make_unique<WorkflowLeader>(Options, State, at());
-    pump();
+    decide("leadership", [this] {
+      Leader = std::make_unique<WorkflowLeader>(Options, State, at());
+    });
   }
 
   void tick() {
     if (leads()) {
-      Leader->tick(at());
-      pump();
+      decide("tick", [this] { Leader->tick(at()); });
     }
   }
 
@@ -102,25 +109,26 @@
     } else if (envelope.has_agent_hello()) {
       takeHello(envelope);
     } else if (envelope.has_advice_result() && leads()) {
-      Leader->adviceAnswered(envelope.advice_result(), at());
-      pump();
+      decide("advice",
+             [&] { Leader->adviceAnswered(envelope.advice_result(), at()); });
     }
   }
 
   void heartbeat(const protocol::RunnerInfo &info, std::uint64_t sequence,
                  std::int64_t clockMs, Stored stored) {
-    Leader->heartbeat(info, sequence, clockMs, std::move(stored), at());
-    pump();
+    decide("heartbeat", [&] {
+      Leader->heartbeat(info, sequence, clockMs, std::move(stored), at());
+    });
   }
 
   void deregister(const std::string &id, Stored stored) {
-    Leader->deregister(id, std::move(stored), at());
-    pump();
+    decide("deregister",
+           [&] { Leader->deregister(id, std::move(stored), at()); });
   }
 
   void configure(const protocol::CellConfig &config, Stored stored) {
-    Leader->configure(config, std::move(stored), at());
-    pump();
+    decide("configure",
+           [&] { Leader->configure(config, std::move(stored), at()); });
   }
 
 private:
@@ -157,8 +165,7 @@
       reply(std::move(answer));
       return;
     }
-    Leader->call(call, reply, at());
-    pump();
+    decide("call", [&] { Leader->call(call, reply, at()); });
   }
 
   void takeHello(const protocol::Envelope &envelope) {
@@ -172,11 +179,46 @@
     }
     Outbox.send(envelope.reply_address(), std::move(made));
     if (leads()) {
-      Leader->agentSeen(envelope.reply_address(), at());
+      decide("agent",
+             [&] { Leader->agentSeen(envelope.reply_address(), at()); });
+    }
+  }
+
+  /// Lets the leader decide, and carries out what it decided. A decision that
+  /// fails costs this VM its leadership, not the process: what was decided
+  /// since the last stored batch is dropped, and the next leader starts from
+  /// the replicated state.
+  template <class Function>
+  void decide(std::string_view handler, Function function) {
+    guard(handler, [&] {
+      function();
       pump();
+    });
+  }
+
+  template <class Function>
+  void guard(std::string_view handler, Function function) {
+    try {
+      function();
+    } catch (const std::exception &error) {
+      abandon(handler, error.what());
     }
   }
 
+  void abandon(std::string_view handler, const std::string &reason) {
+    Events.writeNamed(
+        "workflow_decision_failed",
+        {{"handler", handler}, {"term", LeaderTerm}, {"reason", reason}});
+    Metrics
+        .counter({"masticwinch_workflow_decisions_failed_total",
+                  "Decisions that ended in an error and cost the leadership."})
+        .add(1);
+    Leader.reset();
+    Waiting.clear();
+    Unproposed.clear();
+    Commands.resign("a decision failed: " + reason);
+  }
+
   /// Carries out what the leader decided, at once if that was not done just
   /// now. Decisions that follow each other closely are stored as one record,
   /// which costs one round of messages to the other control VMs.
@@ -188,7 +230,7 @@
       PumpTimer.expires_at(LastPump + GatherTime);
       PumpTimer.async_wait([this](const std::error_code &ec) {
         if (!ec) {
-          pumpNow();
+          guard("effects", [this] { pumpNow(); });
         }
       });
     }
@@ -232,8 +274,7 @@
   template <class Function> OrderDone answered(Function function) {
     return [this, term = LeaderTerm, function](OrderAnswer answer) {
       if (Leader && LeaderTerm == term) {
-        function(*Leader, answer, at());
-        pump();
+        decide("order_answered", [&] { function(*Leader, answer, at()); });
       }
     };
   }
@@ -242,8 +283,8 @@
     Runners.look(order, LeaderTerm,
                  [this, term = LeaderTerm, order](const LookAnswer &answer) {
                    if (Leader && LeaderTerm == term) {
-                     Leader->lookAnswered(order, answer, at());
-                     pump();
+                     decide("look_answered",
+                            [&] { Leader->lookAnswered(order, answer, at()); });
                    }
                  });
   }
--- /dev/null
+++ b/tests/workflow/test_workflow_driver.cpp
@@ -0,0 +1,104 @@
+#include "masticwinch/common/manual_clock.hpp"
+#include "masticwinch/events/event_log.hpp"
+#include "masticwinch/metrics/metric_registry.hpp"
+#include "masticwinch/workflow/workflow_driver.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "tests/coordination/workflow/workflow_records.hpp"
+
+using namespace masticwinch;
+using namespace masticwinch::tests;
+using namespace masticwinch::workflow;
+
+namespace {
+
+/// A log that keeps what is proposed until the test applies it.
+struct FakeLog {
+  std::optional<control::LogPosition> propose(const std::string &record) {
+    Records.push_back(record);
+    return control::LogPosition{Records.size(), Term};
+  }
+  bool isLeader() const { return Leads; }
+  std::uint64_t term() const { return Term; }
+  std::string leaderAddress() const { return {}; }
+  std::vector<std::string> otherAddresses() const { return {}; }
+  void resign(const std::string &) { Leads = false; }
+
+  std::vector<std::string> Records;
+  std::uint64_t Term = 1;
+  bool Leads = true;
+};
+
+struct FakeSender {
+  void send(const std::string &, const protocol::Envelope &) {}
+};
+
+struct FakeCalls {
+  void start(const StartOrder &, std::uint64_t, const OrderDone &) {}
+  void stop(const StopOrder &, std::uint64_t, const OrderDone &) {}
+  void look(const LookOrder &, std::uint64_t, const LookDone &) {}
+};
+
+/// A driver that leads, on a clock that moves far enough for each decision to
+/// be carried out at once.
+struct Fixture {
+  Fixture() {
+    Time.advance(std::chrono::seconds(100));
+    Driver.becomeLeader();
+  }
+
+  void heartbeat(const std::string &id) {
+    Time.advance(std::chrono::seconds(1));
+    Driver.heartbeat(runnerOf(id), 1, 1, [this] { ++Stored; });
+  }
+
+  /// Applies the newest record, as it was or as other bytes.
+  void apply(const std::string &bytes) {
+    Time.advance(std::chrono::seconds(1));
+    Driver.applied({Log.Records.size(), Log.Term}, bytes);
+  }
+
+  ManualClock Time;
+  EventLog Events{{"control", 1, "/dev/null"}, Time};
+  MetricRegistry Metrics;
+  asio::io_context Context;
+  FakeLog Log;
+  FakeSender Sender;
+  FakeCalls Calls;
+  WorkflowDriver<FakeLog, FakeSender, FakeCalls> Driver{
+      Context, Log, Sender, Calls, Time, Events, Metrics, {}};
+  int Stored = 0;
+};
+
+} // namespace
+
+TEST_CASE("A runner named by bytes that are no text is stored as it is",
+          "[workflow]") {
+  Fixture control;
+  control.heartbeat("\xff\xfe");
+  REQUIRE(control.Log.Records.size() == 1);
+  control.apply(control.Log.Records.back());
+  CHECK(control.Stored == 1);
+  CHECK(control.Driver.state().runners().contains("\xff\xfe"));
+}
+
+TEST_CASE("A record that can't be read back costs the leadership, so that no "
+          "decision runs ahead of the state",
+          "[workflow]") {
+  Fixture control;
+  control.heartbeat("i-1");
+  REQUIRE(control.Driver.leads());
+  control.apply("\xff is no record");
+  CHECK_FALSE(control.Driver.leads());
+  CHECK_FALSE(control.Log.Leads);
+  CHECK(control.Stored == 0);
+
+  control.Log.Leads = true;
+  control.Log.Term = 2;
+  control.Driver.becomeLeader();
+  CHECK(control.Driver.leads());
+  control.heartbeat("i-1");
+  control.apply(control.Log.Records.back());
+  CHECK(control.Stored == 1);
+}
