Open a data folder that the platform shares, and set a damaged one aside

Cause: a start refused a data folder that another user owns or that others may write to, and one that holds a log but no metadata, or metadata whose checksum fails, until a person acts. On the users' platform the folder is made by whoever starts the process, which may run as a user of its own, and nobody acts. Class: a start that demands of its surroundings what the work doesn't need.

A shared folder is opened and noted in data_folder_opened. A folder without a usable identity is emptied into set-aside, the replica takes a new identity and joins as an empty one does; it never founds a cell.

Why it works: the old identity is not used again, so that no vote is given twice; if a quorum of folders were lost, the cell stands still as before rather than begin anew. A folder of another cell or a newer format is still refused.

--- a/src/masticwinch/control/replicated_log.cpp
+++ b/src/masticwinch/control/replicated_log.cpp
@@ -88,10 +88,16 @@
     throw std::runtime_error(error->text());
   }
   Options.Self.Id = Storage->id();
+  if (!Storage->setAsideReason().empty()) {
+    Events.write(ReplicatedLogEvent::FolderSetAside,
+                 {{"folder", Options.Storage.Folder},
+                  {"reason", Storage->setAsideReason()}});
+  }
   Events.write(ReplicatedLogEvent::FolderOpened,
                {{"replica", Options.Self.Id.text()},
-                {"empty", Storage->isEmpty() ? "yes" : "no"}});
-  if (Storage->isEmpty() && Options.MayFound) {
+                {"empty", Storage->isEmpty() ? "yes" : "no"},
+                {"shared", Storage->isShared() ? "yes" : "no"}});
+  if (Storage->isEmpty() && Options.MayFound && !Storage->hasSetAside()) {
     Founders.emplace(Options.Self, Options.Founders);
   }
 }
--- a/src/masticwinch/control/replicated_log_event.hpp
+++ b/src/masticwinch/control/replicated_log_event.hpp
@@ -10,6 +10,7 @@
 enum class ReplicatedLogEvent {
   FolderOpened,
   FolderRefused,
+  FolderSetAside,
   CellFounded,
   ReplicaWaiting,
   DiskFull,
@@ -31,6 +32,7 @@
   static constexpr std::array Table{
       EnumName<Event>{Event::FolderOpened, "data_folder_opened"},
       EnumName<Event>{Event::FolderRefused, "data_folder_refused"},
+      EnumName<Event>{Event::FolderSetAside, "data_folder_set_aside"},
       EnumName<Event>{Event::CellFounded, "cell_founded"},
       EnumName<Event>{Event::ReplicaWaiting, "replica_waiting"},
       EnumName<Event>{Event::DiskFull, "disk_full"},
--- a/src/masticwinch/workflow/control_vm_daemon.cpp
+++ b/src/masticwinch/workflow/control_vm_daemon.cpp
@@ -7,6 +7,8 @@
   control::ReplicatedLogOptions options;
   options.Storage.Folder = settings.DataFolder;
   options.Storage.Cluster = process.Cluster;
+  options.Storage.SharedFolder = settings.SharedDataFolder;
+  options.Storage.SetDamagedAside = settings.SetDamagedFolderAside;
   options.Replica = settings.Replica;
   options.SnapshotEntries = settings.SnapshotEntries;
   options.Self.Name = process.Name;
--- a/src/masticwinch/workflow/workflow_settings.cpp
+++ b/src/masticwinch/workflow/workflow_settings.cpp
@@ -49,6 +49,10 @@
         settings.Daemon = readDaemon(reader);
         settings.Control = programs::readEndpoint(reader, "control_address");
         settings.DataFolder = reader.requiredString("data_folder");
+        settings.SharedDataFolder =
+            reader.optionalBoolean("shared_data_folder", false);
+        settings.SetDamagedFolderAside =
+            reader.optionalBoolean("set_damaged_folder_aside", false);
         settings.FirstStart = reader.optionalBoolean("first_start", false);
         settings.LongestLease = reader.optionalMilliseconds(
             "longest_lease_ms", LeaseRange, settings.LongestLease);
--- a/src/masticwinch/workflow/workflow_settings.hpp
+++ b/src/masticwinch/workflow/workflow_settings.hpp
@@ -34,6 +34,11 @@
   /// Where runners and operators call.
   programs::HttpSettings Control;
   std::string DataFolder;
+  /// The folder may belong to another user or be writable by others.
+  bool SharedDataFolder = false;
+  /// A folder without a usable identity is set aside, and the replica joins
+  /// anew.
+  bool SetDamagedFolderAside = false;
   /// The cell starts for the first time, so that the seeds may found it.
   bool FirstStart = false;
   /// Limit of the runners' leases, in milliseconds.
--- a/tests/storage/test_replica_storage.cpp
+++ b/tests/storage/test_replica_storage.cpp
@@ -297,6 +297,68 @@
   }
 }
 
+TEST_CASE("A folder that others may write to is opened where that is allowed",
+          "[storage]") {
+  testing::TemporaryFolder parent;
+  const std::string folder = parent.file("data");
+  writeThree(folder);
+  std::filesystem::permissions(folder, std::filesystem::perms::all);
+  std::mt19937_64 engine(1);
+  StorageOptions options{folder, "cell"};
+  options.SharedFolder = true;
+  const auto opened = ReplicaStorage::open(options, engine);
+  REQUIRE(opened);
+  CHECK(opened->isShared());
+  CHECK_FALSE(opened->isEmpty());
+}
+
+TEST_CASE("A folder whose identity is lost is set aside where that is allowed",
+          "[storage]") {
+  testing::TemporaryFolder parent;
+  const std::string folder = parent.file("data");
+  writeThree(folder);
+  const auto before = openAt(folder)->id();
+  StorageOptions options{folder, "cell"};
+  options.SetDamagedAside = true;
+  std::mt19937_64 engine(1);
+
+  SECTION("damaged metadata") { flipByte(folder + "/metadata", 10); }
+  SECTION("a log without metadata") {
+    std::filesystem::remove(folder + "/metadata");
+  }
+  {
+    const auto opened = ReplicaStorage::open(options, engine);
+    REQUIRE(opened);
+    CHECK(opened->isEmpty());
+    CHECK(opened->id() != before);
+    CHECK(opened->hasSetAside());
+    CHECK_FALSE(opened->setAsideReason().empty());
+  }
+  CHECK_FALSE(newestSegment(folder + "/set-aside").empty());
+  // The new identity stays, and the replica still must not found a cell.
+  const auto again = ReplicaStorage::open(options, engine);
+  REQUIRE(again);
+  CHECK(again->hasSetAside());
+  CHECK(again->setAsideReason().empty());
+}
+
+TEST_CASE("A folder of another cell is not set aside", "[storage]") {
+  testing::TemporaryFolder parent;
+  const std::string folder = parent.file("data");
+  writeThree(folder);
+  StorageOptions options{folder, "other"};
+  options.SetDamagedAside = true;
+  std::mt19937_64 engine(1);
+  const bool opened = boost::leaf::try_handle_all(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(ReplicaStorage::open(options, engine));
+        return true;
+      },
+      [] { return false; });
+  CHECK_FALSE(opened);
+  CHECK_FALSE(std::filesystem::exists(folder + "/set-aside"));
+}
+
 TEST_CASE("A wiped folder gets another identity", "[storage]") {
   testing::TemporaryFolder parent;
   const std::string folder = parent.file("data");
