Leave descriptors for files, and repeat writes that found none

Cause: an HTTP server took 4,096 connections, as many as there are descriptors; "too many open files" counted as a failed disk. Class: a limit that several consumers share and nobody divides.

The unit test shows the error's kind, io before, which ends the process.

Change: a server takes at most half of the descriptors, calls a quarter; a write that finds none counts like one on a full disk: it is repeated, and a leader hands over meanwhile (descriptors_used_up). Resetting the log forgot its old segments if the new one could not be begun, and founding swallowed a failed write: both repeat now. A mailbox that can't accept pauses 100 ms instead of trying again at once.

--- a/src/masticwinch/control/replicated_log.cpp
+++ b/src/masticwinch/control/replicated_log.cpp
@@ -1,12 +1,12 @@
 #include "masticwinch/control/replicated_log.hpp"
 
+#include "masticwinch/control/internal/storage_outcome.hpp"
 #include "masticwinch/control/replicated_log_event.hpp"
 #include "masticwinch/events/event_log.hpp"
 #include "masticwinch/peers/mailbox.hpp"
 #include "masticwinch/protocol/envelope.pb.h"
 
 #include <asio/post.hpp>
-#include <boost/leaf/handle_errors.hpp>
 
 #include <cstdlib>
 #include <random>
@@ -14,6 +14,7 @@
 
 namespace masticwinch::control {
 
+using internal::storageErrorOf;
 using replication::Effects;
 using replication::Replica;
 using replication::WriteBatch;
@@ -44,21 +45,6 @@
   return message.has_append_reply() && message.append_reply().accepted();
 }
 
-/// Runs a function of storage; nothing if it succeeded.
-template <class Function>
-std::optional<StorageError> storageErrorOf(Function function) {
-  return boost::leaf::try_handle_all(
-      [&]() -> Result<std::optional<StorageError>> {
-        BOOST_LEAF_CHECK(function());
-        return std::optional<StorageError>();
-      },
-      [](const StorageError &error) { return std::optional(error); },
-      [] {
-        return std::optional(
-            StorageError{StorageErrorKind::Io, "", "unknown error"});
-      });
-}
-
 } // namespace
 
 ReplicatedLog::ReplicatedLog(ReplicatedLogOptions options,
@@ -116,7 +102,7 @@
 }
 
 std::optional<LogPosition> ReplicatedLog::propose(const std::string &record) {
-  if (DiskFull) {
+  if (Unwritable) {
     return std::nullopt;
   }
   const auto index = Machine->propose(record, Time.now());
@@ -252,24 +238,30 @@
   }
 }
 
+void ReplicatedLog::failStorage(const StorageError &error) {
+  Events.write(ReplicatedLogEvent::StorageFailed,
+               {{"reason", error.text()}, {"code", StorageFailedStatus}});
+  std::_Exit(StorageFailedStatus);
+}
+
 void ReplicatedLog::written(std::shared_ptr<const WriteBatch> batch,
                             std::optional<StorageError> error) {
   WritingSince.reset();
-  if (error && error->Kind != StorageErrorKind::DiskFull) {
-    Events.write(ReplicatedLogEvent::StorageFailed,
-                 {{"reason", error->text()}});
-    std::_Exit(StorageFailedStatus);
+  if (error && !error->isRepeatable()) {
+    failStorage(*error);
   }
-  if (DiskFull != error.has_value()) {
-    DiskFull = error.has_value();
-    Machine->setFit(!DiskFull);
-    Events.write(DiskFull ? ReplicatedLogEvent::DiskFull
-                          : ReplicatedLogEvent::DiskWritable,
+  if (Unwritable != error.has_value()) {
+    Unwritable = error.has_value();
+    Machine->setFit(!Unwritable);
+    const bool full = error && error->Kind == StorageErrorKind::DiskFull;
+    Events.write(!Unwritable ? ReplicatedLogEvent::DiskWritable
+                 : full      ? ReplicatedLogEvent::DiskFull
+                             : ReplicatedLogEvent::DescriptorsUsedUp,
                  {{"reason", error ? error->text() : ""}});
   }
-  if (DiskFull && Machine->transferLeadership(Time.now())) {
+  if (Unwritable && Machine->transferLeadership(Time.now())) {
     Events.write(ReplicatedLogEvent::LeadershipOffered,
-                 {{"reason", "the disk is full"}});
+                 {{"reason", "the data folder takes no writes"}});
     schedulePump();
   }
   if (error) {
--- a/src/masticwinch/control/replicated_log.hpp
+++ b/src/masticwinch/control/replicated_log.hpp
@@ -128,6 +128,7 @@
   void write(std::shared_ptr<const replication::WriteBatch> batch);
   void written(std::shared_ptr<const replication::WriteBatch> batch,
                std::optional<storage::StorageError> error);
+  [[noreturn]] void failStorage(const storage::StorageError &error);
   void checkDisk();
   void snapshotIfDue();
   void noteLeadership();
@@ -177,7 +178,8 @@
   asio::steady_timer HandoverLimit;
   std::function<void()> HandoverDone;
   bool PumpScheduled = false;
-  bool DiskFull = false;
+  /// The data folder takes no writes at present.
+  bool Unwritable = false;
   /// When the write that is going on began.
   std::optional<SteadyTime> WritingSince;
   bool LeadershipNoted = false;
--- a/src/masticwinch/control/replicated_log_membership.cpp
+++ b/src/masticwinch/control/replicated_log_membership.cpp
@@ -1,3 +1,4 @@
+#include "masticwinch/control/internal/storage_outcome.hpp"
 #include "masticwinch/control/replicated_log.hpp"
 #include "masticwinch/control/replicated_log_event.hpp"
 #include "masticwinch/events/event_log.hpp"
@@ -11,6 +12,7 @@
 
 namespace masticwinch::control {
 
+using internal::storageErrorOf;
 using replication::Member;
 using replication::Membership;
 using replication::ReplicaId;
@@ -95,7 +97,13 @@
   replication::WriteBatch batch;
   batch.Hard = state.Hard;
   batch.Entries = state.Entries;
-  if (!Storage->write(batch)) {
+  if (const auto error =
+          storageErrorOf([&] { return Storage->write(batch); })) {
+    if (!error->isRepeatable()) {
+      failStorage(*error);
+    }
+    Events.write(ReplicatedLogEvent::FoundingDelayed,
+                 {{"reason", error->text()}});
     return;
   }
   Founders.reset();
--- a/src/masticwinch/http/http_client.cpp
+++ b/src/masticwinch/http/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "masticwinch/http/internal/curl_call.hpp"
 #include "masticwinch/http/internal/socket_watch.hpp"
+#include "masticwinch/metrics/process_metrics.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
@@ -17,6 +18,10 @@
 /// Idle connections that are kept over all hosts.
 constexpr long MaxIdleConnections = 1024;
 
+/// Share of the process's descriptors that calls may take; further calls wait
+/// for a connection.
+constexpr std::uint64_t DescriptorShare = 4;
+
 /// Sets libcurl up once per process.
 void initializeCurl() {
   static const CURLcode Code = curl_global_init(CURL_GLOBAL_ALL);
@@ -38,6 +43,10 @@
     curl_multi_setopt(Multi, CURLMOPT_TIMERDATA, this);
     curl_multi_setopt(Multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
     curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, MaxIdleConnections);
+    if (const std::uint64_t limit = descriptorLimit(); limit > 0) {
+      curl_multi_setopt(Multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
+                        static_cast<long>(limit / DescriptorShare));
+    }
   }
 
   ~Implementation() {
--- a/src/masticwinch/peers/mailbox.cpp
+++ b/src/masticwinch/peers/mailbox.cpp
@@ -8,6 +8,7 @@
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <atomic>
 #include <charconv>
@@ -27,6 +28,7 @@
   BadAddress,
   PeerLost,
   PeerReached,
+  AcceptFailed,
 };
 
 } // namespace masticwinch::peers
@@ -34,12 +36,13 @@
 namespace masticwinch {
 
 template <> struct EnumNames<peers::MailboxEvent> {
-  static constexpr std::array<EnumName<peers::MailboxEvent>, 5> Table{{
+  static constexpr std::array<EnumName<peers::MailboxEvent>, 6> Table{{
       {peers::MailboxEvent::Garbage, "message_garbage"},
       {peers::MailboxEvent::OtherCluster, "message_of_other_cluster"},
       {peers::MailboxEvent::BadAddress, "message_address_malformed"},
       {peers::MailboxEvent::PeerLost, "peer_lost"},
       {peers::MailboxEvent::PeerReached, "peer_reached"},
+      {peers::MailboxEvent::AcceptFailed, "accept_failed"},
   }};
 };
 
@@ -51,6 +54,8 @@
 
 using asio::ip::tcp;
 
+constexpr Milliseconds AcceptRetryPause{100};
+
 /// The end point of `tcp://IP:PORT`.
 std::optional<tcp::endpoint> endpointOf(const std::string &address) {
   constexpr std::string_view Scheme = "tcp://";
@@ -77,7 +82,7 @@
   Implementation(const MailboxOptions &options, MailboxHandler handler,
                  EventLog &events)
       : Options(options), Handler(std::move(handler)), Events(events),
-        Acceptor(Loop), Work(asio::make_work_guard(Loop)) {}
+        Acceptor(Loop), AcceptPause(Loop), Work(asio::make_work_guard(Loop)) {}
 
   void listen() {
     const auto endpoint = endpointOf(Options.Address);
@@ -106,11 +111,25 @@
           }
           if (!ec) {
             admit(std::move(socket));
+            accept();
+            return;
           }
-          accept();
+          Events.write(MailboxEvent::AcceptFailed, {{"reason", ec.message()}});
+          acceptLater();
         });
   }
 
+  /// An error such as too many open files lasts; trying at once again would
+  /// only keep the thread busy.
+  void acceptLater() {
+    AcceptPause.expires_after(AcceptRetryPause);
+    AcceptPause.async_wait([this](const std::error_code &ec) {
+      if (!ec) {
+        accept();
+      }
+    });
+  }
+
   void admit(tcp::socket socket) {
     const auto link = std::make_shared<internal::InboundLink>(
         std::move(socket), Options.MaxMessageBytes,
@@ -177,6 +196,7 @@
   void close() {
     std::error_code ec;
     Acceptor.close(ec);
+    AcceptPause.cancel();
     for (const auto &it : std::exchange(Inbound, {})) {
       it->close();
     }
@@ -192,6 +212,7 @@
   EventLog &Events;
   asio::io_context Loop{1};
   tcp::acceptor Acceptor;
+  asio::steady_timer AcceptPause;
   asio::executor_work_guard<asio::io_context::executor_type> Work;
   std::thread Thread;
   std::set<std::shared_ptr<internal::InboundLink>> Inbound;
--- a/src/masticwinch/programs/daemon_options.cpp
+++ b/src/masticwinch/programs/daemon_options.cpp
@@ -1,5 +1,9 @@
 #include "masticwinch/programs/daemon_options.hpp"
 
+#include "masticwinch/metrics/process_metrics.hpp"
+
+#include <algorithm>
+
 namespace masticwinch::programs {
 
 std::vector<std::string> addressesOf(const std::vector<PeerSettings> &peers) {
@@ -25,6 +29,10 @@
   options.Address = http.Address;
   options.Port = http.Port;
   options.Threads = http.Threads;
+  if (const std::uint64_t limit = descriptorLimit(); limit > 0) {
+    options.MaxConnections =
+        std::min<std::size_t>(options.MaxConnections, limit / 2);
+  }
   return options;
 }
 
--- a/src/masticwinch/programs/daemon_options.hpp
+++ b/src/masticwinch/programs/daemon_options.hpp
@@ -16,7 +16,8 @@
 peers::MailboxOptions mailboxOptions(const ProcessSettings &process,
                                      std::uint64_t incarnation);
 
-/// Options of a listening HTTP server.
+/// Options of a listening HTTP server. Its connections take no more than half
+/// of the descriptors of the process, so that files and calls find some.
 HttpServerOptions serverOptions(const HttpSettings &http);
 
 } // namespace masticwinch::programs
--- a/src/masticwinch/storage/file.cpp
+++ b/src/masticwinch/storage/file.cpp
@@ -18,17 +18,25 @@
 
 constexpr mode_t FileMode = 0600;
 
-bool isFull(int code) {
-  return code == ENOSPC || code == EDQUOT || code == EFBIG;
+StorageErrorKind kindOf(int code) {
+  switch (code) {
+  case ENOSPC:
+  case EDQUOT:
+  case EFBIG:
+    return StorageErrorKind::DiskFull;
+  case EMFILE:
+  case ENFILE:
+    return StorageErrorKind::NoDescriptor;
+  default:
+    return StorageErrorKind::Io;
+  }
 }
 
 } // namespace
 
 StorageError systemError(const std::string &path, const std::string &what) {
   const int code = errno;
-  const auto kind =
-      isFull(code) ? StorageErrorKind::DiskFull : StorageErrorKind::Io;
-  return {kind, path, what + ": " + std::strerror(code)};
+  return {kindOf(code), path, what + ": " + std::strerror(code)};
 }
 
 File::~File() {
--- a/src/masticwinch/storage/replica_storage.hpp
+++ b/src/masticwinch/storage/replica_storage.hpp
@@ -50,8 +50,8 @@
   /// What the folder held when it was opened; to be asked once.
   replication::RecoveredState takeRecovered() { return std::move(Recovered); }
 
-  /// Makes a batch durable. After `DiskFull` what was durable before is intact
-  /// and the same batch can be written again.
+  /// Makes a batch durable. After a repeatable error what was durable before is
+  /// intact and the same batch can be written again.
   Result<void> write(const replication::WriteBatch &batch);
 
 private:
--- a/src/masticwinch/storage/segment_log.cpp
+++ b/src/masticwinch/storage/segment_log.cpp
@@ -173,12 +173,12 @@
 
 Result<void> SegmentLog::reset(std::uint64_t baseIndex,
                                std::uint64_t baseTerm) {
-  const std::deque<Segment> old = std::exchange(Segments, {});
   LastIndex = baseIndex;
   LastTerm = baseTerm;
   BOOST_LEAF_CHECK(startSegment());
-  for (const Segment &it : old) {
-    BOOST_LEAF_CHECK(removeSegment(it));
+  while (Segments.size() > 1) {
+    BOOST_LEAF_CHECK(removeSegment(Segments.front()));
+    Segments.pop_front();
   }
   return syncFolder(Folder);
 }
--- a/src/masticwinch/storage/storage_error.hpp
+++ b/src/masticwinch/storage/storage_error.hpp
@@ -12,6 +12,9 @@
   Io,
   /// No space is left; what was stored before is intact.
   DiskFull,
+  /// The process has no descriptor left to open a file with; what was stored
+  /// before is intact.
+  NoDescriptor,
   /// A sync failed; what the disk holds is unknown, the process must end.
   SyncFailed,
   /// Another process uses the folder.
@@ -34,6 +37,12 @@
 
   /// One line for logs and people.
   std::string text() const;
+
+  /// Whether the same write may succeed later, with nothing lost until then.
+  bool isRepeatable() const {
+    return Kind == StorageErrorKind::DiskFull ||
+           Kind == StorageErrorKind::NoDescriptor;
+  }
 };
 
 } // namespace masticwinch::storage
@@ -45,6 +54,7 @@
   static constexpr std::array Table{
       EnumName<Kind>{Kind::Io, "io"},
       EnumName<Kind>{Kind::DiskFull, "disk-full"},
+      EnumName<Kind>{Kind::NoDescriptor, "no-descriptor"},
       EnumName<Kind>{Kind::SyncFailed, "sync-failed"},
       EnumName<Kind>{Kind::Locked, "locked"},
       EnumName<Kind>{Kind::OtherCluster, "other-cluster"},
--- a/tests/storage/test_replica_storage.cpp
+++ b/tests/storage/test_replica_storage.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include "fuzzing/replication/memory_disk.hpp"
 #include "tests/storage/temporary_folder.hpp"
@@ -368,6 +369,46 @@
   CHECK(openAt(folder)->id() != first);
 }
 
+TEST_CASE("A write that finds no descriptor left is repeated and loses nothing",
+          "[storage]") {
+  testing::TemporaryFolder parent;
+  const std::string folder = parent.file("data");
+  writeThree(folder);
+  WriteBatch batch;
+  batch.Hard = replication::HardState{7, std::nullopt, false};
+  batch.Entries = {entry(4, 1, "fourth")};
+  {
+    // Each write begins a segment, for which a file is opened.
+    auto storage = openAt(folder, "cell", 1);
+    REQUIRE(storage);
+    rlimit old{};
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &old) == 0);
+    const int next = ::dup(0);
+    REQUIRE(next >= 0);
+    ::close(next);
+    const rlimit used{static_cast<rlim_t>(next), old.rlim_max};
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &used) == 0);
+    const auto error = boost::leaf::try_handle_all(
+        [&]() -> Result<std::optional<StorageError>> {
+          BOOST_LEAF_CHECK(storage->write(batch));
+          return std::optional<StorageError>();
+        },
+        [](const StorageError &it) { return std::optional(it); },
+        [] { return std::optional<StorageError>(); });
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &old) == 0);
+    REQUIRE(error);
+    CHECK(error->Kind == StorageErrorKind::NoDescriptor);
+    CHECK(error->isRepeatable());
+    CHECK(storage->write(batch));
+  }
+  auto reopened = openAt(folder);
+  REQUIRE(reopened);
+  const RecoveredState state = reopened->takeRecovered();
+  CHECK(state.Hard.Term == 7);
+  REQUIRE(state.Entries.size() == 4);
+  CHECK(state.Entries.back().data() == "fourth");
+}
+
 TEST_CASE("A full disk refuses a write and keeps what it has", "[storage]") {
   testing::TemporaryFolder parent;
   const std::string folder = parent.file("data");
