Join what the fuzzers share, and what simulated runners do with each order

The new fuzzer repeated the long run of the requests' fuzzer and three times the check of a runner's fencing token; fuzzing/long_run.hpp and admit() hold them once.

--- a/fuzzing/requests/fuzz_requests.cpp
+++ b/fuzzing/requests/fuzz_requests.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include "fuzzing/long_run.hpp"
 #include "fuzzing/requests/request_world.hpp"
 
 namespace rc {
@@ -64,10 +65,5 @@
 TEST_CASE("Promises to callers hold in 100,000 sessions",
           "[.long][requests-long]") {
   constexpr int Sessions = 100'000;
-  rc::detail::TestParams params = rc::detail::configuration().testParams;
-  params.maxSuccess = Sessions;
-  const auto result = rc::detail::checkTestable(
-      [] { runSession(anySteps()); }, rc::detail::TestMetadata{}, params);
-  rc::detail::printResultMessage(result, std::cerr);
-  CHECK(result.template is<rc::detail::SuccessResult>());
+  CHECK(holdsInSessions(Sessions, [] { runSession(anySteps()); }));
 }
--- a/fuzzing/workflow/fuzz_workflow.cpp
+++ b/fuzzing/workflow/fuzz_workflow.cpp
@@ -1,8 +1,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include "fuzzing/long_run.hpp"
 #include "fuzzing/workflow/workflow_world.hpp"
-#include <iostream>
 
 namespace rc {
 
@@ -71,10 +71,5 @@
 TEST_CASE("A leader decides without error in 20,000 sessions",
           "[.long][workflow-long]") {
   constexpr int Sessions = 20'000;
-  rc::detail::TestParams params = rc::detail::configuration().testParams;
-  params.maxSuccess = Sessions;
-  const auto result = rc::detail::checkTestable(
-      [] { runSession(anySteps()); }, rc::detail::TestMetadata{}, params);
-  rc::detail::printResultMessage(result, std::cerr);
-  CHECK(result.template is<rc::detail::SuccessResult>());
+  CHECK(holdsInSessions(Sessions, [] { runSession(anySteps()); }));
 }
--- a/fuzzing/workflow/workflow_world.cpp
+++ b/fuzzing/workflow/workflow_world.cpp
@@ -308,16 +308,25 @@
   }
 }
 
-OrderAnswer WorkflowWorld::start(const Order &order) {
-  const auto found = Runners.find(order.Start.Runner);
+/// Whether a runner takes orders under a fencing token; it keeps the highest.
+OrderAnswer WorkflowWorld::admit(const std::string &id, std::uint64_t token) {
+  const auto found = Runners.find(id);
   if (found == Runners.end()) {
     return OrderAnswer::OtherLife;
   }
-  Runner &runner = found->second;
-  if (order.Term < runner.Token) {
+  if (token < found->second.Token) {
     return OrderAnswer::Fenced;
   }
-  runner.Token = order.Term;
+  found->second.Token = token;
+  return OrderAnswer::Done;
+}
+
+OrderAnswer WorkflowWorld::start(const Order &order) {
+  const OrderAnswer admitted = admit(order.Start.Runner, order.Term);
+  if (admitted != OrderAnswer::Done) {
+    return admitted;
+  }
+  Runner &runner = Runners.at(order.Start.Runner);
   const RunKey &run = order.Start.Run;
   if (runner.Runs.contains(run)) {
     return OrderAnswer::Done;
@@ -372,15 +381,11 @@
 }
 
 OrderAnswer WorkflowWorld::stop(const Order &order) {
-  const auto found = Runners.find(order.Stop.Runner);
-  if (found == Runners.end()) {
-    return OrderAnswer::OtherLife;
-  }
-  Runner &runner = found->second;
-  if (order.Term < runner.Token) {
-    return OrderAnswer::Fenced;
+  const OrderAnswer admitted = admit(order.Stop.Runner, order.Term);
+  if (admitted != OrderAnswer::Done) {
+    return admitted;
   }
-  runner.Token = order.Term;
+  Runner &runner = Runners.at(order.Stop.Runner);
   const RunKey &run = order.Stop.Run;
   std::uint32_t &closed = runner.Closed[run.Task];
   closed = std::max(closed, run.Run);
@@ -392,17 +397,11 @@
 
 LookAnswer WorkflowWorld::look(const Order &order) {
   LookAnswer answer;
-  const auto found = Runners.find(order.Look.Runner);
-  if (found == Runners.end()) {
-    answer.Answer = OrderAnswer::OtherLife;
-    return answer;
-  }
-  Runner &runner = found->second;
-  if (order.Term < runner.Token) {
-    answer.Answer = OrderAnswer::Fenced;
+  answer.Answer = admit(order.Look.Runner, order.Term);
+  if (answer.Answer != OrderAnswer::Done) {
     return answer;
   }
-  runner.Token = order.Term;
+  Runner &runner = Runners.at(order.Look.Runner);
   if (order.Look.LeaseUntilMs) {
     runner.LeaseUntilMs =
         std::max(runner.LeaseUntilMs, *order.Look.LeaseUntilMs);
@@ -410,7 +409,6 @@
   std::erase_if(runner.Ended, [&](const EndedRun &it) {
     return it.Number <= order.Look.EndsStored;
   });
-  answer.Answer = OrderAnswer::Done;
   answer.ClockMs = clockMs();
   for (const auto &[run, room] : runner.Runs) {
     answer.Running.push_back({run, "checkpoint"});
@@ -528,11 +526,11 @@
   changeLeader(0);
 }
 
-/// Changes time-outs, and drops or brings back the second queue.
-void WorkflowWorld::configure(std::uint8_t routes) {
+/// Changes a queue's time-out.
+void WorkflowWorld::configure(std::uint8_t choice) {
   protocol::CellConfig config = State.config();
   config.set_version(++ConfigVersion);
-  config.mutable_queues(0)->set_timeout_ms(1000 + routes);
+  config.mutable_queues(0)->set_timeout_ms(1000 + choice);
   Leader->configure(
       config, [] {}, at());
 }
--- a/fuzzing/workflow/workflow_world.hpp
+++ b/fuzzing/workflow/workflow_world.hpp
@@ -88,6 +88,7 @@
   void submitAs(const std::string &id, std::uint8_t kind, std::uint8_t queue);
   void storeBatch();
   void carryOut(Order order, bool answered);
+  workflow::OrderAnswer admit(const std::string &id, std::uint64_t token);
   workflow::OrderAnswer start(const Order &order);
   workflow::OrderAnswer stop(const Order &order);
   workflow::LookAnswer look(const Order &order);
@@ -102,7 +103,7 @@
   void heartbeat(Runner &runner);
   void changeLeader(std::uint8_t stored);
   void replaceState();
-  void configure(std::uint8_t routes);
+  void configure(std::uint8_t choice);
   Runner *runnerAt(std::uint8_t choice);
   Order takeOrder(std::uint8_t choice);
 
