Let senders of the promises' test go on beside lookups that a paused VM holds

Traced by a run: eight billed lookups at a runner (2 s each) through entry-2, which is paused then, each sent again by the test's own rule. After 70 s none of the eight senders had ended its lookup: the other VMs say "unknown" (54 of 61 answers), which is right, since only entry-2 can tell, and each send to entry-2 waits 10 s. So the wait for ten lookups, 60 s, fails where all eight senders hold such a lookup; and as the test healed its faults only after the wait, entry-2 stayed paused while the senders were joined.

The test was wrong, not the daemons: a sender with one lookup at a time says nothing of a cell that serves all others. A sender has four going, in turn; each is still sent up to 60 times, and every check is as it was. A fault is healed also when a wait fails.

--- a/tests/processes/test_promises.py
+++ b/tests/processes/test_promises.py
@@ -3,6 +3,7 @@
 kills, pauses and planned restarts of controls, entries and runners, one after the
 other and two at once, while billed lookups go on."""
 
+import collections
 import random
 import signal
 import threading
@@ -18,6 +19,8 @@
 SENDERS = 8
 # Lookups that have to end between two faults.
 LOOKUPS_BETWEEN = 40
+# Lookups that one sender has going.
+LOOKUPS_AT_ONCE = 4
 # Sends of one lookup before its sender gives it up as unknown.
 MOST_SENDS = 60
 BILLED_PROFILE = {"requests": {"work_class": "URGENT", "deadline_ms": 4000,
@@ -68,15 +71,20 @@
 
     def send_lookups(self, number):
         """Sends lookups to one entry VM after the other until told to stop. A
-        lookup without an answer is sent again to the next."""
+        lookup without an answer is sent again to the next, in turn with others:
+        one that a paused entry VM holds stays unknown until that goes on."""
         choice = random.Random(SEED + number)
-        while not self.stopping.is_set():
-            one = Lookup()
-            for _ in range(MOST_SENDS):
-                if one.send(choice.choice(self.entries)):
-                    break
-                self.stopping.wait(0.05)
-            self.ended.append(one)
+        going = collections.deque()
+        while going or not self.stopping.is_set():
+            if len(going) < LOOKUPS_AT_ONCE and not self.stopping.is_set():
+                going.appendleft(Lookup())
+            one = going.popleft()
+            if one.send(choice.choice(self.entries)) \
+                    or len(one.outcomes) >= MOST_SENDS:
+                self.ended.append(one)
+                continue
+            going.append(one)
+            self.stopping.wait(0.05)
 
     def inject_faults(self):
         """Injects faults, singly and in pairs, and heals each."""
@@ -87,9 +95,11 @@
             faults = [(it, choice.choice((self.kill, self.pause, self.restart)))
                       for it in hit]
             heals = [fault(it) for it, fault in faults]
-            self.wait_for_lookups(LOOKUPS_BETWEEN // 4)
-            for heal in heals:
-                heal()
+            try:
+                self.wait_for_lookups(LOOKUPS_BETWEEN // 4)
+            finally:
+                for heal in heals:
+                    heal()
             self.cell.wait_until_healthy(hit)
             self.wait_for_lookups(LOOKUPS_BETWEEN)
 
