--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -215,10 +215,6 @@
   void schedule(Moment at);
   std::vector<RankedStep> rankedSteps(Moment at);
   void scheduleStep(const StepKey &key, Fleet &fleet, Moment at);
-  void reportWaits(const Fleet &fleet, const std::vector<RankedStep> &tried,
-                   Moment at);
-  void noteWait(const StepKey &key, const Fleet &fleet,
-                const std::vector<RankedStep> &tried, Moment at);
   void askFurther(const StepKey &key, std::size_t tasks,
                   const Fleet::Pool &pool, Fleet &fleet, Moment at);
   Fleet fleetNow(Moment at) const;
@@ -242,6 +238,15 @@
   void assign(const StepKey &key, OpenStep &open, const PlannedRun &planned,
               std::uint32_t run, const std::string &checkpoint, Moment at);
 
+  // workflow_leader_waits.cpp
+  void reportWaits(const Fleet &fleet, const std::vector<RankedStep> &tried,
+                   Moment at);
+  void noteWait(const StepKey &key, const Fleet &fleet,
+                const std::vector<RankedStep> &tried, Moment at);
+  std::size_t fittingTasks(const StepKey &key,
+                           const protocol::QueueConfig &queue,
+                           const Fleet &fleet, Moment at) const;
+
   WorkflowLeaderOptions Options;
   const WorkflowState &State;
   RunnerBook Book;
