--- a/fuzzing/workflow/workflow_world.hpp
+++ b/fuzzing/workflow/workflow_world.hpp
@@ -80,6 +80,7 @@
     std::uint64_t Sequence = 0;
   };
 
+  // workflow_world.cpp
   workflow::Moment at() const;
   std::int64_t clockMs() const;
   void apply(const protocol::WorkflowRecord &record);
@@ -88,24 +89,26 @@
   void submitAs(const std::string &id, std::uint8_t kind, std::uint8_t queue);
   void storeBatch();
   void carryOut(Order order, bool answered);
+  void checkOrdered(const workflow::StartOrder &order);
+  void answerAdvice(std::uint8_t choice, bool succeeded);
+  void changeLeader(std::uint8_t stored);
+  void replaceState();
+  void configure(std::uint8_t choice);
+  Runner *runnerAt(std::uint8_t choice);
+  Order takeOrder(std::uint8_t choice);
+
+  // world_runners.cpp
   workflow::OrderAnswer admit(const std::string &id, std::uint64_t token);
   workflow::OrderAnswer start(const Order &order);
-  workflow::OrderAnswer stop(const Order &order);
-  workflow::LookAnswer look(const Order &order);
-  void checkOrdered(const workflow::StartOrder &order);
   void checkStart(const Runner &runner, const workflow::RunKey &run,
                   const workflow::Room &needs) const;
+  workflow::OrderAnswer stop(const Order &order);
+  workflow::LookAnswer look(const Order &order);
   void end(Runner &runner, const workflow::RunKey &run, protocol::RunEnd how);
   void endByItself(Runner &runner, const workflow::RunKey &run, bool done);
-  void advance(Milliseconds time);
-  void answerAdvice(std::uint8_t choice, bool succeeded);
   void startRunner();
   void heartbeat(Runner &runner);
-  void changeLeader(std::uint8_t stored);
-  void replaceState();
-  void configure(std::uint8_t choice);
-  Runner *runnerAt(std::uint8_t choice);
-  Order takeOrder(std::uint8_t choice);
+  void advance(Milliseconds time);
 
   SteadyTime Now;
   workflow::WorkflowState State;
