Send the body of a start order only once

Cause: libcurl resends a request when a reused connection closes before the response. Ruled out: FreshConnection for all orders (a connection for each start is charged); looks and stops may be resent, both are idempotent.

--- a/src/masticwinch/http/http_client.hpp
+++ b/src/masticwinch/http/http_client.hpp
@@ -30,6 +30,9 @@
   /// resends a request when a reused connection closes before the first byte of
   /// the response, so every request that must not run twice needs this.
   bool FreshConnection = false;
+  /// Fails the call instead of resending a body of which a part was sent. The
+  /// connection may still be a reused one, unlike with `FreshConnection`.
+  bool SendBodyOnce = false;
 };
 
 /// How a call ended.
--- a/src/masticwinch/http/internal/curl_call.cpp
+++ b/src/masticwinch/http/internal/curl_call.cpp
@@ -137,10 +137,27 @@
   curl_easy_setopt(easy, CURLOPT_POST, 1L);
   curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                    static_cast<curl_off_t>(Call.Body.size()));
-  curl_easy_setopt(easy, CURLOPT_POSTFIELDS, Call.Body.data());
+  if (Call.SendBodyOnce) {
+    // libcurl can't resend a body that it reads through a callback, as there is
+    // no callback to rewind it.
+    curl_easy_setopt(easy, CURLOPT_READFUNCTION, &onRead);
+    curl_easy_setopt(easy, CURLOPT_READDATA, this);
+  } else {
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, Call.Body.data());
+  }
   curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, Call.Method.c_str());
 }
 
+std::size_t CurlCall::onRead(char *buffer, std::size_t size, std::size_t count,
+                             void *self) {
+  auto &call = *static_cast<CurlCall *>(self);
+  const std::string_view rest =
+      std::string_view(call.Call.Body).substr(call.BodyBytesRead);
+  const std::size_t bytes = rest.copy(buffer, size * count);
+  call.BodyBytesRead += bytes;
+  return bytes;
+}
+
 std::size_t CurlCall::onBody(char *data, std::size_t size, std::size_t count,
                              void *self) {
   auto &call = *static_cast<CurlCall *>(self);
--- a/src/masticwinch/http/internal/curl_call.hpp
+++ b/src/masticwinch/http/internal/curl_call.hpp
@@ -41,6 +41,8 @@
   using ListPointer =
       std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
 
+  static std::size_t onRead(char *buffer, std::size_t size, std::size_t count,
+                            void *self);
   static std::size_t onBody(char *data, std::size_t size, std::size_t count,
                             void *self);
   static std::size_t onHeader(char *data, std::size_t size, std::size_t count,
@@ -58,6 +60,8 @@
   HttpCallDone Done;
   HandlePointer Handle;
   ListPointer HeaderList;
+  /// Bytes of the request's body that libcurl has read.
+  std::size_t BodyBytesRead = 0;
   HttpResponse Response;
   std::size_t HeaderBytes = 0;
   bool TooLong = false;
--- a/tests/http/raw_server.hpp
+++ b/tests/http/raw_server.hpp
@@ -2,9 +2,11 @@
 
 #include <asio.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -45,6 +47,26 @@
     return ec ? std::string() : text;
   }
 
+  /// Reads a request with a `Content-Length`; returns its body, which is empty
+  /// if the connection closed.
+  static std::string readRequest(asio::ip::tcp::socket &socket) {
+    constexpr std::string_view Field = "Content-Length: ";
+    std::string text;
+    asio::error_code ec;
+    const std::size_t head =
+        asio::read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n", ec);
+    const std::size_t field = text.find(Field);
+    if (ec || field == std::string::npos) {
+      return {};
+    }
+    const std::size_t length = std::stoul(text.substr(field + Field.size()));
+    const std::size_t missing =
+        head + length - std::min(head + length, text.size());
+    asio::read(socket, asio::dynamic_buffer(text),
+               asio::transfer_exactly(missing), ec);
+    return ec ? std::string() : text.substr(head, length);
+  }
+
   static void write(asio::ip::tcp::socket &socket, const std::string &text) {
     asio::error_code ec;
     asio::write(socket, asio::buffer(text), ec);
--- a/tests/http/test_http_client.cpp
+++ b/tests/http/test_http_client.cpp
@@ -172,6 +172,30 @@
   }
 }
 
+TEST_CASE("A body that must be sent once is not sent on a second connection",
+          "[http][client]") {
+  std::atomic<int> requests = 0;
+  // Responds to the first request and closes the connection on later ones.
+  RawServer server([&](asio::ip::tcp::socket &socket) {
+    while (!RawServer::readRequest(socket).empty()) {
+      if (++requests > 1) {
+        return;
+      }
+      RawServer::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+  });
+  Caller caller;
+  HttpCall call = getCall(server.url());
+  call.Method = "POST";
+  call.Body = "start";
+  call.SendBodyOnce = true;
+  REQUIRE(caller.call(call).Outcome == HttpOutcome::Answered);
+  const HttpCallResult result = caller.call(call);
+  CHECK(result.Outcome == HttpOutcome::Broken);
+  CHECK(result.MayHaveBeenSent);
+  CHECK(requests == 2);
+}
+
 TEST_CASE("Concurrent calls each get their own response", "[http][client]") {
   std::mutex mutex;
   std::vector<std::shared_ptr<HttpExchange>> waiting;
