Bound what a leader sends to a replica that was cut off

Cause: a replica that returns refuses every message that was sent ahead of its position; each refusal set the position back and had the log sent again up to 4,096 entries. Ruled out: the mailbox's queue while the peers are away (dropped by age; memory is flat until they return).

--- a/fuzzing/replication/replica_group.cpp
+++ b/fuzzing/replication/replica_group.cpp
@@ -88,7 +88,13 @@
   due.assign(std::make_move_iterator(later),
              std::make_move_iterator(Packets.end()));
   Packets.erase(later, Packets.end());
-  std::shuffle(due.begin(), due.end(), Engine);
+  if (Faults.InOrder) {
+    std::sort(due.begin(), due.end(), [](const Packet &a, const Packet &b) {
+      return a.Number < b.Number;
+    });
+  } else {
+    std::shuffle(due.begin(), due.end(), Engine);
+  }
   for (Packet &it : due) {
     Node &node = Nodes[it.To];
     if (node.Paused && node.Instance) {
@@ -167,6 +173,11 @@
 void ReplicaGroup::route(std::size_t from,
                          const replication::OutgoingMessage &message) {
   const auto to = nodeOf(message.To);
+  if (to) {
+    for (const auto &it : message.Message.append_request().entries()) {
+      Nodes[*to].EntryBytesSent += it.data().size();
+    }
+  }
   if (!to || Faults.BlockedLinks.contains({from, *to}) ||
       randomChance(Faults.LossPermille)) {
     return;
@@ -174,8 +185,8 @@
   std::uniform_int_distribution<std::int64_t> delay(1, Faults.MaxDelay.count());
   const int copies = randomChance(Faults.DuplicatePermille) ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
-    Packets.push_back(
-        {Now + Milliseconds(delay(Engine)), from, *to, message.Message});
+    Packets.push_back({Now + Milliseconds(delay(Engine)), NextPacket++, from,
+                       *to, message.Message});
   }
 }
 
--- a/fuzzing/replication/replica_group.hpp
+++ b/fuzzing/replication/replica_group.hpp
@@ -24,6 +24,9 @@
   unsigned LossPermille = 0;
   unsigned DuplicatePermille = 0;
   Milliseconds MaxDelay{10};
+  /// Delivers messages in the order in which they were sent, as one connection
+  /// does; otherwise those due at the same time are shuffled.
+  bool InOrder = false;
   /// Pairs of sender and receiver between which every message is lost.
   std::set<std::pair<std::size_t, std::size_t>> BlockedLinks;
 };
@@ -84,6 +87,10 @@
   /// messages.
   std::string describeNodes() const;
   std::size_t confirmedReads() const { return ConfirmedReads; }
+  /// Size of the log entries sent to a node so far, lost ones included.
+  std::size_t entryBytesSentTo(std::size_t node) const {
+    return Nodes[node].EntryBytesSent;
+  }
 
   /// Messages of the session, if `RecordTranscript` is set.
   std::vector<std::string> Transcript;
@@ -102,9 +109,11 @@
     /// Applied commands, concatenated; the content of a snapshot.
     std::string Applied;
     std::uint64_t AppliedIndex = 0;
+    std::size_t EntryBytesSent = 0;
   };
   struct Packet {
     SteadyTime DueAt;
+    std::uint64_t Number;
     std::size_t From;
     std::size_t To;
     protocol::ReplicationMessage Message;
@@ -140,6 +149,7 @@
   std::map<std::uint64_t, replication::ReplicaId> LeaderOfTerm;
   std::map<std::uint64_t, PendingRead> PendingReads;
   std::uint64_t NextRead = 1;
+  std::uint64_t NextPacket = 0;
   std::size_t ConfirmedReads = 0;
 };
 
--- a/src/masticwinch/control/replicated_log.cpp
+++ b/src/masticwinch/control/replicated_log.cpp
@@ -182,10 +182,12 @@
 void ReplicatedLog::applyCommitted(const Effects &effects) {
   if (effects.Restore) {
     AppliedIndex = effects.Restore->Index;
+    AppliedBytes = 0;
     Handlers.Restored(effects.Restore->Data);
   }
   for (const protocol::LogEntry &it : effects.Committed) {
     AppliedIndex = it.index();
+    AppliedBytes += it.data().size();
     if (it.kind() == protocol::COMMAND) {
       Handlers.Applied({it.index(), it.term()}, it.data());
     }
@@ -278,9 +280,11 @@
 }
 
 void ReplicatedLog::snapshotIfDue() {
-  if (AppliedIndex < LocalReplica->snapshotIndex() + Options.SnapshotEntries) {
+  if (AppliedIndex < LocalReplica->snapshotIndex() + Options.SnapshotEntries &&
+      AppliedBytes < Options.SnapshotBytes) {
     return;
   }
+  AppliedBytes = 0;
   LocalReplica->compact(AppliedIndex, Handlers.Snapshot());
   Events.write(ReplicatedLogEvent::SnapshotTaken, {{"index", AppliedIndex}});
   scheduleProcessing();
@@ -289,6 +293,11 @@
 void ReplicatedLog::updateLeadership() {
   const bool leads = LocalReplica->holdsLease(Time.now());
   const bool begins = leads && (!LeadershipActive || LeaseLapsed);
+  if (LeadershipActive && (!leads || LeaseLapsed)) {
+    Events.write(
+        ReplicatedLogEvent::LeaseLapsed,
+        {{"term", LocalReplica->term()}, {"regained", leads ? "yes" : "no"}});
+  }
   LeadershipActive = leads;
   if (begins) {
     LeaseLapsed = false;
--- a/src/masticwinch/control/replicated_log.hpp
+++ b/src/masticwinch/control/replicated_log.hpp
@@ -45,6 +45,9 @@
   /// Number of committed entries after which a snapshot is taken and older
   /// entries are discarded.
   std::uint64_t SnapshotEntries = 5000;
+  /// Size of committed entries after which a snapshot is taken even if they are
+  /// fewer.
+  std::size_t SnapshotBytes = 16 * 1024 * 1024;
   /// Duration of a write after which a leader transfers leadership.
   Milliseconds DiskStallTimeout{600};
   /// Whether a replica with an empty data folder may bootstrap the cell
@@ -192,6 +195,8 @@
   /// then runs again before `isLeader` reports leadership.
   mutable bool LeaseLapsed = false;
   std::uint64_t AppliedIndex = 0;
+  /// Size of the entries applied since the last snapshot.
+  std::size_t AppliedBytes = 0;
   asio::thread_pool Disk{1};
 };
 
--- a/src/masticwinch/coordination/replication/replica.cpp
+++ b/src/masticwinch/coordination/replication/replica.cpp
@@ -148,9 +148,7 @@
   }
   PersistedIndex = std::max(PersistedIndex, InFlight->LastIndex);
   if (InFlight->NewSnapshot) {
-    const std::uint64_t index = InFlight->NewSnapshot->Index;
-    Log.discardThrough(
-        index > Options.RetainedEntries ? index - Options.RetainedEntries : 0);
+    Log.discardThrough(lastDiscardable(InFlight->NewSnapshot->Index));
   }
   InFlight.reset();
   sendDeferred(sequence);
@@ -204,6 +202,19 @@
   UnwrittenSnapshot = std::move(snapshot);
 }
 
+/// Returns the last index that need not be retained behind a snapshot.
+std::uint64_t Replica::lastDiscardable(std::uint64_t snapshotIndex) const {
+  std::uint64_t index = std::min(snapshotIndex, Log.lastIndex());
+  std::size_t bytes = 0;
+  while (index >= Log.firstIndex() &&
+         snapshotIndex - index < Options.RetainedEntries &&
+         bytes + Log.at(index).data().size() <= Options.RetainedBytes) {
+    bytes += Log.at(index).data().size();
+    --index;
+  }
+  return index;
+}
+
 void Replica::emitWrite() {
   if (InFlight || !hasUnwrittenState()) {
     return;
@@ -213,8 +224,8 @@
   batch.NewSnapshot = std::move(UnwrittenSnapshot);
   UnwrittenSnapshot.reset();
   batch.ResetLog = std::exchange(ResetStoredLog, false);
-  if (batch.NewSnapshot && batch.NewSnapshot->Index > Options.RetainedEntries) {
-    batch.DiscardThrough = batch.NewSnapshot->Index - Options.RetainedEntries;
+  if (batch.NewSnapshot) {
+    batch.DiscardThrough = lastDiscardable(batch.NewSnapshot->Index);
   }
   if (std::exchange(HardDirty, false)) {
     batch.Hard = Hard;
--- a/src/masticwinch/coordination/replication/replica.hpp
+++ b/src/masticwinch/coordination/replication/replica.hpp
@@ -137,6 +137,7 @@
   bool hasUnwrittenState() const;
   bool hardStateUnsynced() const;
   void sendDeferred(std::uint64_t sequence);
+  std::uint64_t lastDiscardable(std::uint64_t snapshotIndex) const;
   void emitWrite();
   void emitCommitted();
   void truncateFrom(std::uint64_t index);
@@ -168,7 +169,10 @@
   void flushAppends(SteadyTime now);
   void sendAppend(ReplicaId id, PeerProgress &peer, bool heartbeat,
                   SteadyTime now);
+  bool maySendEntries(const PeerProgress &peer) const;
   void fillEntries(protocol::AppendRequest &request, PeerProgress &peer) const;
+  static void resumeStreaming(PeerProgress &peer);
+  static void probeAgain(PeerProgress &peer, std::uint64_t next);
   void sendSnapshotChunk(ReplicaId id, PeerProgress &peer, SteadyTime now);
   void handleAppendReply(const protocol::ReplicationMessage &message,
                          ReplicaId from, SteadyTime now);
@@ -245,6 +249,8 @@
   SteadyTime LeaderSince;
   SteadyTime HeartbeatDue;
   std::uint64_t TermStartIndex = 0;
+  /// Size of the entries after `CommitIndex`.
+  std::size_t UncommittedBytes = 0;
   std::uint64_t Round = 0;
   std::deque<HeartbeatRound> HeartbeatRounds;
   std::vector<PendingRead> PendingReads;
--- a/src/masticwinch/coordination/replication/replica_leader.cpp
+++ b/src/masticwinch/coordination/replication/replica_leader.cpp
@@ -1,6 +1,7 @@
 #include "masticwinch/coordination/replication/replica.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace masticwinch::replication {
 
@@ -13,6 +14,10 @@
   LeaderSince = now;
   Round = 0;
   HeartbeatRounds.clear();
+  UncommittedBytes = 0;
+  for (std::uint64_t i = CommitIndex + 1; i <= Log.lastIndex(); ++i) {
+    UncommittedBytes += Log.at(i).data().size();
+  }
   recordEvent(ReplicaEventKind::RoleChanged, Self.text());
   TermStartIndex = appendLocalEntry(protocol::NO_OPERATION, {});
   updatePeers();
@@ -40,6 +45,7 @@
   entry.set_index(Log.lastIndex() + 1);
   entry.set_term(Hard.Term);
   entry.set_kind(kind);
+  UncommittedBytes += data.size();
   entry.set_data(std::move(data));
   Log.append(std::move(entry));
   return Log.lastIndex();
@@ -56,6 +62,13 @@
   HeartbeatRounds.push_back({Round, now});
   HeartbeatDue = now + Options.HeartbeatInterval;
   for (auto &[id, peer] : Peers) {
+    if (peer.Mode == ReplicationMode::Streaming &&
+        Round - std::min(Round, peer.Round) > Options.MaxSilentRounds) {
+      // A peer that has not answered in this term is expected to hold the log
+      // up to the start of the term.
+      peer.probeFrom(
+          std::max(peer.Match + 1, std::min(peer.Next, TermStartIndex)));
+    }
     sendAppend(id, peer, true, now);
     if (peer.PendingSnapshot &&
         now - peer.ChunkSentAt >= Options.HeartbeatInterval) {
@@ -69,13 +82,22 @@
     startHeartbeatRound(now);
   }
   for (auto &[id, peer] : Peers) {
-    while (!peer.PendingSnapshot && peer.Next <= Log.lastIndex() &&
-           peer.Next - peer.Match <= Options.MaxEntriesInFlight) {
+    if (std::exchange(peer.ProbeDue, false)) {
+      sendAppend(id, peer, false, now);
+    }
+    while (!peer.PendingSnapshot && maySendEntries(peer)) {
       sendAppend(id, peer, false, now);
     }
   }
 }
 
+bool Replica::maySendEntries(const PeerProgress &peer) const {
+  return peer.Mode == ReplicationMode::Streaming &&
+         peer.Next <= Log.lastIndex() &&
+         peer.Next - peer.Match <= Options.MaxEntriesInFlight &&
+         peer.BytesInFlight < Options.MaxBytesInFlight;
+}
+
 void Replica::sendAppend(ReplicaId id, PeerProgress &peer, bool heartbeat,
                          SteadyTime now) {
   if (!peer.PendingSnapshot && peer.Next < Log.firstIndex()) {
@@ -105,13 +127,15 @@
 void Replica::fillEntries(protocol::AppendRequest &request,
                           PeerProgress &peer) const {
   std::size_t bytes = 0;
-  while (peer.Next <= Log.lastIndex() && bytes < Options.MaxMessageBytes &&
-         peer.Next - peer.Match <= Options.MaxEntriesInFlight) {
+  while (maySendEntries(peer) && bytes < Options.MaxMessageBytes) {
     const protocol::LogEntry &entry = Log.at(peer.Next);
     *request.add_entries() = entry;
     bytes += entry.data().size();
     ++peer.Next;
   }
+  if (bytes > 0) {
+    peer.noteSent(peer.Next - 1, bytes);
+  }
 }
 
 void Replica::sendSnapshotChunk(ReplicaId id, PeerProgress &peer,
@@ -171,21 +195,43 @@
   peer.RepairNonce = reply.repair_nonce();
   if (reply.accepted()) {
     peer.Match = std::max(peer.Match, reply.match_index());
-    peer.Next = std::max(peer.Next, peer.Match + 1);
-    if (peer.PendingSnapshot && peer.Match >= peer.PendingSnapshot->Index) {
-      peer.PendingSnapshot.reset();
-      peer.Next = peer.Match + 1;
-    }
+    resumeStreaming(peer);
   } else if (reply.repair_nonce() != 0) {
     peer.Match = std::min(peer.Match, reply.match_index());
-    peer.Next = reply.match_index() + 1;
+    probeAgain(peer, reply.match_index() + 1);
   } else if (reply.match_index() >= peer.Match) {
-    peer.Next = reply.match_index() + 1;
+    probeAgain(peer, reply.match_index() + 1);
   }
   advanceCommit(now);
   confirmReads();
 }
 
+/// Continues behind the position that the peer has acknowledged.
+void Replica::resumeStreaming(PeerProgress &peer) {
+  const bool installed =
+      peer.PendingSnapshot && peer.Match >= peer.PendingSnapshot->Index;
+  if (installed) {
+    peer.PendingSnapshot.reset();
+  }
+  if (installed || peer.Mode == ReplicationMode::Probing) {
+    peer.probeFrom(peer.Match + 1);
+    peer.Mode = ReplicationMode::Streaming;
+  }
+  peer.Next = std::max(peer.Next, peer.Match + 1);
+  peer.noteAcknowledged(peer.Match);
+}
+
+/// Probes again after a refusal. Everything that was sent ahead is refused as
+/// well; only a refusal that tells an earlier position is followed by a probe,
+/// or each of them would have the log sent once more.
+void Replica::probeAgain(PeerProgress &peer, std::uint64_t next) {
+  if (peer.Mode == ReplicationMode::Probing && next >= peer.Next) {
+    return;
+  }
+  peer.probeFrom(next);
+  peer.ProbeDue = true;
+}
+
 std::uint64_t Replica::quorumValue(std::uint64_t PeerProgress::*field,
                                    std::uint64_t own) const {
   std::vector<std::uint64_t> values;
@@ -206,7 +252,10 @@
 void Replica::advanceCommit(SteadyTime now) {
   const std::uint64_t index = quorumValue(&PeerProgress::Match, PersistedIndex);
   if (index > CommitIndex && Log.termAt(index) == Hard.Term) {
-    CommitIndex = index;
+    while (CommitIndex < index) {
+      ++CommitIndex;
+      UncommittedBytes -= Log.at(CommitIndex).data().size();
+    }
     confirmReads();
     stepDownIfRemoved(now);
   }
--- a/src/masticwinch/coordination/replication/replica_options.hpp
+++ b/src/masticwinch/coordination/replication/replica_options.hpp
@@ -26,14 +26,23 @@
   std::size_t MaxMessageBytes = 256 * 1024;
   /// Maximum number of unacknowledged entries per replica.
   std::uint64_t MaxEntriesInFlight = 4096;
+  /// Size of unacknowledged entries per replica at which no more are sent.
+  std::size_t MaxBytesInFlight = 1024 * 1024;
+  /// Heartbeat rounds without an answer after which a replica gets no entries
+  /// until it answers.
+  std::uint64_t MaxSilentRounds = 3;
   /// Maximum number of uncommitted entries; further proposals are refused.
   std::uint64_t MaxUncommittedEntries = 16384;
+  /// Size of uncommitted entries at which further proposals are refused.
+  std::size_t MaxUncommittedBytes = 16 * 1024 * 1024;
   /// Size of a snapshot chunk.
   std::size_t SnapshotChunkBytes = 64 * 1024;
   /// Maximum size of a snapshot that is accepted from another replica.
   std::size_t MaxSnapshotBytes = 128U * 1024 * 1024;
   /// Number of entries retained behind a snapshot for replicas that lag.
   std::uint64_t RetainedEntries = 1000;
+  /// Maximum size of the entries retained behind a snapshot.
+  std::size_t RetainedBytes = 4 * 1024 * 1024;
 };
 
 } // namespace masticwinch::replication
--- a/src/masticwinch/coordination/replication/replica_requests.cpp
+++ b/src/masticwinch/coordination/replication/replica_requests.cpp
@@ -18,7 +18,8 @@
   if (PendingTransfer) {
     return ReplicationError::Transferring;
   }
-  if (Log.lastIndex() - CommitIndex >= Options.MaxUncommittedEntries) {
+  if (Log.lastIndex() - CommitIndex >= Options.MaxUncommittedEntries ||
+      UncommittedBytes >= Options.MaxUncommittedBytes) {
     return ReplicationError::Overloaded;
   }
   return std::nullopt;
--- a/tests/coordination/replication/test_replica.cpp
+++ b/tests/coordination/replication/test_replica.cpp
@@ -6,6 +6,7 @@
 
 namespace masticwinch::replication {
 
+using fuzzing::NetworkFaults;
 using fuzzing::ReplicaGroup;
 
 namespace {
@@ -132,6 +133,57 @@
   CHECK(group.applied(damaged) == group.applied(leader));
 }
 
+TEST_CASE("A replica that was cut off is sent the missing entries only once",
+          "[replication]") {
+  constexpr std::size_t CommandBytes = 20000;
+  constexpr int Commands = 400;
+  ReplicaGroup group = groupWithLeader(5);
+  const std::size_t leader = *group.leader();
+  const std::size_t cutOff = nodeOtherThan(leader);
+  NetworkFaults connections;
+  connections.MaxDelay = Milliseconds(1);
+  connections.InOrder = true;
+  group.network() = connections;
+  isolate(group, cutOff);
+  const std::size_t before = group.entryBytesSentTo(cutOff);
+  for (int i = 0; i < Commands; ++i) {
+    REQUIRE(group.propose(leader, std::string(CommandBytes, 'x')));
+    group.run(Milliseconds(10));
+  }
+  const std::size_t whileCutOff = group.entryBytesSentTo(cutOff) - before;
+  // The path is back, but messages wait before the replica receives them.
+  group.network() = connections;
+  group.pause(cutOff);
+  for (int i = 0; i < 100; ++i) {
+    REQUIRE(group.propose(leader, std::string(CommandBytes, 'x')));
+    group.run(Milliseconds(10));
+  }
+  group.resume(cutOff);
+  group.run(Milliseconds(5000));
+  const std::size_t afterwards =
+      group.entryBytesSentTo(cutOff) - before - whileCutOff;
+  const ReplicaOptions options;
+  const std::size_t window = options.MaxBytesInFlight + options.MaxMessageBytes;
+  CHECK(group.applied(cutOff) == group.applied(leader));
+  CHECK(whileCutOff <= window);
+  CHECK(afterwards <= (Commands + 100) * CommandBytes + window);
+}
+
+TEST_CASE("A leader without a quorum keeps few uncommitted bytes",
+          "[replication]") {
+  constexpr std::size_t CommandBytes = 512 * 1024;
+  ReplicaGroup group = groupWithLeader(3);
+  const std::size_t leader = *group.leader();
+  isolate(group, leader);
+  const ReplicaOptions options;
+  std::size_t accepted = 0;
+  while (accepted <= 2 * options.MaxUncommittedBytes &&
+         group.propose(leader, std::string(CommandBytes, 'x'))) {
+    accepted += CommandBytes;
+  }
+  CHECK(accepted <= options.MaxUncommittedBytes + CommandBytes);
+}
+
 TEST_CASE("A membership change waits for the previous one", "[replication]") {
   ReplicaGroup group = groupWithLeader(5);
   const std::size_t leader = *group.leader();
