Bound the mailbox's queues in bytes

Cause: queues were bounded by 1,024 messages of up to 4 MB each. Ruled out: a bound per peer alone, since 102 VMs are peers. Change: 4 MB a peer, 16 MB in all, then messages are dropped and counted; stale ones are dropped before the bound is looked at. New gauge of the bytes that wait. The unit test fills a connection that nobody reads: at most 8 MB, the limit it sets.

--- a/src/masticwinch/peers/internal/outbound_connection.cpp
+++ b/src/masticwinch/peers/internal/outbound_connection.cpp
@@ -21,6 +21,8 @@
 /// repeated them by then.
 constexpr Milliseconds MaxQueueTime{1500};
 constexpr std::size_t MaxQueuedMessages = 1024;
+/// Size of the queue at which further messages are dropped.
+constexpr std::size_t MaxQueuedBytes = 4 * 1024 * 1024;
 /// Queued messages are combined into one write up to this size.
 constexpr std::size_t MaxWriteBytes = 256 * 1024;
 
@@ -30,19 +32,21 @@
 
 OutboundConnection::OutboundConnection(asio::io_context &context,
                                        asio::ip::tcp::endpoint peer,
+                                       std::atomic<std::uint64_t> &queuedBytes,
                                        StateHandler onState, DropHandler onDrop)
-    : Peer(std::move(peer)), OnState(std::move(onState)),
-      OnDrop(std::move(onDrop)), Socket(context), ConnectTimer(context),
-      AckTimer(context) {}
+    : Peer(std::move(peer)), TotalQueuedBytes(queuedBytes),
+      OnState(std::move(onState)), OnDrop(std::move(onDrop)), Socket(context),
+      ConnectTimer(context), AckTimer(context) {}
 
 void OutboundConnection::send(std::string payload) {
-  if (Closed) {
-    return;
-  }
-  if (Queue.size() >= MaxQueuedMessages) {
+  dropStale();
+  if (Closed || Queue.size() >= MaxQueuedMessages ||
+      QueuedBytes >= MaxQueuedBytes) {
+    TotalQueuedBytes -= payload.size();
     OnDrop(1);
     return;
   }
+  QueuedBytes += payload.size();
   Queue.push_back({std::move(payload), now()});
   if (Open) {
     write();
@@ -133,7 +137,7 @@
 void OutboundConnection::dropStale() {
   std::size_t dropped = 0;
   while (!Queue.empty() && now() - Queue.front().QueuedAt > MaxQueueTime) {
-    Queue.pop_front();
+    takeFirst();
     ++dropped;
   }
   if (dropped > 0) {
@@ -141,6 +145,14 @@
   }
 }
 
+std::string OutboundConnection::takeFirst() {
+  std::string payload = std::move(Queue.front().Payload);
+  QueuedBytes -= payload.size();
+  TotalQueuedBytes -= payload.size();
+  Queue.pop_front();
+  return payload;
+}
+
 void OutboundConnection::write() {
   if (Writing || Queue.empty()) {
     return;
@@ -150,10 +162,9 @@
     LastProgressAt = now();
   }
   while (!Queue.empty() && Outgoing.size() < MaxWriteBytes) {
-    const std::string &payload = Queue.front().Payload;
+    const std::string payload = takeFirst();
     appendUint32(Outgoing, static_cast<std::uint32_t>(payload.size()));
     Outgoing += payload;
-    Queue.pop_front();
     ++Sent;
   }
   Writing = true;
--- a/src/masticwinch/peers/internal/outbound_connection.hpp
+++ b/src/masticwinch/peers/internal/outbound_connection.hpp
@@ -7,6 +7,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <array>
+#include <atomic>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -29,9 +30,12 @@
   /// Called with the number of messages that were dropped.
   using DropHandler = std::function<void(std::size_t count)>;
 
+  /// `queuedBytes` counts the bytes that wait in all connections of a mailbox.
   OutboundConnection(asio::io_context &context, asio::ip::tcp::endpoint peer,
+                     std::atomic<std::uint64_t> &queuedBytes,
                      StateHandler onState, DropHandler onDrop);
 
+  /// Queues a message whose size `queuedBytes` already includes.
   void send(std::string payload);
   void close();
 
@@ -48,8 +52,10 @@
   void readAcknowledgement();
   void awaitAcknowledgement();
   void dropStale();
+  std::string takeFirst();
 
   const asio::ip::tcp::endpoint Peer;
+  std::atomic<std::uint64_t> &TotalQueuedBytes;
   StateHandler OnState;
   DropHandler OnDrop;
   asio::ip::tcp::socket Socket;
@@ -65,6 +71,8 @@
   bool PeerReachable = true;
   bool AckTimerRunning = false;
   std::deque<QueuedMessage> Queue;
+  /// Size of the messages in `Queue`.
+  std::size_t QueuedBytes = 0;
   std::string Outgoing;
   std::uint32_t Sent = 0;
   std::uint32_t Acknowledged = 0;
--- a/src/masticwinch/peers/mailbox.cpp
+++ b/src/masticwinch/peers/mailbox.cpp
@@ -172,6 +172,7 @@
     }
     if (!it->second) {
       DroppedMessages += 1;
+      QueuedBytes -= payload.size();
       return;
     }
     it->second->send(std::move(payload));
@@ -186,7 +187,7 @@
       return nullptr;
     }
     return std::make_shared<internal::OutboundConnection>(
-        Context, *endpoint,
+        Context, *endpoint, QueuedBytes,
         [this, address](bool reachable, const std::string &reason) {
           Events.write(reachable ? MailboxEvent::PeerReached
                                  : MailboxEvent::PeerLost,
@@ -226,6 +227,7 @@
   std::atomic<std::uint64_t> ReceivedMessages = 0;
   std::atomic<std::uint64_t> ReceivedBytes = 0;
   std::atomic<std::uint64_t> DroppedMessages = 0;
+  std::atomic<std::uint64_t> QueuedBytes = 0;
 };
 
 Mailbox::Mailbox(MailboxOptions options, MailboxHandler handler,
@@ -252,6 +254,11 @@
   envelope.set_hlc_millis(stamp.Millis);
   envelope.set_hlc_counter(stamp.Counter);
   std::string bytes = envelope.SerializeAsString();
+  if (Impl->QueuedBytes + bytes.size() > Options.MaxQueuedBytes) {
+    Impl->DroppedMessages += 1;
+    return;
+  }
+  Impl->QueuedBytes += bytes.size();
   Impl->SentMessages += 1;
   Impl->SentBytes += bytes.size();
   asio::post(Impl->Context, [implementation = Impl.get(), address,
@@ -261,8 +268,8 @@
 }
 
 MailboxTraffic Mailbox::traffic() const {
-  return {Impl->SentMessages, Impl->SentBytes, Impl->ReceivedMessages,
-          Impl->ReceivedBytes, Impl->DroppedMessages};
+  return {Impl->SentMessages,  Impl->SentBytes,       Impl->ReceivedMessages,
+          Impl->ReceivedBytes, Impl->DroppedMessages, Impl->QueuedBytes};
 }
 
 void Mailbox::stop() {
--- a/src/masticwinch/peers/mailbox.hpp
+++ b/src/masticwinch/peers/mailbox.hpp
@@ -25,6 +25,9 @@
   std::string Address;
   /// A longer message closes the connection on which it is received.
   std::size_t MaxMessageBytes = 4 * 1024 * 1024;
+  /// Size of the messages waiting to be sent, to all peers together, at which
+  /// further ones are dropped.
+  std::size_t MaxQueuedBytes = 16 * 1024 * 1024;
 };
 
 /// Which header fields a sender adds to a message.
@@ -44,6 +47,8 @@
   /// Messages dropped before sending, because the peer was slow or unreachable
   /// or its address malformed.
   std::uint64_t DroppedMessages = 0;
+  /// Size of the messages waiting to be sent at the moment.
+  std::uint64_t QueuedBytes = 0;
 };
 
 /// Called on the mailbox's thread with each message of its own cluster.
--- a/src/masticwinch/peers/mailbox_metrics.cpp
+++ b/src/masticwinch/peers/mailbox_metrics.cpp
@@ -36,6 +36,10 @@
           {"masticwinch_messages_dropped_total",
            "Messages to own processes given up before they were sent."},
           &MailboxTraffic::DroppedMessages);
+  registry.observedGauge(
+      {"masticwinch_messages_queued_bytes",
+       "Bytes of messages to own processes that wait to be sent."},
+      [&mailbox] { return double(mailbox.traffic().QueuedBytes); });
 }
 
 } // namespace masticwinch::peers
--- a/tests/peers/test_mailbox.cpp
+++ b/tests/peers/test_mailbox.cpp
@@ -123,6 +123,31 @@
   CHECK(receiver.Received == 1);
 }
 
+TEST_CASE("Messages to a silent peer are dropped once the queue is full",
+          "[peers]") {
+  // The kernel accepts the connection, and nothing reads from it.
+  asio::io_context context;
+  asio::ip::tcp::acceptor silent(context,
+                                 {asio::ip::address_v4::loopback(), 0});
+  const std::string address =
+      "tcp://127.0.0.1:" + std::to_string(silent.local_endpoint().port());
+  MailboxOptions options = optionsOf("sender");
+  options.MaxQueuedBytes = 8 * 1024 * 1024;
+  Receiver sender(options);
+  protocol::Envelope envelope = helloEnvelope();
+  envelope.mutable_replication()
+      ->mutable_append_request()
+      ->add_entries()
+      ->set_data(std::string(100'000, 'x'));
+  std::uint64_t most = 0;
+  for (int i = 0; i < 2000; ++i) {
+    sender.Box.send(address, envelope);
+    most = std::max(most, sender.Box.traffic().QueuedBytes);
+  }
+  CHECK(most <= options.MaxQueuedBytes);
+  CHECK(sender.Box.traffic().DroppedMessages > 0);
+}
+
 TEST_CASE("A mailbox can be stopped while several senders send messages",
           "[peers]") {
   constexpr int Rounds = 15;
