Keep orders when the lease of leadership lapses while they are decided

Cause: executeEffects() took the leader's orders and dropped them if the lease had lapsed meanwhile. Ruled out: relayed calls without an answer (they expire after 0.8 s). Before: the new test's look is never sent. After: it is; orders of an older term aren't.

--- a/src/masticwinch/control/replicated_log_event.hpp
+++ b/src/masticwinch/control/replicated_log_event.hpp
@@ -23,6 +23,7 @@
   MembershipRepair,
   LeadershipOffered,
   LeadershipResigned,
+  LeaseLapsed,
 };
 
 } // namespace masticwinch::control
@@ -46,7 +47,8 @@
       EnumName<Event>{Event::SenderRefused, "replica_sender_refused"},
       EnumName<Event>{Event::MembershipRepair, "membership_repair"},
       EnumName<Event>{Event::LeadershipOffered, "leadership_offered"},
-      EnumName<Event>{Event::LeadershipResigned, "leadership_resigned"}};
+      EnumName<Event>{Event::LeadershipResigned, "leadership_resigned"},
+      EnumName<Event>{Event::LeaseLapsed, "leadership_lease_lapsed"}};
 };
 
 } // namespace masticwinch
--- a/src/masticwinch/workflow/workflow_driver.hpp
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -81,6 +81,8 @@
     // A leader's decisions refer to the state that is replaced.
     Leader.reset();
     InFlight.clear();
+    UnproposedBatches.clear();
+    Unsent = {};
     State.restore(snapshot);
   }
 
@@ -96,6 +98,7 @@
     }
     InFlight.clear();
     UnproposedBatches.clear();
+    Unsent = {};
     LeaderTerm = Commands.term();
     decide("leadership", [this] {
       Leader =
@@ -244,6 +247,7 @@
     Leader.reset();
     InFlight.clear();
     UnproposedBatches.clear();
+    Unsent = {};
     Commands.resign("a decision failed: " + reason);
   }
 
@@ -277,10 +281,32 @@
     writeEvents(effects);
     std::move(effects.Batches.begin(), effects.Batches.end(),
               std::back_inserter(UnproposedBatches));
+    appendTo(Unsent.Starts, effects.Starts);
+    appendTo(Unsent.Stops, effects.Stops);
+    appendTo(Unsent.Polls, effects.Polls);
+    appendTo(Unsent.Advice, effects.Advice);
     propose();
+    sendOrders();
+  }
+
+  template <class Order>
+  static void appendTo(std::vector<Order> &orders, std::vector<Order> &added) {
+    orders.insert(orders.end(), std::make_move_iterator(added.begin()),
+                  std::make_move_iterator(added.end()));
+  }
+
+  /// Sends all orders if this VM still leads. Otherwise they are kept: the
+  /// lease of leadership may be regained in the same term, and the leader waits
+  /// for an answer to each of them.
+  void sendOrders() {
     if (!Commands.isLeader()) {
+      Events.writeNamed("orders_held_back", {{"starts", Unsent.Starts.size()},
+                                             {"stops", Unsent.Stops.size()},
+                                             {"looks", Unsent.Polls.size()},
+                                             {"advice", Unsent.Advice.size()}});
       return;
     }
+    WorkflowEffects effects = std::exchange(Unsent, {});
     for (const StartOrder &it : effects.Starts) {
       Runners.start(it, LeaderTerm,
                     answered([it](WorkflowLeader &leader, OrderAnswer answer,
@@ -389,6 +415,8 @@
   SteadyTime LastEffectsAt{};
   /// Batches that the log has not accepted yet, oldest first.
   std::deque<ProposedBatch> UnproposedBatches;
+  /// Orders that wait for the lease of leadership.
+  WorkflowEffects Unsent;
   std::map<control::LogPosition, ProposedRecord> InFlight;
 };
 
--- a/tests/workflow/test_workflow_driver.cpp
+++ b/tests/workflow/test_workflow_driver.cpp
@@ -17,6 +17,7 @@
 struct FakeLog {
   std::optional<control::LogPosition> propose(const std::string &record) {
     Records.push_back(record);
+    Leads = Leads && !LapsesOnPropose;
     return control::LogPosition{Records.size(), Term};
   }
   bool isLeader() const { return Leads; }
@@ -28,6 +29,8 @@
   std::vector<std::string> Records;
   std::uint64_t Term = 1;
   bool Leads = true;
+  /// Whether the lease of leadership lapses while a record is proposed.
+  bool LapsesOnPropose = false;
 };
 
 struct FakeSender {
@@ -37,7 +40,11 @@
 struct FakeCalls {
   void start(const StartOrder &, std::uint64_t, const OrderDone &) {}
   void stop(const StopOrder &, std::uint64_t, const OrderDone &) {}
-  void poll(const PollOrder &, std::uint64_t, const PollDone &) {}
+  void poll(const PollOrder &order, std::uint64_t, const PollDone &) {
+    Polls.push_back(order.Runner);
+  }
+
+  std::vector<std::string> Polls;
 };
 
 /// A driver that leads. Its clock advances far enough between decisions for
@@ -102,3 +109,39 @@
   control.apply(control.Log.Records.back());
   CHECK(control.Stored == 1);
 }
+
+TEST_CASE("Orders decided when the lease lapses are sent once it is regained",
+          "[workflow]") {
+  Fixture control;
+  control.heartbeat("i-1");
+  control.apply(control.Log.Records.back());
+  // The look at the runner is decided together with the next record.
+  control.Driver.tick();
+  control.Log.LapsesOnPropose = true;
+  control.heartbeat("i-2");
+  REQUIRE_FALSE(control.Driver.leads());
+  CHECK(control.Calls.Polls.empty());
+
+  control.Log.LapsesOnPropose = false;
+  control.Log.Leads = true;
+  control.Time.advance(std::chrono::seconds(1));
+  control.Driver.becomeLeader();
+  CHECK(control.Calls.Polls == std::vector<std::string>{"i-1"});
+}
+
+TEST_CASE("Orders of an earlier term are not sent", "[workflow]") {
+  Fixture control;
+  control.heartbeat("i-1");
+  control.apply(control.Log.Records.back());
+  control.Driver.tick();
+  control.Log.LapsesOnPropose = true;
+  control.heartbeat("i-2");
+  REQUIRE_FALSE(control.Driver.leads());
+
+  control.Log.LapsesOnPropose = false;
+  control.Log.Leads = true;
+  control.Log.Term = 3;
+  control.Time.advance(std::chrono::seconds(1));
+  control.Driver.becomeLeader();
+  CHECK(control.Calls.Polls.empty());
+}
