Renew the tickets of reserved runners before these are free

Cause: a gang's reservation picks runners by their expected room, but the tickets renewed in advance were those of the first 40 approved runners by id, so that the room, once free, lay idle for another call (0.4 to 0.6 s of a run of 4 s); and a run beyond its estimate counted as ending at once, which kept reservations at the shortest horizon. Ruled out: too little capacity for advice (a third of the agents' time is used). Change: tickets of reserved runners and some spares are renewed for the time they are needed; a gang that fits soon isn't asked about more runners meanwhile; an overdue run is expected to last another quarter. pool_load logs what is free, reserved, claimed.

--- a/src/masticwinch/coordination/workflow/advice_tracker.cpp
+++ b/src/masticwinch/coordination/workflow/advice_tracker.cpp
@@ -157,6 +157,29 @@
   return advice.CallPending;
 }
 
+void AdviceTracker::renewFor(const StepKey &step,
+                             const std::vector<std::string> &runners,
+                             Milliseconds neededIn, SteadyTime now) {
+  const auto found = Steps.find(step);
+  if (found == Steps.end()) {
+    return;
+  }
+  StepAdvice &advice = found->second;
+  const Milliseconds duration =
+      Options.TransferTime + estimatedDuration(advice.Terms, runners.size());
+  const bool due =
+      std::any_of(runners.begin(), runners.end(), [&](const std::string &it) {
+        const auto approved = advice.Approved.find(it);
+        return approved != advice.Approved.end() &&
+               !isFresh(approved->second, now + std::max(neededIn, duration));
+      });
+  const bool early =
+      neededIn > duration + Milliseconds(advice.Terms.validity_ms()) / 2;
+  if (due && !early && !advice.CallPending && now >= advice.NotBefore) {
+    call(step, advice, runners, true, now);
+  }
+}
+
 bool AdviceTracker::isSlow(const StepKey &step) const {
   const auto found = Steps.find(step);
   return found != Steps.end() &&
--- a/src/masticwinch/coordination/workflow/gang_reservation.cpp
+++ b/src/masticwinch/coordination/workflow/gang_reservation.cpp
@@ -24,12 +24,21 @@
   return count;
 }
 
+/// A run that has exceeded its estimate is expected to last for another quarter
+/// of the time that it has taken so far.
+SteadyTime expectedEnd(const TrackedRun &run, SteadyTime now) {
+  const SteadyTime::duration elapsed = now - run.OccupiedSince;
+  return std::max<SteadyTime>(run.OccupiedSince + run.ExpectedDuration,
+                              now + elapsed / 4);
+}
+
 /// Free resources of a runner once the runs that are expected to end by `when`
 /// have ended.
-ResourceAmounts freeAmountsAt(const RunnerEntry &runner, SteadyTime when) {
+ResourceAmounts freeAmountsAt(const RunnerEntry &runner, SteadyTime now,
+                              SteadyTime when) {
   ResourceAmounts free = runner.Free;
   for (const auto &[run, it] : runner.Runs) {
-    if (it.OccupiedSince + it.ExpectedDuration <= when) {
+    if (expectedEnd(it, now) <= when) {
       free += it.Needs;
     }
   }
@@ -47,7 +56,7 @@
     std::size_t all = 0;
     for (const RunnerEntry *it : runners) {
       const std::size_t fit =
-          countFitting(freeAmountsAt(*it, now + horizon), needs);
+          countFitting(freeAmountsAt(*it, now, now + horizon), needs);
       if (fit > 0) {
         slots.emplace_back(fit, it);
         all += fit;
@@ -63,11 +72,14 @@
     reservation.Horizon = horizon;
     std::size_t reservedSlots = 0;
     for (const auto &[fit, runner] : slots) {
-      if (reservedSlots >= count) {
+      if (reservedSlots < count) {
+        reservedSlots += fit;
+        reservation.Runners.push_back(runner);
+      } else if (2 * reservation.Spares.size() < reservation.Runners.size()) {
+        reservation.Spares.push_back(runner);
+      } else {
         break;
       }
-      reservedSlots += fit;
-      reservation.Runners.push_back(runner);
     }
     return reservation;
   }
--- a/src/masticwinch/coordination/workflow/gang_reservation.hpp
+++ b/src/masticwinch/coordination/workflow/gang_reservation.hpp
@@ -12,6 +12,8 @@
 /// are expected to have ended.
 struct GangReservation {
   std::vector<const RunnerEntry *> Runners;
+  /// Runners that come next, at most half as many; they are not reserved.
+  std::vector<const RunnerEntry *> Spares;
   Milliseconds Horizon{0};
 };
 
--- a/src/masticwinch/coordination/workflow/workflow_event.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_event.hpp
@@ -30,6 +30,7 @@
   AdviceAsked,
   AdviceFailed,
   StepWaits,
+  PoolLoad,
   ConfigurationStored,
   ConfigurationOutdated,
   Deposed,
@@ -68,6 +69,7 @@
       EnumName<Kind>{Kind::AdviceAsked, "advice_asked"},
       EnumName<Kind>{Kind::AdviceFailed, "advice_failed"},
       EnumName<Kind>{Kind::StepWaits, "step_waits"},
+      EnumName<Kind>{Kind::PoolLoad, "pool_load"},
       EnumName<Kind>{Kind::ConfigurationStored, "configuration_stored"},
       EnumName<Kind>{Kind::ConfigurationOutdated, "configuration_outdated"},
       EnumName<Kind>{Kind::Deposed, "leader_deposed"}};
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -2,6 +2,7 @@
 
 #include "masticwinch/coordination/workflow/admission.hpp"
 #include "masticwinch/coordination/workflow/advice_tracker.hpp"
+#include "masticwinch/coordination/workflow/gang_reservation.hpp"
 #include "masticwinch/coordination/workflow/queue_routes.hpp"
 #include "masticwinch/coordination/workflow/runner_health.hpp"
 #include "masticwinch/coordination/workflow/runner_registry.hpp"
@@ -53,6 +54,9 @@
   /// Maximum number of runners whose tickets are renewed for a step that fits
   /// on no runner yet.
   std::size_t RunnersPerRenewal = 40;
+  /// A gang that is expected to fit within this time isn't asked about more
+  /// runners: the call would keep its tickets from being renewed.
+  Milliseconds AskMoreHorizon{1000};
   /// Number of waiting steps with slow advice whose tickets one pass renews, in
   /// rank order.
   std::size_t SlowRenewals = 8;
@@ -266,8 +270,11 @@
               const Fleet &fleet);
   bool renewTickets(const StepKey &key, const std::vector<std::uint32_t> &tasks,
                     Fleet &fleet, const Fleet::Pool &pool, Moment at);
-  void reserveRunners(const StepKey &key, bool advised, std::size_t tasks,
-                      Fleet &fleet, const Fleet::Pool &pool, Moment at) const;
+  std::optional<GangReservation>
+  reserveRunners(const StepKey &key, bool advised, std::size_t tasks,
+                 Fleet &fleet, const Fleet::Pool &pool, Moment at) const;
+  void renewReserved(const StepKey &key, const GangReservation &reservation,
+                     Moment at);
   std::vector<std::string> adviceCandidates(const StepKey &key,
                                             std::size_t tasks,
                                             const Fleet::Pool &pool) const;
@@ -278,6 +285,7 @@
   // workflow_leader_waits.cpp
   void reportWaits(const Fleet &fleet, const std::vector<RankedStep> &tried,
                    Moment at);
+  void logPoolLoads(const Fleet &fleet, const std::vector<RankedStep> &tried);
   void logWait(const StepKey &key, const Fleet &fleet,
                const std::vector<RankedStep> &tried, Moment at);
   std::size_t fittingTasks(const StepKey &key,
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -1,4 +1,3 @@
-#include "masticwinch/coordination/workflow/gang_reservation.hpp"
 #include "masticwinch/coordination/workflow/queue_routes.hpp"
 #include "masticwinch/coordination/workflow/workflow_leader.hpp"
 
@@ -315,20 +314,28 @@
       return;
     }
   }
+  std::optional<GangReservation> reservation;
   if (spec.gang()) {
-    reserveRunners(key, advised, tasks.size(), fleet, pool->second, at);
+    reservation =
+        reserveRunners(key, advised, tasks.size(), fleet, pool->second, at);
   }
-  if (advised) {
+  if (advised && reservation) {
+    renewReserved(key, *reservation, at);
+  }
+  const bool fitsSoon =
+      reservation && reservation->Horizon <= Options.AskMoreHorizon;
+  if (advised && !fitsSoon) {
     askMoreRunners(key, tasks.size() - planned.size(), pool->second, fleet, at);
   }
 }
 
 /// Reserves runners for a gang that waits for resources.
-void WorkflowLeader::reserveRunners(const StepKey &key, bool advised,
-                                    std::size_t tasks, Fleet &fleet,
-                                    const Fleet::Pool &pool, Moment at) const {
+std::optional<GangReservation>
+WorkflowLeader::reserveRunners(const StepKey &key, bool advised,
+                               std::size_t tasks, Fleet &fleet,
+                               const Fleet::Pool &pool, Moment at) const {
   if (fleet.Reservations == 0 || !Options.ReserveForGangs) {
-    return;
+    return std::nullopt;
   }
   std::vector<const RunnerEntry *> runners;
   const AdviceTracker::Tickets *tickets = Advice.ticketsOf(key);
@@ -338,15 +345,30 @@
       runners.push_back(it);
     }
   }
-  const auto reservation =
+  auto reservation =
       reserveForGang(needsOf(*State.findSpec(key)), tasks, runners, at.Now);
-  if (!reservation) {
-    return;
-  }
-  --fleet.Reservations;
-  for (const RunnerEntry *it : reservation->Runners) {
-    fleet.Reserved[it] = reservation->Horizon;
+  if (reservation) {
+    --fleet.Reservations;
+    for (const RunnerEntry *it : reservation->Runners) {
+      fleet.Reserved[it] = reservation->Horizon;
+    }
   }
+  return reservation;
+}
+
+/// Renews the tickets of reserved runners before their resources are free, so
+/// that these aren't idle while the gang waits for advice.
+void WorkflowLeader::renewReserved(const StepKey &key,
+                                   const GangReservation &reservation,
+                                   Moment at) {
+  std::vector<std::string> runners;
+  for (const RunnerEntry *it : reservation.Runners) {
+    runners.push_back(it->Info.id());
+  }
+  for (const RunnerEntry *it : reservation.Spares) {
+    runners.push_back(it->Info.id());
+  }
+  Advice.renewFor(key, runners, reservation.Horizon, at.Now);
 }
 
 /// Runners to name in an advice call: for a gang those with the most free
--- a/src/masticwinch/coordination/workflow/workflow_leader_waits.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_waits.cpp
@@ -13,6 +13,7 @@
     return;
   }
   NextWaitReport = at.Now + Options.WaitReportInterval;
+  logPoolLoads(fleet, tried);
   std::vector<std::pair<SteadyTime, StepKey>> waiting;
   for (const auto &[key, open] : OpenSteps) {
     const SteadyTime since = open.Info->Ranking.Accepted;
@@ -29,6 +30,53 @@
   }
 }
 
+/// Logs how much of each pool is in use, how much is kept for waiting gangs,
+/// and how many of the tried steps still wait.
+void WorkflowLeader::logPoolLoads(const Fleet &fleet,
+                                  const std::vector<RankedStep> &tried) {
+  std::size_t gangs = 0;
+  std::size_t others = 0;
+  std::size_t late = 0;
+  for (const RankedStep &it : tried) {
+    const OpenStep &open = OpenSteps.at(*it.Key);
+    if (startableCount(*it.Key, open) == 0) {
+      continue;
+    }
+    if (it.Rank.Forecast != CompletionForecast::OnTime) {
+      ++late;
+    } else if (open.Parent->Spec.steps(int(it.Key->Step)).gang()) {
+      ++gangs;
+    } else {
+      ++others;
+    }
+  }
+  for (const auto &[name, pool] : fleet.Pools) {
+    std::int64_t free = 0;
+    std::int64_t freeReserved = 0;
+    std::int64_t claimed = 0;
+    for (const RunnerEntry *it : pool.Runners) {
+      free += it->Free.MilliProcessors;
+      freeReserved +=
+          fleet.Reserved.contains(it) ? it->Free.MilliProcessors : 0;
+    }
+    for (const auto &[runner, amounts] : fleet.Claimed) {
+      claimed += amounts.MilliProcessors;
+    }
+    logEvent(WorkflowEventKind::PoolLoad,
+             {{"pool", name},
+              {"runners", std::to_string(pool.Runners.size())},
+              {"milli_processors", std::to_string(pool.MilliProcessors)},
+              {"free", std::to_string(free)},
+              {"free_reserved", std::to_string(freeReserved)},
+              {"reserved_runners", std::to_string(fleet.Reserved.size())},
+              {"claimed", std::to_string(claimed)},
+              {"gangs_waiting", std::to_string(gangs)},
+              {"others_waiting", std::to_string(others)},
+              {"late_waiting", std::to_string(late)},
+              {"agents", std::to_string(Advice.agentCount())}});
+  }
+}
+
 /// Number of tasks of a step that would fit if all its tickets were valid.
 std::size_t WorkflowLeader::fittingTasks(const StepKey &key,
                                          const protocol::QueueConfig &queue,
