Place small tasks where they leave room for the tasks of gangs

Fullest first fills holes by the size of the hole, not by what remains. Change: tasks that are no gang's first take what remains when the free processors are divided into slots of the mean task of waiting gangs.

--- a/src/masticwinch/coordination/workflow/step_planner.cpp
+++ b/src/masticwinch/coordination/workflow/step_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <span>
 
 namespace masticwinch::workflow {
 
@@ -16,10 +17,11 @@
           candidate.TasksOfStep < step.max_per_runner());
 }
 
-/// Places tasks on one runner after the other, in the given order.
+/// Places tasks on one runner after the other, in the given order. Updates the
+/// candidates by what is placed on them.
 std::vector<PlannedRun> fill(const protocol::StepSpec &step,
-                             const std::vector<std::uint32_t> &tasks,
-                             Candidates candidates) {
+                             std::span<const std::uint32_t> tasks,
+                             Candidates &candidates) {
   const ResourceAmounts needs = needsOf(step);
   std::vector<PlannedRun> planned;
   auto next = candidates.begin();
@@ -37,6 +39,28 @@
   return planned;
 }
 
+/// Places tasks on the processors of each runner that remain when it is divided
+/// into slots.
+std::vector<PlannedRun> fillRemainders(const protocol::StepSpec &step,
+                                       std::span<const std::uint32_t> tasks,
+                                       Candidates &candidates,
+                                       std::int64_t slotProcessors) {
+  Candidates remainders = candidates;
+  for (PlanCandidate &it : remainders) {
+    it.Free.MilliProcessors %= slotProcessors;
+  }
+  const std::vector<PlannedRun> planned = fill(step, tasks, remainders);
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    ResourceAmounts &free = candidates[i].Free;
+    ResourceAmounts used = free;
+    used.MilliProcessors %= slotProcessors;
+    used -= remainders[i].Free;
+    free -= used;
+    candidates[i].TasksOfStep = remainders[i].TasksOfStep;
+  }
+  return planned;
+}
+
 void sortFullestFirst(Candidates &candidates) {
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const PlanCandidate &a, const PlanCandidate &b) {
@@ -57,7 +81,7 @@
     std::copy_if(
         candidates.begin(), candidates.end(), std::back_inserter(ofRack),
         [&](const PlanCandidate &it) { return it.Runner->rack() == rack; });
-    std::vector<PlannedRun> planned = fill(step, tasks, std::move(ofRack));
+    std::vector<PlannedRun> planned = fill(step, tasks, ofRack);
     if (planned.size() == tasks.size()) {
       return planned;
     }
@@ -69,7 +93,8 @@
 
 std::vector<PlannedRun> planStep(const protocol::StepSpec &step,
                                  const std::vector<std::uint32_t> &tasks,
-                                 Candidates candidates) {
+                                 Candidates candidates,
+                                 std::int64_t slotProcessors) {
   sortFullestFirst(candidates);
   if (!step.data_rack().empty()) {
     std::stable_partition(candidates.begin(), candidates.end(),
@@ -81,8 +106,13 @@
   if (step.same_rack()) {
     planned = fillOneRack(step, tasks, candidates);
   }
-  if (planned.empty()) {
-    planned = fill(step, tasks, std::move(candidates));
+  if (planned.empty() && !step.gang() && slotProcessors > 0) {
+    planned = fillRemainders(step, tasks, candidates, slotProcessors);
+  }
+  if (planned.size() < tasks.size()) {
+    const auto rest = std::span(tasks).subspan(planned.size());
+    const std::vector<PlannedRun> others = fill(step, rest, candidates);
+    planned.insert(planned.end(), others.begin(), others.end());
   }
   if (step.gang() && planned.size() < tasks.size()) {
     planned.clear();
--- a/src/masticwinch/coordination/workflow/step_planner.hpp
+++ b/src/masticwinch/coordination/workflow/step_planner.hpp
@@ -28,8 +28,15 @@
 /// for small lookups and wide gangs that share one fleet at 80 % utilization. A
 /// gang is placed as a whole or not at all; of other steps, as many tasks as
 /// fit.
+///
+/// If `slotProcessors` is given, in thousandths of a core, tasks that are not
+/// part of a gang first take the free processors of each runner that are left
+/// over when it is divided into slots of this size. Gangs whose tasks need one
+/// slot each otherwise find a quarter of a full fleet free in pieces that are
+/// all too small.
 std::vector<PlannedRun> planStep(const protocol::StepSpec &step,
                                  const std::vector<std::uint32_t> &tasks,
-                                 std::vector<PlanCandidate> candidates);
+                                 std::vector<PlanCandidate> candidates,
+                                 std::int64_t slotProcessors = 0);
 
 } // namespace masticwinch::workflow
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -41,6 +41,8 @@
 std::vector<WorkflowLeader::RankedStep> WorkflowLeader::rankedSteps(Moment at) {
   std::vector<RankedStep> ranked;
   WaitingWork.clear();
+  std::int64_t gangTasks = 0;
+  std::int64_t gangProcessors = 0;
   for (auto &[key, open] : OpenSteps) {
     if (!open.Startable) {
       open.Startable = startableCount(key, open);
@@ -49,16 +51,23 @@
     if (tasks == 0) {
       continue;
     }
+    const protocol::StepSpec &spec = open.Parent->Spec.steps(int(key.Step));
+    if (spec.gang()) {
+      gangTasks += std::int64_t(tasks);
+      gangProcessors += std::int64_t(tasks) * spec.needs().milli_processors();
+    }
     const Milliseconds remaining = open.Info->CriticalPaths[key.Step];
     const StepRank rank =
         rankOf(open.Info->Ranking, remaining, at.Now, Options.Ranking);
     if (rank.Forecast == CompletionForecast::OnTime) {
-      const protocol::StepSpec &spec = open.Parent->Spec.steps(int(key.Step));
       WaitingWork[rank.Priority] += tasks * std::uint64_t(spec.estimate_ms()) *
                                     spec.needs().milli_processors() / 1000;
     }
     ranked.push_back({rank, &key});
   }
+  if (gangTasks > 0) {
+    GangTaskProcessors = gangProcessors / gangTasks;
+  }
   return tryable(std::move(ranked));
 }
 
@@ -298,7 +307,8 @@
   const std::vector<std::uint32_t> tasks = startableTasks(key, open);
   const std::vector<PlannedRun> planned = planStep(
       spec, tasks,
-      candidates(key, queue->has_advice(), fleet, pool->second, true, at));
+      candidates(key, queue->has_advice(), fleet, pool->second, true, at),
+      GangTaskProcessors);
   const Step &step = *State.findStep(key);
   for (const PlannedRun &it : planned) {
     assign(key, open, it, nextRun(step, spec, it.Index),
@@ -418,7 +428,8 @@
                                   Moment at) {
   const protocol::StepSpec &spec = *State.findSpec(key);
   const std::vector<PlannedRun> fitting =
-      planStep(spec, tasks, candidates(key, true, fleet, pool, false, at));
+      planStep(spec, tasks, candidates(key, true, fleet, pool, false, at),
+               GangTaskProcessors);
   if (fitting.empty()) {
     return false;
   }
--- a/tests/coordination/workflow/test_decisions.cpp
+++ b/tests/coordination/workflow/test_decisions.cpp
@@ -47,6 +47,25 @@
   CHECK(planned[1].Runner->Info.id() == "full");
 }
 
+TEST_CASE("Small tasks first take what slots for gangs leave over",
+          "[workflow]") {
+  // Of 32 cores, 22 are free on one runner and 21 on the other: two slots of
+  // nine cores each, with four and three cores left over.
+  const RunnerEntry first = entryOf("a", 22);
+  const RunnerEntry second = entryOf("b", 21);
+  protocol::StepSpec small = stepOf(2);
+  small.mutable_needs()->set_milli_processors(3500);
+  const std::vector<PlanCandidate> candidates{{&first, first.Free, 0},
+                                              {&second, second.Free, 0}};
+  const auto planned = planStep(small, {0}, candidates, 9000);
+  REQUIRE(planned.size() == 1);
+  CHECK(planned[0].Runner == &first);
+  // Without slots, the fuller runner is taken, which then has room for one.
+  CHECK(planStep(small, {0}, candidates)[0].Runner == &second);
+  // What is left over has room for one task only; the other one still starts.
+  CHECK(planStep(small, {0, 1}, candidates, 9000).size() == 2);
+}
+
 TEST_CASE("A runner gets at most max_per_runner tasks of a step",
           "[workflow]") {
   const std::vector<RunnerEntry> all{entryOf("r1", 32), entryOf("r2", 32)};
