Let queries of running workflows wait shortly for the end

Cause: callers ask 5 to 10 ms after a workflow's last task has ended. Its end takes 25 ms to the leader on a large fleet and 15 ms more to the log, so they were told of a running workflow and asked again 260 ms later. Change: a query of a running workflow is answered at once when it completes, at the latest after 50 ms, or 100 ms while ends of it are being stored. Relayed orders and answers are batched for 1 ms instead of 4 (most batches held one).

--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -151,12 +151,47 @@
     return;
   }
   const Workflow *workflow = State.find(route.Suffix);
-  if (!workflow) {
-    answer(answerOf(protocol::VERDICT_NO_WORKFLOW, "no such workflow"));
+  if (workflow && workflow->CurrentPhase == Phase::Running) {
+    WaitingQueries[route.Suffix].push_back({answer, at.Now});
     return;
   }
+  answer(stateAnswer(route.Suffix));
+}
+
+protocol::WorkflowAnswer
+WorkflowLeader::stateAnswer(const std::string &id) const {
+  const Workflow *workflow = State.find(id);
+  if (!workflow) {
+    return answerOf(protocol::VERDICT_NO_WORKFLOW, "no such workflow");
+  }
+  protocol::WorkflowAnswer reply = answerOf(protocol::VERDICT_OK);
   reply.set_phase(static_cast<std::uint32_t>(workflow->CurrentPhase));
-  answer(reply);
+  return reply;
+}
+
+void WorkflowLeader::answerQueries(const std::string &id) {
+  const auto waiting = WaitingQueries.extract(id);
+  if (waiting.empty()) {
+    return;
+  }
+  for (const WaitingQuery &it : waiting.mapped()) {
+    it.Answer(stateAnswer(id));
+  }
+}
+
+/// Answers the queries of workflows that are not completed in time.
+void WorkflowLeader::answerOverdueQueries(SteadyTime now) {
+  std::vector<std::string> overdue;
+  for (const auto &[id, waiting] : WaitingQueries) {
+    const Milliseconds limit =
+        EndsBeingStored.contains(id) ? Options.MaxQueryWait : Options.QueryWait;
+    if (now - waiting.front().Since >= limit) {
+      overdue.push_back(id);
+    }
+  }
+  for (const std::string &it : overdue) {
+    answerQueries(it);
+  }
 }
 
 void WorkflowLeader::cancel(const std::string &id,
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -68,6 +68,11 @@
   /// workflow was accepted.
   std::size_t WaitsPerReport = 4;
   Milliseconds MinReportedWait{3000};
+  /// Time for which a query of a running workflow's state waits for its
+  /// completion: somewhat longer than an end takes from the runner to the log.
+  Milliseconds QueryWait{50};
+  /// The same if ends of the workflow's runs are being stored.
+  Milliseconds MaxQueryWait{100};
   /// Maximum age of a cached count of queued workflows.
   Milliseconds QueuedCountMaxAge{300};
   /// Minimum time for which the state of an ended workflow can be queried.
@@ -224,6 +229,9 @@
               AnswerCallback answer, Moment at);
   void answerState(const QueueRoute &route, const AnswerCallback &answer,
                    Moment at);
+  protocol::WorkflowAnswer stateAnswer(const std::string &id) const;
+  void answerQueries(const std::string &id);
+  void answerOverdueQueries(SteadyTime now);
   std::uint64_t queuedCount(const std::string &queue, Moment at);
   void cancel(const std::string &id, const AnswerCallback &answer);
   bool fitsSomeRunner(const protocol::WorkflowSpec &spec,
@@ -236,6 +244,7 @@
   // workflow_leader_progress.cpp
   void applied(const protocol::WorkflowChange &change, Moment at);
   void appliedEnd(const protocol::EndRun &end, Moment at);
+  void endStored(const std::string &id);
   void appliedAccept(const std::string &id, Moment at);
   void stopAllRuns(const Workflow &workflow, Moment at);
   void stopStepRuns(const StepKey &key, Moment at);
@@ -307,6 +316,16 @@
   std::set<std::string> Recurring;
   /// Occurrences whose BeginOccurrence change is being stored, by workflow.
   std::map<std::string, std::uint32_t> ProposedOccurrences;
+  /// Number of ends of a workflow's runs that are being stored.
+  std::unordered_map<std::string, std::size_t> EndsBeingStored;
+  /// Queries of running workflows. A caller that asks right after the last task
+  /// has ended would otherwise be told of a running workflow and ask again only
+  /// after a while.
+  struct WaitingQuery {
+    AnswerCallback Answer;
+    SteadyTime Since;
+  };
+  std::map<std::string, std::vector<WaitingQuery>> WaitingQueries;
   /// Submissions that are being stored, and the callers to answer.
   std::map<std::string, std::vector<AnswerCallback>> PendingSubmissions;
   SteadyTime NextCleanup{};
@@ -325,6 +344,9 @@
   SteadyTime NextWaitReport{};
   /// Core-milliseconds of waiting work that can be on time, by priority.
   std::map<std::uint32_t, std::uint64_t> WaitingWork;
+  /// Mean processors of a task of the waiting gangs, in thousandths of a core;
+  /// 0 before the first gang.
+  std::int64_t GangTaskProcessors = 0;
   /// Processors of usable runners by pool, in thousandths of a core.
   std::map<std::string, std::uint64_t> UsableProcessors;
   std::uint64_t NextBatch = 1;
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -7,6 +7,9 @@
 void WorkflowLeader::stored(const ProposedBatch &batch, Moment at) {
   for (const protocol::WorkflowChange &it : batch.Record.changes()) {
     applied(it, at);
+    if (it.has_end()) {
+      endStored(it.end().task().workflow());
+    }
   }
   const auto ends = BatchEnds.extract(batch.Number);
   if (!ends.empty()) {
@@ -23,6 +26,18 @@
   SchedulePending = true;
 }
 
+/// Answers the queries that wait for a workflow's completion.
+void WorkflowLeader::endStored(const std::string &id) {
+  const auto it = EndsBeingStored.find(id);
+  if (it != EndsBeingStored.end() && --it->second == 0) {
+    EndsBeingStored.erase(it);
+  }
+  const Workflow *workflow = State.find(id);
+  if (!workflow || isFinal(workflow->CurrentPhase)) {
+    answerQueries(id);
+  }
+}
+
 void WorkflowLeader::applied(const protocol::WorkflowChange &change,
                              Moment at) {
   if (change.has_accept()) {
@@ -224,6 +239,7 @@
     if (open != OpenSteps.end() && it.End.how() == protocol::RUN_FAILED) {
       open->second.FailedRunners.insert(it.Runner);
     }
+    EndsBeingStored[task.Step.Workflow] += 1;
     protocol::WorkflowChange ended;
     *ended.mutable_end() = std::move(it.End);
     propose(std::move(ended));
@@ -298,6 +314,7 @@
 
 void WorkflowLeader::tick(Moment at) {
   Registry.tick(at.Now);
+  answerOverdueQueries(at.Now);
   Advice.expire(at.Now);
   beginOccurrences(at);
   if (at.Now >= NextCleanup) {
--- a/src/masticwinch/workflow/order_relay.hpp
+++ b/src/masticwinch/workflow/order_relay.hpp
@@ -32,7 +32,7 @@
 
 private:
   /// Time for which answers are collected into one message.
-  static constexpr Milliseconds BatchDelay{4};
+  static constexpr Milliseconds BatchDelay{1};
 
   void relay(const protocol::RunnerOrder &order, std::uint64_t token,
              const std::string &leader) {
--- a/src/masticwinch/workflow/relayed_calls.hpp
+++ b/src/masticwinch/workflow/relayed_calls.hpp
@@ -25,7 +25,7 @@
   /// A relay that has sent nothing for this long gets no orders.
   Milliseconds RelayTimeout{1500};
   /// Time for which orders are collected into one message.
-  Milliseconds BatchDelay{4};
+  Milliseconds BatchDelay{1};
   /// An order without an answer counts as unanswered after this time plus the
   /// time for which the runner may hold the call.
   Milliseconds ResponseTimeout{800};
--- a/tests/coordination/workflow/test_workflow_leader.cpp
+++ b/tests/coordination/workflow/test_workflow_leader.cpp
@@ -366,3 +366,125 @@
   session.pass(Milliseconds(50));
   CHECK(session.running() == 4);
 }
+
+namespace {
+
+/// A leader with one runner, which runs the only task of a workflow.
+struct RunningWorkflow {
+  RunningWorkflow() {
+    advance(Milliseconds(20));
+    answerPolls({}, {});
+    Leader.call(
+        submission(Id), [](const protocol::WorkflowAnswer &) {}, at());
+    store();
+    advance(Milliseconds(20));
+    store();
+    answerPolls({{Run, ""}}, {});
+  }
+
+  Moment at() const { return after(Since); }
+
+  /// Advances the time and keeps the effects.
+  void advance(Milliseconds time) {
+    Since += time;
+    Leader.tick(at());
+    take();
+  }
+
+  void take() {
+    WorkflowEffects effects = Leader.takeEffects(at());
+    std::move(effects.Batches.begin(), effects.Batches.end(),
+              std::back_inserter(Batches));
+    std::move(effects.Polls.begin(), effects.Polls.end(),
+              std::back_inserter(Polls));
+    for (const StartOrder &it : effects.Starts) {
+      Leader.startAnswered(it, OrderAnswer::Done, at());
+    }
+  }
+
+  void store() {
+    take();
+    storeAll(State, Leader, std::exchange(Batches, {}), at());
+    take();
+  }
+
+  void answerPolls(const std::vector<RunningRun> &running,
+                   const std::vector<EndedRun> &ended) {
+    for (const PollOrder &it : std::exchange(Polls, {})) {
+      PollAnswer answer;
+      answer.Answer = OrderAnswer::Done;
+      answer.Running = running;
+      answer.Ended = ended;
+      Leader.pollAnswered(it, answer, at());
+    }
+  }
+
+  /// The runner reports that the run is done.
+  void endRun() {
+    advance(Milliseconds(20));
+    answerPolls({}, {{1, Run, protocol::RUN_DONE, ""}});
+  }
+
+  void query() {
+    protocol::WorkflowCall call;
+    call.set_host("host");
+    call.set_path("/sheets/" + Id);
+    call.mutable_state();
+    Leader.call(
+        call,
+        [this](const protocol::WorkflowAnswer &it) {
+          Answers.push_back(static_cast<Phase>(it.phase()));
+        },
+        at());
+  }
+
+  const std::string Id = "0000000000000001";
+  const RunKey Run{{{Id, 0, 0}, 0}, 1};
+  WorkflowState State = stateWith(1);
+  Milliseconds Since{0};
+  WorkflowLeader Leader{{}, State, Start};
+  std::vector<ProposedBatch> Batches;
+  std::vector<PollOrder> Polls;
+  std::vector<Phase> Answers;
+};
+
+} // namespace
+
+// Callers ask right after the last task has ended, and again only after a
+// while.
+TEST_CASE("A query waits for an end that is being stored", "[workflow]") {
+  RunningWorkflow session;
+  session.endRun();
+  session.query();
+  session.take();
+  CHECK(session.Answers.empty());
+  session.store();
+  CHECK(session.Answers == std::vector{Phase::Completed});
+}
+
+TEST_CASE("A query that comes shortly before the end is reported waits for it",
+          "[workflow]") {
+  RunningWorkflow session;
+  session.query();
+  session.endRun();
+  session.store();
+  CHECK(session.Answers == std::vector{Phase::Completed});
+}
+
+TEST_CASE("A query of a workflow that goes on is answered after a short wait",
+          "[workflow]") {
+  RunningWorkflow session;
+  session.query();
+  CHECK(session.Answers.empty());
+  session.advance(WorkflowLeaderOptions().QueryWait);
+  CHECK(session.Answers == std::vector{Phase::Running});
+}
+
+TEST_CASE("A query is answered with the stored state if storing takes long",
+          "[workflow]") {
+  RunningWorkflow session;
+  session.endRun();
+  session.query();
+  session.advance(WorkflowLeaderOptions().MaxQueryWait);
+  CHECK(session.Answers == std::vector{Phase::Running});
+}
