Fail orders to runners whose outcome is overdue

Callers saw: accepted work that never ran, with most of the room free (LOST). Cause: the leader waited without a bound for the outcome of a poll, start or stop. No poll had failed, so its runs were not released as lapsed either, and the task stayed assigned. Change: the registry fails an outcome that is overdue by 3 s, beyond every transport's own timeout, as if it had not been answered, and logs orders_overdue. The lease then decides as for any silent runner.

--- a/src/masticwinch/coordination/workflow/runner_registry.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.cpp
@@ -138,6 +138,7 @@
 void RunnerRegistry::sendStart(RunnerEntry &runner, const RunKey &run,
                                TrackedRun &it, SteadyTime now) {
   it.CallPending = true;
+  it.CallSentAt = now;
   it.StartAttempts += 1;
   Effects.Starts.push_back({runner.Info.id(), runner.Info.address(), run,
                             it.Payload, extendLease(runner, now), it.Checkpoint,
@@ -147,6 +148,7 @@
 void RunnerRegistry::sendStop(RunnerEntry &runner, const RunKey &run,
                               TrackedRun &it, SteadyTime now) {
   it.CallPending = true;
+  it.CallSentAt = now;
   it.NextStopAttempt = now + Options.RetryDelay;
   Effects.Stops.push_back({runner.Info.id(), runner.Info.address(), run});
 }
@@ -372,6 +374,36 @@
   releaseAll(runner, protocol::RUN_LAPSED);
 }
 
+/// Without this, an order whose outcome was lost on its way to the leader would
+/// keep its run assigned for good.
+void RunnerRegistry::expireOrders(const std::string &id, RunnerEntry &runner,
+                                  SteadyTime now) {
+  const Milliseconds pollTimeout =
+      Options.OutcomeTimeout + Milliseconds(Options.PollWaitMs);
+  const bool pollOverdue =
+      runner.PollPending && now - runner.PollSentAt > pollTimeout;
+  std::vector<std::pair<RunKey, RunStage>> overdue;
+  for (const auto &[run, it] : runner.Runs) {
+    if (it.CallPending && now - it.CallSentAt > Options.OutcomeTimeout) {
+      overdue.emplace_back(run, it.Stage);
+    }
+  }
+  if (!pollOverdue && overdue.empty()) {
+    return;
+  }
+  Effects.Overdue.push_back({id, pollOverdue, overdue.size()});
+  if (pollOverdue) {
+    pollAnswered(id, runner.PollSequence, {}, now);
+  }
+  for (const auto &[run, stage] : overdue) {
+    if (stage == RunStage::Starting) {
+      startAnswered(id, run, OrderAnswer::Silent, now);
+    } else {
+      stopAnswered(id, run, OrderAnswer::Silent, now);
+    }
+  }
+}
+
 void RunnerRegistry::tick(SteadyTime now) {
   const bool retryStops = now >= NextStopRetry;
   if (retryStops) {
@@ -388,6 +420,7 @@
     if (!retryStops) {
       continue;
     }
+    expireOrders(id, runner, now);
     for (auto &[run, it] : runner.Runs) {
       if (it.Stage == RunStage::Stopping && !it.CallPending &&
           !it.ConfirmedAt && runner.Adopted && now >= it.NextStopAttempt) {
--- a/src/masticwinch/coordination/workflow/runner_registry.hpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.hpp
@@ -27,6 +27,10 @@
   Milliseconds PollDelay{25};
   /// Delay before a poll or stop that got no answer is retried.
   Milliseconds RetryDelay{250};
+  /// An order whose outcome has not been reported for this long, beyond the
+  /// time for which the runner may hold it, counts as unanswered. Longer than
+  /// any transport's own timeout.
+  Milliseconds OutcomeTimeout{3000};
   /// Interval at which all runs are checked for stops to retry.
   Milliseconds StopRetryInterval{50};
   /// Number of times that a start is sent before the run is stopped instead.
@@ -64,7 +68,9 @@
   std::string Ticket;
   std::string Checkpoint;
   std::uint32_t StartAttempts = 0;
+  /// A start or stop order was sent, and its outcome is not known yet.
   bool CallPending = false;
+  SteadyTime CallSentAt{};
   /// A start order got no answer, so it may still be carried out.
   bool Unanswered = false;
   SteadyTime NextStopAttempt{};
@@ -112,12 +118,20 @@
   protocol::EndRun End;
 };
 
+/// Orders to a runner whose outcome was not reported in time.
+struct OverdueOrders {
+  std::string Runner;
+  bool Poll = false;
+  std::size_t StartsAndStops = 0;
+};
+
 /// Orders and observations since the last call of takeEffects().
 struct RunnerRegistryEffects {
   std::vector<StartOrder> Starts;
   std::vector<StopOrder> Stops;
   std::vector<PollOrder> Polls;
   std::vector<ObservedEnd> Ends;
+  std::vector<OverdueOrders> Overdue;
   /// Runs that runners have confirmed as running.
   std::vector<RunKey> Confirmed;
   /// Runners that were removed.
@@ -170,8 +184,9 @@
   /// Handles that an end is stored, so that the runner may drop it.
   void endStored(const std::string &id, std::uint64_t number);
 
-  /// Sends the polls and stops that are due, and releases the runs of
-  /// unreachable runners whose leases have expired.
+  /// Sends the polls and stops that are due, fails the orders whose outcome is
+  /// overdue, and releases the runs of unreachable runners whose leases have
+  /// expired.
   void tick(SteadyTime now);
 
   /// Whether the runner may get new runs.
@@ -193,6 +208,7 @@
   void sendStop(RunnerEntry &runner, const RunKey &run, TrackedRun &trackedRun,
                 SteadyTime now);
   void sendPoll(RunnerEntry &runner, SteadyTime now);
+  void expireOrders(const std::string &id, RunnerEntry &runner, SteadyTime now);
   void beginStop(TrackedRun &trackedRun, SteadyTime now);
   void processEnded(RunnerEntry &runner, const PollAnswer &answer);
   void processRunning(RunnerEntry &runner, const PollAnswer &answer,
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -215,6 +215,12 @@
             std::back_inserter(Effects.Stops));
   std::move(effects.Polls.begin(), effects.Polls.end(),
             std::back_inserter(Effects.Polls));
+  for (const OverdueOrders &it : effects.Overdue) {
+    logEvent(WorkflowEventKind::OrdersOverdue,
+             {{"runner", it.Runner},
+              {"look", it.Poll ? "yes" : "no"},
+              {"starts_and_stops", std::to_string(it.StartsAndStops)}});
+  }
   for (const RunKey &it : effects.Confirmed) {
     ConfirmedRunning.insert(it.Task.Step.Workflow);
   }
--- a/tests/coordination/workflow/test_unanswered_orders.cpp
+++ b/tests/coordination/workflow/test_unanswered_orders.cpp
@@ -65,7 +65,7 @@
 } // namespace
 
 TEST_CASE("A runner is polled again after a poll whose outcome was lost",
-          "[workflow][.known-red]") {
+          "[workflow]") {
   Fixture cell;
   cell.heartbeat(runnerOf("i-1"), 1, cell.ClockMs);
   cell.passAnswering(LongEnough);
@@ -74,7 +74,7 @@
 
 TEST_CASE("A task starts elsewhere after the outcomes of its start and of its "
           "runner's polls were lost",
-          "[workflow][.known-red]") {
+          "[workflow]") {
   Fixture cell;
   cell.startOnFirst();
   cell.heartbeat(runnerOf("i-2"), 1, cell.ClockMs);
@@ -84,7 +84,7 @@
 
 TEST_CASE("A task starts again after the outcome of its start was lost, though "
           "its runner answers polls",
-          "[workflow][.known-red]") {
+          "[workflow]") {
   Fixture cell;
   cell.heartbeat(runnerOf("i-2"), 1, cell.ClockMs);
   cell.passAnswering(Milliseconds(100));
