Read and log the start of a runner's life

Callers saw: tasks that ran again after an acknowledged end as done (TWICE), on runners that had started again under their id. No decision reads it yet. runner_reborn states the lives, the numbers of ends and the lease when a message of another life than the known one arrives; run_end_untracked an end of a run that was released before.

--- a/src/masticwinch/coordination/workflow/runner_orders.hpp
+++ b/src/masticwinch/coordination/workflow/runner_orders.hpp
@@ -85,6 +85,8 @@
 struct PollAnswer {
   OrderAnswer Answer = OrderAnswer::Silent;
   std::int64_t ClockMs = 0;
+  /// Start of the incarnation that answered; 0 if the answer does not state it.
+  std::uint64_t BornUnixMs = 0;
   std::vector<RunningRun> Running;
   std::vector<EndedRun> Ended;
 };
--- a/src/masticwinch/coordination/workflow/runner_registry.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.cpp
@@ -267,6 +267,7 @@
     ObservedEnd end;
     end.Runner = runner.Info.id();
     end.Number = it.Number;
+    end.Untracked = it;
     Effects.Ends.push_back(std::move(end));
   }
 }
--- a/src/masticwinch/coordination/workflow/runner_registry.hpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.hpp
@@ -116,6 +116,9 @@
   std::string Runner;
   std::uint64_t Number = 0;
   protocol::EndRun End;
+  /// Set if the run was not tracked, such as after its lease had expired: how
+  /// the runner says that it ended. `End` is empty then.
+  std::optional<EndedRun> Untracked;
 };
 
 /// Orders to a runner whose outcome was not reported in time.
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -109,6 +109,21 @@
   Effects.Events.push_back({kind, std::move(fields)});
 }
 
+/// Logs that a message of another incarnation of a known runner arrived, with
+/// what is known of the former one.
+void WorkflowLeader::logReborn(const RunnerEntry &known,
+                               std::uint64_t bornUnixMs, const char *source) {
+  logEvent(WorkflowEventKind::RunnerReborn,
+           {{"runner", known.Info.id()},
+            {"source", source},
+            {"born", std::to_string(bornUnixMs)},
+            {"known_born", std::to_string(known.Info.born_unix_ms())},
+            {"last_end_seen", std::to_string(known.LastEndSeen)},
+            {"ends_stored", std::to_string(known.EndsStored)},
+            {"lease_sent_ms", std::to_string(known.LeaseSentMs)},
+            {"runs", std::to_string(known.Runs.size())}});
+}
+
 void WorkflowLeader::propose(protocol::WorkflowChange change,
                              StoredCallback stored) {
   *PendingRecord.add_changes() = std::move(change);
@@ -344,6 +359,9 @@
                                std::uint64_t sequence, std::int64_t clockMs,
                                StoredCallback stored, Moment at) {
   const RunnerEntry *known = Registry.find(info.id());
+  if (known && known->Info.born_unix_ms() != info.born_unix_ms()) {
+    logReborn(*known, info.born_unix_ms(), "heartbeat");
+  }
   const auto last = HeartbeatSequence.find(info.id());
   const bool outdated =
       (known && known->Gone) ||
@@ -446,6 +464,10 @@
   const RunnerEntry *before = Registry.find(order.Runner);
   const bool adopted = before && before->Adopted;
   const bool silent = before && before->FailedPolls > 0;
+  if (before && answer.Answer == OrderAnswer::Done &&
+      before->Info.born_unix_ms() != answer.BornUnixMs) {
+    logReborn(*before, answer.BornUnixMs, "look");
+  }
   Registry.pollAnswered(order.Runner, order.Sequence, answer, at.Now);
   const RunnerEntry *after = Registry.find(order.Runner);
   if (after && after->Adopted && !adopted) {
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -224,6 +224,8 @@
   void registerWorkflow(const Workflow &workflow, Moment at);
   void propose(protocol::WorkflowChange change,
                StoredCallback stored = nullptr);
+  void logReborn(const RunnerEntry &known, std::uint64_t bornUnixMs,
+                 const char *source);
   void logEvent(WorkflowEventKind kind,
                 std::vector<std::pair<std::string, std::string>> fields);
   void submit(const protocol::WorkflowSpec &sent, const QueueRoute &route,
@@ -252,6 +254,7 @@
   void refreshSteps(const Workflow &workflow);
   void closeWorkflow(const std::string &id, Moment at);
   void closeSteps(const std::string &id);
+  void logUntrackedEnd(const ObservedEnd &end);
   void collectRegistryEffects(Moment at);
   void handleRemovedRunner(const std::string &id);
   void beginOccurrences(Moment at);
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -207,6 +207,19 @@
   propose(std::move(forgotten));
 }
 
+void WorkflowLeader::logUntrackedEnd(const ObservedEnd &end) {
+  const Task *task = State.findTask(end.Untracked->Run.Task);
+  logEvent(WorkflowEventKind::RunEndUntracked,
+           {{"task", textOf(end.Untracked->Run.Task)},
+            {"run", std::to_string(end.Untracked->Run.Run)},
+            {"runner", end.Runner},
+            {"number", std::to_string(end.Number)},
+            {"how", protocol::RunEnd_Name(end.Untracked->How)},
+            {"task_done", !task || task->Done ? "yes" : "no"},
+            {"task_run", std::to_string(task ? task->Run : 0)},
+            {"task_runner", task ? task->Runner : std::string()}});
+}
+
 void WorkflowLeader::collectRegistryEffects(Moment at) {
   RunnerRegistryEffects effects = Registry.takeEffects();
   std::move(effects.Starts.begin(), effects.Starts.end(),
@@ -228,7 +241,8 @@
     if (it.Number > 0) {
       PendingEnds.emplace_back(it.Runner, it.Number);
     }
-    if (!it.End.has_task()) {
+    if (it.Untracked) {
+      logUntrackedEnd(it);
       continue;
     }
     const TaskKey task = taskKeyOf(it.End.task());
--- a/src/masticwinch/workflow/order_messages.cpp
+++ b/src/masticwinch/workflow/order_messages.cpp
@@ -79,6 +79,7 @@
   protocol::RunnerAnswer message;
   message.set_answer(static_cast<std::uint32_t>(answer.Answer));
   message.set_clock_ms(answer.ClockMs);
+  message.set_born_unix_ms(answer.BornUnixMs);
   for (const RunningRun &it : answer.Running) {
     protocol::ListedRun *run = message.add_running();
     *run->mutable_task() = refOf(it.Run.Task);
@@ -100,6 +101,7 @@
   PollAnswer answer;
   answer.Answer = static_cast<OrderAnswer>(message.answer());
   answer.ClockMs = message.clock_ms();
+  answer.BornUnixMs = message.born_unix_ms();
   for (const protocol::ListedRun &it : message.running()) {
     answer.Running.push_back(
         {{taskKeyOf(it.task()), it.run()}, it.checkpoint()});
