Keep what is known of a runner to one life of it

Callers saw: tasks that must run once ran again after they were done and their end was acknowledged (TWICE). Cause: all that the leader knows of a runner was kept under its id alone. A runner that started again under its id got the former life's number of ends with the next poll and dropped ends that nobody had read; ends with lower numbers were passed over. The run was then released as lost and its task started again. With it: leases on the former clock, heartbeats dropped until their sequence had passed the former one, or for good after a deregistration, tickets of the former life. Class: state of one incarnation that is keyed by an identity which outlives it. Ruled out: clearing single fields on a heartbeat. A new life starts from an empty entry, so that fields added later belong to one life without further code. Change: a life is an id and its start. A message of a former life, or of none once one is known, doesn't count; one of a later life begins it, also when a poll shows it first (no work before it announces itself). Runs stay tracked until the new life's first poll: what it lists goes on or has ended, a start that may still be carried out is stopped there first, the rest is lost at once. Orders carry the life that they are meant for, so that their answers count only for it; stored ends, forgotten runners and records too. Until the runs of before are settled, the lease may be the longest that a runner accepts, since a start could carry an end on the former clock. Tickets, health and avoided runners of a step are forgotten with the life.

--- a/fuzzing/workflow/workflow_simulator.cpp
+++ b/fuzzing/workflow/workflow_simulator.cpp
@@ -216,7 +216,7 @@
       const std::string id = runner->Info.id();
       Runners.erase(id);
       Leader->deregister(
-          id, [] {}, at());
+          {id, 0}, [] {}, at());
     }
     break;
   case Kind::Heartbeat:
--- a/src/masticwinch/coordination/workflow/advice_tracker.cpp
+++ b/src/masticwinch/coordination/workflow/advice_tracker.cpp
@@ -292,4 +292,13 @@
   }
 }
 
+void AdviceTracker::expireTickets(const std::string &runner) {
+  for (auto &[key, advice] : Steps) {
+    const auto it = advice.Approved.find(runner);
+    if (it != advice.Approved.end()) {
+      it->second.Until = {};
+    }
+  }
+}
+
 } // namespace masticwinch::workflow
--- a/src/masticwinch/coordination/workflow/advice_tracker.hpp
+++ b/src/masticwinch/coordination/workflow/advice_tracker.hpp
@@ -141,6 +141,10 @@
   /// Handles that a runner refused the ticket: it is not used again.
   void ticketRefused(const StepKey &step, const std::string &runner);
 
+  /// Expires all tickets of a runner that has begun another life: each is valid
+  /// during one life only. The runner stays approved.
+  void expireTickets(const std::string &runner);
+
   std::vector<AdviceCall> takeCalls() { return std::exchange(NewCalls, {}); }
 
   std::size_t agentCount() const { return Agents.size(); }
--- a/src/masticwinch/coordination/workflow/runner_orders.hpp
+++ b/src/masticwinch/coordination/workflow/runner_orders.hpp
@@ -11,6 +11,16 @@
 
 namespace masticwinch::workflow {
 
+/// One life of a runner. A runner that starts again may keep its id; its later
+/// life is born later.
+struct RunnerLife {
+  std::string Id;
+  /// 0 if the runner does not state it.
+  std::uint64_t BornUnixMs = 0;
+
+  bool operator==(const RunnerLife &) const = default;
+};
+
 /// Tells a runner to start a run. The order is idempotent.
 struct StartOrder {
   std::string Runner;
@@ -22,6 +32,9 @@
   std::string Checkpoint;
   /// Ticket of the advice service; empty if the queue needs none.
   std::string Ticket;
+  /// The life of the runner that the order is meant for. Not sent: a call names
+  /// the runner by its id alone.
+  std::uint64_t BornUnixMs = 0;
 };
 
 /// Tells a runner to stop a run and to refuse any later order to start it.
@@ -29,6 +42,7 @@
   std::string Runner;
   std::string Address;
   RunKey Run;
+  std::uint64_t BornUnixMs = 0;
 };
 
 /// Polls a runner for its running and ended runs, and renews its lease.
@@ -43,6 +57,7 @@
   std::uint64_t EndsStored = 0;
   /// Long poll: how long the runner may wait for an end before it answers.
   std::uint32_t WaitMs = 0;
+  std::uint64_t BornUnixMs = 0;
 };
 
 /// Result of an order to a runner.
--- a/src/masticwinch/coordination/workflow/runner_registry.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.cpp
@@ -33,6 +33,12 @@
   return it == Runners.end() || it->second.Gone ? nullptr : &it->second;
 }
 
+/// Returns null if another life of the runner is known.
+RunnerEntry *RunnerRegistry::findLife(const RunnerLife &life) {
+  RunnerEntry *runner = findActive(life.Id);
+  return runner && runner->life() == life ? runner : nullptr;
+}
+
 TrackedRun *RunnerRegistry::trackedRun(const std::string &id,
                                        const RunKey &run) {
   RunnerEntry *runner = findActive(id);
@@ -47,12 +53,15 @@
   const auto [it, added] = Runners.try_emplace(info.id());
   RunnerEntry &runner = it->second;
   if (added) {
-    runner.InheritedLeasesUntil =
-        now + Options.ClockUncertainty +
-        Options.Lease * 1000 / (1000 - RunnerClock::MaxSlowdownPermille);
+    runner.InheritedLeasesUntil = now + longestDuration(Options.Lease);
     runner.NextPoll = now;
     runner.LastAnswer = now;
+  } else if (info.born_unix_ms() < runner.Info.born_unix_ms()) {
+    return;
+  } else if (info.born_unix_ms() > runner.Info.born_unix_ms()) {
+    beginLife(runner, info, now);
   }
+  runner.Unannounced = false;
   ResourceAmounts used = amountsOf(runner.Info.capacity());
   used -= runner.Free;
   runner.Info = info;
@@ -60,6 +69,56 @@
   runner.Free -= used;
 }
 
+/// The longest time in which a runner's clock counts this duration.
+SteadyTime::duration
+RunnerRegistry::longestDuration(Milliseconds duration) const {
+  return Options.ClockUncertainty +
+         duration * 1000 / (1000 - RunnerClock::MaxSlowdownPermille);
+}
+
+/// Forgets the runner's former life. Its runs have ended with it, but a start
+/// that was sent to it may have reached the new life, or still may; so runs
+/// stay tracked until a poll shows what the new life runs. Only those that have
+/// not been ordered to start are released.
+void RunnerRegistry::beginLife(RunnerEntry &runner,
+                               const protocol::RunnerInfo &info,
+                               SteadyTime now) {
+  std::vector<RunKey> reserved;
+  for (auto &[run, it] : runner.Runs) {
+    if (it.Stage == RunStage::Reserved) {
+      reserved.push_back(run);
+      continue;
+    }
+    it.Unanswered = it.Unanswered || it.Stage == RunStage::Starting;
+    it.CallPending = false;
+    if (it.Stage == RunStage::Stopping) {
+      beginStop(it, now);
+    } else {
+      it.Stage = RunStage::Inherited;
+      it.ConfirmedAt.reset();
+    }
+  }
+  for (const RunKey &it : reserved) {
+    const std::string checkpoint = runner.Runs.at(it).Checkpoint;
+    release(runner, it, protocol::RUN_LOST, 0, checkpoint);
+  }
+  RunnerEntry next;
+  next.Runs = std::move(runner.Runs);
+  // Answers to polls of the former life stay outdated.
+  next.PollSequence = runner.PollSequence;
+  next.Info = info;
+  next.Free = amountsOf(info.capacity());
+  for (const auto &[run, it] : next.Runs) {
+    next.Free -= it.Needs;
+  }
+  if (!next.Runs.empty()) {
+    next.InheritedLeasesUntil = now + longestDuration(Options.LongestLease);
+  }
+  next.NextPoll = now;
+  next.LastAnswer = now;
+  runner = std::move(next);
+}
+
 void RunnerRegistry::inherit(const std::string &id, const RunKey &run,
                              const ResourceAmounts &needs) {
   if (RunnerEntry *runner = findActive(id)) {
@@ -77,7 +136,7 @@
   }
   releaseAll(*runner, protocol::RUN_LOST);
   runner->Gone = true;
-  Effects.Gone.push_back(id);
+  Effects.Gone.push_back(runner->life());
 }
 
 void RunnerRegistry::observeClock(const std::string &id, std::int64_t clockMs,
@@ -142,7 +201,7 @@
   it.StartAttempts += 1;
   Effects.Starts.push_back({runner.Info.id(), runner.Info.address(), run,
                             it.Payload, extendLease(runner, now), it.Checkpoint,
-                            it.Ticket});
+                            it.Ticket, runner.Info.born_unix_ms()});
 }
 
 void RunnerRegistry::sendStop(RunnerEntry &runner, const RunKey &run,
@@ -150,13 +209,15 @@
   it.CallPending = true;
   it.CallSentAt = now;
   it.NextStopAttempt = now + Options.RetryDelay;
-  Effects.Stops.push_back({runner.Info.id(), runner.Info.address(), run});
+  Effects.Stops.push_back({runner.Info.id(), runner.Info.address(), run,
+                           runner.Info.born_unix_ms()});
 }
 
 void RunnerRegistry::sendPoll(RunnerEntry &runner, SteadyTime now) {
   PollOrder poll;
   poll.Runner = runner.Info.id();
   poll.Address = runner.Info.address();
+  poll.BornUnixMs = runner.Info.born_unix_ms();
   poll.Sequence = ++runner.PollSequence;
   poll.EndsStored = runner.EndsStored;
   // The lease of a runner that does not answer is not extended, so that it has
@@ -170,14 +231,15 @@
   Effects.Polls.push_back(std::move(poll));
 }
 
-void RunnerRegistry::startAnswered(const std::string &id, const RunKey &run,
-                                   OrderAnswer answer, SteadyTime now) {
-  RunnerEntry *runner = findActive(id);
+void RunnerRegistry::startAnswered(const StartOrder &order, OrderAnswer answer,
+                                   SteadyTime now) {
+  const RunKey &run = order.Run;
+  RunnerEntry *runner = findLife({order.Runner, order.BornUnixMs});
   if (!runner) {
     return;
   }
   if (answer == OrderAnswer::OtherLife) {
-    remove(id);
+    remove(order.Runner);
     return;
   }
   Effects.Deposed = Effects.Deposed || answer == OrderAnswer::Fenced;
@@ -186,7 +248,7 @@
   } else {
     runner->LastAnswer = now;
   }
-  TrackedRun *it = trackedRun(id, run);
+  TrackedRun *it = trackedRun(order.Runner, run);
   if (!it || it->Stage != RunStage::Starting) {
     return;
   }
@@ -209,14 +271,17 @@
   }
 }
 
-void RunnerRegistry::stopAnswered(const std::string &id, const RunKey &run,
-                                  OrderAnswer answer, SteadyTime now) {
+void RunnerRegistry::stopAnswered(const StopOrder &order, OrderAnswer answer,
+                                  SteadyTime now) {
+  if (!findLife({order.Runner, order.BornUnixMs})) {
+    return;
+  }
   if (answer == OrderAnswer::OtherLife) {
-    remove(id);
+    remove(order.Runner);
     return;
   }
   Effects.Deposed = Effects.Deposed || answer == OrderAnswer::Fenced;
-  TrackedRun *it = trackedRun(id, run);
+  TrackedRun *it = trackedRun(order.Runner, order.Run);
   if (!it || it->Stage != RunStage::Stopping) {
     return;
   }
@@ -226,33 +291,52 @@
   }
 }
 
-void RunnerRegistry::pollAnswered(const std::string &id, std::uint64_t sequence,
+void RunnerRegistry::pollAnswered(const PollOrder &order,
                                   const PollAnswer &answer, SteadyTime now) {
-  RunnerEntry *runner = findActive(id);
-  if (!runner || sequence != runner->PollSequence) {
+  RunnerEntry *runner = findLife({order.Runner, order.BornUnixMs});
+  if (!runner || order.Sequence != runner->PollSequence) {
     return;
   }
-  runner->PollPending = false;
   if (answer.Answer == OrderAnswer::OtherLife) {
-    remove(id);
+    remove(order.Runner);
     return;
   }
   if (answer.Answer != OrderAnswer::Done) {
-    Effects.Deposed = Effects.Deposed || answer.Answer == OrderAnswer::Fenced;
-    runner->FailedPolls += 1;
-    runner->NextPoll = now + Options.RetryDelay;
+    pollFailed(*runner, answer.Answer, now);
     return;
   }
+  if (answer.BornUnixMs > order.BornUnixMs) {
+    protocol::RunnerInfo info = runner->Info;
+    info.set_born_unix_ms(answer.BornUnixMs);
+    beginLife(*runner, info, now);
+    runner->Unannounced = true;
+    Effects.Reborn.push_back(std::move(info));
+    return;
+  }
+  if (answer.BornUnixMs < order.BornUnixMs) {
+    // Lists of a former life, or of another writer if none is stated.
+    pollFailed(*runner, OrderAnswer::Malformed, now);
+    return;
+  }
+  runner->PollPending = false;
   runner->FailedPolls = 0;
   runner->LastAnswer = now;
   runner->Clock.observe(answer.ClockMs, now);
   processEnded(*runner, answer);
   processRunning(*runner, answer, now);
-  releaseMissing(*runner, answer);
+  releaseMissing(*runner, answer, now);
   runner->Adopted = true;
   runner->NextPoll = answer.Ended.empty() ? now : now + Options.PollDelay;
 }
 
+void RunnerRegistry::pollFailed(RunnerEntry &runner, OrderAnswer answer,
+                                SteadyTime now) {
+  Effects.Deposed = Effects.Deposed || answer == OrderAnswer::Fenced;
+  runner.PollPending = false;
+  runner.FailedPolls += 1;
+  runner.NextPoll = now + Options.RetryDelay;
+}
+
 void RunnerRegistry::processEnded(RunnerEntry &runner,
                                   const PollAnswer &answer) {
   for (const EndedRun &it : answer.Ended) {
@@ -266,6 +350,7 @@
     }
     ObservedEnd end;
     end.Runner = runner.Info.id();
+    end.BornUnixMs = runner.Info.born_unix_ms();
     end.Number = it.Number;
     end.Untracked = it;
     Effects.Ends.push_back(std::move(end));
@@ -297,9 +382,10 @@
 }
 
 /// Releases runs that the runner lists neither as running nor as ended, if no
-/// order can start them any more.
+/// order can start them any more. Stops those that a start may still reach that
+/// was sent to a former life.
 void RunnerRegistry::releaseMissing(RunnerEntry &runner,
-                                    const PollAnswer &answer) {
+                                    const PollAnswer &answer, SteadyTime now) {
   if (answer.Ended.size() >= MaxEndsPerAnswer) {
     return;
   }
@@ -308,11 +394,16 @@
     running.insert(it.Run);
   }
   std::vector<RunKey> missing;
-  for (const auto &[run, it] : runner.Runs) {
+  for (auto &[run, it] : runner.Runs) {
     const bool settled =
         it.Stage == RunStage::Inherited ||
         (it.ConfirmedAt && *it.ConfirmedAt < runner.PollSentAt);
-    if (settled && !running.contains(run)) {
+    if (!settled || running.contains(run)) {
+      continue;
+    }
+    if (it.Stage == RunStage::Inherited && it.Unanswered) {
+      beginStop(it, now);
+    } else {
       missing.push_back(run);
     }
   }
@@ -329,6 +420,7 @@
   runner.Free += it->second.Needs;
   ObservedEnd end;
   end.Runner = runner.Info.id();
+  end.BornUnixMs = runner.Info.born_unix_ms();
   end.Number = number;
   *end.End.mutable_task() = refOf(run.Task);
   end.End.set_run(run.Run);
@@ -348,15 +440,16 @@
   }
 }
 
-void RunnerRegistry::endStored(const std::string &id, std::uint64_t number) {
-  if (RunnerEntry *runner = findActive(id)) {
+void RunnerRegistry::endStored(const RunnerLife &life, std::uint64_t number) {
+  if (RunnerEntry *runner = findLife(life)) {
     runner->EndsStored = std::max(runner->EndsStored, number);
   }
 }
 
 bool RunnerRegistry::isUsable(const RunnerEntry &runner, SteadyTime now) const {
-  return !runner.Gone && runner.Adopted && !runner.Info.draining() &&
-         runner.FailedPolls == 0 && now >= runner.UnwellUntil &&
+  return !runner.Gone && runner.Adopted && !runner.Unannounced &&
+         !runner.Info.draining() && runner.FailedPolls == 0 &&
+         now >= runner.UnwellUntil &&
          now - runner.LastAnswer < Options.MaxAnswerAge;
 }
 
@@ -394,13 +487,15 @@
   }
   Effects.Overdue.push_back({id, pollOverdue, overdue.size()});
   if (pollOverdue) {
-    pollAnswered(id, runner.PollSequence, {}, now);
+    pollFailed(runner, OrderAnswer::Silent, now);
   }
+  const std::uint64_t born = runner.Info.born_unix_ms();
   for (const auto &[run, stage] : overdue) {
     if (stage == RunStage::Starting) {
-      startAnswered(id, run, OrderAnswer::Silent, now);
+      startAnswered({id, {}, run, {}, 0, {}, {}, born}, OrderAnswer::Silent,
+                    now);
     } else {
-      stopAnswered(id, run, OrderAnswer::Silent, now);
+      stopAnswered({id, {}, run, born}, OrderAnswer::Silent, now);
     }
   }
 }
--- a/src/masticwinch/coordination/workflow/runner_registry.hpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.hpp
@@ -20,6 +20,9 @@
   /// begins just before a long poll ends. It is also how long an unreachable
   /// runner blocks its tasks.
   Milliseconds Lease{3200};
+  /// The longest lease that a runner accepts. A new life of a runner may have
+  /// carried out a start whose lease end was meant for its former clock.
+  Milliseconds LongestLease{10'000};
   /// How long a runner may wait for an end before it answers a poll.
   std::uint32_t PollWaitMs = 1000;
   /// Delay before the next poll after one that listed ends, so that ends are
@@ -55,8 +58,8 @@
   /// Being stopped; released once a poll after the confirmed stop no longer
   /// lists the run.
   Stopping,
-  /// Assigned under an earlier leader; the first poll shows whether it is
-  /// running.
+  /// Assigned under an earlier leader or to an earlier life of the runner; the
+  /// next poll shows whether it is running.
   Inherited,
 };
 
@@ -71,7 +74,8 @@
   /// A start or stop order was sent, and its outcome is not known yet.
   bool CallPending = false;
   SteadyTime CallSentAt{};
-  /// A start order got no answer, so it may still be carried out.
+  /// A start order got no answer, so it may still be carried out, also by a
+  /// later life of the runner.
   bool Unanswered = false;
   SteadyTime NextStopAttempt{};
   /// When the runner confirmed the stage; empty before.
@@ -81,7 +85,7 @@
   Milliseconds ExpectedDuration{0};
 };
 
-/// State of one incarnation of a runner, as the leader knows it.
+/// State of one life of a runner, as the leader knows it.
 struct RunnerEntry {
   protocol::RunnerInfo Info;
   ResourceAmounts Free;
@@ -90,6 +94,8 @@
   /// The runner has answered a poll of this leader, so it rejects orders of
   /// earlier leaders.
   bool Adopted = false;
+  /// A poll showed this life; what it announces of itself is not known yet.
+  bool Unannounced = false;
   bool Gone = false;
   /// Latest lease end that was sent to the runner, on the runner's clock.
   std::int64_t LeaseSentMs = 0;
@@ -108,12 +114,14 @@
   /// The runner's rack, from its labels; empty if there is none.
   std::string rack() const;
   bool hasLabel(const std::string &label) const;
+  RunnerLife life() const { return {Info.id(), Info.born_unix_ms()}; }
 };
 
 /// An end to be stored, and its number on the runner; 0 if the runner did not
 /// report the end.
 struct ObservedEnd {
   std::string Runner;
+  std::uint64_t BornUnixMs = 0;
   std::uint64_t Number = 0;
   protocol::EndRun End;
   /// Set if the run was not tracked, such as after its lease had expired: how
@@ -138,14 +146,19 @@
   /// Runs that runners have confirmed as running.
   std::vector<RunKey> Confirmed;
   /// Runners that were removed.
-  std::vector<std::string> Gone;
+  std::vector<RunnerLife> Gone;
+  /// Lives that polls have shown before the runner announced them.
+  std::vector<protocol::RunnerInfo> Reborn;
   bool Deposed = false;
 };
 
 /// The runners that one leader knows, with their runs, leases and pending
-/// orders. The resources of a run stay reserved until the runner lists its end,
-/// a poll after a confirmed stop no longer lists the run, or the runner's lease
-/// has expired on its own clock. State machine without I/O.
+/// orders. What is known of a runner belongs to one life of it: a later life
+/// keeps only the runs that it may have, until its first poll shows them, and
+/// messages of former lives are ignored. The resources of a run stay reserved
+/// until the runner lists its end, a poll after a confirmed stop no longer
+/// lists the run, or the runner's lease has expired on its own clock. State
+/// machine without I/O.
 class RunnerRegistry {
 public:
   /// Returns the resources that a task of a step occupies on its runner.
@@ -154,7 +167,8 @@
   RunnerRegistry(RunnerRegistryOptions options, NeedsLookup needsOf)
       : Options(options), NeedsOf(std::move(needsOf)) {}
 
-  /// Adds a runner, or updates the information that it announced.
+  /// Adds a runner, updates the information that it announced, or begins its
+  /// next life. Has no effect if the information is of a former life.
   void add(const protocol::RunnerInfo &info, SteadyTime now);
 
   /// Adds a run that was assigned under an earlier leader.
@@ -177,15 +191,15 @@
   /// Stops a run unless it is being stopped already.
   void stop(const std::string &id, const RunKey &run, SteadyTime now);
 
-  void startAnswered(const std::string &id, const RunKey &run,
-                     OrderAnswer answer, SteadyTime now);
-  void stopAnswered(const std::string &id, const RunKey &run,
-                    OrderAnswer answer, SteadyTime now);
-  void pollAnswered(const std::string &id, std::uint64_t sequence,
-                    const PollAnswer &answer, SteadyTime now);
+  void startAnswered(const StartOrder &order, OrderAnswer answer,
+                     SteadyTime now);
+  void stopAnswered(const StopOrder &order, OrderAnswer answer, SteadyTime now);
+  void pollAnswered(const PollOrder &order, const PollAnswer &answer,
+                    SteadyTime now);
 
-  /// Handles that an end is stored, so that the runner may drop it.
-  void endStored(const std::string &id, std::uint64_t number);
+  /// Handles that an end is stored, so that this life of the runner may drop
+  /// it.
+  void endStored(const RunnerLife &life, std::uint64_t number);
 
   /// Sends the polls and stops that are due, fails the orders whose outcome is
   /// overdue, and releases the runs of unreachable runners whose leases have
@@ -202,6 +216,10 @@
 
 private:
   RunnerEntry *findActive(const std::string &id);
+  RunnerEntry *findLife(const RunnerLife &life);
+  void beginLife(RunnerEntry &runner, const protocol::RunnerInfo &info,
+                 SteadyTime now);
+  void pollFailed(RunnerEntry &runner, OrderAnswer answer, SteadyTime now);
   TrackedRun *trackedRun(const std::string &id, const RunKey &run);
   void release(RunnerEntry &runner, const RunKey &run, protocol::RunEnd how,
                std::uint64_t number, const std::string &checkpoint);
@@ -216,9 +234,11 @@
   void processEnded(RunnerEntry &runner, const PollAnswer &answer);
   void processRunning(RunnerEntry &runner, const PollAnswer &answer,
                       SteadyTime now);
-  void releaseMissing(RunnerEntry &runner, const PollAnswer &answer);
+  void releaseMissing(RunnerEntry &runner, const PollAnswer &answer,
+                      SteadyTime now);
   void releaseLapsed(RunnerEntry &runner, SteadyTime now);
   std::int64_t extendLease(RunnerEntry &runner, SteadyTime now);
+  SteadyTime::duration longestDuration(Milliseconds duration) const;
 
   RunnerRegistryOptions Options;
   NeedsLookup NeedsOf;
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -30,7 +30,7 @@
       Advice(options.Advice), Health(options.Health) {
   for (const auto &[id, info] : State.runners()) {
     Registry.add(info, at.Now);
-    LastHeartbeat[id] = at.Now;
+    Heartbeats[id] = {info.born_unix_ms(), 0, at.Now};
   }
   inheritRuns(at);
   logEvent(WorkflowEventKind::LeadershipTaken,
@@ -62,8 +62,8 @@
   }
 }
 
-/// Adds a runner that has an assigned run but isn't recorded, so that the run is
-/// released once its lease has expired. Polls of it fail: it has no address.
+/// Adds a runner that has an assigned run but isn't recorded, so that the run
+/// is released once its lease has expired. Polls of it fail: it has no address.
 void WorkflowLeader::addMissingRunner(const std::string &id, Moment at) {
   if (Registry.find(id)) {
     return;
@@ -72,7 +72,7 @@
   protocol::RunnerInfo info;
   info.set_id(id);
   Registry.add(info, at.Now);
-  LastHeartbeat[id] = at.Now;
+  Heartbeats[id] = {0, 0, at.Now};
 }
 
 void WorkflowLeader::registerWorkflow(const Workflow &workflow, Moment at) {
@@ -355,25 +355,47 @@
   propose(std::move(accepted));
 }
 
+/// Why a heartbeat doesn't count; null if it does.
+const char *WorkflowLeader::outdatedReason(const protocol::RunnerInfo &info,
+                                           std::uint64_t sequence) const {
+  const RunnerEntry *known = Registry.find(info.id());
+  if (!known || info.born_unix_ms() > known->Info.born_unix_ms()) {
+    return nullptr;
+  }
+  if (info.born_unix_ms() < known->Info.born_unix_ms()) {
+    return info.born_unix_ms() == 0 ? "states no life" : "former life";
+  }
+  if (known->Gone) {
+    return "the runner is gone";
+  }
+  const auto last = Heartbeats.find(info.id());
+  const bool late = last != Heartbeats.end() &&
+                    last->second.BornUnixMs == info.born_unix_ms() &&
+                    sequence < last->second.Sequence;
+  return late ? "lower sequence" : nullptr;
+}
+
 void WorkflowLeader::heartbeat(const protocol::RunnerInfo &info,
                                std::uint64_t sequence, std::int64_t clockMs,
                                StoredCallback stored, Moment at) {
-  const RunnerEntry *known = Registry.find(info.id());
-  if (known && known->Info.born_unix_ms() != info.born_unix_ms()) {
-    logReborn(*known, info.born_unix_ms(), "heartbeat");
-  }
-  const auto last = HeartbeatSequence.find(info.id());
-  const bool outdated =
-      (known && known->Gone) ||
-      (last != HeartbeatSequence.end() && sequence < last->second);
-  if (outdated) {
+  if (const char *reason = outdatedReason(info, sequence)) {
     logEvent(WorkflowEventKind::HeartbeatOutdated,
-             {{"runner", info.id()}, {"sequence", std::to_string(sequence)}});
+             {{"runner", info.id()},
+              {"reason", reason},
+              {"sequence", std::to_string(sequence)},
+              {"born", std::to_string(info.born_unix_ms())}});
     stored();
     return;
   }
-  HeartbeatSequence[info.id()] = sequence;
-  LastHeartbeat[info.id()] = at.Now;
+  Heartbeats[info.id()] = {info.born_unix_ms(), sequence, at.Now};
+  const RunnerEntry *known = Registry.find(info.id());
+  if (known && known->Info.born_unix_ms() < info.born_unix_ms()) {
+    logReborn(*known, info.born_unix_ms(), "heartbeat");
+    Registry.add(info, at.Now);
+    forgetFormerLife(info.id());
+  } else if (known && known->Unannounced) {
+    Registry.add(info, at.Now);
+  }
   const auto recorded = State.runners().find(info.id());
   if (recorded != State.runners().end() &&
       recorded->second.SerializeAsString() == info.SerializeAsString()) {
@@ -392,16 +414,43 @@
   propose(std::move(recordedChange), std::move(stored));
 }
 
-void WorkflowLeader::deregister(const std::string &id, StoredCallback stored,
+/// Forgets what belongs to the former life of a runner outside the registry.
+void WorkflowLeader::forgetFormerLife(const std::string &id) {
+  Health.forget(id);
+  Advice.expireTickets(id);
+  for (auto &[key, open] : OpenSteps) {
+    open.FailedRunners.erase(id);
+  }
+}
+
+void WorkflowLeader::deregister(const RunnerLife &life, StoredCallback stored,
                                 Moment at) {
-  if (!Registry.find(id)) {
+  const RunnerEntry *known = Registry.find(life.Id);
+  if (!known) {
+    stored();
+    return;
+  }
+  const bool leaves =
+      life.BornUnixMs == 0
+          ? known->Info.born_unix_ms() == 0 || known->Info.draining()
+          : life.BornUnixMs >= known->Info.born_unix_ms();
+  if (!leaves) {
+    logEvent(WorkflowEventKind::HeartbeatOutdated,
+             {{"runner", life.Id},
+              {"reason", "deregistration of another life"},
+              {"born", std::to_string(life.BornUnixMs)}});
     stored();
     return;
   }
-  Registry.remove(id);
+  protocol::RunnerInfo leaving = known->Info;
+  leaving.set_born_unix_ms(
+      std::max(life.BornUnixMs, known->Info.born_unix_ms()));
+  Registry.add(leaving, at.Now);
+  Registry.remove(life.Id);
   collectRegistryEffects(at);
   protocol::WorkflowChange forgotten;
-  forgotten.mutable_forget_runner()->set_id(id);
+  forgotten.mutable_forget_runner()->set_id(life.Id);
+  forgotten.mutable_forget_runner()->set_born_unix_ms(leaving.born_unix_ms());
   propose(std::move(forgotten), std::move(stored));
 }
 
@@ -451,12 +500,12 @@
   if (answer == OrderAnswer::TicketInvalid) {
     Advice.ticketRefused(order.Run.Task.Step, order.Runner);
   }
-  Registry.startAnswered(order.Runner, order.Run, answer, at.Now);
+  Registry.startAnswered(order, answer, at.Now);
 }
 
 void WorkflowLeader::stopAnswered(const StopOrder &order, OrderAnswer answer,
                                   Moment at) {
-  Registry.stopAnswered(order.Runner, order.Run, answer, at.Now);
+  Registry.stopAnswered(order, answer, at.Now);
 }
 
 void WorkflowLeader::pollAnswered(const PollOrder &order,
@@ -468,7 +517,7 @@
       before->Info.born_unix_ms() != answer.BornUnixMs) {
     logReborn(*before, answer.BornUnixMs, "look");
   }
-  Registry.pollAnswered(order.Runner, order.Sequence, answer, at.Now);
+  Registry.pollAnswered(order, answer, at.Now);
   const RunnerEntry *after = Registry.find(order.Runner);
   if (after && after->Adopted && !adopted) {
     logEvent(WorkflowEventKind::RunnerAdopted,
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -130,8 +130,9 @@
   void heartbeat(const protocol::RunnerInfo &info, std::uint64_t sequence,
                  std::int64_t clockMs, StoredCallback stored, Moment at);
 
-  /// Handles the deregistration of a runner that shuts down.
-  void deregister(const std::string &id, StoredCallback stored, Moment at);
+  /// Handles the deregistration of a runner that shuts down. One that states no
+  /// life is of the known one only if that is draining or states none either.
+  void deregister(const RunnerLife &life, StoredCallback stored, Moment at);
 
   /// Proposes a valid configuration. One that is not newer than the stored one
   /// is acknowledged and ignored.
@@ -226,6 +227,8 @@
                StoredCallback stored = nullptr);
   void logReborn(const RunnerEntry &known, std::uint64_t bornUnixMs,
                  const char *source);
+  const char *outdatedReason(const protocol::RunnerInfo &info,
+                             std::uint64_t sequence) const;
   void logEvent(WorkflowEventKind kind,
                 std::vector<std::pair<std::string, std::string>> fields);
   void submit(const protocol::WorkflowSpec &sent, const QueueRoute &route,
@@ -256,7 +259,8 @@
   void closeSteps(const std::string &id);
   void logUntrackedEnd(const ObservedEnd &end);
   void collectRegistryEffects(Moment at);
-  void handleRemovedRunner(const std::string &id);
+  void handleRemovedRunner(const RunnerLife &life);
+  void forgetFormerLife(const std::string &id);
   void beginOccurrences(Moment at);
   void forgetEnded(Moment at);
   void forgetRunners(Moment at);
@@ -314,8 +318,14 @@
   std::map<std::string, SchedulingInfo> Scheduling;
   /// When this leader first saw each ended workflow as ended.
   std::map<std::string, SteadyTime> EndedAt;
-  std::map<std::string, SteadyTime> LastHeartbeat;
-  std::map<std::string, std::uint64_t> HeartbeatSequence;
+  /// The latest heartbeat of a runner; of its known life if `BornUnixMs` is
+  /// that of its entry.
+  struct LastHeartbeat {
+    std::uint64_t BornUnixMs = 0;
+    std::uint64_t Sequence = 0;
+    SteadyTime At{};
+  };
+  std::map<std::string, LastHeartbeat> Heartbeats;
   /// Workflows that recur at an interval and have not ended.
   std::set<std::string> Recurring;
   /// Occurrences whose BeginOccurrence change is being stored, by workflow.
@@ -358,8 +368,8 @@
   std::vector<StoredCallback> PendingCallbacks;
   std::map<std::uint64_t, std::vector<StoredCallback>> BatchCallbacks;
   /// Runner and number of the ends that a batch stores.
-  std::vector<std::pair<std::string, std::uint64_t>> PendingEnds;
-  std::map<std::uint64_t, std::vector<std::pair<std::string, std::uint64_t>>>
+  std::vector<std::pair<RunnerLife, std::uint64_t>> PendingEnds;
+  std::map<std::uint64_t, std::vector<std::pair<RunnerLife, std::uint64_t>>>
       BatchEnds;
   WorkflowEffects Effects;
 };
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -13,8 +13,8 @@
   }
   const auto ends = BatchEnds.extract(batch.Number);
   if (!ends.empty()) {
-    for (const auto &[runner, number] : ends.mapped()) {
-      Registry.endStored(runner, number);
+    for (const auto &[life, number] : ends.mapped()) {
+      Registry.endStored(life, number);
     }
   }
   const auto waiting = BatchCallbacks.extract(batch.Number);
@@ -71,11 +71,16 @@
     }
   } else if (change.has_runner()) {
     const protocol::RunnerInfo &info = change.runner().runner();
-    if (!Registry.find(info.id())) {
+    const RunnerEntry *known = Registry.find(info.id());
+    if (!known) {
       logEvent(WorkflowEventKind::RunnerKnown,
-               {{"runner", info.id()}, {"address", info.address()}});
+               {{"runner", info.id()},
+                {"address", info.address()},
+                {"born", std::to_string(info.born_unix_ms())}});
+    }
+    if (!known || !known->Unannounced) {
+      Registry.add(info, at.Now);
     }
-    Registry.add(info, at.Now);
   } else if (change.has_configure()) {
     logEvent(WorkflowEventKind::ConfigurationStored,
              {{"version", std::to_string(State.config().version())}});
@@ -199,11 +204,13 @@
   }
 }
 
-void WorkflowLeader::handleRemovedRunner(const std::string &id) {
-  logEvent(WorkflowEventKind::RunnerGone, {{"runner", id}});
-  Health.forget(id);
+void WorkflowLeader::handleRemovedRunner(const RunnerLife &life) {
+  logEvent(WorkflowEventKind::RunnerGone,
+           {{"runner", life.Id}, {"born", std::to_string(life.BornUnixMs)}});
+  Health.forget(life.Id);
   protocol::WorkflowChange forgotten;
-  forgotten.mutable_forget_runner()->set_id(id);
+  forgotten.mutable_forget_runner()->set_id(life.Id);
+  forgotten.mutable_forget_runner()->set_born_unix_ms(life.BornUnixMs);
   propose(std::move(forgotten));
 }
 
@@ -239,7 +246,7 @@
   }
   for (ObservedEnd &it : effects.Ends) {
     if (it.Number > 0) {
-      PendingEnds.emplace_back(it.Runner, it.Number);
+      PendingEnds.emplace_back(RunnerLife{it.Runner, it.BornUnixMs}, it.Number);
     }
     if (it.Untracked) {
       logUntrackedEnd(it);
@@ -264,9 +271,15 @@
     *ended.mutable_end() = std::move(it.End);
     propose(std::move(ended));
   }
-  for (const std::string &it : effects.Gone) {
+  for (const RunnerLife &it : effects.Gone) {
     handleRemovedRunner(it);
   }
+  for (protocol::RunnerInfo &it : effects.Reborn) {
+    forgetFormerLife(it.id());
+    protocol::WorkflowChange recorded;
+    *recorded.mutable_runner()->mutable_runner() = std::move(it);
+    propose(std::move(recorded));
+  }
   if (effects.Deposed) {
     logEvent(WorkflowEventKind::Deposed, {});
   }
@@ -316,9 +329,9 @@
 /// Removes runners that neither send heartbeats nor answer. Their leases have
 /// expired long before.
 void WorkflowLeader::forgetRunners(Moment at) {
-  for (auto it = LastHeartbeat.begin(); it != LastHeartbeat.end();) {
+  for (auto it = Heartbeats.begin(); it != Heartbeats.end();) {
     const RunnerEntry *runner = Registry.find(it->first);
-    const bool silent = at.Now - it->second > Options.ForgetRunnerAfter &&
+    const bool silent = at.Now - it->second.At > Options.ForgetRunnerAfter &&
                         runner &&
                         at.Now - runner->LastAnswer > Options.ForgetRunnerAfter;
     if (!silent && runner && !runner->Gone) {
@@ -328,7 +341,7 @@
     if (silent) {
       Registry.remove(it->first);
     }
-    it = LastHeartbeat.erase(it);
+    it = Heartbeats.erase(it);
   }
 }
 
--- a/src/masticwinch/coordination/workflow/workflow_state.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_state.cpp
@@ -115,11 +115,9 @@
   case protocol::WorkflowChange::kBegin:
     return begin(change.begin());
   case protocol::WorkflowChange::kRunner:
-    Runners[change.runner().runner().id()] = change.runner().runner();
-    return;
+    return record(change.runner().runner());
   case protocol::WorkflowChange::kForgetRunner:
-    Runners.erase(change.forget_runner().id());
-    return;
+    return forget(change.forget_runner());
   case protocol::WorkflowChange::kForget:
     Workflows.erase(change.forget().id());
     return;
@@ -130,6 +128,23 @@
   }
 }
 
+/// Records a runner, unless a later life of it is known.
+void WorkflowState::record(const protocol::RunnerInfo &info) {
+  protocol::RunnerInfo &known = Runners[info.id()];
+  if (info.born_unix_ms() >= known.born_unix_ms()) {
+    known = info;
+  }
+}
+
+/// Forgets a life of a runner and those before it.
+void WorkflowState::forget(const protocol::ForgetRunner &forget) {
+  const auto it = Runners.find(forget.id());
+  if (it != Runners.end() &&
+      it->second.born_unix_ms() <= forget.born_unix_ms()) {
+    Runners.erase(it);
+  }
+}
+
 void WorkflowState::configure(const protocol::CellConfig &config) {
   if (config.version() > Config.version()) {
     Config = config;
--- a/src/masticwinch/coordination/workflow/workflow_state.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_state.hpp
@@ -48,6 +48,8 @@
   void end(const protocol::EndRun &end);
   void begin(const protocol::BeginOccurrence &begin);
   void configure(const protocol::CellConfig &config);
+  void record(const protocol::RunnerInfo &info);
+  void forget(const protocol::ForgetRunner &forget);
 
   void beginOccurrence(Workflow &workflow, std::uint32_t number);
   void recordFailure(Workflow &workflow, const protocol::StepSpec &spec,
--- a/src/masticwinch/workflow/control_vm_daemon.cpp
+++ b/src/masticwinch/workflow/control_vm_daemon.cpp
@@ -28,6 +28,7 @@
   WorkflowLeaderOptions options;
   options.Runners.Lease =
       std::min(options.Runners.Lease, settings.LongestLease);
+  options.Runners.LongestLease = settings.LongestLease;
   return options;
 }
 
--- a/src/masticwinch/workflow/control_vm_daemon.hpp
+++ b/src/masticwinch/workflow/control_vm_daemon.hpp
@@ -94,8 +94,8 @@
                  std::int64_t clockMs, StoredCallback stored) {
     Workflows.heartbeat(info, sequence, clockMs, std::move(stored));
   }
-  void deregister(const std::string &id, StoredCallback stored) {
-    Workflows.deregister(id, std::move(stored));
+  void deregister(const RunnerLife &life, StoredCallback stored) {
+    Workflows.deregister(life, std::move(stored));
   }
   void configure(const protocol::CellConfig &config, StoredCallback stored) {
     Workflows.configure(config, std::move(stored));
--- a/src/masticwinch/workflow/workflow_driver.hpp
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -143,9 +143,10 @@
     });
   }
 
-  void deregister(const std::string &id, StoredCallback stored) {
-    decide("deregister",
-           [&] { Leader->deregister(id, std::move(stored), currentMoment()); });
+  void deregister(const RunnerLife &life, StoredCallback stored) {
+    decide("deregister", [&] {
+      Leader->deregister(life, std::move(stored), currentMoment());
+    });
   }
 
   void configure(const protocol::CellConfig &config, StoredCallback stored) {
--- a/tests/coordination/workflow/test_advice_tracker.cpp
+++ b/tests/coordination/workflow/test_advice_tracker.cpp
@@ -119,6 +119,18 @@
   CHECK(fixture.Tracker.ticketsOf(Step)->contains("r1"));
 }
 
+TEST_CASE("The tickets of a runner's former life are not used in the next",
+          "[workflow]") {
+  Fixture fixture(1);
+  const auto calls = fixture.ask(Step, 10);
+  fixture.Tracker.answered(calls[0].Order, true, {{"r1", "t"}, {"r2", "u"}},
+                           Milliseconds(0), fixture.Now);
+  fixture.Tracker.expireTickets("r1");
+  CHECK_FALSE(fixture.Tracker.ticket(Step, "r1", fixture.Now));
+  CHECK(fixture.Tracker.ticketsOf(Step)->contains("r1"));
+  CHECK(fixture.Tracker.ticket(Step, "r2", fixture.Now));
+}
+
 TEST_CASE("The runners of a call add no more than its fixed duration",
           "[workflow]") {
   Fixture fixture(1);
--- a/tests/coordination/workflow/test_reborn_runner.cpp
+++ b/tests/coordination/workflow/test_reborn_runner.cpp
@@ -72,7 +72,7 @@
 } // namespace
 
 TEST_CASE("An end of a runner's new life is not acknowledged before it is read",
-          "[workflow][.known-red]") {
+          "[workflow]") {
   Fixture cell;
   CHECK(cell.Polls.back().EndsStored == 5);
   cell.beginSecondLife();
@@ -80,7 +80,7 @@
 }
 
 TEST_CASE("A task that is done in a runner's new life does not run again",
-          "[workflow][.known-red]") {
+          "[workflow]") {
   Fixture cell;
   cell.beginSecondLife();
   cell.submit(Job);
@@ -96,7 +96,7 @@
 }
 
 TEST_CASE("The lease of a runner's new life is on its new clock",
-          "[workflow][.known-red]") {
+          "[workflow]") {
   Fixture cell;
   cell.beginSecondLife();
   cell.submit(Job);
@@ -108,7 +108,7 @@
 }
 
 TEST_CASE("A heartbeat of a runner's new life counts whatever its sequence",
-          "[workflow][.known-red]") {
+          "[workflow]") {
   Fixture cell;
   protocol::RunnerInfo moved = lifeOf(SecondBorn);
   moved.set_address("i-1:81");
@@ -118,13 +118,133 @@
   CHECK(cell.Polls.back().Address == "i-1:81");
 }
 
-TEST_CASE("A runner that left gets work again in its new life",
-          "[workflow][.known-red]") {
+TEST_CASE("A runner that left gets work again in its new life", "[workflow]") {
   Fixture cell;
   cell.Leader.deregister(
-      "i-1", [] {}, cell.Now);
+      {"i-1", FirstBorn}, [] {}, cell.Now);
   cell.pass(LedCell::SchedulingTime);
-  cell.submit(Job);
   cell.beginSecondLife();
+  cell.submit(Job);
+  cell.pass(LedCell::SchedulingTime);
   CHECK(cell.Starts.back().Run == cell.Run);
 }
+
+TEST_CASE("A delayed heartbeat of a former life does not undo the next one",
+          "[workflow]") {
+  Fixture cell;
+  cell.beginSecondLife();
+  protocol::RunnerInfo late = lifeOf(FirstBorn);
+  late.set_draining(true);
+  cell.heartbeat(late, 41, FirstClockMs);
+  CHECK(cell.State.runners().at("i-1").born_unix_ms() == SecondBorn);
+  CHECK_FALSE(cell.Leader.runners().find("i-1")->Info.draining());
+}
+
+TEST_CASE("A heartbeat that states no life does not replace one that does",
+          "[workflow]") {
+  Fixture cell;
+  protocol::RunnerInfo other = lifeOf(0);
+  other.set_address("elsewhere:80");
+  cell.heartbeat(other, 100, FirstClockMs);
+  CHECK(cell.State.runners().at("i-1").address() == "i-1:80");
+}
+
+TEST_CASE("A deregistration of a former life does not remove the next one",
+          "[workflow]") {
+  Fixture cell;
+  cell.beginSecondLife();
+  const auto born = GENERATE(values<std::uint64_t>({FirstBorn, 0}));
+  cell.Leader.deregister(
+      {"i-1", born}, [] {}, cell.Now);
+  cell.pass(LedCell::SchedulingTime);
+  CHECK_FALSE(cell.Leader.runners().find("i-1")->Gone);
+  CHECK(cell.State.runners().contains("i-1"));
+}
+
+TEST_CASE("A start that reached the runner's new life runs on", "[workflow]") {
+  Fixture cell;
+  cell.submit(Job);
+  cell.pass(LedCell::SchedulingTime);
+  REQUIRE(cell.Starts.back().Run == cell.Run);
+  const std::size_t starts = cell.Starts.size();
+  cell.heartbeat(lifeOf(SecondBorn), 1, SecondClockMs);
+  cell.pass(LedCell::SchedulingTime);
+  cell.answerPoll(runningOn(SecondBorn, SecondClockMs, cell.Run));
+  cell.answerPoll(endedOn(SecondBorn, SecondClockMs, 1, cell.Run));
+  CHECK(cell.phase(Job) == Phase::Completed);
+  CHECK(cell.Starts.size() == starts);
+  CHECK(cell.Stops.empty());
+}
+
+TEST_CASE("A start that the runner's new life may still carry out is stopped "
+          "there before the task starts again",
+          "[workflow]") {
+  Fixture cell;
+  cell.submit(Job);
+  cell.pass(LedCell::SchedulingTime);
+  const std::size_t starts = cell.Starts.size();
+  cell.heartbeat(lifeOf(SecondBorn), 1, SecondClockMs);
+  cell.pass(LedCell::SchedulingTime);
+  cell.answerPoll(listsOf(SecondBorn, SecondClockMs));
+  cell.pass(LedCell::SchedulingTime);
+  REQUIRE(cell.Stops.size() == 1);
+  CHECK(cell.Stops[0].Run == cell.Run);
+  CHECK(cell.task(Job).Runner == "i-1");
+  CHECK(cell.Starts.size() == starts);
+
+  cell.Leader.stopAnswered(cell.Stops[0], OrderAnswer::Done, cell.Now);
+  cell.answerPoll(listsOf(SecondBorn, SecondClockMs));
+  cell.answerPoll(listsOf(SecondBorn, SecondClockMs));
+  CHECK(cell.Starts.size() == starts + 1);
+  CHECK(cell.Starts.back().Run.Run == 2);
+}
+
+TEST_CASE("A run of a former life starts again at once", "[workflow]") {
+  Fixture cell;
+  cell.submit(Job);
+  cell.pass(LedCell::SchedulingTime);
+  cell.answerStart(OrderAnswer::Done);
+  cell.heartbeat(lifeOf(SecondBorn), 1, SecondClockMs);
+  cell.pass(LedCell::SchedulingTime);
+  cell.answerPoll(listsOf(SecondBorn, SecondClockMs));
+  CHECK(cell.Stops.empty());
+  CHECK(cell.Starts.back().Run.Run == 2);
+}
+
+TEST_CASE("An answer to an order for a former life does not count for the next",
+          "[workflow]") {
+  Fixture cell;
+  cell.submit(Job);
+  cell.pass(LedCell::SchedulingTime);
+  const StartOrder former = cell.Starts.back();
+  cell.beginSecondLife();
+  cell.Leader.startAnswered(former, OrderAnswer::OtherLife, cell.Now);
+  cell.pass(LedCell::SchedulingTime);
+  CHECK_FALSE(cell.Leader.runners().find("i-1")->Gone);
+}
+
+TEST_CASE("A new life that a poll shows gets no work before it announces "
+          "itself",
+          "[workflow]") {
+  Fixture cell;
+  cell.answerPoll(listsOf(SecondBorn, SecondClockMs));
+  cell.answerPoll(listsOf(SecondBorn, SecondClockMs));
+  CHECK(cell.State.runners().at("i-1").born_unix_ms() == SecondBorn);
+  const RunnerEntry &runner = *cell.Leader.runners().find("i-1");
+  CHECK(runner.LastEndSeen == 0);
+  CHECK_FALSE(cell.Leader.runners().isUsable(runner, cell.Now.Now));
+
+  cell.heartbeat(lifeOf(SecondBorn), 1, SecondClockMs);
+  CHECK(cell.Leader.runners().isUsable(runner, cell.Now.Now));
+}
+
+TEST_CASE("Lists that state another life or none are not used", "[workflow]") {
+  Fixture cell;
+  cell.beginSecondLife();
+  cell.submit(Job);
+  cell.pass(LedCell::SchedulingTime);
+  const auto born = GENERATE(values<std::uint64_t>({FirstBorn, 0}));
+  cell.answerPoll(endedOn(born, FirstClockMs, 1, cell.Run));
+  CHECK(cell.phase(Job) == Phase::Running);
+  CHECK(cell.Leader.runners().find("i-1")->FailedPolls == 1);
+}
--- a/tests/coordination/workflow/test_runner_registry.cpp
+++ b/tests/coordination/workflow/test_runner_registry.cpp
@@ -13,6 +13,20 @@
 const RunKey Run{{{"w", 0, 0}, 0}, 1};
 const ResourceAmounts Core{1000, 1024, 0};
 
+StartOrder startOf(const RunKey &run) {
+  StartOrder order;
+  order.Runner = "r";
+  order.Run = run;
+  return order;
+}
+
+StopOrder stopOf(const RunKey &run) {
+  StopOrder order;
+  order.Runner = "r";
+  order.Run = run;
+  return order;
+}
+
 /// A registry with the runner "r", and a simulated clock.
 struct Fixture {
   RunnerRegistryOptions Options;
@@ -45,13 +59,13 @@
     answer.Answer = OrderAnswer::Done;
     answer.ClockMs = RunnerClockMs;
     pass(Milliseconds(1));
-    Registry.pollAnswered("r", sent.Sequence, answer, Now);
+    Registry.pollAnswered(sent, answer, Now);
   }
 
   void failPoll() {
     const PollOrder sent = poll();
     pass(Milliseconds(1));
-    Registry.pollAnswered("r", sent.Sequence, PollAnswer(), Now);
+    Registry.pollAnswered(sent, PollAnswer(), Now);
     pass(Options.RetryDelay);
   }
 
@@ -116,7 +130,7 @@
   Fixture fixture;
   fixture.start();
   CHECK(fixture.runner().Free.MilliProcessors == 31'000);
-  fixture.Registry.startAnswered("r", Run, OrderAnswer::Done, fixture.Now);
+  fixture.Registry.startAnswered(startOf(Run), OrderAnswer::Done, fixture.Now);
   fixture.pass(Milliseconds(10));
   fixture.answerPoll(Fixture::ended(1, protocol::RUN_DONE));
 
@@ -142,10 +156,10 @@
   fixture.start();
   fixture.answerPoll(Fixture::ended(1, protocol::RUN_DONE));
   fixture.pass(fixture.Options.PollDelay);
-  CHECK(fixture.poll().EndsStored == 0);
-  fixture.Registry.pollAnswered("r", fixture.runner().PollSequence,
-                                PollAnswer(), fixture.Now);
-  fixture.Registry.endStored("r", 1);
+  const PollOrder sent = fixture.poll();
+  CHECK(sent.EndsStored == 0);
+  fixture.Registry.pollAnswered(sent, PollAnswer(), fixture.Now);
+  fixture.Registry.endStored({"r", 0}, 1);
   fixture.pass(fixture.Options.RetryDelay);
   CHECK(fixture.poll().EndsStored == 1);
 }
@@ -156,10 +170,12 @@
   fixture.start();
   for (std::uint32_t i = 1; i < fixture.Options.MaxStartAttempts; ++i) {
     REQUIRE(fixture.Registry.takeEffects().Starts.size() == 1);
-    fixture.Registry.startAnswered("r", Run, OrderAnswer::Silent, fixture.Now);
+    fixture.Registry.startAnswered(startOf(Run), OrderAnswer::Silent,
+                                   fixture.Now);
   }
   REQUIRE(fixture.Registry.takeEffects().Starts.size() == 1);
-  fixture.Registry.startAnswered("r", Run, OrderAnswer::Silent, fixture.Now);
+  fixture.Registry.startAnswered(startOf(Run), OrderAnswer::Silent,
+                                 fixture.Now);
   CHECK(fixture.Registry.takeEffects().Starts.empty());
   fixture.Registry.tick(fixture.Now);
   CHECK(fixture.Registry.takeEffects().Stops.size() == 1);
@@ -170,12 +186,13 @@
   Fixture fixture;
   fixture.start();
   for (std::uint32_t i = 0; i < fixture.Options.MaxStartAttempts; ++i) {
-    fixture.Registry.startAnswered("r", Run, OrderAnswer::Silent, fixture.Now);
+    fixture.Registry.startAnswered(startOf(Run), OrderAnswer::Silent,
+                                   fixture.Now);
   }
   fixture.answerPoll();
   CHECK(fixture.runner().Runs.size() == 1);
 
-  fixture.Registry.stopAnswered("r", Run, OrderAnswer::Done, fixture.Now);
+  fixture.Registry.stopAnswered(stopOf(Run), OrderAnswer::Done, fixture.Now);
   fixture.pass(Milliseconds(1));
   fixture.answerPoll();
   CHECK(fixture.runner().Runs.empty());
@@ -190,7 +207,7 @@
                                OrderAnswer::Unwell, OrderAnswer::Late);
   Fixture fixture;
   fixture.start();
-  fixture.Registry.startAnswered("r", Run, answer, fixture.Now);
+  fixture.Registry.startAnswered(startOf(Run), answer, fixture.Now);
   CHECK(fixture.runner().Runs.empty());
 }
 
@@ -198,8 +215,10 @@
           "[workflow]") {
   Fixture fixture;
   fixture.start();
-  fixture.Registry.startAnswered("r", Run, OrderAnswer::Silent, fixture.Now);
-  fixture.Registry.startAnswered("r", Run, OrderAnswer::Unwell, fixture.Now);
+  fixture.Registry.startAnswered(startOf(Run), OrderAnswer::Silent,
+                                 fixture.Now);
+  fixture.Registry.startAnswered(startOf(Run), OrderAnswer::Unwell,
+                                 fixture.Now);
   CHECK(fixture.runner().Runs.size() == 1);
 }
 
@@ -207,7 +226,7 @@
           "[workflow]") {
   Fixture fixture;
   fixture.start();
-  fixture.Registry.startAnswered("r", Run, OrderAnswer::Done, fixture.Now);
+  fixture.Registry.startAnswered(startOf(Run), OrderAnswer::Done, fixture.Now);
   const SteadyTime started = fixture.Now;
   const auto slowLease = fixture.Options.Lease * 1000 / 980;
   while (fixture.Now < started + slowLease) {
@@ -278,7 +297,7 @@
   const PollOrder sent = fixture.poll();
   PollAnswer answer;
   answer.Answer = OrderAnswer::OtherLife;
-  fixture.Registry.pollAnswered("r", sent.Sequence, answer, fixture.Now);
+  fixture.Registry.pollAnswered(sent, answer, fixture.Now);
   CHECK(fixture.runner().Gone);
   CHECK(fixture.ends().size() == 1);
 }
--- a/tests/coordination/workflow/test_workflow_state.cpp
+++ b/tests/coordination/workflow/test_workflow_state.cpp
@@ -201,3 +201,41 @@
   runTask(state, {First, 0}, 2, protocol::RUN_FAILED);
   CHECK(state.find("w")->Started);
 }
+
+namespace {
+
+protocol::WorkflowChange recordOf(std::uint64_t born) {
+  protocol::WorkflowChange change;
+  *change.mutable_runner()->mutable_runner() = runnerOf("i-1");
+  change.mutable_runner()->mutable_runner()->set_born_unix_ms(born);
+  return change;
+}
+
+protocol::WorkflowChange forgetOf(std::uint64_t born) {
+  protocol::WorkflowChange change;
+  change.mutable_forget_runner()->set_id("i-1");
+  change.mutable_forget_runner()->set_born_unix_ms(born);
+  return change;
+}
+
+} // namespace
+
+TEST_CASE("A record of a runner's former life does not replace a later one",
+          "[workflow]") {
+  WorkflowState state;
+  state.apply(recordOf(2));
+  state.apply(recordOf(1));
+  CHECK(state.runners().at("i-1").born_unix_ms() == 2);
+  state.apply(recordOf(3));
+  CHECK(state.runners().at("i-1").born_unix_ms() == 3);
+}
+
+TEST_CASE("Forgetting a runner's former life does not forget a later one",
+          "[workflow]") {
+  WorkflowState state;
+  state.apply(recordOf(2));
+  state.apply(forgetOf(1));
+  CHECK(state.runners().contains("i-1"));
+  state.apply(forgetOf(2));
+  CHECK_FALSE(state.runners().contains("i-1"));
+}
