Test that an upstream may return after it has lapsed

Callers saw: after a pause of more than the lapse time, an upstream can't return to service; it is added and removed again with each of its announcements. Found by reading; no run of the whole system was made.

--- a/tests/coordination/cell/test_entry_leases.cpp
+++ b/tests/coordination/cell/test_entry_leases.cpp
@@ -144,3 +144,23 @@
   REQUIRE(lapsed.size() == 1);
   CHECK(lapsed[0].Incarnation == 2);
 }
+
+TEST_CASE("An upstream that lapsed and returned is not removed again for its "
+          "earlier silence",
+          "[cell][upstreams][.known-red]") {
+  CellState state;
+  state.apply(announce("runner", 1));
+  UpstreamRenewals renewals(Milliseconds(5000));
+  renewals.becomeLeader(Start);
+  CHECK(renewals.lapsed(state.configuration(), Start).empty());
+  const SteadyTime returned = Start + Milliseconds(6000);
+  REQUIRE(renewals.lapsed(state.configuration(), returned).size() == 1);
+  state.apply(leave("runner", 1, true));
+  state.apply(announce("runner", 1));
+
+  CHECK(renewals.lapsed(state.configuration(), returned).empty());
+  CHECK(renewals.lapsed(state.configuration(), returned + Milliseconds(5000))
+            .empty());
+  CHECK(renewals.lapsed(state.configuration(), returned + Milliseconds(5001))
+            .size() == 1);
+}
