Test that an upstream's results count for its incarnation only

Callers saw: requests wait or are sent elsewhere although the upstream that restarted serves, or go on being sent to one that fails. Found by reading.

--- a/tests/coordination/requests/test_dispatcher.cpp
+++ b/tests/coordination/requests/test_dispatcher.cpp
@@ -265,6 +265,50 @@
   CHECK(toBroken < 20);
 }
 
+TEST_CASE("Failures of an upstream's former incarnation don't eject the next "
+          "one",
+          "[requests][dispatcher][.known-red]") {
+  DispatcherFixture f({Billed}, 2, 8);
+  std::vector<DispatchNumber> toFormer;
+  while (toFormer.size() < EjectionRules().ConsecutiveFailures) {
+    f.arrive("billed");
+    if (f.Starts.back().Upstream == "u0") {
+      toFormer.push_back(f.Starts.back().Number);
+    }
+  }
+  f.Config.upstream("u0", 8, 2);
+  f.EntryDispatcher.configure(f.Config.take(), f.now());
+  for (const DispatchNumber it : toFormer) {
+    f.end(it, DispatchResult::Broken);
+  }
+  CHECK(f.EntryDispatcher.counts(f.now()).Ejected == 0);
+}
+
+TEST_CASE("An answer of an upstream's former incarnation doesn't end the "
+          "ejection of the next one",
+          "[requests][dispatcher][.known-red]") {
+  DispatcherFixture f({Billed}, 2, 8);
+  const auto dispatchTo = [&f](const std::string &upstream) {
+    do {
+      f.arrive("billed");
+    } while (f.Starts.back().Upstream != upstream);
+    return f.Starts.back().Number;
+  };
+  const DispatchNumber toFormer = dispatchTo("u0");
+  f.Config.upstream("u0", 8, 2);
+  f.EntryDispatcher.configure(f.Config.take(), f.now());
+  std::vector<DispatchNumber> toNext;
+  while (toNext.size() < EjectionRules().ConsecutiveFailures) {
+    toNext.push_back(dispatchTo("u0"));
+  }
+  for (const DispatchNumber it : toNext) {
+    f.end(it, DispatchResult::Broken);
+  }
+  REQUIRE(f.EntryDispatcher.counts(f.now()).Ejected == 1);
+  f.end(toFormer, DispatchResult::Answered);
+  CHECK(f.EntryDispatcher.counts(f.now()).Ejected == 1);
+}
+
 TEST_CASE("A slow repeatable request is sent to a second upstream",
           "[requests][dispatcher]") {
   auto hedged = Lookup;
