Test that an entry VM gets the time for its first hello

Callers saw: nothing is known to have been seen; an entry VM that joins is removed from the cell, or yields its upstreams for 15 s, if a pass of the leader falls between its join and its first hello. Evidence: both tests fail on this code (build/debug, 2026-12-04): the leader proposes the removal at the pass after the join, of an entry VM that joins late and of one that lapsed and joined again. Found by reading.

--- a/tests/control/test_cell_service.cpp
+++ b/tests/control/test_cell_service.cpp
@@ -209,6 +209,52 @@
   CHECK(upstream.leave_upstream().lapsed());
 }
 
+TEST_CASE("An entry VM that joins late isn't removed before its first hello",
+          "[control][service][.known-red]") {
+  Leader leader;
+  leader.commit(joinEntry("entry-1", 1));
+  leader.Time.advance(Milliseconds(60'000));
+  leader.Service->receive(helloFrom("entry-1", 1));
+  leader.commit(joinEntry("entry-2", 1));
+  {
+    FORBID_CALL(leader.Log, propose(_));
+    leader.Service->tick();
+  }
+  const cell::EntryLeaseOptions leases;
+  leader.Time.advance(leases.Lease + leases.DriftBound + Milliseconds(1));
+  leader.Service->receive(helloFrom("entry-1", 1));
+  std::string proposed;
+  REQUIRE_CALL(leader.Log, propose(_))
+      .LR_SIDE_EFFECT(proposed = _1)
+      .RETURN(First);
+  leader.Service->tick();
+  protocol::Command yield;
+  REQUIRE(yield.ParseFromString(proposed));
+  CHECK(yield.yield_entry().name() == "entry-2");
+  CHECK(yield.yield_entry().yielded());
+}
+
+TEST_CASE("An entry VM that lapsed and joined again isn't removed for its "
+          "earlier silence",
+          "[control][service][.known-red]") {
+  Leader leader;
+  leader.commit(joinEntry("entry-1", 1));
+  leader.commit(joinEntry("entry-2", 1));
+  leader.Service->receive(helloFrom("entry-2", 2));
+  const cell::EntryLeaseOptions leases;
+  leader.Time.advance(leases.Lapse + Milliseconds(1));
+  leader.Service->receive(helloFrom("entry-1", 2));
+  protocol::Command lapse;
+  lapse.mutable_leave_entry()->set_name("entry-2");
+  lapse.mutable_leave_entry()->set_incarnation(1);
+  lapse.mutable_leave_entry()->set_lapsed(true);
+  leader.commit(lapse);
+  leader.commit(joinEntry("entry-2", 1));
+
+  FORBID_CALL(leader.Log, propose(_));
+  leader.Service->tick();
+}
+
 TEST_CASE("An update states its base revision and the target incarnation",
           "[control][service]") {
   Leader leader;
