--- a/src/masticwinch/workflow/relayed_calls.hpp
+++ b/src/masticwinch/workflow/relayed_calls.hpp
@@ -36,11 +36,11 @@
 /// is assigned to one relay by a hash over the relays, ordered by address; when
 /// a relay stops responding, the others take over its runners. Orders for a
 /// small fleet are sent directly.
-template <RunnerCalls Direct> class RelayedCalls {
+template <RunnerCalls Direct, class Sender = peers::Mailbox>
+class RelayedCalls {
 public:
-  RelayedCalls(Direct &direct, asio::io_context &context,
-               peers::Mailbox &outbox, const Clock &clock,
-               RelayedCallsOptions options = {})
+  RelayedCalls(Direct &direct, asio::io_context &context, Sender &outbox,
+               const Clock &clock, RelayedCallsOptions options = {})
       : DirectCalls(direct), Outbox(outbox), Time(clock), Options(options),
         Flusher(context), Expirer(context) {
     awaitExpiry();
@@ -173,7 +173,7 @@
   }
 
   Direct &DirectCalls;
-  peers::Mailbox &Outbox;
+  Sender &Outbox;
   const Clock &Time;
   RelayedCallsOptions Options;
   asio::steady_timer Flusher;
