Number relayed orders differently in each term

Callers would see: a run that is released while it runs, and starts again, or a job that is kept as running and isn't. Cause: a process numbered its relayed orders from 1, and a relay's answers carry only that number. A control VM that restarts and leads again within the time that a relay holds a poll or its answer (up to 3 s) took the answers to its former orders for those to the present ones: another runner's lists, or the outcome of another start. Evidence: the new test failed before (the answer to the poll of "i-1" taken for that of "i-2") and passes now. Ruled out: direct calls, whose answers come on their own connection. Why it works: the number contains the term, and no process leads twice in one term.

--- a/src/masticwinch/workflow/relayed_calls.hpp
+++ b/src/masticwinch/workflow/relayed_calls.hpp
@@ -4,6 +4,7 @@
 #include "masticwinch/peers/mailbox.hpp"
 #include "masticwinch/protocol/envelope.pb.h"
 #include "masticwinch/workflow/order_messages.hpp"
+#include "masticwinch/workflow/order_number.hpp"
 #include "masticwinch/workflow/runner_calls.hpp"
 
 #include <asio/io_context.hpp>
@@ -115,6 +116,10 @@
 
   void send(const std::string &relay, std::uint64_t token,
             protocol::RunnerOrder order, Milliseconds wait, PollDone done) {
+    if (token != NumberedTerm) {
+      NumberedTerm = token;
+      NextOrder = firstOrderOf(token);
+    }
     const std::uint64_t number = NextOrder++;
     order.set_order(number);
     PendingOrders[number] = {Time.now() + wait + Options.ResponseTimeout,
@@ -182,7 +187,9 @@
   std::size_t RunnerCount = 0;
   std::map<std::string, SteadyTime> Relays;
   std::map<std::string, protocol::RunnerOrders> Batches;
-  std::uint64_t NextOrder = 1;
+  /// Term of the latest order; the orders of each term are numbered anew.
+  std::uint64_t NumberedTerm = 0;
+  std::uint64_t NextOrder = firstOrderOf(0);
   std::map<std::uint64_t, PendingOrder> PendingOrders;
 };
 
--- a/tests/workflow/test_relayed_calls.cpp
+++ b/tests/workflow/test_relayed_calls.cpp
@@ -72,7 +72,7 @@
 
 TEST_CASE("A relay's answer to an order from before a restart is not taken for "
           "that of another runner",
-          "[workflow][.known-red]") {
+          "[workflow]") {
   const protocol::RunnerOrder earlier = Process().poll("i-1", 1);
   Process restarted;
   const protocol::RunnerOrder order = restarted.poll("i-2", 2);
