Test that slow advice calls are made while most agents are gone

Callers would see: accepted gangs that don't start while most entry VMs are down or cut off from the leader, although their runners are free.

--- a/tests/coordination/workflow/test_advice_tracker.cpp
+++ b/tests/coordination/workflow/test_advice_tracker.cpp
@@ -94,6 +94,19 @@
   CHECK_FALSE(slow.contains(fast[0].Agent));
 }
 
+TEST_CASE("Slow calls are made by the agents that are left when most are gone",
+          "[workflow][.known-red]") {
+  Fixture fixture(7);
+  fixture.Now += fixture.Options.AgentTimeout;
+  fixture.Tracker.agentSeen("a1", fixture.Now);
+  fixture.Tracker.agentSeen("a2", fixture.Now);
+  const auto slow = fixture.ask({"slow", 0, 0}, 500);
+  REQUIRE(slow.size() == 1);
+  const auto fast = fixture.ask(Step, 10);
+  REQUIRE(fast.size() == 1);
+  CHECK(fast[0].Agent != slow[0].Agent);
+}
+
 TEST_CASE("A call of an agent that died is repeated by another agent",
           "[workflow]") {
   Fixture fixture(1);
