Test that a task starts again on the only runner that may run it

Callers would see: an accepted job that never runs, though it has attempts left and a free runner: the advice or a label allows it only on runners where a run of it failed.

--- /dev/null
+++ b/tests/coordination/workflow/test_failed_runners.cpp
@@ -0,0 +1,42 @@
+#include <catch2/catch.hpp>
+
+#include "tests/coordination/workflow/led_cell.hpp"
+
+using namespace masticwinch;
+using namespace masticwinch::tests;
+using namespace masticwinch::workflow;
+
+namespace {
+
+const std::string Job = "000000000000000a";
+
+PollAnswer answerAt(std::int64_t clockMs) {
+  PollAnswer answer;
+  answer.ClockMs = clockMs;
+  return answer;
+}
+
+} // namespace
+
+TEST_CASE("A task that failed on the only runner that may run it starts there "
+          "again",
+          "[workflow][.known-red]") {
+  LedCell cell;
+  cell.heartbeat(runnerOf("i-1"), 1, 1000);
+  cell.pass(LedCell::SchedulingTime);
+  cell.answerPoll(answerAt(1000));
+  cell.submit(Job);
+  cell.pass(LedCell::SchedulingTime);
+  REQUIRE(cell.Starts.size() == 1);
+  cell.answerStart(OrderAnswer::Done);
+
+  PollAnswer failed = answerAt(2000);
+  failed.Ended.push_back({1, cell.Starts[0].Run, protocol::RUN_FAILED, ""});
+  cell.answerPoll(failed);
+  REQUIRE(cell.phase(Job) == Phase::Running);
+  for (std::int64_t clockMs = 3000; clockMs < 30'000; clockMs += 500) {
+    cell.pass(Milliseconds(500));
+    cell.answerPoll(answerAt(clockMs));
+  }
+  CHECK(cell.Starts.size() == 2);
+}
