Test that a gang asks about more runners when it can't use the approved ones

Callers would see: an accepted gang that never starts, though runners are free, and runners that stay reserved for it. Cause: a reservation counts approved runners that the gang can't use: those without its label, those on which a run of it failed, and more tasks on a runner than it allows. As it seems to fit within a second, no further runners are asked about.

--- a/tests/coordination/workflow/led_cell.hpp
+++ b/tests/coordination/workflow/led_cell.hpp
@@ -10,7 +10,7 @@
 namespace masticwinch::tests {
 
 /// A leader with its state, whose batches are stored at once. Orders to runners
-/// are collected for the test to answer.
+/// and calls for advice are collected for the test to answer.
 class LedCell {
 public:
   explicit LedCell(workflow::WorkflowState state = configuredState())
@@ -87,6 +87,7 @@
   std::vector<workflow::StartOrder> Starts;
   std::vector<workflow::StopOrder> Stops;
   std::vector<workflow::PollOrder> Polls;
+  std::vector<workflow::AdviceCall> Advice;
 
 private:
   template <class Order>
@@ -100,6 +101,7 @@
       append(Starts, effects.Starts);
       append(Stops, effects.Stops);
       append(Polls, effects.Polls);
+      append(Advice, effects.Advice);
       for (const workflow::ProposedBatch &it : effects.Batches) {
         State.apply(it.Record);
         Leader.stored(it, Now);
