--- a/src/masticwinch/workflow/relayed_calls.hpp
+++ b/src/masticwinch/workflow/relayed_calls.hpp
@@ -4,6 +4,7 @@
 #include "masticwinch/peers/mailbox.hpp"
 #include "masticwinch/protocol/envelope.pb.h"
 #include "masticwinch/workflow/order_messages.hpp"
+#include "masticwinch/workflow/order_number.hpp"
 #include "masticwinch/workflow/runner_calls.hpp"
 
 #include <asio/io_context.hpp>
@@ -36,11 +37,11 @@
 /// is assigned to one relay by a hash over the relays, ordered by address; when
 /// a relay stops responding, the others take over its runners. Orders for a
 /// small fleet are sent directly.
-template <RunnerCalls Direct> class RelayedCalls {
+template <RunnerCalls Direct, class Sender = peers::Mailbox>
+class RelayedCalls {
 public:
-  RelayedCalls(Direct &direct, asio::io_context &context,
-               peers::Mailbox &outbox, const Clock &clock,
-               RelayedCallsOptions options = {})
+  RelayedCalls(Direct &direct, asio::io_context &context, Sender &outbox,
+               const Clock &clock, RelayedCallsOptions options = {})
       : DirectCalls(direct), Outbox(outbox), Time(clock), Options(options),
         Flusher(context), Expirer(context) {
     awaitExpiry();
@@ -115,6 +116,10 @@
 
   void send(const std::string &relay, std::uint64_t token,
             protocol::RunnerOrder order, Milliseconds wait, PollDone done) {
+    if (token != NumberedTerm) {
+      NumberedTerm = token;
+      NextOrder = firstOrderOf(token);
+    }
     const std::uint64_t number = NextOrder++;
     order.set_order(number);
     PendingOrders[number] = {Time.now() + wait + Options.ResponseTimeout,
@@ -173,7 +178,7 @@
   }
 
   Direct &DirectCalls;
-  peers::Mailbox &Outbox;
+  Sender &Outbox;
   const Clock &Time;
   RelayedCallsOptions Options;
   asio::steady_timer Flusher;
@@ -182,7 +187,9 @@
   std::size_t RunnerCount = 0;
   std::map<std::string, SteadyTime> Relays;
   std::map<std::string, protocol::RunnerOrders> Batches;
-  std::uint64_t NextOrder = 1;
+  /// Term of the latest order; the orders of each term are numbered anew.
+  std::uint64_t NumberedTerm = 0;
+  std::uint64_t NextOrder = firstOrderOf(0);
   std::map<std::uint64_t, PendingOrder> PendingOrders;
 };
 
