Let a task start again on the only runners that may run it

Cause: runners on which a run of a step failed got no more tasks of it, also if the advice or a label allows the step on no others. Evidence: the listed test failed before and passes now; the new one, that another runner is taken while there is one, too (550 assertions of [workflow], [fuzzing], [platform]). Change: the failed runners of a step are forgotten once no other runner may run it.

--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -174,7 +174,8 @@
     const SchedulingInfo *Info = nullptr;
     /// Tasks whose assignment is being stored.
     std::set<std::uint32_t> InFlight;
-    /// Runners on which a run of the step failed; they get no more tasks of it.
+    /// Runners on which a run of the step failed; they get no more tasks of it
+    /// while others may run it.
     std::set<std::string> FailedRunners;
     /// Number of tasks that can be started, if it has been counted since the
     /// last change of the step's tasks.
@@ -284,6 +285,8 @@
                                         bool withTickets, Moment at) const;
   static bool mayRun(const OpenStep &open, const protocol::StepSpec &spec,
                      const RunnerEntry &runner);
+  bool hasOtherRunners(const StepKey &key, bool advised,
+                       const Fleet::Pool &pool) const;
   static std::optional<PlanCandidate>
   candidateOf(const StepKey &key, const OpenStep &open,
               const protocol::StepSpec &spec, const RunnerEntry &runner,
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -225,6 +225,23 @@
           runner.hasLabel(spec.required_label()));
 }
 
+/// Whether another runner than those on which a run of the step failed may run
+/// it, or may turn out to when the advice service is asked about it.
+bool WorkflowLeader::hasOtherRunners(const StepKey &key, bool advised,
+                                     const Fleet::Pool &pool) const {
+  const OpenStep &open = OpenSteps.at(key);
+  const protocol::StepSpec &spec = *State.findSpec(key);
+  const AdviceTracker::Tickets *tickets = Advice.ticketsOf(key);
+  const std::set<std::string> *asked = Advice.askedRunners(key);
+  return std::any_of(
+      pool.Runners.begin(), pool.Runners.end(), [&](const RunnerEntry *it) {
+        const std::string &id = it->Info.id();
+        const bool refused = advised && asked && asked->contains(id) &&
+                             !(tickets && tickets->contains(id));
+        return !refused && mayRun(open, spec, *it);
+      });
+}
+
 /// The runner with its free resources as a candidate for the step; nothing if
 /// it can't run a task of it.
 std::optional<PlanCandidate>
@@ -312,6 +329,10 @@
   OpenStep &open = OpenSteps.at(key);
   const protocol::StepSpec &spec = *State.findSpec(key);
   const std::vector<std::uint32_t> tasks = startableTasks(key, open);
+  if (!open.FailedRunners.empty() &&
+      !hasOtherRunners(key, queue->has_advice(), pool->second)) {
+    open.FailedRunners.clear();
+  }
   const std::vector<PlannedRun> planned = planStep(
       spec, tasks,
       candidates(key, queue->has_advice(), fleet, pool->second, true, at),
--- a/tests/coordination/workflow/test_failed_runners.cpp
+++ b/tests/coordination/workflow/test_failed_runners.cpp
@@ -20,7 +20,7 @@
 
 TEST_CASE("A task that failed on the only runner that may run it starts there "
           "again",
-          "[workflow][.known-red]") {
+          "[workflow]") {
   LedCell cell;
   cell.heartbeat(runnerOf("i-1"), 1, 1000);
   cell.pass(LedCell::SchedulingTime);
@@ -42,3 +42,29 @@
   REQUIRE(cell.Starts.size() == 2);
   CHECK(cell.Starts[1].Run.Run == 2);
 }
+
+TEST_CASE(
+    "A task does not start again where it failed while another runner may "
+    "run it",
+    "[workflow]") {
+  LedCell cell;
+  cell.heartbeat(runnerOf("i-1"), 1, 1000);
+  cell.pass(LedCell::SchedulingTime);
+  cell.answerPoll(answerAt(1000));
+  cell.submit(Job);
+  cell.pass(LedCell::SchedulingTime);
+  cell.answerStart(OrderAnswer::Done);
+  const PollOrder first = cell.Polls.back();
+  cell.heartbeat(runnerOf("i-2"), 1, 1000);
+  cell.pass(LedCell::SchedulingTime);
+  cell.answerPoll(answerAt(1000));
+
+  PollAnswer failed = answerAt(2000);
+  failed.Answer = OrderAnswer::Done;
+  failed.Ended.push_back({1, cell.Starts[0].Run, protocol::RUN_FAILED, ""});
+  cell.Leader.pollAnswered(first, failed, cell.Now);
+  cell.pass(LedCell::SchedulingTime);
+  cell.pass(LedCell::SchedulingTime);
+  REQUIRE(cell.Starts.size() == 2);
+  CHECK(cell.Starts[1].Runner == "i-2");
+}
