Test three more ends, leases and records that outlive a runner's life

An end as done that is listed while the run's release is being stored is acknowledged and the task started again. A lease that a new life took over on the former clock lasts up to the longest lease; the leader (also a new one) releases runs after its own lease, so that a task can run in two places. The record of a life that a poll has shown overwrites what a heartbeat announced within the same batch. Listed until the fixes.

--- a/tests/coordination/workflow/test_late_ends.cpp
+++ b/tests/coordination/workflow/test_late_ends.cpp
@@ -78,3 +78,50 @@
   CHECK(cell.phase(Job) == Phase::Running);
   CHECK(cell.Starts.size() == starts + 1);
 }
+
+TEST_CASE("A task whose run ended as done while its release was being stored "
+          "does not run again",
+          "[workflow][.known-red]") {
+  LedCell cell;
+  std::int64_t clockMs = 5'000'000;
+  cell.heartbeat(runnerOf("i-1"), 1, clockMs);
+  cell.pass(LedCell::SchedulingTime);
+  PollAnswer lists;
+  lists.ClockMs = clockMs;
+  cell.answerPoll(lists);
+  cell.submit(Job);
+  cell.pass(LedCell::SchedulingTime);
+  cell.answerStart(OrderAnswer::Done);
+  const std::size_t starts = cell.Starts.size();
+  const RunnerEntry &runner = *cell.Leader.runners().find("i-1");
+  WorkflowEffects releasing;
+  while (!runner.Runs.empty()) {
+    cell.Leader.pollAnswered(cell.Polls.back(), {}, cell.Now);
+    cell.Now.Now += RunnerRegistryOptions().RetryDelay;
+    clockMs += RunnerRegistryOptions().RetryDelay.count();
+    cell.Leader.tick(cell.Now);
+    releasing = cell.Leader.takeEffects(cell.Now);
+    REQUIRE(releasing.Polls.size() == 1);
+    cell.Polls.push_back(releasing.Polls[0]);
+  }
+  REQUIRE(releasing.Batches.size() == 1);
+
+  PollAnswer ended;
+  ended.Answer = OrderAnswer::Done;
+  ended.ClockMs = clockMs;
+  ended.Ended.push_back({1, {{{Job, 0, 0}, 0}, 1}, protocol::RUN_DONE, ""});
+  cell.Leader.pollAnswered(cell.Polls.back(), ended, cell.Now);
+  const WorkflowEffects listed = cell.Leader.takeEffects(cell.Now);
+  for (const WorkflowEffects *effects : {&std::as_const(releasing), &listed}) {
+    for (const ProposedBatch &it : effects->Batches) {
+      cell.State.apply(it.Record);
+      cell.Leader.stored(it, cell.Now);
+    }
+  }
+  cell.pass(LedCell::SchedulingTime);
+  lists.ClockMs = clockMs;
+  cell.answerPoll(lists);
+  CHECK(cell.Polls.back().EndsStored == 1);
+  CHECK(cell.phase(Job) == Phase::Completed);
+  CHECK(cell.Starts.size() == starts);
+}
--- a/tests/coordination/workflow/test_reborn_runner.cpp
+++ b/tests/coordination/workflow/test_reborn_runner.cpp
@@ -248,3 +248,64 @@
   CHECK(cell.phase(Job) == Phase::Running);
   CHECK(cell.Leader.runners().find("i-1")->FailedPolls == 1);
 }
+
+TEST_CASE("A run stays with an unreachable runner until a lease that its new "
+          "life took over on the former clock has expired",
+          "[workflow][.known-red]") {
+  Fixture cell;
+  // The new life carries out a poll with a lease end on the former clock; the
+  // runner shortens it to the longest lease.
+  REQUIRE(cell.Polls.back().LeaseUntilMs);
+  REQUIRE(*cell.Polls.back().LeaseUntilMs >
+          SecondClockMs + RunnerRegistryOptions().LongestLease.count());
+  const SteadyTime extended = cell.Now.Now;
+  cell.answerPoll(listsOf(SecondBorn, SecondClockMs));
+  cell.heartbeat(lifeOf(SecondBorn), 1, SecondClockMs);
+  cell.answerPoll(listsOf(SecondBorn, SecondClockMs));
+  cell.submit(Job);
+  cell.pass(LedCell::SchedulingTime);
+  REQUIRE(cell.Starts.back().Run == cell.Run);
+  cell.answerStart(OrderAnswer::Done);
+  while (!cell.task(Job).Runner.empty()) {
+    cell.failPoll();
+  }
+  CHECK(cell.Now.Now - extended >= RunnerRegistryOptions().LongestLease);
+}
+
+TEST_CASE("What a runner's new life announces is not undone by the poll that "
+          "showed it",
+          "[workflow][.known-red]") {
+  Fixture cell;
+  PollAnswer lists = listsOf(SecondBorn, SecondClockMs);
+  lists.Answer = OrderAnswer::Done;
+  cell.Leader.pollAnswered(cell.Polls.back(), lists, cell.Now);
+  protocol::RunnerInfo moved = lifeOf(SecondBorn);
+  moved.set_address("i-1:81");
+  cell.heartbeat(moved, 1, SecondClockMs);
+  cell.pass(LedCell::SchedulingTime);
+  CHECK(cell.State.runners().at("i-1").address() == "i-1:81");
+  CHECK(cell.Leader.runners().find("i-1")->Info.address() == "i-1:81");
+}
+
+TEST_CASE(
+    "A new leader keeps a run with an unreachable runner until a lease on "
+    "the runner's former clock has expired",
+    "[workflow][.known-red]") {
+  Fixture cell;
+  // The new life carries out the latest poll, whose lease end is on the former
+  // clock, and its answer is lost.
+  REQUIRE(cell.Polls.back().LeaseUntilMs);
+  const SteadyTime extended = cell.Now.Now;
+  cell.beginSecondLife();
+  cell.submit(Job);
+  cell.pass(LedCell::SchedulingTime);
+  cell.answerStart(OrderAnswer::Done);
+
+  LedCell next(cell.State);
+  next.Now = cell.Now;
+  next.pass(LedCell::SchedulingTime);
+  while (!next.task(Job).Runner.empty()) {
+    next.failPoll();
+  }
+  CHECK(next.Now.Now - extended >= RunnerRegistryOptions().LongestLease);
+}
