Expect a new life of a runner to hold a lease on its former clock

Callers could see: a task in two places. No caller has reported it. Cause: an order for the former life that the next one carries out brings a lease end on the former clock, which the runner shortens to the longest lease. The leader reckoned with that only if it tracked runs when the life began, a new leader never. Change: the longest lease counts from the beginning of each life. The state marks runners that have had a former life, so that a new leader does the same for these only.

--- a/src/masticwinch/coordination/workflow/runner_registry.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.cpp
@@ -53,7 +53,9 @@
   const auto [it, added] = Runners.try_emplace(info.id());
   RunnerEntry &runner = it->second;
   if (added) {
-    runner.InheritedLeasesUntil = now + longestDuration(Options.Lease);
+    runner.InheritedLeasesUntil =
+        now + longestDuration(info.restarted() ? Options.LongestLease
+                                               : Options.Lease);
     runner.NextPoll = now;
     runner.LastAnswer = now;
   } else if (info.born_unix_ms() < runner.Info.born_unix_ms()) {
@@ -111,9 +113,7 @@
   for (const auto &[run, it] : next.Runs) {
     next.Free -= it.Needs;
   }
-  if (!next.Runs.empty()) {
-    next.InheritedLeasesUntil = now + longestDuration(Options.LongestLease);
-  }
+  next.InheritedLeasesUntil = now + longestDuration(Options.LongestLease);
   next.NextPoll = now;
   next.LastAnswer = now;
   runner = std::move(next);
--- a/src/masticwinch/coordination/workflow/runner_registry.hpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.hpp
@@ -21,7 +21,7 @@
   /// runner blocks its tasks.
   Milliseconds Lease{3200};
   /// The longest lease that a runner accepts. A new life of a runner may have
-  /// carried out a start whose lease end was meant for its former clock.
+  /// carried out an order whose lease end was meant for its former clock.
   Milliseconds LongestLease{10'000};
   /// How long a runner may wait for an end before it answers a poll.
   std::uint32_t PollWaitMs = 1000;
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -375,6 +375,17 @@
   return late ? "lower sequence" : nullptr;
 }
 
+/// Whether the state has all that the runner announces.
+bool WorkflowLeader::isRecorded(const protocol::RunnerInfo &info) const {
+  const auto found = State.runners().find(info.id());
+  if (found == State.runners().end()) {
+    return false;
+  }
+  protocol::RunnerInfo recorded = found->second;
+  recorded.clear_restarted();
+  return recorded.SerializeAsString() == info.SerializeAsString();
+}
+
 void WorkflowLeader::heartbeat(const protocol::RunnerInfo &info,
                                std::uint64_t sequence, std::int64_t clockMs,
                                StoredCallback stored, Moment at) {
@@ -396,9 +407,7 @@
   } else if (known && known->Unannounced) {
     Registry.add(info, at.Now);
   }
-  const auto recorded = State.runners().find(info.id());
-  if (recorded != State.runners().end() &&
-      recorded->second.SerializeAsString() == info.SerializeAsString()) {
+  if (isRecorded(info)) {
     Registry.observeClock(info.id(), clockMs, at.Now);
     stored();
     return;
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -228,6 +228,7 @@
                StoredCallback stored = nullptr);
   void logReborn(const RunnerEntry &known, std::uint64_t bornUnixMs,
                  const char *source);
+  bool isRecorded(const protocol::RunnerInfo &info) const;
   const char *outdatedReason(const protocol::RunnerInfo &info,
                              std::uint64_t sequence) const;
   void logEvent(WorkflowEventKind kind,
--- a/src/masticwinch/coordination/workflow/workflow_state.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_state.cpp
@@ -130,10 +130,15 @@
 
 /// Records a runner, unless a later life of it is known.
 void WorkflowState::record(const protocol::RunnerInfo &info) {
-  protocol::RunnerInfo &known = Runners[info.id()];
-  if (info.born_unix_ms() >= known.born_unix_ms()) {
-    known = info;
+  const auto [it, added] = Runners.try_emplace(info.id());
+  protocol::RunnerInfo &known = it->second;
+  if (info.born_unix_ms() < known.born_unix_ms()) {
+    return;
   }
+  const bool restarted = !added && (known.restarted() ||
+                                    info.born_unix_ms() > known.born_unix_ms());
+  known = info;
+  known.set_restarted(restarted);
 }
 
 /// Forgets a life of a runner and those before it.
--- a/tests/coordination/workflow/test_reborn_runner.cpp
+++ b/tests/coordination/workflow/test_reborn_runner.cpp
@@ -251,7 +251,7 @@
 
 TEST_CASE("A run stays with an unreachable runner until a lease that its new "
           "life took over on the former clock has expired",
-          "[workflow][.known-red]") {
+          "[workflow]") {
   Fixture cell;
   // The new life carries out a poll with a lease end on the former clock; the
   // runner shortens it to the longest lease.
@@ -290,7 +290,7 @@
 TEST_CASE(
     "A new leader keeps a run with an unreachable runner until a lease on "
     "the runner's former clock has expired",
-    "[workflow][.known-red]") {
+    "[workflow]") {
   Fixture cell;
   // The new life carries out the latest poll, whose lease end is on the former
   // clock, and its answer is lost.
