Split the registry and the leader by what they handle

The answers of runners, the leader's calls from runners and its advice move to files of their own; functions are moved as they are.

--- /dev/null
+++ b/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
@@ -0,0 +1,198 @@
+#include "masticwinch/coordination/workflow/runner_registry.hpp"
+
+#include <set>
+
+namespace masticwinch::workflow {
+
+namespace {
+
+/// Maximum number of ends in one answer of a runner; an answer with this many
+/// may be incomplete.
+constexpr std::size_t MaxEndsPerAnswer = 500;
+
+} // namespace
+
+void RunnerRegistry::startAnswered(const StartOrder &order, OrderAnswer answer,
+                                   SteadyTime now) {
+  const RunKey &run = order.Run;
+  RunnerEntry *runner = findLife({order.Runner, order.BornUnixMs});
+  if (!runner) {
+    return;
+  }
+  if (answer == OrderAnswer::OtherLife) {
+    remove(order.Runner);
+    return;
+  }
+  Effects.Deposed = Effects.Deposed || answer == OrderAnswer::Fenced;
+  if (answer == OrderAnswer::Unwell || answer == OrderAnswer::Silent) {
+    runner->UnwellUntil = now + Options.UnwellBackoff;
+  } else {
+    runner->LastAnswer = now;
+  }
+  TrackedRun *it = trackedRun(order.Runner, run);
+  if (!it || it->Stage != RunStage::Starting) {
+    return;
+  }
+  it->CallPending = false;
+  const bool neverRan =
+      answer == OrderAnswer::NoRoom || answer == OrderAnswer::TicketInvalid ||
+      answer == OrderAnswer::Unwell || answer == OrderAnswer::Late;
+  if (answer == OrderAnswer::Done) {
+    Effects.Confirmed.push_back(run);
+    it->Stage = RunStage::Running;
+    it->ConfirmedAt = now;
+  } else if (neverRan && !it->Unanswered) {
+    release(*runner, run, protocol::RUN_LOST, 0, it->Checkpoint);
+  } else if (answer == OrderAnswer::Silent &&
+             it->StartAttempts < Options.MaxStartAttempts) {
+    it->Unanswered = true;
+    sendStart(*runner, run, *it, now);
+  } else {
+    beginStop(*it, now);
+  }
+}
+
+void RunnerRegistry::stopAnswered(const StopOrder &order, OrderAnswer answer,
+                                  SteadyTime now) {
+  if (!findLife({order.Runner, order.BornUnixMs})) {
+    return;
+  }
+  if (answer == OrderAnswer::OtherLife) {
+    remove(order.Runner);
+    return;
+  }
+  Effects.Deposed = Effects.Deposed || answer == OrderAnswer::Fenced;
+  TrackedRun *it = trackedRun(order.Runner, order.Run);
+  if (!it || it->Stage != RunStage::Stopping) {
+    return;
+  }
+  it->CallPending = false;
+  if (answer == OrderAnswer::Done || answer == OrderAnswer::Outdated) {
+    it->ConfirmedAt = now;
+  }
+}
+
+void RunnerRegistry::pollAnswered(const PollOrder &order,
+                                  const PollAnswer &answer, SteadyTime now) {
+  RunnerEntry *runner = findLife({order.Runner, order.BornUnixMs});
+  if (!runner || order.Sequence != runner->PollSequence) {
+    return;
+  }
+  if (answer.Answer == OrderAnswer::OtherLife) {
+    remove(order.Runner);
+    return;
+  }
+  if (answer.Answer != OrderAnswer::Done) {
+    pollFailed(*runner, answer.Answer, now);
+    return;
+  }
+  if (answer.BornUnixMs > order.BornUnixMs) {
+    protocol::RunnerInfo info = runner->Info;
+    info.set_born_unix_ms(answer.BornUnixMs);
+    beginLife(*runner, info, now);
+    runner->Unannounced = true;
+    Effects.Reborn.push_back(order.Runner);
+    return;
+  }
+  if (answer.BornUnixMs < order.BornUnixMs) {
+    // Lists of a former life, or of another writer if none is stated.
+    pollFailed(*runner, OrderAnswer::Malformed, now);
+    return;
+  }
+  runner->PollPending = false;
+  runner->FailedPolls = 0;
+  runner->LastAnswer = now;
+  runner->LastPollAnswer = now;
+  runner->Clock.observe(answer.ClockMs, now);
+  processEnded(*runner, answer);
+  processRunning(*runner, answer, now);
+  releaseMissing(*runner, answer, now);
+  runner->Adopted = true;
+  runner->NextPoll = answer.Ended.empty() ? now : now + Options.PollDelay;
+}
+
+void RunnerRegistry::pollFailed(RunnerEntry &runner, OrderAnswer answer,
+                                SteadyTime now) {
+  Effects.Deposed = Effects.Deposed || answer == OrderAnswer::Fenced;
+  runner.PollPending = false;
+  runner.FailedPolls += 1;
+  runner.NextPoll = now + Options.RetryDelay;
+}
+
+void RunnerRegistry::processEnded(RunnerEntry &runner,
+                                  const PollAnswer &answer) {
+  for (const EndedRun &it : answer.Ended) {
+    if (it.Number <= runner.LastEndSeen) {
+      continue;
+    }
+    runner.LastEndSeen = it.Number;
+    if (runner.Runs.contains(it.Run)) {
+      release(runner, it.Run, it.How, it.Number, it.Checkpoint);
+      continue;
+    }
+    ObservedEnd end;
+    end.Runner = runner.Info.id();
+    end.BornUnixMs = runner.Info.born_unix_ms();
+    end.Number = it.Number;
+    end.Untracked = it;
+    Effects.Ends.push_back(std::move(end));
+  }
+}
+
+/// Stops runs that are not tracked; an earlier leader left them behind.
+void RunnerRegistry::processRunning(RunnerEntry &runner,
+                                    const PollAnswer &answer, SteadyTime now) {
+  for (const RunningRun &it : answer.Running) {
+    const auto found = runner.Runs.find(it.Run);
+    if (found == runner.Runs.end()) {
+      TrackedRun &untracked = runner.Runs[it.Run];
+      untracked.Needs = NeedsOf(it.Run.Task.Step);
+      runner.Free -= untracked.Needs;
+      beginStop(untracked, now);
+      continue;
+    }
+    TrackedRun &tracked = found->second;
+    tracked.Checkpoint = it.Checkpoint;
+    if (tracked.Stage == RunStage::Inherited ||
+        tracked.Stage == RunStage::Starting) {
+      Effects.Confirmed.push_back(it.Run);
+      tracked.Stage = RunStage::Running;
+      tracked.ConfirmedAt = now;
+      tracked.OccupiedSince = now;
+    }
+  }
+}
+
+/// Releases runs that the runner lists neither as running nor as ended, if no
+/// order can start them any more. Stops those that a start may still reach that
+/// was sent to a former life.
+void RunnerRegistry::releaseMissing(RunnerEntry &runner,
+                                    const PollAnswer &answer, SteadyTime now) {
+  if (answer.Ended.size() >= MaxEndsPerAnswer) {
+    return;
+  }
+  std::set<RunKey> running;
+  for (const RunningRun &it : answer.Running) {
+    running.insert(it.Run);
+  }
+  std::vector<RunKey> missing;
+  for (auto &[run, it] : runner.Runs) {
+    const bool settled =
+        it.Stage == RunStage::Inherited ||
+        (it.ConfirmedAt && *it.ConfirmedAt < runner.PollSentAt);
+    if (!settled || running.contains(run)) {
+      continue;
+    }
+    if (it.Stage == RunStage::Inherited && it.Unanswered) {
+      beginStop(it, now);
+    } else {
+      missing.push_back(run);
+    }
+  }
+  for (const RunKey &it : missing) {
+    const std::string checkpoint = runner.Runs.at(it).Checkpoint;
+    release(runner, it, protocol::RUN_LOST, 0, checkpoint);
+  }
+}
+
+} // namespace masticwinch::workflow
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -222,15 +222,9 @@
 
   // workflow_leader.cpp
   void inheritRuns(Moment at);
-  void addMissingRunner(const std::string &id, Moment at);
   void registerWorkflow(const Workflow &workflow, Moment at);
   void propose(protocol::WorkflowChange change,
                StoredCallback stored = nullptr);
-  void logReborn(const RunnerEntry &known, std::uint64_t bornUnixMs,
-                 const char *source);
-  bool isRecorded(const protocol::RunnerInfo &info) const;
-  const char *outdatedReason(const protocol::RunnerInfo &info,
-                             std::uint64_t sequence) const;
   void logEvent(WorkflowEventKind kind,
                 std::vector<std::pair<std::string, std::string>> fields);
   void submit(const protocol::WorkflowSpec &sent, const QueueRoute &route,
@@ -249,6 +243,15 @@
   admissionRetryDelay(const protocol::WorkflowSpec &spec,
                       const protocol::QueueConfig &queue) const;
 
+  // workflow_leader_runners.cpp
+  void addMissingRunner(const std::string &id, Moment at);
+  void logReborn(const RunnerEntry &known, std::uint64_t bornUnixMs,
+                 const char *source);
+  bool isRecorded(const protocol::RunnerInfo &info) const;
+  const char *outdatedReason(const protocol::RunnerInfo &info,
+                             std::uint64_t sequence) const;
+  void forgetFormerLife(const std::string &id);
+
   // workflow_leader_progress.cpp
   void applied(const protocol::WorkflowChange &change, Moment at);
   void appliedEnd(const protocol::EndRun &end, Moment at);
@@ -263,7 +266,6 @@
   void proposeLateEnd(const ObservedEnd &end);
   void collectRegistryEffects(Moment at);
   void handleRemovedRunner(const RunnerLife &life);
-  void forgetFormerLife(const std::string &id);
   void beginOccurrences(Moment at);
   void forgetEnded(Moment at);
   void forgetRunners(Moment at);
@@ -275,8 +277,6 @@
   static void limit(std::vector<RankedStep> &steps, std::size_t first,
                     std::size_t inTurn, StepKey &last);
   void scheduleStep(const StepKey &key, Fleet &fleet, Moment at);
-  void askMoreRunners(const StepKey &key, std::size_t tasks,
-                      const Fleet::Pool &pool, Fleet &fleet, Moment at);
   Fleet usableFleet(Moment at) const;
   std::vector<std::uint32_t> startableTasks(const StepKey &key,
                                             const OpenStep &open) const;
@@ -292,8 +292,11 @@
   candidateOf(const StepKey &key, const OpenStep &open,
               const protocol::StepSpec &spec, const RunnerEntry &runner,
               const Fleet &fleet);
-  bool renewTickets(const StepKey &key, const std::vector<std::uint32_t> &tasks,
-                    Fleet &fleet, const Fleet::Pool &pool, Moment at);
+  std::size_t startableCount(const StepKey &key, const OpenStep &open) const;
+  void assign(const StepKey &key, OpenStep &open, const PlannedRun &planned,
+              std::uint32_t run, const std::string &checkpoint, Moment at);
+
+  // workflow_leader_advice.cpp
   std::optional<GangReservation>
   reserveRunners(const StepKey &key, bool advised, std::size_t tasks,
                  Fleet &fleet, const Fleet::Pool &pool, Moment at) const;
@@ -302,9 +305,10 @@
   std::vector<std::string> adviceCandidates(const StepKey &key,
                                             std::size_t tasks,
                                             const Fleet::Pool &pool) const;
-  std::size_t startableCount(const StepKey &key, const OpenStep &open) const;
-  void assign(const StepKey &key, OpenStep &open, const PlannedRun &planned,
-              std::uint32_t run, const std::string &checkpoint, Moment at);
+  bool renewTickets(const StepKey &key, const std::vector<std::uint32_t> &tasks,
+                    Fleet &fleet, const Fleet::Pool &pool, Moment at);
+  void askMoreRunners(const StepKey &key, std::size_t tasks,
+                      const Fleet::Pool &pool, Fleet &fleet, Moment at);
 
   // workflow_leader_waits.cpp
   void reportWaits(const Fleet &fleet, const std::vector<RankedStep> &tried,
