Test what of a runner's runs passes into its next life

The review's mutations of the registry that no test noticed: released reservations, charged resources, repeated stops, stored ends and information of a former life.

--- a/fuzzing/workflow/simulated_runners.cpp
+++ b/fuzzing/workflow/simulated_runners.cpp
@@ -306,8 +306,8 @@
   const std::string id = chosen->first;
   Runners.erase(id);
   Silent.insert(id);
-  Restarts.try_emplace(id, clockMs() + RestartTimeMs, NewClockMs + clock,
-                       clock % 2 == 0);
+  Restarts.try_emplace(id, Restart{clockMs() + RestartTimeMs,
+                                   NewClockMs + clock, clock % 2 == 0});
 }
 
 void WorkflowSimulator::beginDueLives() {
--- a/tests/coordination/workflow/test_runner_registry.cpp
+++ b/tests/coordination/workflow/test_runner_registry.cpp
@@ -187,14 +187,83 @@
   CHECK(fixture.poll().EndsStored == 1);
 }
 
-TEST_CASE("No end is acknowledged long after the runner's last answer",
+TEST_CASE("An end is acknowledged only soon after the runner's last answer",
           "[workflow]") {
   Fixture fixture;
   fixture.start();
   fixture.answerPoll(Fixture::ended(1, protocol::RUN_DONE));
   fixture.Registry.endStored({"r", 0}, 1);
-  fixture.pass(Milliseconds(1000));
-  CHECK(fixture.poll().EndsStored == 0);
+  const auto [pause, acknowledged] =
+      GENERATE(table<int, std::uint64_t>({{450, 1}, {550, 0}}));
+  fixture.pass(Milliseconds(pause));
+  CHECK(fixture.poll().EndsStored == acknowledged);
+}
+
+namespace {
+
+protocol::RunnerInfo nextLife() {
+  protocol::RunnerInfo info = runnerOf("r");
+  info.set_born_unix_ms(5);
+  return info;
+}
+
+} // namespace
+
+TEST_CASE("A run that was not ordered to start is lost with the runner's life",
+          "[workflow]") {
+  Fixture fixture;
+  fixture.answerPoll();
+  TrackedRun reserved;
+  reserved.Needs = Core;
+  fixture.Registry.reserve("r", Run, reserved, fixture.Now);
+  fixture.Registry.add(nextLife(), fixture.Now);
+  CHECK(fixture.runner().Free.MilliProcessors == 32'000);
+  const auto ends = fixture.ends();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].End.how() == protocol::RUN_LOST);
+}
+
+TEST_CASE("A run that the runner's next life may have occupies resources there",
+          "[workflow]") {
+  Fixture fixture;
+  fixture.start();
+  fixture.Registry.add(nextLife(), fixture.Now);
+  CHECK(fixture.runner().Free.MilliProcessors == 31'000);
+  CHECK(fixture.ends().empty());
+}
+
+TEST_CASE("The storage of an end of a former life acknowledges nothing to the "
+          "next",
+          "[workflow]") {
+  Fixture fixture;
+  fixture.start();
+  fixture.answerPoll(Fixture::ended(1, protocol::RUN_DONE));
+  fixture.Registry.add(nextLife(), fixture.Now);
+  fixture.Registry.endStored({"r", 0}, 1);
+  CHECK(fixture.runner().EndsStored == 0);
+}
+
+TEST_CASE("Information of a runner's former life does not replace the next",
+          "[workflow]") {
+  Fixture fixture;
+  fixture.Registry.add(nextLife(), fixture.Now);
+  protocol::RunnerInfo former = runnerOf("r");
+  former.set_address("elsewhere:80");
+  fixture.Registry.add(former, fixture.Now);
+  CHECK(fixture.runner().Info.address() == "r:80");
+}
+
+TEST_CASE("A stop that a former life has confirmed is repeated in the next",
+          "[workflow]") {
+  Fixture fixture;
+  fixture.start();
+  fixture.Registry.stop("r", Run, fixture.Now);
+  fixture.Registry.stopAnswered(stopOf(Run), OrderAnswer::Done, fixture.Now);
+  fixture.Registry.add(nextLife(), fixture.Now);
+  CHECK_FALSE(fixture.runner().Runs.at(Run).ConfirmedAt);
+  // The answer of the former life does not count.
+  fixture.Registry.stopAnswered(stopOf(Run), OrderAnswer::Done, fixture.Now);
+  CHECK_FALSE(fixture.runner().Runs.at(Run).ConfirmedAt);
 }
 
 TEST_CASE("An unanswered start is retried, then the run is stopped",
