Log whether a lost run had started and how its runner was lost

The hypotheses differ in whether a run that was lost had been confirmed and whether its runner broke the connection or only didn't answer; the logs had neither. An order whose connection was refused or closed is answered 'disconnected' now, handled as 'silent' wherever that counts; run_ended states reported and started, runner_silent the runs. The test of a broken connection expects the more precise answer. Tests without fuzzing pass.

--- a/src/masticwinch/coordination/workflow/runner_orders.hpp
+++ b/src/masticwinch/coordination/workflow/runner_orders.hpp
@@ -79,8 +79,16 @@
   Malformed,
   /// No answer: the order may have been carried out, or still may be.
   Silent,
+  /// No answer, since the connection was refused or closed; otherwise as
+  /// `Silent`.
+  Disconnected,
 };
 
+/// Whether it is unknown if the order was carried out.
+constexpr bool isUnanswered(OrderAnswer answer) {
+  return answer == OrderAnswer::Silent || answer == OrderAnswer::Disconnected;
+}
+
 /// A run that is running on a runner.
 struct RunningRun {
   RunKey Run;
@@ -122,7 +130,8 @@
       EnumName<Answer>{Answer::Unwell, "unwell"},
       EnumName<Answer>{Answer::OtherLife, "other_life"},
       EnumName<Answer>{Answer::Malformed, "malformed"},
-      EnumName<Answer>{Answer::Silent, "silent"}};
+      EnumName<Answer>{Answer::Silent, "silent"},
+      EnumName<Answer>{Answer::Disconnected, "disconnected"}};
 };
 
 } // namespace masticwinch
--- a/src/masticwinch/coordination/workflow/runner_registry.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.cpp
@@ -90,6 +90,8 @@
       it.Stage = RunStage::Inherited;
       it.ConfirmedAt.reset();
     }
+    it.Started = false;
+    it.StartedAt.reset();
   }
   for (const RunKey &it : reserved) {
     const std::string checkpoint = runner.Runs.at(it).Checkpoint;
@@ -246,6 +248,7 @@
   end.End.set_runner(runner.Info.id());
   end.End.set_how(how);
   end.End.set_checkpoint(checkpoint);
+  end.Started = it->second.Started;
   runner.Runs.erase(it);
   Effects.Ends.push_back(std::move(end));
 }
--- a/src/masticwinch/coordination/workflow/runner_registry.hpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.hpp
@@ -84,6 +84,10 @@
   SteadyTime NextStopAttempt{};
   /// When the runner confirmed the stage; empty before.
   std::optional<SteadyTime> ConfirmedAt;
+  /// The runner has confirmed that the run started.
+  bool Started = false;
+  /// When this leader learned of the start; empty if an earlier one ordered it.
+  std::optional<SteadyTime> StartedAt;
   SteadyTime OccupiedSince{};
   /// Estimated duration of the run.
   Milliseconds ExpectedDuration{0};
@@ -130,6 +134,8 @@
   std::uint64_t BornUnixMs = 0;
   std::uint64_t Number = 0;
   protocol::EndRun End;
+  /// The runner had confirmed the start of the run.
+  bool Started = false;
   /// Set if the run was not tracked, such as after its lease had expired: how
   /// the runner says that it ended. `End` is empty then.
   std::optional<EndedRun> Untracked;
--- a/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
@@ -24,7 +24,7 @@
     return;
   }
   Effects.Deposed = Effects.Deposed || answer == OrderAnswer::Fenced;
-  if (answer == OrderAnswer::Unwell || answer == OrderAnswer::Silent) {
+  if (answer == OrderAnswer::Unwell || isUnanswered(answer)) {
     runner->UnwellUntil = now + Options.UnwellBackoff;
   } else {
     runner->LastAnswer = now;
@@ -41,9 +41,11 @@
     Effects.Confirmed.push_back(run);
     it->Stage = RunStage::Running;
     it->ConfirmedAt = now;
+    it->Started = true;
+    it->StartedAt = now;
   } else if (neverRan && !it->Unanswered) {
     release(*runner, run, protocol::RUN_LOST, 0, it->Checkpoint);
-  } else if (answer == OrderAnswer::Silent &&
+  } else if (isUnanswered(answer) &&
              it->StartAttempts < Options.MaxStartAttempts) {
     it->Unanswered = true;
     sendStart(*runner, run, *it, now);
@@ -156,6 +158,10 @@
     if (tracked.Stage == RunStage::Inherited ||
         tracked.Stage == RunStage::Starting) {
       Effects.Confirmed.push_back(it.Run);
+      tracked.StartedAt = tracked.Stage == RunStage::Starting
+                              ? std::optional(now)
+                              : std::nullopt;
+      tracked.Started = true;
       tracked.Stage = RunStage::Running;
       tracked.ConfirmedAt = now;
       tracked.OccupiedSince = now;
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -278,7 +278,9 @@
              {{"task", textOf(task)},
               {"run", std::to_string(it.End.run())},
               {"runner", it.Runner},
-              {"how", protocol::RunEnd_Name(it.End.how())}});
+              {"how", protocol::RunEnd_Name(it.End.how())},
+              {"reported", it.Number > 0 ? "yes" : "no"},
+              {"started", it.Started ? "yes" : "not confirmed"}});
     if (Health.runEnded(it.Runner, task.Step.Workflow, it.End.how(),
                         Registry.runners().size(), at.Now)) {
       logEvent(WorkflowEventKind::RunnerRests, {{"runner", it.Runner}});
--- a/src/masticwinch/coordination/workflow/workflow_leader_runners.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_runners.cpp
@@ -179,7 +179,8 @@
   } else if (after && after->FailedPolls > 0 && !silent) {
     logEvent(WorkflowEventKind::RunnerSilent,
              {{"runner", order.Runner},
-              {"answer", std::string(nameOf(answer.Answer))}});
+              {"answer", std::string(nameOf(answer.Answer))},
+              {"runs", std::to_string(after->Runs.size())}});
   }
 }
 
