Give up a task under which runners have crashed

Cause: only RUN_FAILED counts as an attempt; a run that ends as lost or lapsed leaves no trace (hypothesis 1), and whether a runner crashed or was cut off is learnt before or after its runs are released (hypothesis 2). Class: an effect on others that no count of attempts sees. Change: a runner that stops answering is stored at once with its confirmed runs, so that late evidence and the next leader find them; another incarnation at its address or under its id resolves them as a crash, an answer of the same one as none, and so does the planned end of one that drains. A task is given up after two crashes of which it is suspected (it had just started), or three in all; after two of unknown fate it waits for that. Gangs count per member, lasting tasks anew once a run was stable.

--- a/src/masticwinch/coordination/workflow/runner_registry.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.cpp
@@ -76,6 +76,7 @@
 void RunnerRegistry::beginLife(RunnerEntry &runner,
                                const protocol::RunnerInfo &info,
                                SteadyTime now) {
+  reportEnded(runner);
   std::vector<RunKey> reserved;
   for (auto &[run, it] : runner.Runs) {
     if (it.Stage == RunStage::Reserved) {
@@ -112,6 +113,57 @@
   runner = std::move(next);
 }
 
+void RunnerRegistry::inheritLost(const std::string &id) {
+  if (RunnerEntry *runner = findActive(id)) {
+    runner->Lost = true;
+  }
+}
+
+/// Reports the confirmed runs of a runner that was lost at this time.
+void RunnerRegistry::reportLost(RunnerEntry &runner, SteadyTime lostAt) {
+  if (runner.Lost) {
+    return;
+  }
+  LostRunner lost{runner.life(), {}};
+  for (const auto &[run, it] : runner.Runs) {
+    if (!it.Started) {
+      continue;
+    }
+    ExposedRun exposed{run, std::nullopt};
+    if (it.StartedAt) {
+      exposed.Age = std::max(
+          std::chrono::duration_cast<Milliseconds>(lostAt - *it.StartedAt),
+          Milliseconds(0));
+    }
+    lost.Runs.push_back(exposed);
+  }
+  if (!lost.Runs.empty()) {
+    runner.Lost = true;
+    Effects.Lost.push_back(std::move(lost));
+  }
+}
+
+/// Reports that the runner's life has ended. One that was draining was expected
+/// to end.
+void RunnerRegistry::reportEnded(RunnerEntry &runner) {
+  const bool crashed = !runner.Info.draining();
+  if (crashed) {
+    reportLost(runner, runner.LastAnswer);
+  }
+  if (runner.Lost) {
+    runner.Lost = false;
+    Effects.Resolved.push_back({runner.life(), crashed});
+  }
+}
+
+/// Reports that a runner that was lost answers again in the same life.
+void RunnerRegistry::reportAnswering(RunnerEntry &runner) {
+  if (runner.Lost) {
+    runner.Lost = false;
+    Effects.Resolved.push_back({runner.life(), false});
+  }
+}
+
 void RunnerRegistry::inherit(const std::string &id, const RunKey &run,
                              const ResourceAmounts &needs) {
   if (RunnerEntry *runner = findActive(id)) {
@@ -127,13 +179,21 @@
   if (!runner) {
     return;
   }
-  releaseAll(*runner, protocol::RUN_LOST);
-  runner->Gone = true;
-  Effects.Gone.push_back(runner->life());
+  reportEnded(*runner);
+  discard(*runner);
+}
+
+/// Removes a runner without knowing whether it crashed.
+void RunnerRegistry::discard(RunnerEntry &runner) {
+  releaseAll(runner, protocol::RUN_LOST);
+  runner.Gone = true;
+  Effects.Gone.push_back(runner.life());
 }
 
 void RunnerRegistry::forget(const std::string &id) {
-  remove(id);
+  if (RunnerEntry *runner = findActive(id)) {
+    discard(*runner);
+  }
   Runners.erase(id);
 }
 
--- a/src/masticwinch/coordination/workflow/runner_registry.hpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.hpp
@@ -118,6 +118,9 @@
   SteadyTime PollSentAt{};
   SteadyTime NextPoll{};
   std::uint32_t FailedPolls = 0;
+  /// The runner was reported as lost, maybe by an earlier leader, and not as
+  /// resolved since.
+  bool Lost = false;
   /// When the runner gave its latest answer to a poll.
   SteadyTime LastPollAnswer{};
 
@@ -148,6 +151,25 @@
   std::size_t StartsAndStops = 0;
 };
 
+/// A run that a runner had confirmed when it was lost.
+struct ExposedRun {
+  RunKey Run;
+  /// How long ago it had started, as far as this leader knows.
+  std::optional<Milliseconds> Age;
+};
+
+/// A runner that stopped answering, with its confirmed runs.
+struct LostRunner {
+  RunnerLife Life;
+  std::vector<ExposedRun> Runs;
+};
+
+/// A life of a runner that answers again or has ended.
+struct ResolvedRunner {
+  RunnerLife Life;
+  bool Crashed = false;
+};
+
 /// Orders and observations since the last call of takeEffects().
 struct RunnerRegistryEffects {
   std::vector<StartOrder> Starts;
@@ -155,6 +177,8 @@
   std::vector<PollOrder> Polls;
   std::vector<ObservedEnd> Ends;
   std::vector<OverdueOrders> Overdue;
+  std::vector<LostRunner> Lost;
+  std::vector<ResolvedRunner> Resolved;
   /// Runs that runners have confirmed as running.
   std::vector<RunKey> Confirmed;
   /// Runners that were removed.
@@ -183,6 +207,9 @@
   /// next life. Has no effect if the information is of a former life.
   void add(const protocol::RunnerInfo &info, SteadyTime now);
 
+  /// Handles that an earlier leader reported the runner as lost.
+  void inheritLost(const std::string &id);
+
   /// Adds a run that was assigned under an earlier leader.
   void inherit(const std::string &runner, const RunKey &run,
                const ResourceAmounts &needs);
@@ -241,6 +268,10 @@
   void release(RunnerEntry &runner, const RunKey &run, protocol::RunEnd how,
                std::uint64_t number, const std::string &checkpoint);
   void releaseAll(RunnerEntry &runner, protocol::RunEnd how);
+  void discard(RunnerEntry &runner);
+  void reportLost(RunnerEntry &runner, SteadyTime lostAt);
+  void reportEnded(RunnerEntry &runner);
+  void reportAnswering(RunnerEntry &runner);
   void sendStart(RunnerEntry &runner, const RunKey &run, TrackedRun &trackedRun,
                  SteadyTime now);
   void sendStop(RunnerEntry &runner, const RunKey &run, TrackedRun &trackedRun,
--- a/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
@@ -101,6 +101,7 @@
     pollFailed(*runner, OrderAnswer::Malformed, now);
     return;
   }
+  reportAnswering(*runner);
   runner->PollPending = false;
   runner->FailedPolls = 0;
   runner->LastAnswer = now;
@@ -118,6 +119,10 @@
   Effects.Deposed = Effects.Deposed || answer == OrderAnswer::Fenced;
   runner.PollPending = false;
   runner.FailedPolls += 1;
+  if (isUnanswered(answer)) {
+    reportLost(runner,
+               answer == OrderAnswer::Disconnected ? now : runner.LastAnswer);
+  }
   runner.NextPoll = now + Options.RetryDelay;
 }
 
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -27,12 +27,22 @@
                  const protocol::StepSpec *spec = State.findSpec(key);
                  return spec ? needsOf(*spec) : ResourceAmounts();
                }),
-      Advice(options.Advice), Health(options.Health) {
+      Advice(options.Advice), Health(options.Health),
+      Containment(options.Containment), LedSince(at.Now) {
   for (const auto &[id, info] : State.runners()) {
     Registry.add(info, at.Now);
     Heartbeats[id] = {info.born_unix_ms(), 0, at.Now};
+    if (State.hasExposures(id, info.born_unix_ms())) {
+      Registry.inheritLost(id);
+    }
   }
   inheritRuns(at);
+  for (auto &[key, open] : OpenSteps) {
+    updateSuspicion(key, open, at.Now);
+    if (open.SuspectSince) {
+      Containment.recordSuspect(open.Parent->Spec.queue(), at.Now);
+    }
+  }
   logEvent(WorkflowEventKind::LeadershipTaken,
            {{"workflows", std::to_string(State.workflows().size())},
             {"runners", std::to_string(State.runners().size())},
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -2,6 +2,7 @@
 
 #include "masticwinch/coordination/workflow/admission.hpp"
 #include "masticwinch/coordination/workflow/advice_tracker.hpp"
+#include "masticwinch/coordination/workflow/crash_containment.hpp"
 #include "masticwinch/coordination/workflow/gang_reservation.hpp"
 #include "masticwinch/coordination/workflow/queue_routes.hpp"
 #include "masticwinch/coordination/workflow/runner_health.hpp"
@@ -25,6 +26,7 @@
   RunnerRegistryOptions Runners;
   AdviceTrackerOptions Advice;
   RunnerHealthOptions Health;
+  CrashContainmentOptions Containment;
   AdmissionOptions Admission;
   /// Minimum interval between two scheduling passes; events in between are
   /// handled in one pass.
@@ -180,6 +182,8 @@
     /// Number of tasks that can be started, if it has been counted since the
     /// last change of the step's tasks.
     std::optional<std::size_t> Startable;
+    /// Since when a task of the step has been suspected of crashing runners.
+    std::optional<SteadyTime> SuspectSince;
   };
   struct RankedStep {
     StepRank Rank;
@@ -212,6 +216,10 @@
     /// Resources claimed for gangs that fit and only wait for tickets.
     std::unordered_map<const RunnerEntry *, ResourceAmounts> Claimed;
 
+    /// Runners kept for queues on probation, and for suspects.
+    std::unordered_set<const RunnerEntry *> Probation;
+    std::unordered_set<const RunnerEntry *> Isolation;
+
     /// Free resources of a runner, without the claimed ones.
     ResourceAmounts freeOn(const RunnerEntry &runner) const;
     /// Number of gangs that may still reserve runners in this pass.
@@ -279,7 +287,8 @@
   void scheduleStep(const StepKey &key, Fleet &fleet, Moment at);
   Fleet usableFleet(Moment at) const;
   std::vector<std::uint32_t> startableTasks(const StepKey &key,
-                                            const OpenStep &open) const;
+                                            const OpenStep &open,
+                                            SteadyTime now) const;
   std::vector<PlanCandidate> candidates(const StepKey &key, bool advised,
                                         const Fleet &fleet,
                                         const Fleet::Pool &pool,
@@ -288,10 +297,10 @@
                      const RunnerEntry &runner);
   bool hasOtherRunners(const StepKey &key, bool advised,
                        const Fleet::Pool &pool) const;
-  static std::optional<PlanCandidate>
+  std::optional<PlanCandidate>
   candidateOf(const StepKey &key, const OpenStep &open,
               const protocol::StepSpec &spec, const RunnerEntry &runner,
-              const Fleet &fleet);
+              const Fleet &fleet, SteadyTime now) const;
   std::size_t startableCount(const StepKey &key, const OpenStep &open) const;
   void assign(const StepKey &key, OpenStep &open, const PlannedRun &planned,
               std::uint32_t run, const std::string &checkpoint, Moment at);
@@ -302,14 +311,26 @@
                  Fleet &fleet, const Fleet::Pool &pool, Moment at) const;
   void renewReserved(const StepKey &key, const GangReservation &reservation,
                      Moment at);
-  std::vector<std::string> adviceCandidates(const StepKey &key,
-                                            std::size_t tasks,
-                                            const Fleet::Pool &pool) const;
+  std::vector<std::string>
+  adviceCandidates(const StepKey &key, std::size_t tasks, const Fleet &fleet,
+                   const Fleet::Pool &pool, SteadyTime now) const;
   bool renewTickets(const StepKey &key, const std::vector<std::uint32_t> &tasks,
                     Fleet &fleet, const Fleet::Pool &pool, Moment at);
   void askMoreRunners(const StepKey &key, std::size_t tasks,
                       const Fleet::Pool &pool, Fleet &fleet, Moment at);
 
+  // workflow_leader_crashes.cpp
+  void collectLosses(RunnerRegistryEffects &effects, Moment at);
+  void appliedCrashes(Moment at);
+  void updateSuspicion(const StepKey &key, OpenStep &open, SteadyTime now);
+  bool isIsolated(const OpenStep &open, const protocol::StepSpec &spec,
+                  SteadyTime now) const;
+  bool waitsForFate(const Task &task, SteadyTime now) const;
+  void keepApart(Fleet &fleet, SteadyTime now) const;
+  bool isKeptApart(const StepKey &key, const OpenStep &open,
+                   const protocol::StepSpec &spec, const RunnerEntry &runner,
+                   const Fleet &fleet, SteadyTime now) const;
+
   // workflow_leader_waits.cpp
   void reportWaits(const Fleet &fleet, const std::vector<RankedStep> &tried,
                    Moment at);
@@ -325,6 +346,10 @@
   RunnerRegistry Registry;
   AdviceTracker Advice;
   RunnerHealth Health;
+  CrashContainment Containment;
+  const SteadyTime LedSince;
+  /// When lost runners were reported, by id.
+  std::map<std::string, SteadyTime> LostSince;
   std::map<StepKey, OpenStep> OpenSteps;
   std::map<std::string, SchedulingInfo> Scheduling;
   /// When this leader first saw each ended workflow as ended.
--- a/src/masticwinch/coordination/workflow/workflow_leader_advice.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_advice.cpp
@@ -19,7 +19,8 @@
   for (const RunnerEntry *it : pool.Runners) {
     const bool approved = tickets && tickets->contains(it->Info.id());
     if (!fleet.Reserved.contains(it) && (!advised || approved) &&
-        mayRun(open, spec, *it)) {
+        mayRun(open, spec, *it) &&
+        !isKeptApart(key, open, spec, *it, fleet, at.Now)) {
       runners.push_back(it);
     }
   }
@@ -54,10 +55,15 @@
 /// leaves large free capacity for gangs.
 std::vector<std::string>
 WorkflowLeader::adviceCandidates(const StepKey &key, std::size_t tasks,
-                                 const Fleet::Pool &pool) const {
+                                 const Fleet &fleet, const Fleet::Pool &pool,
+                                 SteadyTime now) const {
   const protocol::StepSpec &spec = *State.findSpec(key);
   const ResourceAmounts needs = needsOf(spec);
   std::vector<const RunnerEntry *> runners = pool.Runners;
+  const OpenStep &open = OpenSteps.at(key);
+  std::erase_if(runners, [&](const RunnerEntry *it) {
+    return isKeptApart(key, open, spec, *it, fleet, now);
+  });
   const std::set<std::string> *asked = Advice.askedRunners(key);
   if (asked && !asked->empty()) {
     std::erase_if(runners, [asked](const RunnerEntry *it) {
@@ -123,7 +129,7 @@
                                     const Fleet::Pool &pool, Fleet &fleet,
                                     Moment at) {
   if (Advice.mayAsk(key, Advice.callSize(key, tasks), at.Now)) {
-    Advice.ask(key, adviceCandidates(key, tasks, pool), at.Now);
+    Advice.ask(key, adviceCandidates(key, tasks, fleet, pool, at.Now), at.Now);
   }
   if (!Advice.hasAnswer(key) || !Advice.isSlow(key) ||
       fleet.SlowRenewals == 0) {
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -81,6 +81,8 @@
     if (!known || !known->Unannounced) {
       Registry.add(info, at.Now);
     }
+  } else if (change.has_expose() || change.has_resolve()) {
+    appliedCrashes(at);
   } else if (change.has_configure()) {
     logEvent(WorkflowEventKind::ConfigurationStored,
              {{"version", std::to_string(State.config().version())}});
@@ -186,6 +188,7 @@
         step.Parent = &workflow;
         step.Info = &known->second;
         step.Startable.reset();
+        updateSuspicion(key, step, LedSince);
       } else if (OpenSteps.erase(key) > 0) {
         Advice.removeStep(key);
       }
@@ -264,6 +267,7 @@
   for (const RunKey &it : effects.Confirmed) {
     ConfirmedRunning.insert(it.Task.Step.Workflow);
   }
+  collectLosses(effects, at);
   for (ObservedEnd &it : effects.Ends) {
     if (it.Number > 0) {
       PendingEnds.emplace_back(RunnerLife{it.Runner, it.BornUnixMs}, it.Number);
--- a/src/masticwinch/coordination/workflow/workflow_leader_runners.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_runners.cpp
@@ -131,6 +131,7 @@
   protocol::RunnerInfo leaving = known->Info;
   leaving.set_born_unix_ms(
       std::max(life.BornUnixMs, known->Info.born_unix_ms()));
+  leaving.set_draining(true);
   Registry.add(leaving, at.Now);
   Registry.remove(life.Id);
   collectRegistryEffects(at);
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -133,7 +133,8 @@
 
 /// Tasks that can be started; for a gang all or none.
 std::vector<std::uint32_t>
-WorkflowLeader::startableTasks(const StepKey &key, const OpenStep &open) const {
+WorkflowLeader::startableTasks(const StepKey &key, const OpenStep &open,
+                               SteadyTime now) const {
   std::vector<std::uint32_t> tasks;
   const Step *step = State.findStep(key);
   const protocol::StepSpec *spec = State.findSpec(key);
@@ -142,7 +143,8 @@
   }
   for (std::uint32_t i = 0; i < step->Tasks.size(); ++i) {
     const Task &it = step->Tasks[i];
-    if (!it.Done && it.Runner.empty() && !open.InFlight.contains(i)) {
+    if (!it.Done && it.Runner.empty() && !open.InFlight.contains(i) &&
+        !waitsForFate(it, now)) {
       tasks.push_back(i);
     }
   }
@@ -257,12 +259,12 @@
 
 /// The runner with its free resources as a candidate for the step; nothing if
 /// it can't run a task of it.
-std::optional<PlanCandidate>
-WorkflowLeader::candidateOf(const StepKey &key, const OpenStep &open,
-                            const protocol::StepSpec &spec,
-                            const RunnerEntry &runner, const Fleet &fleet) {
+std::optional<PlanCandidate> WorkflowLeader::candidateOf(
+    const StepKey &key, const OpenStep &open, const protocol::StepSpec &spec,
+    const RunnerEntry &runner, const Fleet &fleet, SteadyTime now) const {
   const ResourceAmounts free = fleet.freeOn(runner);
-  if (!free.canFit(needsOf(spec)) || !mayRun(open, spec, runner)) {
+  if (!free.canFit(needsOf(spec)) || !mayRun(open, spec, runner) ||
+      isKeptApart(key, open, spec, runner, fleet, now)) {
     return std::nullopt;
   }
   const auto reserved = fleet.Reserved.find(&runner);
@@ -294,7 +296,7 @@
       pool.ByFreeProcessors.begin(), pool.ByFreeProcessors.end(),
       [needed](const auto &it) { return it.first >= needed; });
   const auto consider = [&](const RunnerEntry &runner) {
-    if (auto candidate = candidateOf(key, open, spec, runner, fleet)) {
+    if (auto candidate = candidateOf(key, open, spec, runner, fleet, at.Now)) {
       found.push_back(*candidate);
     }
   };
@@ -341,7 +343,7 @@
   }
   OpenStep &open = OpenSteps.at(key);
   const protocol::StepSpec &spec = *State.findSpec(key);
-  const std::vector<std::uint32_t> tasks = startableTasks(key, open);
+  const std::vector<std::uint32_t> tasks = startableTasks(key, open, at.Now);
   if (!open.FailedRunners.empty() &&
       !hasOtherRunners(key, queue->has_advice(), pool->second)) {
     open.FailedRunners.clear();
@@ -361,7 +363,8 @@
   const bool advised = queue->has_advice();
   if (advised) {
     Advice.addStep(key, queue->name(), queue->advice());
-    if (renewTickets(key, startableTasks(key, open), fleet, pool->second, at)) {
+    if (renewTickets(key, startableTasks(key, open, at.Now), fleet,
+                     pool->second, at)) {
       return;
     }
   }
--- a/src/masticwinch/coordination/workflow/workflow_leader_waits.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_waits.cpp
@@ -85,7 +85,8 @@
   if (pool == fleet.Pools.end()) {
     return 0;
   }
-  return planStep(*State.findSpec(key), startableTasks(key, OpenSteps.at(key)),
+  return planStep(*State.findSpec(key),
+                  startableTasks(key, OpenSteps.at(key), at.Now),
                   candidates(key, queue.has_advice(), fleet, pool->second,
                              false, at))
       .size();
--- a/src/masticwinch/coordination/workflow/workflow_state.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_state.cpp
@@ -32,6 +32,15 @@
     task->set_failures(it.Failures);
     task->set_runner(it.Runner);
     task->set_checkpoint(it.Checkpoint);
+    task->set_crashes(it.Crashes);
+    task->set_suspected_crashes(it.SuspectedCrashes);
+    for (const Exposure &exposure : it.Exposures) {
+      protocol::ExposureRecord *exposed = task->add_exposures();
+      exposed->set_runner(exposure.Runner);
+      exposed->set_born_unix_ms(exposure.BornUnixMs);
+      exposed->set_suspected(exposure.Suspected);
+      exposed->set_stable(exposure.Stable);
+    }
   }
 }
 
@@ -40,8 +49,13 @@
   step.GangFailures = record.gang_failures();
   step.LastFailedRun = record.last_failed_run();
   for (const protocol::TaskRecord &it : record.tasks()) {
-    step.Tasks.push_back(
-        {it.done(), it.run(), it.failures(), it.runner(), it.checkpoint()});
+    Task &task = step.Tasks.emplace_back();
+    task = {it.done(),       it.run(),     it.failures(),          it.runner(),
+            it.checkpoint(), it.crashes(), it.suspected_crashes(), {}};
+    for (const protocol::ExposureRecord &exposed : it.exposures()) {
+      task.Exposures.push_back({exposed.runner(), exposed.born_unix_ms(),
+                                exposed.suspected(), exposed.stable()});
+    }
     step.TasksLeft += it.done() ? 0 : 1;
   }
   return step;
@@ -121,6 +135,10 @@
   case protocol::WorkflowChange::kForget:
     Workflows.erase(change.forget().id());
     return;
+  case protocol::WorkflowChange::kExpose:
+    return expose(change.expose());
+  case protocol::WorkflowChange::kResolve:
+    return resolve(change.resolve());
   case protocol::WorkflowChange::kConfigure:
     return configure(change.configure());
   case protocol::WorkflowChange::CHANGE_NOT_SET:
@@ -141,8 +159,13 @@
   known.set_restarted(restarted);
 }
 
-/// Forgets a life of a runner and those before it.
+/// Forgets a life of a runner and those before it. What isn't known of its end
+/// by then counts as no crash.
 void WorkflowState::forget(const protocol::ForgetRunner &forget) {
+  protocol::ResolveRunner resolved;
+  resolved.set_runner(forget.id());
+  resolved.set_born_unix_ms(forget.born_unix_ms());
+  resolve(resolved);
   const auto it = Runners.find(forget.id());
   if (it != Runners.end() &&
       it->second.born_unix_ms() <= forget.born_unix_ms()) {
@@ -358,8 +381,10 @@
   Config = snapshot.config();
   Workflows.clear();
   Runners.clear();
+  ExposedTasks.clear();
   for (const protocol::WorkflowEntry &it : snapshot.workflows()) {
-    Workflows.emplace(it.spec().id(), workflowOf(it));
+    const auto added = Workflows.emplace(it.spec().id(), workflowOf(it)).first;
+    indexExposures(added->second);
   }
   for (const protocol::RunnerInfo &it : snapshot.runners()) {
     Runners.emplace(it.id(), it);
--- a/src/masticwinch/coordination/workflow/workflow_state.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_state.hpp
@@ -4,6 +4,7 @@
 #include "masticwinch/coordination/workflow/workflow_types.hpp"
 
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -41,6 +42,9 @@
   /// Whether all steps that the step depends on are done.
   bool isReady(const StepKey &key) const;
 
+  /// Whether runs are exposed on a life of a runner whose fate isn't known.
+  bool hasExposures(const std::string &runner, std::uint64_t bornUnixMs) const;
+
 private:
   void accept(const protocol::AcceptWorkflow &accept);
   void cancel(const std::string &id);
@@ -50,16 +54,21 @@
   void configure(const protocol::CellConfig &config);
   void record(const protocol::RunnerInfo &info);
   void forget(const protocol::ForgetRunner &forget);
+  void expose(const protocol::ExposeRuns &expose);
+  void resolve(const protocol::ResolveRunner &resolve);
 
   void beginOccurrence(Workflow &workflow, std::uint32_t number);
   void recordFailure(Workflow &workflow, const protocol::StepSpec &spec,
                      Step &step, Task &task, std::uint32_t run);
   void recordDone(const protocol::StepSpec &spec, Step &step, Task &task);
   void updateCompletion(Workflow &workflow, std::uint32_t occurrence);
+  void indexExposures(const Workflow &workflow);
 
   protocol::CellConfig Config;
   std::unordered_map<std::string, Workflow> Workflows;
   std::map<std::string, protocol::RunnerInfo> Runners;
+  /// Tasks with exposures, by runner; derived from these.
+  std::map<std::string, std::set<TaskKey>> ExposedTasks;
 };
 
 } // namespace masticwinch::workflow
--- a/src/masticwinch/coordination/workflow/workflow_types.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_types.hpp
@@ -3,6 +3,7 @@
 #include "masticwinch/common/enum_names.hpp"
 #include "masticwinch/protocol/workflow.pb.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -70,6 +71,21 @@
   return needs;
 }
 
+/// A task is given up when this many runners have crashed right after it
+/// started, or this many while it ran.
+inline constexpr std::uint32_t MaxSuspectedCrashes = 2;
+inline constexpr std::uint32_t MaxCrashes = 3;
+
+/// A run whose runner was lost for a reason that is not known yet.
+struct Exposure {
+  std::string Runner;
+  std::uint64_t BornUnixMs = 0;
+  /// The run started just before, so it may be the cause.
+  bool Suspected = false;
+  /// It had run for long.
+  bool Stable = false;
+};
+
 /// One task of an occurrence.
 struct Task {
   bool Done = false;
@@ -80,6 +96,17 @@
   /// none.
   std::string Runner;
   std::string Checkpoint;
+  /// Runners that crashed under the task, and those of which it was suspected.
+  std::uint32_t Crashes = 0;
+  std::uint32_t SuspectedCrashes = 0;
+  std::vector<Exposure> Exposures;
+
+  /// Whether the task may be the cause of a crash.
+  bool isSuspect() const {
+    return SuspectedCrashes > 0 || Crashes + 1 >= MaxCrashes ||
+           std::any_of(Exposures.begin(), Exposures.end(),
+                       [](const Exposure &it) { return it.Suspected; });
+  }
 };
 
 struct Step {
--- a/tests/coordination/workflow/crashing_cell.hpp
+++ b/tests/coordination/workflow/crashing_cell.hpp
@@ -138,7 +138,7 @@
   std::set<std::string> Deadly;
   /// Tasks of other workflows that do.
   std::set<workflow::TaskKey> DeadlyTasks;
-  /// Duration of every other run.
+  /// Duration of every other run, also of a gang of which a member is missing.
   Milliseconds RunTime{600};
   std::size_t Crashes = 0;
   std::map<workflow::TaskKey, std::uint32_t> StartsOf;
@@ -162,6 +162,7 @@
     std::map<workflow::TaskKey, std::uint32_t> Closed;
     std::vector<workflow::EndedRun> Ended;
     std::uint64_t LastEnd = 0;
+    std::int64_t LeaseUntilMs = 0;
   };
   struct Poll {
     workflow::PollOrder Order;
@@ -214,6 +215,10 @@
   }
 
   void endRuns(const std::string &name, Host &host) {
+    while (clockOf(host) > host.LeaseUntilMs && !host.Runs.empty()) {
+      endRun(host, workflow::RunKey(host.Runs.begin()->first),
+             protocol::RUN_LAPSED);
+    }
     std::vector<workflow::RunKey> ended;
     for (const auto &[run, started] : host.Runs) {
       if (isDeadly(run.Task) && Now.Now - started >= Terms.CrashAfter) {
@@ -254,6 +259,8 @@
       } else if (host.Info.id() != it.Order.Runner) {
         answer.Answer = workflow::OrderAnswer::OtherLife;
       } else {
+        host.LeaseUntilMs =
+            std::max(host.LeaseUntilMs, it.Order.LeaseUntilMs.value_or(0));
         std::erase_if(host.Ended, [&](const workflow::EndedRun &end) {
           return end.Number <= it.Order.EndsStored;
         });
@@ -296,6 +303,7 @@
       answer = workflow::OrderAnswer::Outdated;
     } else if (answer == workflow::OrderAnswer::Done &&
                host.Runs.emplace(order.Run, Now.Now).second) {
+      host.LeaseUntilMs = std::max(host.LeaseUntilMs, order.LeaseUntilMs);
       ++StartsOf[order.Run.Task];
       checkCapacity(host);
     }
