Keep tasks that may crash their runners apart from the others

Class: contagion; the number of runners that suspects take down was bounded by arrivals only. Change: while a queue's tasks are suspected of three crashes in 10 s, its single tasks start on a quarter of the runners (half while most room is free), one step after the other on each, and others don't start there. Tasks that are suspects themselves start on an eighth, only beside other suspects, for 6 s at most. Admission counts such a queue's work and runners by themselves, so that what would come late is refused at once.

--- a/src/masticwinch/coordination/workflow/crash_containment.hpp
+++ b/src/masticwinch/coordination/workflow/crash_containment.hpp
@@ -28,6 +28,10 @@
   /// probation, and share for tasks that are suspects themselves.
   std::uint64_t ProbationPermille = 250;
   std::uint64_t IsolationPermille = 125;
+  /// The share for queues on probation while more than `IdlePermille` of the
+  /// processors are free: there is little beside them to lose.
+  std::uint64_t IdleProbationPermille = 500;
+  std::int64_t IdlePermille = 500;
   /// Minimum time between starts of different steps of queues on probation on
   /// the same runner, so that a crash is blamed on the right one.
   Milliseconds ProbationSpacing{50};
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -269,9 +269,17 @@
     return std::nullopt;
   }
   AdmissionInput input;
-  input.MilliProcessors = expectedProcessors(queue.pool());
-  for (const auto &[priority, work] : WaitingWork) {
-    input.WorkAhead += priority <= queue.priority() ? work : 0;
+  if (const auto work = ProbationWork.find(queue.name());
+      work != ProbationWork.end()) {
+    const auto kept = ProbationProcessors.find(queue.pool());
+    input.MilliProcessors =
+        kept == ProbationProcessors.end() ? 0 : kept->second;
+    input.WorkAhead = work->second;
+  } else {
+    input.MilliProcessors = expectedProcessors(queue.pool());
+    for (const auto &[priority, waiting] : WaitingWork) {
+      input.WorkAhead += priority <= queue.priority() ? waiting : 0;
+    }
   }
   const Milliseconds criticalPath =
       longestCriticalPath(remainingCriticalPaths(spec, queue));
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -327,9 +327,16 @@
                   SteadyTime now) const;
   bool waitsForFate(const Task &task, SteadyTime now) const;
   void keepApart(Fleet &fleet, SteadyTime now) const;
-  bool isKeptApart(const StepKey &key, const OpenStep &open,
-                   const protocol::StepSpec &spec, const RunnerEntry &runner,
-                   const Fleet &fleet, SteadyTime now) const;
+  bool isConfined(const OpenStep &open, const protocol::StepSpec &spec,
+                  const Fleet &fleet, SteadyTime now) const;
+  bool isKeptApart(const OpenStep &open, const protocol::StepSpec &spec,
+                   const RunnerEntry &runner, const Fleet &fleet,
+                   SteadyTime now) const;
+  bool mustFollowOthers(const StepKey &key, const OpenStep &open,
+                        const protocol::StepSpec &spec,
+                        const RunnerEntry &runner, const Fleet &fleet,
+                        SteadyTime now) const;
+  void countProbation(const Fleet &fleet);
 
   // workflow_leader_waits.cpp
   void reportWaits(const Fleet &fleet, const std::vector<RankedStep> &tried,
@@ -399,6 +406,10 @@
   std::int64_t GangTaskProcessors = 0;
   /// Processors of usable runners by pool, in thousandths of a core.
   std::map<std::string, std::uint64_t> UsableProcessors;
+  /// Those of the runners that are kept for queues on probation.
+  std::map<std::string, std::uint64_t> ProbationProcessors;
+  /// Core-milliseconds of waiting work of queues on probation, by queue.
+  std::map<std::string, std::uint64_t> ProbationWork;
   std::uint64_t NextBatch = 1;
   protocol::WorkflowRecord PendingRecord;
   std::vector<StoredCallback> PendingCallbacks;
--- a/src/masticwinch/coordination/workflow/workflow_leader_advice.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_advice.cpp
@@ -20,7 +20,7 @@
     const bool approved = tickets && tickets->contains(it->Info.id());
     if (!fleet.Reserved.contains(it) && (!advised || approved) &&
         mayRun(open, spec, *it) &&
-        !isKeptApart(key, open, spec, *it, fleet, at.Now)) {
+        !isKeptApart(open, spec, *it, fleet, at.Now)) {
       runners.push_back(it);
     }
   }
@@ -62,7 +62,7 @@
   std::vector<const RunnerEntry *> runners = pool.Runners;
   const OpenStep &open = OpenSteps.at(key);
   std::erase_if(runners, [&](const RunnerEntry *it) {
-    return isKeptApart(key, open, spec, *it, fleet, now);
+    return isKeptApart(open, spec, *it, fleet, now);
   });
   const std::set<std::string> *asked = Advice.askedRunners(key);
   if (asked && !asked->empty()) {
--- a/src/masticwinch/coordination/workflow/workflow_leader_crashes.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_crashes.cpp
@@ -114,10 +114,14 @@
     return;
   }
   std::vector<std::pair<std::size_t, const RunnerEntry *>> places;
+  std::int64_t free = 0;
+  std::int64_t all = 0;
   for (const auto &[id, runner] : Registry.runners()) {
     if (!runner.Gone && !runner.Info.draining()) {
       places.emplace_back(std::hash<std::string>()(runner.Info.address()),
                           &runner);
+      free += std::max<std::int64_t>(runner.Free.MilliProcessors, 0);
+      all += runner.Info.capacity().milli_processors();
     }
   }
   std::sort(places.begin(), places.end());
@@ -127,16 +131,26 @@
   };
   const std::size_t isolated = suspects ? share(options.IsolationPermille) : 0;
   const std::size_t kept =
-      probation ? std::max(share(options.ProbationPermille), isolated + 1)
+      probation ? std::max(share(free * 1000 > all * options.IdlePermille
+                                     ? options.IdleProbationPermille
+                                     : options.ProbationPermille),
+                           isolated + 1)
                 : isolated;
   for (std::size_t i = 0; i < std::min(kept, places.size()); ++i) {
     (i < isolated ? fleet.Isolation : fleet.Probation).insert(places[i].second);
   }
 }
 
-/// Whether the runner may get tasks of the step, given which runners are kept
-/// apart.
-bool WorkflowLeader::isKeptApart(const StepKey &key, const OpenStep &open,
+/// Whether the step is confined to the runners kept for queues on probation.
+bool WorkflowLeader::isConfined(const OpenStep &open,
+                                const protocol::StepSpec &spec,
+                                const Fleet &fleet, SteadyTime now) const {
+  return !spec.gang() && !fleet.Probation.empty() &&
+         Containment.isOnProbation(open.Parent->Spec.queue(), now);
+}
+
+/// Whether the runner is kept for other steps than this one.
+bool WorkflowLeader::isKeptApart(const OpenStep &open,
                                  const protocol::StepSpec &spec,
                                  const RunnerEntry &runner, const Fleet &fleet,
                                  SteadyTime now) const {
@@ -144,29 +158,49 @@
     return false;
   }
   if (isIsolated(open, spec, now)) {
-    return !fleet.Isolation.contains(&runner) ||
-           std::any_of(
-               runner.Runs.begin(), runner.Runs.end(), [&](const auto &it) {
-                 const auto other = OpenSteps.find(it.first.Task.Step);
-                 return other != OpenSteps.end() && !other->second.SuspectSince;
-               });
+    return !fleet.Isolation.contains(&runner);
   }
-  const bool probation =
-      !spec.gang() && !fleet.Probation.empty() &&
-      Containment.isOnProbation(open.Parent->Spec.queue(), now);
-  if (!probation) {
-    return fleet.Isolation.contains(&runner) ||
-           fleet.Probation.contains(&runner);
+  if (isConfined(open, spec, fleet, now)) {
+    return !fleet.Probation.contains(&runner);
   }
-  if (!fleet.Probation.contains(&runner)) {
-    return true;
+  return fleet.Isolation.contains(&runner) || fleet.Probation.contains(&runner);
+}
+
+/// Whether a start of the step has to wait for other runs on a runner that is
+/// kept for such steps: a suspect runs only beside other suspects, and steps on
+/// probation start one after the other.
+bool WorkflowLeader::mustFollowOthers(const StepKey &key, const OpenStep &open,
+                                      const protocol::StepSpec &spec,
+                                      const RunnerEntry &runner,
+                                      const Fleet &fleet,
+                                      SteadyTime now) const {
+  if (isIsolated(open, spec, now)) {
+    return std::any_of(
+        runner.Runs.begin(), runner.Runs.end(), [&](const auto &it) {
+          const auto other = OpenSteps.find(it.first.Task.Step);
+          return other != OpenSteps.end() && !other->second.SuspectSince;
+        });
   }
   const Milliseconds spacing = Containment.options().ProbationSpacing;
-  return std::any_of(runner.Runs.begin(), runner.Runs.end(),
+  return isConfined(open, spec, fleet, now) &&
+         std::any_of(runner.Runs.begin(), runner.Runs.end(),
                      [&](const auto &it) {
                        return it.first.Task.Step != key &&
                               now - it.second.OccupiedSince < spacing;
                      });
 }
 
+/// Processors of the usable runners that are kept for queues on probation, in
+/// thousandths of a core.
+void WorkflowLeader::countProbation(const Fleet &fleet) {
+  ProbationProcessors.clear();
+  for (const auto &[name, pool] : fleet.Pools) {
+    for (const RunnerEntry *it : pool.Runners) {
+      if (fleet.Probation.contains(it)) {
+        ProbationProcessors[name] += it->Info.capacity().milli_processors();
+      }
+    }
+  }
+}
+
 } // namespace masticwinch::workflow
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -41,6 +41,7 @@
 std::vector<WorkflowLeader::RankedStep> WorkflowLeader::rankedSteps(Moment at) {
   std::vector<RankedStep> ranked;
   WaitingWork.clear();
+  ProbationWork.clear();
   std::int64_t gangTasks = 0;
   std::int64_t gangProcessors = 0;
   for (auto &[key, open] : OpenSteps) {
@@ -59,9 +60,13 @@
     const Milliseconds remaining = open.Info->CriticalPaths[key.Step];
     const StepRank rank =
         rankOf(open.Info->Ranking, remaining, at.Now, Options.Ranking);
-    if (rank.Forecast == CompletionForecast::OnTime) {
-      WaitingWork[rank.Priority] += tasks * std::uint64_t(spec.estimate_ms()) *
-                                    spec.needs().milli_processors() / 1000;
+    const std::uint64_t work = tasks * std::uint64_t(spec.estimate_ms()) *
+                               spec.needs().milli_processors() / 1000;
+    const std::string &queue = open.Parent->Spec.queue();
+    if (!spec.gang() && Containment.isOnProbation(queue, at.Now)) {
+      ProbationWork[queue] += work;
+    } else if (rank.Forecast == CompletionForecast::OnTime) {
+      WaitingWork[rank.Priority] += work;
     }
     ranked.push_back({rank, &key});
   }
@@ -202,6 +207,8 @@
   for (const auto &[name, pool] : fleet.Pools) {
     UsableProcessors[name] = pool.MilliProcessors;
   }
+  keepApart(fleet, at.Now);
+  countProbation(fleet);
   const std::vector<RankedStep> ranked = rankedSteps(at);
   for (const RankedStep &it : ranked) {
     scheduleStep(*it.Key, fleet, at);
@@ -264,7 +271,8 @@
     const RunnerEntry &runner, const Fleet &fleet, SteadyTime now) const {
   const ResourceAmounts free = fleet.freeOn(runner);
   if (!free.canFit(needsOf(spec)) || !mayRun(open, spec, runner) ||
-      isKeptApart(key, open, spec, runner, fleet, now)) {
+      isKeptApart(open, spec, runner, fleet, now) ||
+      mustFollowOthers(key, open, spec, runner, fleet, now)) {
     return std::nullopt;
   }
   const auto reserved = fleet.Reserved.find(&runner);
--- a/tests/coordination/workflow/crashing_cell.hpp
+++ b/tests/coordination/workflow/crashing_cell.hpp
@@ -3,6 +3,7 @@
 #include "masticwinch/coordination/workflow/workflow_leader.hpp"
 
 #include "tests/coordination/workflow/workflow_records.hpp"
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -92,6 +93,10 @@
     it.Up = false;
     it.BackAt = Now.Now + downTime;
     ++Crashes;
+    const auto down =
+        std::count_if(Hosts.begin(), Hosts.end(),
+                      [](const auto &other) { return !other.second.Up; });
+    MostDown = std::max(MostDown, std::size_t(down));
   }
 
   /// Cuts a runner off, or joins it again; it runs on meanwhile.
@@ -141,6 +146,8 @@
   /// Duration of every other run, also of a gang of which a member is missing.
   Milliseconds RunTime{600};
   std::size_t Crashes = 0;
+  /// The most runners that were down at the same time.
+  std::size_t MostDown = 0;
   std::map<workflow::TaskKey, std::uint32_t> StartsOf;
   std::map<workflow::TaskKey, std::uint32_t> CrashesUnder;
   /// Starts that brought a runner over its capacity.
--- /dev/null
+++ b/tests/coordination/workflow/test_crash_containment.cpp
@@ -0,0 +1,146 @@
+#include "masticwinch/coordination/workflow/crash_containment.hpp"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include "tests/coordination/workflow/crashing_cell.hpp"
+
+using namespace masticwinch;
+using namespace masticwinch::tests;
+using namespace masticwinch::workflow;
+
+namespace {
+
+const SteadyTime Start{std::chrono::seconds(100)};
+
+RunKey runOf(const std::string &job, std::uint32_t index = 0) {
+  return {{{job, 0, 0}, index}, 1};
+}
+
+/// A runner that was lost with runs of these jobs, which had started this long
+/// before.
+LostRunner
+lostRunner(const std::string &id,
+           const std::vector<std::pair<std::string, std::int64_t>> &runs) {
+  LostRunner lost{{id, 0}, {}};
+  for (const auto &[job, age] : runs) {
+    lost.Runs.push_back({runOf(job), Milliseconds(age)});
+  }
+  return lost;
+}
+
+std::set<std::string>
+suspectsIn(const std::vector<protocol::ExposeRuns> &changes) {
+  std::set<std::string> suspects;
+  for (const protocol::ExposeRuns &change : changes) {
+    for (const protocol::ExposedRun &it : change.runs()) {
+      if (it.suspected()) {
+        suspects.insert(it.task().workflow());
+      }
+    }
+  }
+  return suspects;
+}
+
+} // namespace
+
+TEST_CASE("Of the runs on a lost runner the last that started is suspected",
+          "[workflow]") {
+  CrashContainment containment({});
+  containment.lost(lostRunner("i-1", {{"a", 2000}, {"b", 10}, {"c", 200}}),
+                   Start);
+  CHECK(containment.judge(Start).empty());
+  const auto changes = containment.judge(Start + Milliseconds(60));
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].runs_size() == 3);
+  CHECK(suspectsIn(changes) == std::set<std::string>{"b"});
+}
+
+TEST_CASE("No run is suspected that started long before its runner was lost",
+          "[workflow]") {
+  CrashContainment containment({});
+  LostRunner lost = lostRunner("i-1", {{"a", 2000}, {"b", 600}});
+  lost.Runs.push_back({runOf("inherited"), std::nullopt});
+  containment.lost(lost, Start);
+  CHECK(suspectsIn(containment.judge(Start, true)).empty());
+}
+
+TEST_CASE("Runners that are lost together are no reason to suspect their runs",
+          "[workflow]") {
+  CrashContainment containment({});
+  for (const char *it : {"a", "b", "c", "d", "e"}) {
+    containment.lost(lostRunner(it, {{it, 10}, {"old", 3000}}), Start);
+  }
+  CHECK(suspectsIn(containment.judge(Start, true)).empty());
+}
+
+TEST_CASE("A step that started on all runners that are lost together is "
+          "suspected",
+          "[workflow]") {
+  CrashContainment containment({});
+  for (const char *it : {"a", "b", "c", "d", "e"}) {
+    containment.lost(lostRunner(it, {{"gang", 10}, {it, 20}}), Start);
+  }
+  CHECK(suspectsIn(containment.judge(Start, true)) ==
+        std::set<std::string>{"gang"});
+}
+
+TEST_CASE("A queue is on probation while its tasks are suspected of several "
+          "crashes",
+          "[workflow]") {
+  CrashContainment containment({});
+  containment.recordSuspect("lookups", Start);
+  containment.recordSuspect("lookups", Start + Milliseconds(100));
+  CHECK_FALSE(containment.anyOnProbation(Start + Milliseconds(100)));
+  containment.recordSuspect("lookups", Start + Milliseconds(200));
+  CHECK(containment.isOnProbation("lookups", Start + Milliseconds(200)));
+  CHECK_FALSE(containment.isOnProbation("sheets", Start + Milliseconds(200)));
+  CHECK_FALSE(containment.anyOnProbation(Start + Milliseconds(20'000)));
+}
+
+TEST_CASE("A task exposed on two runners waits for their fate", "[workflow]") {
+  const CrashContainment containment({});
+  Task task;
+  task.Exposures = {{"i-1", 0, true, false}};
+  CHECK_FALSE(containment.mustWait(task, Start, Start));
+  task.Exposures.push_back({"i-2", 0, true, false});
+  CHECK(containment.mustWait(task, Start, Start + Milliseconds(7999)));
+  CHECK_FALSE(containment.mustWait(task, Start, Start + Milliseconds(8000)));
+  task.Crashes = 2;
+  CHECK(containment.mustWait(task, Start, Start + Milliseconds(60'000)));
+}
+
+TEST_CASE("Jobs that crash their runners leave most runners to the others",
+          "[workflow]") {
+  constexpr int Jobs = 400;
+  constexpr int Runners = 24;
+  CrashingCell cell(Runners);
+  std::vector<std::string> innocent;
+  for (int i = 0; i < Jobs; ++i) {
+    const std::string job = fmt::format("{:016x}", i + 1);
+    if (i % 10 == 9) {
+      cell.Deadly.insert(job);
+    } else {
+      innocent.push_back(job);
+    }
+    cell.submit(job);
+    cell.run(Milliseconds(25));
+  }
+  cell.run(Milliseconds(60'000));
+  CHECK(cell.MostDown <= Runners / 2);
+  std::size_t accepted = 0;
+  std::size_t completed = 0;
+  for (const std::string &it : innocent) {
+    const Workflow *workflow = cell.State.find(it);
+    accepted += workflow ? 1 : 0;
+    completed += workflow && workflow->CurrentPhase == Phase::Completed;
+  }
+  // None comes again after a refusal.
+  CHECK(accepted >= innocent.size() * 6 / 10);
+  CHECK(completed >= accepted * 95 / 100);
+  for (const std::string &it : cell.Deadly) {
+    const Workflow *workflow = cell.State.find(it);
+    CHECK((!workflow || workflow->CurrentPhase == Phase::Failed));
+    CHECK(cell.starts({{it, 0, 0}, 0}) <= 5);
+  }
+}
