Count a shrunk capacity at once, and for starts that are not sent yet

Class: a decision that takes effect on a premise that has changed since. Change: less room counts with the heartbeat; a run that is only reserved on a runner whose runs need more than it has is released as never started, and a start without an answer is stopped there instead of sent again; of several records being stored the last one counts.

--- a/src/masticwinch/coordination/workflow/runner_registry.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.cpp
@@ -216,9 +216,16 @@
 void RunnerRegistry::start(const std::string &id, const RunKey &run,
                            SteadyTime now) {
   TrackedRun *it = trackedRun(id, run);
-  if (it && it->Stage == RunStage::Reserved) {
+  if (!it || it->Stage != RunStage::Reserved) {
+    return;
+  }
+  RunnerEntry &runner = *findActive(id);
+  if (runner.isOvercommitted()) {
+    // The runner has shrunk while the assignment was being stored.
+    release(runner, run, protocol::RUN_LOST, 0, it->Checkpoint);
+  } else {
     it->Stage = RunStage::Starting;
-    sendStart(*findActive(id), run, *it, now);
+    sendStart(runner, run, *it, now);
   }
 }
 
--- a/src/masticwinch/coordination/workflow/runner_registry.hpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.hpp
@@ -96,6 +96,7 @@
 /// State of one life of a runner, as the leader knows it.
 struct RunnerEntry {
   protocol::RunnerInfo Info;
+  /// Negative if the runner has shrunk below what its runs need.
   ResourceAmounts Free;
   RunnerClock Clock;
   std::map<RunKey, TrackedRun> Runs;
@@ -128,6 +129,8 @@
   std::string rack() const;
   bool hasLabel(const std::string &label) const;
   RunnerLife life() const { return {Info.id(), Info.born_unix_ms()}; }
+  /// Whether the runs need more than the runner has.
+  bool isOvercommitted() const { return !Free.canFit({}); }
 };
 
 /// An end to be stored, and its number on the runner; 0 if the runner did not
--- a/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
@@ -46,7 +46,8 @@
   } else if (neverRan && !it->Unanswered) {
     release(*runner, run, protocol::RUN_LOST, 0, it->Checkpoint);
   } else if (isUnanswered(answer) &&
-             it->StartAttempts < Options.MaxStartAttempts) {
+             it->StartAttempts < Options.MaxStartAttempts &&
+             !runner->isOvercommitted()) {
     it->Unanswered = true;
     sendStart(*runner, run, *it, now);
   } else {
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -369,6 +369,9 @@
     SteadyTime At{};
   };
   std::map<std::string, LastHeartbeat> Heartbeats;
+  /// Number of announcements of a runner that are being stored; only the last
+  /// of them counts.
+  std::map<std::string, std::size_t> RecordsBeingStored;
   /// Workflows that recur at an interval and have not ended.
   std::set<std::string> Recurring;
   /// Occurrences whose BeginOccurrence change is being stored, by workflow.
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -71,6 +71,12 @@
     }
   } else if (change.has_runner()) {
     const protocol::RunnerInfo &info = change.runner().runner();
+    const auto pending = RecordsBeingStored.find(info.id());
+    const bool last =
+        pending == RecordsBeingStored.end() || --pending->second == 0;
+    if (last && pending != RecordsBeingStored.end()) {
+      RecordsBeingStored.erase(pending);
+    }
     const RunnerEntry *known = Registry.find(info.id());
     if (!known) {
       logEvent(WorkflowEventKind::RunnerKnown,
@@ -78,7 +84,7 @@
                 {"address", info.address()},
                 {"born", std::to_string(info.born_unix_ms())}});
     }
-    if (!known || !known->Unannounced) {
+    if (!known || (!known->Unannounced && last)) {
       Registry.add(info, at.Now);
     }
   } else if (change.has_expose() || change.has_resolve()) {
--- a/src/masticwinch/coordination/workflow/workflow_leader_runners.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_runners.cpp
@@ -94,7 +94,19 @@
     // stored.
     Registry.add(info, at.Now);
     logEvent(WorkflowEventKind::RunnerDraining, {{"runner", info.id()}});
+  } else if (known && info.born_unix_ms() == known->Info.born_unix_ms() &&
+             !amountsOf(info.capacity())
+                  .canFit(amountsOf(known->Info.capacity()))) {
+    // Less room counts at once, too.
+    Registry.add(info, at.Now);
+    logEvent(WorkflowEventKind::RunnerShrank,
+             {{"runner", info.id()},
+              {"milli_processors",
+               std::to_string(info.capacity().milli_processors())},
+              {"memory_mb", std::to_string(info.capacity().memory_mb())},
+              {"overcommitted", known->isOvercommitted() ? "yes" : "no"}});
   }
+  RecordsBeingStored[info.id()] += 1;
   protocol::WorkflowChange recordedChange;
   *recordedChange.mutable_runner()->mutable_runner() = info;
   propose(std::move(recordedChange), std::move(stored));
--- a/tests/coordination/workflow/crashing_cell.hpp
+++ b/tests/coordination/workflow/crashing_cell.hpp
@@ -159,6 +159,8 @@
 
   struct Host {
     protocol::RunnerInfo Info;
+    /// The capacity in the latest heartbeat.
+    protocol::Amounts Announced;
     SteadyTime BeganAt{};
     bool Up = true;
     bool CutOff = false;
@@ -197,6 +199,7 @@
 
   void heartbeat(Host &host) {
     host.NextHeartbeat = Now.Now + HeartbeatInterval;
+    host.Announced = host.Info.capacity();
     Leader->heartbeat(
         host.Info, ++host.Sequence, clockOf(host), [] {}, Now);
   }
@@ -318,7 +321,7 @@
   }
 
   void checkCapacity(const Host &host) {
-    workflow::ResourceAmounts free = workflow::amountsOf(host.Info.capacity());
+    workflow::ResourceAmounts free = workflow::amountsOf(host.Announced);
     for (const auto &[run, started] : host.Runs) {
       free -= workflow::needsOf(*State.findSpec(run.Task.Step));
     }
