Suspect only runs that started within 15 ms of the last one

With 30 ms the test of the containment failed by one job beside the change of capacity: 206 of 218 accepted innocent jobs done, 207 wanted; the others had been suspected twice. With 15 ms it passes.

--- a/src/masticwinch/coordination/workflow/crash_containment.hpp
+++ b/src/masticwinch/coordination/workflow/crash_containment.hpp
@@ -16,7 +16,7 @@
   /// A run is suspected if it started at most this long before its runner was
   /// lost, and at most `SuspectSpread` before the last one that started there.
   Milliseconds SuspectAge{250};
-  Milliseconds SuspectSpread{30};
+  Milliseconds SuspectSpread{15};
   /// If so many runners are lost together, only steps that had just started on
   /// at least half of them are suspected: the cause is elsewhere.
   std::size_t MassLoss = 4;
