Fuzz tasks that crash their runners and capacities that change

One submission in 16 crashes each runner 10 ms after its start; a session fails on a third start after three crashes, on a workflow that is given up without two failed runs or two runners lost under a task, and on a start beyond the capacity that the leader had been told before the order.

--- a/fuzzing/workflow/fuzz_workflow.cpp
+++ b/fuzzing/workflow/fuzz_workflow.cpp
@@ -38,6 +38,7 @@
         {4, Kind::HoldAnswer},
         {6, Kind::DeliverAnswer},
         {4, Kind::DeliverHeldMessage},
+        {3, Kind::ChangeCapacity},
     });
     return gen::build<WorkflowAction>(
         gen::set(&WorkflowAction::Kind, kind),
--- a/fuzzing/workflow/simulated_runners.cpp
+++ b/fuzzing/workflow/simulated_runners.cpp
@@ -79,7 +79,8 @@
   }
   const protocol::StepSpec *spec = State.findSpec(run.Task.Step);
   const ResourceAmounts needs = spec ? needsOf(*spec) : ResourceAmounts();
-  checkStart(runner, run, needs);
+  checkStart(runner, run, needs, order.Number);
+  countDeadlyStart(run.Task);
   extendLease(runner, order.Start.LeaseUntilMs);
   runner.Runs[run] = {needs, clockMs()};
   ++Starts[run.Task];
@@ -102,13 +103,19 @@
 }
 
 void WorkflowSimulator::checkStart(const Runner &runner, const RunKey &run,
-                                   const ResourceAmounts &needs) const {
+                                   const ResourceAmounts &needs,
+                                   std::uint64_t orderNumber) const {
   const std::string text = textOf(run.Task);
   ResourceAmounts used = needs;
   for (const auto &[other, it] : runner.Runs) {
     used += it.Needs;
   }
-  if (!amountsOf(runner.Info.capacity()).canFit(used)) {
+  // An order that was sent before counts on the former capacity.
+  const bool told = runner.ToldCapacity && orderNumber > runner.ToldAfterOrder;
+  const ResourceAmounts capacity =
+      told ? *runner.ToldCapacity
+           : ResourceAmounts{RunnerProcessors, std::int64_t(RunnerMemoryMb), 0};
+  if (!capacity.canFit(used)) {
     throw std::logic_error(fmt::format(
         "{} starts on a runner without enough free resources", text));
   }
@@ -257,6 +264,7 @@
   const protocol::RunEnd how = done ? protocol::RUN_DONE : protocol::RUN_FAILED;
   if (!spec || !spec->gang()) {
     recordEnd(runner, run, how);
+    FailedRuns[run.Task.Step] += done ? 0 : 1;
     return;
   }
   const auto members = membersOf(run);
@@ -264,6 +272,7 @@
     return;
   }
   recordEnd(runner, run, how);
+  FailedRuns[run.Task.Step] += done ? 0 : 1;
   for (const auto &[it, key] : members) {
     if (key != run) {
       recordEnd(*it, key, done ? how : protocol::RUN_BROKEN);
@@ -304,6 +313,9 @@
   const auto chosen = std::next(LatestBirth.begin(),
                                 choice % std::ptrdiff_t(LatestBirth.size()));
   const std::string id = chosen->first;
+  if (const auto up = Runners.find(id); up != Runners.end()) {
+    countCrash(up->second);
+  }
   Runners.erase(id);
   Silent.insert(id);
   Restarts.try_emplace(id, Restart{clockMs() + RestartTimeMs,
@@ -327,6 +339,7 @@
 
 /// A runner shuts down, and says so.
 void WorkflowSimulator::leave(Runner &runner, bool held) {
+  countCrash(runner);
   const Message message{runner.Info, 0, 0, true};
   Runners.erase(message.Info.id());
   if (held) {
@@ -350,6 +363,7 @@
     Leader->deregister(
         {message.Info.id(), message.Info.born_unix_ms()}, [] {}, at());
   } else {
+    noteTold(message);
     Leader->heartbeat(
         message.Info, message.Sequence, message.ClockMs, [] {}, at());
   }
@@ -359,6 +373,7 @@
 void WorkflowSimulator::advanceTime(Milliseconds time) {
   Now += time;
   beginDueLives();
+  crashDeadly();
   for (auto &[id, runner] : Runners) {
     if (clockMs(runner) > runner.LeaseUntilMs) {
       endLapsed(runner);
--- a/fuzzing/workflow/workflow_simulator.cpp
+++ b/fuzzing/workflow/workflow_simulator.cpp
@@ -16,6 +16,9 @@
 constexpr std::uint32_t TicketValidityMs = 1500;
 constexpr std::size_t InitialRunners = 4;
 
+/// Two of so many values make a submission deadly, one for each queue.
+constexpr std::uint8_t DeadlyChoices = 32;
+
 protocol::StepSpec stepOf(std::uint32_t count, std::uint32_t processors) {
   protocol::StepSpec step;
   step.set_count(count);
@@ -125,14 +128,31 @@
             std::back_inserter(Batches));
   for (StartOrder &it : effects.Starts) {
     checkOrderedStart(it);
-    Orders.push_back(
-        {OrderKind::Start, Term, std::move(it), {}, {}, clockMs()});
+    Orders.push_back({OrderKind::Start,
+                      Term,
+                      std::move(it),
+                      {},
+                      {},
+                      clockMs(),
+                      ++OrdersSent});
   }
   for (StopOrder &it : effects.Stops) {
-    Orders.push_back({OrderKind::Stop, Term, {}, std::move(it), {}, clockMs()});
+    Orders.push_back({OrderKind::Stop,
+                      Term,
+                      {},
+                      std::move(it),
+                      {},
+                      clockMs(),
+                      ++OrdersSent});
   }
   for (PollOrder &it : effects.Polls) {
-    Orders.push_back({OrderKind::Poll, Term, {}, {}, std::move(it), clockMs()});
+    Orders.push_back({OrderKind::Poll,
+                      Term,
+                      {},
+                      {},
+                      std::move(it),
+                      clockMs(),
+                      ++OrdersSent});
   }
   std::move(effects.Advice.begin(), effects.Advice.end(),
             std::back_inserter(Advice));
@@ -217,6 +237,7 @@
       if (action.B % 2 == 1) {
         Silent.insert(runner->Info.id());
       }
+      countCrash(*runner);
       Runners.erase(runner->Info.id());
     }
     break;
@@ -255,8 +276,14 @@
   case Kind::Configure:
     configure(action.A);
     break;
+  case Kind::ChangeCapacity:
+    if (Runner *runner = runnerAt(action.A)) {
+      changeCapacity(*runner, action.B);
+    }
+    break;
   }
   collect();
+  checkFailed();
 }
 
 WorkflowSimulator::Runner *WorkflowSimulator::runnerAt(std::uint8_t choice) {
@@ -281,6 +308,9 @@
 
 void WorkflowSimulator::submit(std::uint8_t kind, std::uint8_t queue) {
   Submitted.push_back(idOf(Submitted.size()));
+  if (queue % DeadlyChoices >= DeadlyChoices - 2) {
+    Deadly.insert(Submitted.back());
+  }
   submitAs(Submitted.back(), kind, queue);
 }
 
@@ -398,6 +428,9 @@
   Batches.clear();
   Advice.clear();
   Failed.clear();
+  for (auto &[id, runner] : Runners) {
+    runner.ToldCapacity.reset();
+  }
   ++Term;
   Leader =
       std::make_unique<WorkflowLeader>(WorkflowLeaderOptions(), State, at());
--- a/fuzzing/workflow/workflow_simulator.hpp
+++ b/fuzzing/workflow/workflow_simulator.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <ostream>
 #include <set>
 #include <string>
@@ -41,6 +42,7 @@
   ChangeLeader,
   RestoreSnapshot,
   Configure,
+  ChangeCapacity,
 };
 
 /// An action; `A` and `B` select its target or parameters.
@@ -87,6 +89,8 @@
     workflow::StopOrder Stop;
     workflow::PollOrder Poll;
     std::int64_t SentAtMs = 0;
+    /// Counts the orders in the sequence in which they are sent.
+    std::uint64_t Number = 0;
   };
   /// The outcome of an order, on its way to the leader.
   struct Answer {
@@ -121,6 +125,12 @@
     std::vector<End> Ended;
     std::uint64_t LastEndNumber = 0;
     std::uint64_t Sequence = 0;
+    /// What the leader was last told of the capacity, and when; empty before
+    /// that.
+    std::optional<workflow::ResourceAmounts> ToldCapacity;
+    std::uint64_t ToldSequence = 0;
+    /// Number of orders that were sent before.
+    std::uint64_t ToldAfterOrder = 0;
   };
   /// A heartbeat or deregistration that is delayed.
   struct Message {
@@ -169,7 +179,8 @@
   bool acceptsTicket(const Runner &runner,
                      const workflow::StartOrder &order) const;
   void checkStart(const Runner &runner, const workflow::RunKey &run,
-                  const workflow::ResourceAmounts &needs) const;
+                  const workflow::ResourceAmounts &needs,
+                  std::uint64_t orderNumber) const;
   workflow::OrderAnswer stop(const Order &order);
   workflow::PollAnswer poll(const Order &order);
   void acknowledge(const std::string &id, const End &end);
@@ -191,6 +202,15 @@
   void endLapsed(Runner &runner);
   void endLoneMembers(Runner &runner);
 
+  // simulated_crashes.cpp
+  bool isDeadly(const workflow::TaskKey &task) const;
+  void countCrash(const Runner &runner);
+  void crashDeadly();
+  void countDeadlyStart(const workflow::TaskKey &task);
+  void checkFailed() const;
+  void changeCapacity(Runner &runner, std::uint8_t choice);
+  void noteTold(const Message &message);
+
   // simulated_rest.cpp
   void deliverEverything();
   void finishRuns();
@@ -233,6 +253,17 @@
   /// Whether the advice service approves a runner for a step.
   std::map<std::pair<workflow::StepKey, std::string>, bool> Approvals;
   std::uint64_t NextRunner = 0;
+  std::uint64_t OrdersSent = 0;
+  /// Workflows whose tasks crash the runners that start them.
+  std::set<std::string> Deadly;
+  /// Number of runners whose life ended while they ran the task.
+  std::map<workflow::TaskKey, std::uint32_t> CrashesUnder;
+  /// Number of starts of a deadly task after three such crashes.
+  std::map<workflow::TaskKey, std::uint32_t> StartsOverBudget;
+  /// Number of failed runs of a step.
+  std::map<workflow::StepKey, std::uint32_t> FailedRuns;
+  /// When other runners take the place of crashed ones.
+  std::deque<std::int64_t> ReplacementsAtMs;
 };
 
 /// Runs a session until it is at rest; throws `std::logic_error` if an
