Make the leader believe the runner's newest announcement only

Also, the first of two announcements of a runner that were being stored made it usable. Now an announcement is dropped only if none is being stored, and only the last one counts.

--- a/fuzzing/workflow/workflow_simulator.hpp
+++ b/fuzzing/workflow/workflow_simulator.hpp
@@ -262,8 +262,8 @@
   std::map<workflow::TaskKey, std::uint32_t> StartsOverBudget;
   /// Number of failed runs of a step.
   std::map<workflow::StepKey, std::uint32_t> FailedRuns;
-  /// When other runners take the place of crashed ones.
-  std::deque<std::int64_t> ReplacementsAtMs;
+  /// Crashed runners, and when others take their places.
+  std::deque<std::pair<std::int64_t, std::string>> Replacements;
 };
 
 /// Runs a session until it is at rest; throws `std::logic_error` if an
--- a/src/masticwinch/coordination/workflow/crash_containment.hpp
+++ b/src/masticwinch/coordination/workflow/crash_containment.hpp
@@ -27,6 +27,9 @@
   /// Share of the runners, in thousandths, for the tasks of queues on
   /// probation, and share for tasks that are suspects themselves.
   std::uint64_t ProbationPermille = 250;
+  /// No runners are kept apart if the share for queues on probation would be
+  /// fewer than this.
+  std::size_t MinProbationRunners = 2;
   std::uint64_t IsolationPermille = 125;
   /// The share for queues on probation while more than `IdlePermille` of the
   /// processors are free: there is little beside them to lose.
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -272,8 +272,9 @@
   if (const auto work = ProbationWork.find(queue.name());
       work != ProbationWork.end()) {
     const auto kept = ProbationProcessors.find(queue.pool());
-    input.MilliProcessors =
-        kept == ProbationProcessors.end() ? 0 : kept->second;
+    input.MilliProcessors = kept == ProbationProcessors.end()
+                                ? expectedProcessors(queue.pool())
+                                : kept->second;
     input.WorkAhead = work->second;
   } else {
     input.MilliProcessors = expectedProcessors(queue.pool());
--- a/src/masticwinch/coordination/workflow/workflow_leader_crashes.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_crashes.cpp
@@ -130,12 +130,14 @@
     return std::max<std::size_t>(places.size() * permille / 1000, 1);
   };
   const std::size_t isolated = suspects ? share(options.IsolationPermille) : 0;
+  if (share(options.ProbationPermille) < options.MinProbationRunners) {
+    return;
+  }
+  const bool idle = free * 1000 > all * options.IdlePermille;
+  const std::size_t confined =
+      share(idle ? options.IdleProbationPermille : options.ProbationPermille);
   const std::size_t kept =
-      probation ? std::max(share(free * 1000 > all * options.IdlePermille
-                                     ? options.IdleProbationPermille
-                                     : options.ProbationPermille),
-                           isolated + 1)
-                : isolated;
+      probation ? std::max(confined, isolated + 1) : isolated;
   for (std::size_t i = 0; i < std::min(kept, places.size()); ++i) {
     (i < isolated ? fleet.Isolation : fleet.Probation).insert(places[i].second);
   }
@@ -194,7 +196,11 @@
 /// thousandths of a core.
 void WorkflowLeader::countProbation(const Fleet &fleet) {
   ProbationProcessors.clear();
+  if (fleet.Probation.empty()) {
+    return;
+  }
   for (const auto &[name, pool] : fleet.Pools) {
+    ProbationProcessors[name] = 0;
     for (const RunnerEntry *it : pool.Runners) {
       if (fleet.Probation.contains(it)) {
         ProbationProcessors[name] += it->Info.capacity().milli_processors();
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -84,7 +84,7 @@
                 {"address", info.address()},
                 {"born", std::to_string(info.born_unix_ms())}});
     }
-    if (!known || (!known->Unannounced && last)) {
+    if (last && (!known || !known->Unannounced)) {
       Registry.add(info, at.Now);
     }
   } else if (change.has_expose() || change.has_resolve()) {
--- a/src/masticwinch/coordination/workflow/workflow_leader_runners.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_runners.cpp
@@ -84,7 +84,8 @@
   } else if (known && known->Unannounced) {
     Registry.add(info, at.Now);
   }
-  if (isRecorded(info)) {
+  // One that is being stored would replace what is recorded.
+  if (isRecorded(info) && !RecordsBeingStored.contains(info.id())) {
     Registry.observeClock(info.id(), clockMs, at.Now);
     stored();
     return;
