--- a/src/masticwinch/coordination/workflow/runner_registry.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.cpp
@@ -76,6 +76,7 @@
 void RunnerRegistry::beginLife(RunnerEntry &runner,
                                const protocol::RunnerInfo &info,
                                SteadyTime now) {
+  reportEnded(runner);
   std::vector<RunKey> reserved;
   for (auto &[run, it] : runner.Runs) {
     if (it.Stage == RunStage::Reserved) {
@@ -90,6 +91,8 @@
       it.Stage = RunStage::Inherited;
       it.ConfirmedAt.reset();
     }
+    it.Started = false;
+    it.StartedAt.reset();
   }
   for (const RunKey &it : reserved) {
     const std::string checkpoint = runner.Runs.at(it).Checkpoint;
@@ -110,6 +113,57 @@
   runner = std::move(next);
 }
 
+void RunnerRegistry::inheritLost(const std::string &id) {
+  if (RunnerEntry *runner = findActive(id)) {
+    runner->Lost = true;
+  }
+}
+
+/// Reports the confirmed runs of a runner that was lost at this time.
+void RunnerRegistry::reportLost(RunnerEntry &runner, SteadyTime lostAt) {
+  if (runner.Lost) {
+    return;
+  }
+  LostRunner lost{runner.life(), {}};
+  for (const auto &[run, it] : runner.Runs) {
+    if (!it.Started) {
+      continue;
+    }
+    ExposedRun exposed{run, std::nullopt};
+    if (it.StartedAt) {
+      exposed.Age = std::max(
+          std::chrono::duration_cast<Milliseconds>(lostAt - *it.StartedAt),
+          Milliseconds(0));
+    }
+    lost.Runs.push_back(exposed);
+  }
+  if (!lost.Runs.empty()) {
+    runner.Lost = true;
+    Effects.Lost.push_back(std::move(lost));
+  }
+}
+
+/// Reports that the runner's life has ended. One that was draining was expected
+/// to end.
+void RunnerRegistry::reportEnded(RunnerEntry &runner) {
+  const bool crashed = !runner.Info.draining();
+  if (crashed) {
+    reportLost(runner, runner.LastAnswer);
+  }
+  if (runner.Lost) {
+    runner.Lost = false;
+    Effects.Resolved.push_back({runner.life(), crashed});
+  }
+}
+
+/// Reports that a runner that was lost answers again in the same life.
+void RunnerRegistry::reportAnswering(RunnerEntry &runner) {
+  if (runner.Lost) {
+    runner.Lost = false;
+    Effects.Resolved.push_back({runner.life(), false});
+  }
+}
+
 void RunnerRegistry::inherit(const std::string &id, const RunKey &run,
                              const ResourceAmounts &needs) {
   if (RunnerEntry *runner = findActive(id)) {
@@ -125,13 +179,21 @@
   if (!runner) {
     return;
   }
-  releaseAll(*runner, protocol::RUN_LOST);
-  runner->Gone = true;
-  Effects.Gone.push_back(runner->life());
+  reportEnded(*runner);
+  discard(*runner);
+}
+
+/// Removes a runner without knowing whether it crashed.
+void RunnerRegistry::discard(RunnerEntry &runner) {
+  releaseAll(runner, protocol::RUN_LOST);
+  runner.Gone = true;
+  Effects.Gone.push_back(runner.life());
 }
 
 void RunnerRegistry::forget(const std::string &id) {
-  remove(id);
+  if (RunnerEntry *runner = findActive(id)) {
+    discard(*runner);
+  }
   Runners.erase(id);
 }
 
@@ -154,9 +216,16 @@
 void RunnerRegistry::start(const std::string &id, const RunKey &run,
                            SteadyTime now) {
   TrackedRun *it = trackedRun(id, run);
-  if (it && it->Stage == RunStage::Reserved) {
+  if (!it || it->Stage != RunStage::Reserved) {
+    return;
+  }
+  RunnerEntry &runner = *findActive(id);
+  if (runner.isOvercommitted()) {
+    // The runner has shrunk while the assignment was being stored.
+    release(runner, run, protocol::RUN_LOST, 0, it->Checkpoint);
+  } else {
     it->Stage = RunStage::Starting;
-    sendStart(*findActive(id), run, *it, now);
+    sendStart(runner, run, *it, now);
   }
 }
 
@@ -246,6 +315,7 @@
   end.End.set_runner(runner.Info.id());
   end.End.set_how(how);
   end.End.set_checkpoint(checkpoint);
+  end.Started = it->second.Started;
   runner.Runs.erase(it);
   Effects.Ends.push_back(std::move(end));
 }
--- a/src/masticwinch/coordination/workflow/runner_registry.hpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.hpp
@@ -84,6 +84,10 @@
   SteadyTime NextStopAttempt{};
   /// When the runner confirmed the stage; empty before.
   std::optional<SteadyTime> ConfirmedAt;
+  /// The runner has confirmed that the run started.
+  bool Started = false;
+  /// When this leader learned of the start; empty if an earlier one ordered it.
+  std::optional<SteadyTime> StartedAt;
   SteadyTime OccupiedSince{};
   /// Estimated duration of the run.
   Milliseconds ExpectedDuration{0};
@@ -92,6 +96,7 @@
 /// State of one life of a runner, as the leader knows it.
 struct RunnerEntry {
   protocol::RunnerInfo Info;
+  /// Negative if the runner has shrunk below what its runs need.
   ResourceAmounts Free;
   RunnerClock Clock;
   std::map<RunKey, TrackedRun> Runs;
@@ -114,6 +119,9 @@
   SteadyTime PollSentAt{};
   SteadyTime NextPoll{};
   std::uint32_t FailedPolls = 0;
+  /// The runner was reported as lost, maybe by an earlier leader, and not as
+  /// resolved since.
+  bool Lost = false;
   /// When the runner gave its latest answer to a poll.
   SteadyTime LastPollAnswer{};
 
@@ -121,6 +129,8 @@
   std::string rack() const;
   bool hasLabel(const std::string &label) const;
   RunnerLife life() const { return {Info.id(), Info.born_unix_ms()}; }
+  /// Whether the runs need more than the runner has.
+  bool isOvercommitted() const { return !Free.canFit({}); }
 };
 
 /// An end to be stored, and its number on the runner; 0 if the runner did not
@@ -130,6 +140,8 @@
   std::uint64_t BornUnixMs = 0;
   std::uint64_t Number = 0;
   protocol::EndRun End;
+  /// The runner had confirmed the start of the run.
+  bool Started = false;
   /// Set if the run was not tracked, such as after its lease had expired: how
   /// the runner says that it ended. `End` is empty then.
   std::optional<EndedRun> Untracked;
@@ -142,6 +154,25 @@
   std::size_t StartsAndStops = 0;
 };
 
+/// A run that a runner had confirmed when it was lost.
+struct ExposedRun {
+  RunKey Run;
+  /// How long ago it had started, as far as this leader knows.
+  std::optional<Milliseconds> Age;
+};
+
+/// A runner that stopped answering, with its confirmed runs.
+struct LostRunner {
+  RunnerLife Life;
+  std::vector<ExposedRun> Runs;
+};
+
+/// A life of a runner that answers again or has ended.
+struct ResolvedRunner {
+  RunnerLife Life;
+  bool Crashed = false;
+};
+
 /// Orders and observations since the last call of takeEffects().
 struct RunnerRegistryEffects {
   std::vector<StartOrder> Starts;
@@ -149,6 +180,8 @@
   std::vector<PollOrder> Polls;
   std::vector<ObservedEnd> Ends;
   std::vector<OverdueOrders> Overdue;
+  std::vector<LostRunner> Lost;
+  std::vector<ResolvedRunner> Resolved;
   /// Runs that runners have confirmed as running.
   std::vector<RunKey> Confirmed;
   /// Runners that were removed.
@@ -177,6 +210,9 @@
   /// next life. Has no effect if the information is of a former life.
   void add(const protocol::RunnerInfo &info, SteadyTime now);
 
+  /// Handles that an earlier leader reported the runner as lost.
+  void inheritLost(const std::string &id);
+
   /// Adds a run that was assigned under an earlier leader.
   void inherit(const std::string &runner, const RunKey &run,
                const ResourceAmounts &needs);
@@ -235,6 +271,10 @@
   void release(RunnerEntry &runner, const RunKey &run, protocol::RunEnd how,
                std::uint64_t number, const std::string &checkpoint);
   void releaseAll(RunnerEntry &runner, protocol::RunEnd how);
+  void discard(RunnerEntry &runner);
+  void reportLost(RunnerEntry &runner, SteadyTime lostAt);
+  void reportEnded(RunnerEntry &runner);
+  void reportAnswering(RunnerEntry &runner);
   void sendStart(RunnerEntry &runner, const RunKey &run, TrackedRun &trackedRun,
                  SteadyTime now);
   void sendStop(RunnerEntry &runner, const RunKey &run, TrackedRun &trackedRun,
--- a/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
@@ -24,7 +24,7 @@
     return;
   }
   Effects.Deposed = Effects.Deposed || answer == OrderAnswer::Fenced;
-  if (answer == OrderAnswer::Unwell || answer == OrderAnswer::Silent) {
+  if (answer == OrderAnswer::Unwell || isUnanswered(answer)) {
     runner->UnwellUntil = now + Options.UnwellBackoff;
   } else {
     runner->LastAnswer = now;
@@ -41,10 +41,13 @@
     Effects.Confirmed.push_back(run);
     it->Stage = RunStage::Running;
     it->ConfirmedAt = now;
+    it->Started = true;
+    it->StartedAt = now;
   } else if (neverRan && !it->Unanswered) {
     release(*runner, run, protocol::RUN_LOST, 0, it->Checkpoint);
-  } else if (answer == OrderAnswer::Silent &&
-             it->StartAttempts < Options.MaxStartAttempts) {
+  } else if (isUnanswered(answer) &&
+             it->StartAttempts < Options.MaxStartAttempts &&
+             !runner->isOvercommitted()) {
     it->Unanswered = true;
     sendStart(*runner, run, *it, now);
   } else {
@@ -99,6 +102,7 @@
     pollFailed(*runner, OrderAnswer::Malformed, now);
     return;
   }
+  reportAnswering(*runner);
   runner->PollPending = false;
   runner->FailedPolls = 0;
   runner->LastAnswer = now;
@@ -116,6 +120,10 @@
   Effects.Deposed = Effects.Deposed || answer == OrderAnswer::Fenced;
   runner.PollPending = false;
   runner.FailedPolls += 1;
+  if (isUnanswered(answer)) {
+    reportLost(runner,
+               answer == OrderAnswer::Disconnected ? now : runner.LastAnswer);
+  }
   runner.NextPoll = now + Options.RetryDelay;
 }
 
@@ -156,6 +164,10 @@
     if (tracked.Stage == RunStage::Inherited ||
         tracked.Stage == RunStage::Starting) {
       Effects.Confirmed.push_back(it.Run);
+      tracked.StartedAt = tracked.Stage == RunStage::Starting
+                              ? std::optional(now)
+                              : std::nullopt;
+      tracked.Started = true;
       tracked.Stage = RunStage::Running;
       tracked.ConfirmedAt = now;
       tracked.OccupiedSince = now;
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -27,12 +27,22 @@
                  const protocol::StepSpec *spec = State.findSpec(key);
                  return spec ? needsOf(*spec) : ResourceAmounts();
                }),
-      Advice(options.Advice), Health(options.Health) {
+      Advice(options.Advice), Health(options.Health),
+      Containment(options.Containment), LedSince(at.Now) {
   for (const auto &[id, info] : State.runners()) {
     Registry.add(info, at.Now);
     Heartbeats[id] = {info.born_unix_ms(), 0, at.Now};
+    if (State.hasExposures(id, info.born_unix_ms())) {
+      Registry.inheritLost(id);
+    }
   }
   inheritRuns(at);
+  for (auto &[key, open] : OpenSteps) {
+    updateSuspicion(key, open, at.Now);
+    if (open.SuspectSince) {
+      Containment.recordSuspect(open.Parent->Spec.queue(), at.Now);
+    }
+  }
   logEvent(WorkflowEventKind::LeadershipTaken,
            {{"workflows", std::to_string(State.workflows().size())},
             {"runners", std::to_string(State.runners().size())},
@@ -259,9 +269,18 @@
     return std::nullopt;
   }
   AdmissionInput input;
-  input.MilliProcessors = expectedProcessors(queue.pool());
-  for (const auto &[priority, work] : WaitingWork) {
-    input.WorkAhead += priority <= queue.priority() ? work : 0;
+  if (const auto work = ProbationWork.find(queue.name());
+      work != ProbationWork.end()) {
+    const auto kept = ProbationProcessors.find(queue.pool());
+    input.MilliProcessors = kept == ProbationProcessors.end()
+                                ? expectedProcessors(queue.pool())
+                                : kept->second;
+    input.WorkAhead = work->second;
+  } else {
+    input.MilliProcessors = expectedProcessors(queue.pool());
+    for (const auto &[priority, waiting] : WaitingWork) {
+      input.WorkAhead += priority <= queue.priority() ? waiting : 0;
+    }
   }
   const Milliseconds criticalPath =
       longestCriticalPath(remainingCriticalPaths(spec, queue));
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -71,6 +71,12 @@
     }
   } else if (change.has_runner()) {
     const protocol::RunnerInfo &info = change.runner().runner();
+    const auto pending = RecordsBeingStored.find(info.id());
+    const bool last =
+        pending == RecordsBeingStored.end() || --pending->second == 0;
+    if (last && pending != RecordsBeingStored.end()) {
+      RecordsBeingStored.erase(pending);
+    }
     const RunnerEntry *known = Registry.find(info.id());
     if (!known) {
       logEvent(WorkflowEventKind::RunnerKnown,
@@ -78,9 +84,11 @@
                 {"address", info.address()},
                 {"born", std::to_string(info.born_unix_ms())}});
     }
-    if (!known || !known->Unannounced) {
+    if (last && (!known || !known->Unannounced)) {
       Registry.add(info, at.Now);
     }
+  } else if (change.has_expose() || change.has_resolve()) {
+    appliedCrashes(at);
   } else if (change.has_configure()) {
     logEvent(WorkflowEventKind::ConfigurationStored,
              {{"version", std::to_string(State.config().version())}});
@@ -186,6 +194,7 @@
         step.Parent = &workflow;
         step.Info = &known->second;
         step.Startable.reset();
+        updateSuspicion(key, step, LedSince);
       } else if (OpenSteps.erase(key) > 0) {
         Advice.removeStep(key);
       }
@@ -264,6 +273,7 @@
   for (const RunKey &it : effects.Confirmed) {
     ConfirmedRunning.insert(it.Task.Step.Workflow);
   }
+  collectLosses(effects, at);
   for (ObservedEnd &it : effects.Ends) {
     if (it.Number > 0) {
       PendingEnds.emplace_back(RunnerLife{it.Runner, it.BornUnixMs}, it.Number);
@@ -278,7 +288,9 @@
              {{"task", textOf(task)},
               {"run", std::to_string(it.End.run())},
               {"runner", it.Runner},
-              {"how", protocol::RunEnd_Name(it.End.how())}});
+              {"how", protocol::RunEnd_Name(it.End.how())},
+              {"reported", it.Number > 0 ? "yes" : "no"},
+              {"started", it.Started ? "yes" : "not confirmed"}});
     if (Health.runEnded(it.Runner, task.Step.Workflow, it.End.how(),
                         Registry.runners().size(), at.Now)) {
       logEvent(WorkflowEventKind::RunnerRests, {{"runner", it.Runner}});
--- a/src/masticwinch/coordination/workflow/workflow_leader_runners.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_runners.cpp
@@ -84,7 +84,8 @@
   } else if (known && known->Unannounced) {
     Registry.add(info, at.Now);
   }
-  if (isRecorded(info)) {
+  // One that is being stored would replace what is recorded.
+  if (isRecorded(info) && !RecordsBeingStored.contains(info.id())) {
     Registry.observeClock(info.id(), clockMs, at.Now);
     stored();
     return;
@@ -94,7 +95,19 @@
     // stored.
     Registry.add(info, at.Now);
     logEvent(WorkflowEventKind::RunnerDraining, {{"runner", info.id()}});
+  } else if (known && info.born_unix_ms() == known->Info.born_unix_ms() &&
+             !amountsOf(info.capacity())
+                  .canFit(amountsOf(known->Info.capacity()))) {
+    // Less room counts at once, too.
+    Registry.add(info, at.Now);
+    logEvent(WorkflowEventKind::RunnerShrank,
+             {{"runner", info.id()},
+              {"milli_processors",
+               std::to_string(info.capacity().milli_processors())},
+              {"memory_mb", std::to_string(info.capacity().memory_mb())},
+              {"overcommitted", known->isOvercommitted() ? "yes" : "no"}});
   }
+  RecordsBeingStored[info.id()] += 1;
   protocol::WorkflowChange recordedChange;
   *recordedChange.mutable_runner()->mutable_runner() = info;
   propose(std::move(recordedChange), std::move(stored));
@@ -131,6 +144,7 @@
   protocol::RunnerInfo leaving = known->Info;
   leaving.set_born_unix_ms(
       std::max(life.BornUnixMs, known->Info.born_unix_ms()));
+  leaving.set_draining(true);
   Registry.add(leaving, at.Now);
   Registry.remove(life.Id);
   collectRegistryEffects(at);
@@ -179,7 +193,8 @@
   } else if (after && after->FailedPolls > 0 && !silent) {
     logEvent(WorkflowEventKind::RunnerSilent,
              {{"runner", order.Runner},
-              {"answer", std::string(nameOf(answer.Answer))}});
+              {"answer", std::string(nameOf(answer.Answer))},
+              {"runs", std::to_string(after->Runs.size())}});
   }
 }
 
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -41,6 +41,7 @@
 std::vector<WorkflowLeader::RankedStep> WorkflowLeader::rankedSteps(Moment at) {
   std::vector<RankedStep> ranked;
   WaitingWork.clear();
+  ProbationWork.clear();
   std::int64_t gangTasks = 0;
   std::int64_t gangProcessors = 0;
   for (auto &[key, open] : OpenSteps) {
@@ -59,9 +60,13 @@
     const Milliseconds remaining = open.Info->CriticalPaths[key.Step];
     const StepRank rank =
         rankOf(open.Info->Ranking, remaining, at.Now, Options.Ranking);
-    if (rank.Forecast == CompletionForecast::OnTime) {
-      WaitingWork[rank.Priority] += tasks * std::uint64_t(spec.estimate_ms()) *
-                                    spec.needs().milli_processors() / 1000;
+    const std::uint64_t work = tasks * std::uint64_t(spec.estimate_ms()) *
+                               spec.needs().milli_processors() / 1000;
+    const std::string &queue = open.Parent->Spec.queue();
+    if (!spec.gang() && Containment.isOnProbation(queue, at.Now)) {
+      ProbationWork[queue] += work;
+    } else if (rank.Forecast == CompletionForecast::OnTime) {
+      WaitingWork[rank.Priority] += work;
     }
     ranked.push_back({rank, &key});
   }
@@ -133,7 +138,8 @@
 
 /// Tasks that can be started; for a gang all or none.
 std::vector<std::uint32_t>
-WorkflowLeader::startableTasks(const StepKey &key, const OpenStep &open) const {
+WorkflowLeader::startableTasks(const StepKey &key, const OpenStep &open,
+                               SteadyTime now) const {
   std::vector<std::uint32_t> tasks;
   const Step *step = State.findStep(key);
   const protocol::StepSpec *spec = State.findSpec(key);
@@ -142,7 +148,8 @@
   }
   for (std::uint32_t i = 0; i < step->Tasks.size(); ++i) {
     const Task &it = step->Tasks[i];
-    if (!it.Done && it.Runner.empty() && !open.InFlight.contains(i)) {
+    if (!it.Done && it.Runner.empty() && !open.InFlight.contains(i) &&
+        !waitsForFate(it, now)) {
       tasks.push_back(i);
     }
   }
@@ -200,6 +207,8 @@
   for (const auto &[name, pool] : fleet.Pools) {
     UsableProcessors[name] = pool.MilliProcessors;
   }
+  keepApart(fleet, at.Now);
+  countProbation(fleet);
   const std::vector<RankedStep> ranked = rankedSteps(at);
   for (const RankedStep &it : ranked) {
     scheduleStep(*it.Key, fleet, at);
@@ -257,12 +266,13 @@
 
 /// The runner with its free resources as a candidate for the step; nothing if
 /// it can't run a task of it.
-std::optional<PlanCandidate>
-WorkflowLeader::candidateOf(const StepKey &key, const OpenStep &open,
-                            const protocol::StepSpec &spec,
-                            const RunnerEntry &runner, const Fleet &fleet) {
+std::optional<PlanCandidate> WorkflowLeader::candidateOf(
+    const StepKey &key, const OpenStep &open, const protocol::StepSpec &spec,
+    const RunnerEntry &runner, const Fleet &fleet, SteadyTime now) const {
   const ResourceAmounts free = fleet.freeOn(runner);
-  if (!free.canFit(needsOf(spec)) || !mayRun(open, spec, runner)) {
+  if (!free.canFit(needsOf(spec)) || !mayRun(open, spec, runner) ||
+      isKeptApart(open, spec, runner, fleet, now) ||
+      mustFollowOthers(key, open, spec, runner, fleet, now)) {
     return std::nullopt;
   }
   const auto reserved = fleet.Reserved.find(&runner);
@@ -294,7 +304,7 @@
       pool.ByFreeProcessors.begin(), pool.ByFreeProcessors.end(),
       [needed](const auto &it) { return it.first >= needed; });
   const auto consider = [&](const RunnerEntry &runner) {
-    if (auto candidate = candidateOf(key, open, spec, runner, fleet)) {
+    if (auto candidate = candidateOf(key, open, spec, runner, fleet, at.Now)) {
       found.push_back(*candidate);
     }
   };
@@ -341,7 +351,7 @@
   }
   OpenStep &open = OpenSteps.at(key);
   const protocol::StepSpec &spec = *State.findSpec(key);
-  const std::vector<std::uint32_t> tasks = startableTasks(key, open);
+  const std::vector<std::uint32_t> tasks = startableTasks(key, open, at.Now);
   if (!open.FailedRunners.empty() &&
       !hasOtherRunners(key, queue->has_advice(), pool->second)) {
     open.FailedRunners.clear();
@@ -361,7 +371,8 @@
   const bool advised = queue->has_advice();
   if (advised) {
     Advice.addStep(key, queue->name(), queue->advice());
-    if (renewTickets(key, startableTasks(key, open), fleet, pool->second, at)) {
+    if (renewTickets(key, startableTasks(key, open, at.Now), fleet,
+                     pool->second, at)) {
       return;
     }
   }
