--- a/review/1/run.py
+++ b/review/1/run.py
@@ -139,12 +139,14 @@
         """Reports `draining` until that is acknowledged."""
         self.draining = True
         path = f"/-/Instances.Heartbeat/{self.name}"
-        while True:
+
+        def acknowledged():
             with self.lock:
                 self.sequence += 1
                 body = self.heartbeat_body()
-            if self.send(path, body):
-                break
+            return self.send(path, body)
+
+        wait_for(acknowledged, "`draining` is acknowledged")
         self.record.write(f"{self.name} drains, acknowledged")
 
     def deregister(self):
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import shutil
+import signal
 import sys
 import tempfile
 import threading
@@ -65,12 +66,20 @@
     return wait_for(cell.leader, "a control VM leads", seconds)
 
 
+def end_early(number, _):
+    """Handles a signal to the script."""
+    raise NotRun(f"the script got signal {number}")
+
+
 def main(case_folder, play):
     """Runs `play(cell, record)`, which returns a list of broken rules, and exits with
     the status of the case."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="masticwinch-review-"))
     record = Record(pathlib.Path(case_folder).resolve())
     record.write(f"trouble: {'yes' if TROUBLE else 'no'}")
+    # All processes are ended, also if the script is told to end.
+    for it in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(it, end_early)
     cell = None
     try:
         cell = start_cell(folder)
