--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -29,8 +29,8 @@
 class Record:
     """What was sent, answered and run, with the time since the start."""
 
-    def __init__(self, folder):
-        self.file = open(folder / "record.txt", "w", encoding="utf-8")
+    def __init__(self, file):
+        self.file = open(file, "w", encoding="utf-8")
         self.lock = threading.Lock()
         self.began = time.monotonic()
 
@@ -71,11 +71,11 @@
     raise NotRun(f"the script got signal {number}")
 
 
-def main(case_folder, play):
+def main(case_folder, play, record_name="record.txt"):
     """Runs `play(cell, record)`, which returns a list of broken rules, and exits with
     the status of the case."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="masticwinch-review-"))
-    record = Record(pathlib.Path(case_folder).resolve())
+    record = Record(pathlib.Path(case_folder).resolve() / record_name)
     record.write(f"trouble: {'yes' if TROUBLE else 'no'}")
     # All processes are ended, also if the script is told to end.
     for it in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
