Keep the runs of a runner that deregisters until their end is known

The answer to a runner's deregistration was lost, and the runner worked on within its lease; or its list of ends was overtaken by its deregistration.

Cause: a deregistration removed the runner at once and released its runs as lost. It proves nothing about them: only the runner's lists, the end of its lease on its own clock, or another incarnation in its place do. Answers of a removed runner were dropped with the ends that they listed, and so were late answers of a former life and of an earlier poll.

Change: a runner that deregisters is leaving. It gets no work and no longer lease; its runs may end for 300 ms, are stopped then, and are released by its lists or when its lease has surely expired, also if its polls are pending. The deregistration is acknowledged once all ends are stored, after 750 ms at the latest: a runner that has its acknowledgement can't list anything any more. The replicated record of the runner says that it is leaving, so that a new leader asks it for its runs too. Ends as done in answers of runners that were removed, of former lives and of earlier polls count as late ends. 421 of another incarnation still proves an end at once.

Ruled out: a refused connection as proof, since a process that shuts down may close its listener before its work ends.

--- a/fuzzing/workflow/simulated_runners.cpp
+++ b/fuzzing/workflow/simulated_runners.cpp
@@ -32,6 +32,9 @@
 /// Time from the end of a runner's life to its start under the same id.
 constexpr std::int64_t RestartTimeMs = 1000;
 
+/// Time from a deregistration that is not acknowledged to the runner's end.
+constexpr std::int64_t LeaveAnywayMs = 3000;
+
 /// Clock of a runner that has just started.
 constexpr std::int64_t NewClockMs = 500;
 
@@ -349,6 +352,31 @@
   }
 }
 
+/// A runner deregisters, and runs on for a while without an acknowledgement.
+void WorkflowSimulator::leaveUnacknowledged(Runner &runner) {
+  runner.Info.set_draining(true);
+  if (!runner.EndsAtMs) {
+    runner.EndsAtMs = clockMs() + LeaveAnywayMs;
+  }
+  deliverMessage({runner.Info, 0, 0, true});
+}
+
+/// Ends the runners that have waited long enough for an acknowledgement. At
+/// half of them nothing answers from then on.
+void WorkflowSimulator::endLeaving() {
+  for (auto it = Runners.begin(); it != Runners.end();) {
+    if (!it->second.EndsAtMs || *it->second.EndsAtMs > clockMs()) {
+      ++it;
+      continue;
+    }
+    countCrash(it->second);
+    if (it->first.back() % 2 == 0) {
+      Silent.insert(it->first);
+    }
+    it = Runners.erase(it);
+  }
+}
+
 void WorkflowSimulator::heartbeat(Runner &runner, bool held) {
   const Message message{runner.Info, ++runner.Sequence, clockMs(runner), false};
   if (held) {
@@ -374,6 +402,7 @@
   Now += time;
   beginDueLives();
   crashDeadly();
+  endLeaving();
   for (auto &[id, runner] : Runners) {
     if (clockMs(runner) > runner.LeaseUntilMs) {
       endLapsed(runner);
--- a/fuzzing/workflow/workflow_simulator.cpp
+++ b/fuzzing/workflow/workflow_simulator.cpp
@@ -249,7 +249,11 @@
     break;
   case Kind::RunnerLeaves:
     if (Runner *runner = runnerAt(action.A)) {
-      leave(*runner, action.B % 4 == 3);
+      if (action.B % 4 == 1) {
+        leaveUnacknowledged(*runner);
+      } else {
+        leave(*runner, action.B % 4 == 3);
+      }
     }
     break;
   case Kind::RunnerReborn:
--- a/fuzzing/workflow/workflow_simulator.hpp
+++ b/fuzzing/workflow/workflow_simulator.hpp
@@ -131,6 +131,8 @@
     std::uint64_t ToldSequence = 0;
     /// Number of orders that were sent before.
     std::uint64_t ToldAfterOrder = 0;
+    /// Set if it has deregistered and got no acknowledgement: when it ends.
+    std::optional<std::int64_t> EndsAtMs;
   };
   /// A heartbeat or deregistration that is delayed.
   struct Message {
@@ -196,6 +198,8 @@
   void restart(std::uint8_t choice, std::uint8_t clock);
   void beginDueLives();
   void leave(Runner &runner, bool held);
+  void leaveUnacknowledged(Runner &runner);
+  void endLeaving();
   void heartbeat(Runner &runner, bool held = false);
   void deliverMessage(const Message &message);
   void advanceTime(Milliseconds time);
--- a/src/masticwinch/coordination/workflow/runner_registry.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.cpp
@@ -60,6 +60,10 @@
   runner.Info = info;
   runner.Free = amountsOf(info.capacity());
   runner.Free -= used;
+  if (runner.Leaving || info.leaving()) {
+    // What is stored of the runner may be older than its deregistration.
+    beginLeaving(runner, now);
+  }
 }
 
 /// The longest time in which a runner's clock counts this duration.
@@ -77,12 +81,8 @@
                                const protocol::RunnerInfo &info,
                                SteadyTime now) {
   reportEnded(runner);
-  std::vector<RunKey> reserved;
+  releaseReserved(runner);
   for (auto &[run, it] : runner.Runs) {
-    if (it.Stage == RunStage::Reserved) {
-      reserved.push_back(run);
-      continue;
-    }
     it.Unanswered = it.Unanswered || it.Stage == RunStage::Starting;
     it.CallPending = false;
     if (it.Stage == RunStage::Stopping) {
@@ -94,15 +94,12 @@
     it.Started = false;
     it.StartedAt.reset();
   }
-  for (const RunKey &it : reserved) {
-    const std::string checkpoint = runner.Runs.at(it).Checkpoint;
-    release(runner, it, protocol::RUN_LOST, 0, checkpoint);
-  }
   RunnerEntry next;
   next.Runs = std::move(runner.Runs);
   // Answers to polls of the former life stay outdated.
   next.PollSequence = runner.PollSequence;
   next.Info = info;
+  next.Info.clear_leaving();
   next.Free = amountsOf(info.capacity());
   for (const auto &[run, it] : next.Runs) {
     next.Free -= it.Needs;
@@ -113,6 +110,20 @@
   runner = std::move(next);
 }
 
+/// Releases the runs that have not been ordered to start.
+void RunnerRegistry::releaseReserved(RunnerEntry &runner) {
+  std::vector<RunKey> reserved;
+  for (const auto &[run, it] : runner.Runs) {
+    if (it.Stage == RunStage::Reserved) {
+      reserved.push_back(run);
+    }
+  }
+  for (const RunKey &it : reserved) {
+    const std::string checkpoint = runner.Runs.at(it).Checkpoint;
+    release(runner, it, protocol::RUN_LOST, 0, checkpoint);
+  }
+}
+
 void RunnerRegistry::inheritLost(const std::string &id) {
   if (RunnerEntry *runner = findActive(id)) {
     runner->Lost = true;
@@ -122,7 +133,7 @@
 /// Reports the confirmed runs of a runner that was lost at this time.
 void RunnerRegistry::reportLost(RunnerEntry &runner, SteadyTime lostAt,
                                 bool disconnected) {
-  if (runner.Lost) {
+  if (runner.Lost || runner.Leaving) {
     return;
   }
   LostRunner lost{runner.life(), {}, disconnected};
@@ -175,6 +186,44 @@
   }
 }
 
+void RunnerRegistry::leave(const std::string &id, SteadyTime now) {
+  RunnerEntry *runner = findActive(id);
+  if (!runner) {
+    return;
+  }
+  beginLeaving(*runner, now);
+  if (runner->Runs.empty()) {
+    discard(*runner);
+  } else if (!runner->PollPending) {
+    runner->NextPoll = now;
+  }
+}
+
+void RunnerRegistry::beginLeaving(RunnerEntry &runner, SteadyTime now) {
+  runner.Info.set_draining(true);
+  runner.Info.set_leaving(true);
+  if (!runner.Leaving) {
+    runner.Leaving = true;
+    runner.LeavingSince = now;
+    reportEnded(runner);
+    releaseReserved(runner);
+  }
+}
+
+/// Stops all runs that are not being stopped yet, so that the runner saves
+/// their work.
+void RunnerRegistry::stopRuns(RunnerEntry &runner, SteadyTime now) {
+  for (auto &[run, it] : runner.Runs) {
+    if (it.Stage == RunStage::Stopping) {
+      continue;
+    }
+    beginStop(it, now);
+    if (runner.Adopted) {
+      sendStop(runner, run, it, now);
+    }
+  }
+}
+
 void RunnerRegistry::remove(const std::string &id) {
   RunnerEntry *runner = findActive(id);
   if (!runner) {
@@ -291,11 +340,13 @@
       now - runner.LastPollAnswer <= Options.AcknowledgeWithin) {
     poll.EndsStored = runner.EndsStored;
   }
-  // The lease of a runner that does not answer is not extended, so that it has
-  // a known end.
   if (runner.Adopted && runner.FailedPolls == 0) {
-    poll.LeaseUntilMs = extendLease(runner, now);
     poll.WaitMs = Options.PollWaitMs;
+    // The lease of a runner that leaves or does not answer is not extended, so
+    // that it has a known end.
+    if (!runner.Leaving) {
+      poll.LeaseUntilMs = extendLease(runner, now);
+    }
   }
   runner.PollPending = true;
   runner.PollSentAt = now;
@@ -344,7 +395,8 @@
 }
 
 void RunnerRegistry::releaseLapsed(RunnerEntry &runner, SteadyTime now) {
-  if (runner.FailedPolls == 0 || runner.Runs.empty()) {
+  const bool mayBeRenewed = runner.FailedPolls == 0 && !runner.Leaving;
+  if (mayBeRenewed || runner.Runs.empty()) {
     return;
   }
   const bool inheritedOver = now >= runner.InheritedLeasesUntil;
@@ -403,6 +455,13 @@
       sendPoll(runner, now);
     }
     releaseLapsed(runner, now);
+    if (runner.Leaving && runner.Runs.empty()) {
+      discard(runner);
+      continue;
+    }
+    if (runner.Leaving && now - runner.LeavingSince >= Options.LeaveGrace) {
+      stopRuns(runner, now);
+    }
     if (!retryStops) {
       continue;
     }
--- a/src/masticwinch/coordination/workflow/runner_registry.hpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.hpp
@@ -47,6 +47,9 @@
   /// How long a runner gets no work after it reported to be unhealthy or did
   /// not answer a start.
   Milliseconds UnwellBackoff{1000};
+  /// How long the runs of a runner that has deregistered may still end by
+  /// themselves before they are stopped.
+  Milliseconds LeaveGrace{300};
   /// Upper bound on the transfer delays that the estimate of a runner's clock
   /// ignores.
   Milliseconds ClockUncertainty{150};
@@ -106,6 +109,9 @@
   /// A poll showed this life; what it announces of itself is not known yet.
   bool Unannounced = false;
   bool Gone = false;
+  /// It has deregistered and may run on until its lease expires.
+  bool Leaving = false;
+  SteadyTime LeavingSince{};
   /// Latest lease end that was sent to the runner, on the runner's clock.
   std::int64_t LeaseSentMs = 0;
   /// When the leases granted by earlier leaders have certainly expired.
@@ -220,8 +226,15 @@
   void inherit(const std::string &runner, const RunKey &run,
                const ResourceAmounts &needs);
 
-  /// Removes a runner; its runs are lost. Later heartbeats of the same life are
-  /// outdated.
+  /// Handles that a runner deregisters. It gets no further work, its runs are
+  /// stopped after a short while and its lease is not renewed; it is removed
+  /// once none of its runs is left. A runner that gets no answer to its
+  /// deregistration runs on for a while, so its runs end by what it lists, or
+  /// when its lease has expired.
+  void leave(const std::string &id, SteadyTime now);
+
+  /// Removes a runner of which another incarnation has proven that it has
+  /// ended; its runs are lost. Later heartbeats of the same life are outdated.
   void remove(const std::string &id);
 
   /// Removes a runner that was out of reach for so long that nothing is known
@@ -274,7 +287,13 @@
   void release(RunnerEntry &runner, const RunKey &run, protocol::RunEnd how,
                std::uint64_t number, const std::string &checkpoint);
   void releaseAll(RunnerEntry &runner, protocol::RunEnd how);
+  void releaseReserved(RunnerEntry &runner);
+  void beginLeaving(RunnerEntry &runner, SteadyTime now);
+  void stopRuns(RunnerEntry &runner, SteadyTime now);
   void discard(RunnerEntry &runner);
+  void reportFormerEnds(const RunnerLife &life, const PollAnswer &answer,
+                        SteadyTime now);
+  void reportUntracked(const RunnerLife &life, const EndedRun &ended);
   void reportLost(RunnerEntry &runner, SteadyTime lostAt, bool disconnected);
   void reportEnded(RunnerEntry &runner);
   void reportAnswering(RunnerEntry &runner);
--- a/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
@@ -47,7 +47,7 @@
     release(*runner, run, protocol::RUN_LOST, 0, it->Checkpoint);
   } else if (isUnanswered(answer) &&
              it->StartAttempts < Options.MaxStartAttempts &&
-             !runner->isOvercommitted()) {
+             !runner->isOvercommitted() && !runner->Leaving) {
     it->Unanswered = true;
     sendStart(*runner, run, *it, now);
   } else {
@@ -78,7 +78,16 @@
 void RunnerRegistry::pollAnswered(const PollOrder &order,
                                   const PollAnswer &answer, SteadyTime now) {
   RunnerEntry *runner = findLife({order.Runner, order.BornUnixMs});
-  if (!runner || order.Sequence != runner->PollSequence) {
+  if (!runner) {
+    reportFormerEnds({order.Runner, order.BornUnixMs}, answer, now);
+    return;
+  }
+  if (order.Sequence != runner->PollSequence) {
+    // A late answer of the same life: what it lists as ended has ended.
+    if (answer.Answer == OrderAnswer::Done &&
+        answer.BornUnixMs == order.BornUnixMs) {
+      processEnded(*runner, answer);
+    }
     return;
   }
   if (answer.Answer == OrderAnswer::OtherLife) {
@@ -127,6 +136,35 @@
   runner.NextPoll = now + Options.RetryDelay;
 }
 
+/// Reports what a life of a runner lists that is not tracked any more: it was
+/// removed, or a later one has begun. A run that had ended as done must not be
+/// started again only because this answer was overtaken.
+void RunnerRegistry::reportFormerEnds(const RunnerLife &life,
+                                      const PollAnswer &answer,
+                                      SteadyTime now) {
+  if (answer.Answer != OrderAnswer::Done ||
+      answer.BornUnixMs != life.BornUnixMs) {
+    return;
+  }
+  for (const EndedRun &it : answer.Ended) {
+    if (it.How == protocol::RUN_DONE) {
+      // The next life may have carried out the same start late.
+      stop(life.Id, it.Run, now);
+    }
+    reportUntracked(life, it);
+  }
+}
+
+void RunnerRegistry::reportUntracked(const RunnerLife &life,
+                                     const EndedRun &ended) {
+  ObservedEnd end;
+  end.Runner = life.Id;
+  end.BornUnixMs = life.BornUnixMs;
+  end.Number = ended.Number;
+  end.Untracked = ended;
+  Effects.Ends.push_back(std::move(end));
+}
+
 void RunnerRegistry::processEnded(RunnerEntry &runner,
                                   const PollAnswer &answer) {
   for (const EndedRun &it : answer.Ended) {
@@ -138,12 +176,7 @@
       release(runner, it.Run, it.How, it.Number, it.Checkpoint);
       continue;
     }
-    ObservedEnd end;
-    end.Runner = runner.Info.id();
-    end.BornUnixMs = runner.Info.born_unix_ms();
-    end.Number = it.Number;
-    end.Untracked = it;
-    Effects.Ends.push_back(std::move(end));
+    reportUntracked(runner.life(), it);
   }
 }
 
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -92,6 +92,9 @@
   /// A runner that has neither sent a heartbeat nor answered for this long is
   /// removed.
   Milliseconds ForgetRunnerAfter{30'000};
+  /// How long the acknowledgement of a deregistration waits for the ends of the
+  /// runner's runs.
+  Milliseconds DepartureWait{750};
 };
 
 /// The time at which an input is handled, on the steady and the wall clock.
@@ -144,6 +147,8 @@
 
   /// Handles the deregistration of a runner that shuts down. One that states no
   /// life is of the known one only if that is draining or states none either.
+  /// `stored` is called once the ends of the runner's runs are stored, or after
+  /// a while without them.
   void deregister(const RunnerLife &life, StoredCallback stored, Moment at);
 
   /// Proposes a valid configuration. One that is not newer than the stored one
@@ -270,6 +275,10 @@
   const char *outdatedReason(const protocol::RunnerInfo &info,
                              std::uint64_t sequence) const;
   void forgetFormerLife(const std::string &id);
+  void acknowledgeDepartures(Moment at);
+  void recordRunner(const protocol::RunnerInfo &info,
+                    StoredCallback stored = nullptr);
+  void forgetRunner(const RunnerLife &life, StoredCallback stored = nullptr);
 
   // workflow_leader_progress.cpp
   void applied(const protocol::WorkflowChange &change, Moment at);
@@ -404,6 +413,14 @@
   /// Number of announcements of a runner that are being stored; only the last
   /// of them counts.
   std::map<std::string, std::size_t> RecordsBeingStored;
+  /// A runner that has deregistered and may still have runs.
+  struct Departure {
+    RunnerLife Life;
+    SteadyTime Since{};
+    /// Deregistrations that are not acknowledged yet.
+    std::vector<StoredCallback> Waiting;
+  };
+  std::map<std::string, Departure> Departures;
   /// Workflows that recur at an interval and have not ended.
   std::set<std::string> Recurring;
   /// Occurrences whose BeginOccurrence change is being stored, by workflow.
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -217,10 +217,16 @@
   logEvent(WorkflowEventKind::RunnerGone,
            {{"runner", life.Id}, {"born", std::to_string(life.BornUnixMs)}});
   Health.forget(life.Id);
-  protocol::WorkflowChange forgotten;
-  forgotten.mutable_forget_runner()->set_id(life.Id);
-  forgotten.mutable_forget_runner()->set_born_unix_ms(life.BornUnixMs);
-  propose(std::move(forgotten));
+  auto departure = Departures.extract(life.Id);
+  if (departure.empty()) {
+    forgetRunner(life);
+    return;
+  }
+  forgetRunner(life, [waiting = std::move(departure.mapped().Waiting)] {
+    for (const StoredCallback &it : waiting) {
+      it();
+    }
+  });
 }
 
 void WorkflowLeader::logUntrackedEnd(const ObservedEnd &end) {
@@ -377,6 +383,7 @@
 
 void WorkflowLeader::tick(Moment at) {
   Registry.tick(at.Now);
+  acknowledgeDepartures(at);
   answerOverdueQueries(at.Now);
   Advice.expire(at.Now);
   beginOccurrences(at);
--- a/src/masticwinch/coordination/workflow/workflow_leader_runners.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_runners.cpp
@@ -50,6 +50,9 @@
   if (known->Gone) {
     return "the runner is gone";
   }
+  if (known->Leaving) {
+    return "the runner has deregistered";
+  }
   return late ? "lower sequence" : nullptr;
 }
 
@@ -108,10 +111,7 @@
               {"memory_mb", std::to_string(info.capacity().memory_mb())},
               {"overcommitted", known->isOvercommitted() ? "yes" : "no"}});
   }
-  RecordsBeingStored[info.id()] += 1;
-  protocol::WorkflowChange recordedChange;
-  *recordedChange.mutable_runner()->mutable_runner() = info;
-  propose(std::move(recordedChange), std::move(stored));
+  recordRunner(info, std::move(stored));
 }
 
 /// Forgets what belongs to the former life of a runner outside the registry.
@@ -142,16 +142,67 @@
     stored();
     return;
   }
-  protocol::RunnerInfo leaving = known->Info;
-  leaving.set_born_unix_ms(
-      std::max(life.BornUnixMs, known->Info.born_unix_ms()));
-  leaving.set_draining(true);
-  Registry.add(leaving, at.Now);
-  Registry.remove(life.Id);
+  if (life.BornUnixMs > known->Info.born_unix_ms()) {
+    // The deregistration has overtaken what this life says of itself.
+    protocol::RunnerInfo later = known->Info;
+    later.set_born_unix_ms(life.BornUnixMs);
+    Registry.add(later, at.Now);
+  }
+  Registry.leave(life.Id, at.Now);
+  logEvent(WorkflowEventKind::RunnerLeaving,
+           {{"runner", life.Id},
+            {"born", std::to_string(life.BornUnixMs)},
+            {"runs", std::to_string(known->Runs.size())},
+            {"lease_sent_ms", std::to_string(known->LeaseSentMs)}});
+  if (known->Gone) {
+    forgetRunner(known->life(), std::move(stored));
+  } else {
+    Departure &departure = Departures[life.Id];
+    if (departure.Life != known->life()) {
+      departure.Life = known->life();
+      departure.Since = at.Now;
+      // A later leader has to know where its runs may still be.
+      recordRunner(known->Info);
+    }
+    departure.Waiting.push_back(std::move(stored));
+  }
   collectRegistryEffects(at);
+  acknowledgeDepartures(at);
+}
+
+/// Acknowledges the deregistrations of runners that don't tell in time how
+/// their runs have ended. Each waits for that first: a runner that has its
+/// acknowledgement is gone, with the ends that it has not told yet.
+void WorkflowLeader::acknowledgeDepartures(Moment at) {
+  for (auto &[id, departure] : Departures) {
+    if (departure.Waiting.empty() ||
+        at.Now - departure.Since < Options.DepartureWait) {
+      continue;
+    }
+    const RunnerEntry *runner = Registry.find(id);
+    for (StoredCallback &it : std::exchange(departure.Waiting, {})) {
+      if (runner && runner->Leaving && runner->life() == departure.Life) {
+        recordRunner(runner->Info, std::move(it));
+      } else {
+        it();
+      }
+    }
+  }
+}
+
+void WorkflowLeader::recordRunner(const protocol::RunnerInfo &info,
+                                  StoredCallback stored) {
+  RecordsBeingStored[info.id()] += 1;
+  protocol::WorkflowChange recorded;
+  *recorded.mutable_runner()->mutable_runner() = info;
+  propose(std::move(recorded), std::move(stored));
+}
+
+void WorkflowLeader::forgetRunner(const RunnerLife &life,
+                                  StoredCallback stored) {
   protocol::WorkflowChange forgotten;
   forgotten.mutable_forget_runner()->set_id(life.Id);
-  forgotten.mutable_forget_runner()->set_born_unix_ms(leaving.born_unix_ms());
+  forgotten.mutable_forget_runner()->set_born_unix_ms(life.BornUnixMs);
   propose(std::move(forgotten), std::move(stored));
 }
 
