Keep the log intact while a full disk refuses to truncate or sync

What operators would see: after disks had been full for a while, a replica that restarts finds its log damaged and needs repair, or its process ends with status 74 while the disk is full. Once a majority needs repair, nothing is stored any more.

Cause: an append that a full disk tore left its bytes in the file if the truncation was refused as well, and the retry wrote behind them, so that a scan ended there and all later records were lost. A sync refused for want of space ended the process. A removal that was refused counted as an error of the disk. And records that a killed process had written but not synced counted as stored after its restart, without a sync.

Change: a file remembers a torn tail and truncates it before the next append; a sync that fails for want of space discards what was appended since, and the write is repeated; the last segment is synced when the log is opened.

Ruled out: repeating a failed sync alone, since the kernel may drop pages whose writeback failed.

The sync on opening is by reading, without a test.

--- a/src/masticwinch/storage/file.cpp
+++ b/src/masticwinch/storage/file.cpp
@@ -32,6 +32,16 @@
   }
 }
 
+/// Returns the error of a failed sync. For want of space it concerns only what
+/// was written last.
+StorageError syncError(const std::string &path) {
+  StorageError error = systemError(path, "sync");
+  if (error.Kind != StorageErrorKind::DiskFull) {
+    error.Kind = StorageErrorKind::SyncFailed;
+  }
+  return error;
+}
+
 } // namespace
 
 StorageError systemError(const std::string &path, const std::string &what) {
@@ -47,12 +57,13 @@
 
 File::File(File &&other) noexcept
     : Descriptor(std::exchange(other.Descriptor, -1)),
-      Path(std::move(other.Path)), Size(other.Size) {}
+      Path(std::move(other.Path)), Size(other.Size), TornTail(other.TornTail) {}
 
 File &File::operator=(File &&other) noexcept {
   std::swap(Descriptor, other.Descriptor);
   std::swap(Path, other.Path);
   std::swap(Size, other.Size);
+  std::swap(TornTail, other.TornTail);
   return *this;
 }
 
@@ -73,6 +84,9 @@
 }
 
 Result<void> File::append(const std::string &bytes) {
+  if (TornTail) {
+    BOOST_LEAF_CHECK(truncate(Size));
+  }
   std::size_t written = 0;
   while (written < bytes.size()) {
     const ssize_t n =
@@ -82,7 +96,7 @@
     }
     if (n < 0) {
       const StorageError error = systemError(Path, "write");
-      BOOST_LEAF_CHECK(truncate(Size));
+      discardTail();
       return boost::leaf::new_error(error);
     }
     written += static_cast<std::size_t>(n);
@@ -91,19 +105,36 @@
   return {};
 }
 
+Result<void> File::appendAndSync(const std::string &bytes) {
+  const std::uint64_t before = Size;
+  BOOST_LEAF_CHECK(append(bytes));
+  if (::fdatasync(Descriptor) != 0) {
+    const StorageError error = syncError(Path);
+    // The kernel may not write pages again whose writeback failed; appending
+    // the bytes anew does.
+    Size = before;
+    discardTail();
+    return boost::leaf::new_error(error);
+  }
+  return {};
+}
+
+void File::discardTail() {
+  TornTail = ::ftruncate(Descriptor, static_cast<off_t>(Size)) != 0;
+}
+
 Result<void> File::truncate(std::uint64_t size) {
   if (::ftruncate(Descriptor, static_cast<off_t>(size)) != 0) {
     return boost::leaf::new_error(systemError(Path, "truncate"));
   }
   Size = size;
+  TornTail = false;
   return {};
 }
 
 Result<void> File::sync() {
   if (::fdatasync(Descriptor) != 0) {
-    StorageError error = systemError(Path, "sync");
-    error.Kind = StorageErrorKind::SyncFailed;
-    return boost::leaf::new_error(std::move(error));
+    return boost::leaf::new_error(syncError(Path));
   }
   return {};
 }
@@ -136,6 +167,8 @@
   std::filesystem::remove(temporary, ec);
   {
     BOOST_LEAF_AUTO(file, File::openForAppend(temporary));
+    // A full disk may have refused to remove the file of a failed attempt.
+    BOOST_LEAF_CHECK(file.truncate(0));
     BOOST_LEAF_CHECK(file.append(bytes));
     BOOST_LEAF_CHECK(file.sync());
   }
@@ -152,10 +185,9 @@
     return boost::leaf::new_error(systemError(folder, "open"));
   }
   const int failed = ::fsync(descriptor);
-  StorageError error = systemError(folder, "sync");
+  StorageError error = syncError(folder);
   ::close(descriptor);
   if (failed != 0) {
-    error.Kind = StorageErrorKind::SyncFailed;
     return boost::leaf::new_error(std::move(error));
   }
   return {};
--- a/src/masticwinch/storage/file.hpp
+++ b/src/masticwinch/storage/file.hpp
@@ -26,9 +26,14 @@
   const std::string &path() const { return Path; }
   std::uint64_t size() const { return Size; }
 
-  /// Appends bytes. After an error the file has its previous content.
+  /// Appends bytes. After an error the file has its previous content, at the
+  /// latest before the next append: a full disk may refuse to truncate it.
   Result<void> append(const std::string &bytes);
 
+  /// Appends bytes and waits until they are on disk. After `DiskFull` the bytes
+  /// can be appended again.
+  Result<void> appendAndSync(const std::string &bytes);
+
   /// Truncates the file to a size.
   Result<void> truncate(std::uint64_t size);
 
@@ -40,9 +45,14 @@
   Result<void> lock();
 
 private:
+  /// Discards what a failed append has left behind the file's content.
+  void discardTail();
+
   int Descriptor = -1;
   std::string Path;
+  /// Size of the content; the file is longer while `TornTail` is set.
   std::uint64_t Size = 0;
+  bool TornTail = false;
 };
 
 /// Returns the error of the last system call.
--- a/src/masticwinch/storage/segment_log.cpp
+++ b/src/masticwinch/storage/segment_log.cpp
@@ -3,8 +3,10 @@
 #include "masticwinch/storage/record.hpp"
 
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <filesystem>
 #include <iterator>
@@ -130,8 +132,10 @@
                     File::openForAppend(pathOf(Segments.back())));
   if (ActiveSegment.size() > Segments.back().ValidBytes) {
     BOOST_LEAF_CHECK(ActiveSegment.truncate(Segments.back().ValidBytes));
-    BOOST_LEAF_CHECK(ActiveSegment.sync());
   }
+  // A former process may have ended between writing its last records and
+  // syncing them.
+  BOOST_LEAF_CHECK(ActiveSegment.sync());
   return syncFolder(Folder);
 }
 
@@ -165,8 +169,7 @@
   for (const protocol::LogEntry &it : entries) {
     bytes += encodeRecord(it, batch);
   }
-  BOOST_LEAF_CHECK(ActiveSegment.append(bytes));
-  BOOST_LEAF_CHECK(ActiveSegment.sync());
+  BOOST_LEAF_CHECK(ActiveSegment.appendAndSync(bytes));
   LastIndex = entries.back().index();
   LastTerm = entries.back().term();
   LastBatch = batch;
@@ -196,11 +199,8 @@
 }
 
 Result<void> SegmentLog::removeSegment(const Segment &segment) {
-  std::error_code ec;
-  std::filesystem::remove(pathOf(segment), ec);
-  if (ec) {
-    return boost::leaf::new_error(StorageError{
-        StorageErrorKind::Io, pathOf(segment), "remove: " + ec.message()});
+  if (::unlink(pathOf(segment).c_str()) != 0 && errno != ENOENT) {
+    return boost::leaf::new_error(systemError(pathOf(segment), "remove"));
   }
   return {};
 }
