Write no entries below the base of a log that is reset

Ruled out: that entries below the base are skipped when the log is read; SegmentLog::scan keeps them.

--- a/src/masticwinch/coordination/replication/replica.cpp
+++ b/src/masticwinch/coordination/replication/replica.cpp
@@ -227,6 +227,10 @@
   if (batch.NewSnapshot) {
     batch.DiscardThrough = lastDiscardable(batch.NewSnapshot->Index);
   }
+  if (batch.ResetLog) {
+    // A later snapshot may have replaced the one that was installed.
+    NextToWrite = std::max(NextToWrite, batch.NewSnapshot->Index + 1);
+  }
   if (std::exchange(HardDirty, false)) {
     batch.Hard = Hard;
   }
