Refuse by name what can't be stored while the disk is full

What callers saw: while the leader's disk was full and no other control VM could take over, submissions and configurations got no answer; the leader kept them until the disk had room. A write was repeated only each second.

SIGXFSZ is ignored, so that a limit on the size of files acts like a full disk.

Ruled out: giving up leadership without a successor, which would let leases of runners lapse.

--- a/src/masticwinch/control/replicated_log.cpp
+++ b/src/masticwinch/control/replicated_log.cpp
@@ -24,7 +24,7 @@
 namespace {
 
 constexpr Milliseconds MaintenanceInterval{250};
-constexpr Milliseconds WriteRetryInterval{1000};
+constexpr Milliseconds WriteRetryInterval{200};
 constexpr Milliseconds TransferTimeout{2000};
 /// Exit status after a failed sync.
 constexpr int StorageFailedStatus = 74;
@@ -102,7 +102,7 @@
 }
 
 std::optional<LogPosition> ReplicatedLog::propose(const std::string &record) {
-  if (Unwritable) {
+  if (!Refusal.empty()) {
     return std::nullopt;
   }
   const auto index = LocalReplica->propose(record, Time.now());
@@ -252,16 +252,16 @@
   if (error && !error->isRetryable()) {
     exitOnStorageFailure(*error);
   }
-  if (Unwritable != error.has_value()) {
-    Unwritable = error.has_value();
-    LocalReplica->setElectable(!Unwritable);
+  if (Refusal.empty() == error.has_value()) {
+    Refusal = error ? error->text() : "";
+    LocalReplica->setElectable(!error);
     const bool full = error && error->Kind == StorageErrorKind::DiskFull;
-    Events.write(!Unwritable ? ReplicatedLogEvent::DiskWritable
-                 : full      ? ReplicatedLogEvent::DiskFull
-                             : ReplicatedLogEvent::DescriptorsUsedUp,
-                 {{"reason", error ? error->text() : ""}});
+    Events.write(!error ? ReplicatedLogEvent::DiskWritable
+                 : full ? ReplicatedLogEvent::DiskFull
+                        : ReplicatedLogEvent::DescriptorsUsedUp,
+                 {{"reason", Refusal}});
   }
-  if (Unwritable && LocalReplica->transferLeadership(Time.now())) {
+  if (error && LocalReplica->transferLeadership(Time.now())) {
     Events.write(ReplicatedLogEvent::LeadershipOffered,
                  {{"reason", "the data folder cannot be written"}});
     scheduleProcessing();
--- a/src/masticwinch/control/replicated_log.hpp
+++ b/src/masticwinch/control/replicated_log.hpp
@@ -104,6 +104,10 @@
 
   std::optional<LogPosition> propose(const std::string &record);
 
+  /// Why records can't be stored at this moment; empty if they can. A leader
+  /// that can't store them hands over as soon as another replica can lead.
+  const std::string &refusal() const { return Refusal; }
+
   /// True if no other replica can be leader at this moment and the state
   /// reflects everything that was accepted.
   bool isLeader() const;
@@ -186,8 +190,8 @@
   asio::steady_timer TransferTimer;
   std::function<void()> TransferDone;
   bool ProcessingScheduled = false;
-  /// Set while the data folder cannot be written.
-  bool Unwritable = false;
+  /// Why the data folder cannot be written; empty while it can.
+  std::string Refusal;
   /// Start time of the write in progress.
   std::optional<SteadyTime> WritingSince;
   bool LeadershipActive = false;
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -313,6 +313,19 @@
     waiting->second.push_back(std::move(answer));
     return;
   }
+  if (!LogRefusal.empty()) {
+    logEvent(WorkflowEventKind::WorkflowRefused,
+             {{"workflow", spec.id()},
+              {"reason", "nothing can be stored"},
+              {"queue", spec.queue()},
+              {"log", LogRefusal}});
+    protocol::WorkflowAnswer refused =
+        answerOf(protocol::VERDICT_REFUSED, "nothing can be stored");
+    refused.set_retry_after_ms(
+        static_cast<std::uint32_t>(Options.LogRefusalRetry.count()));
+    answer(refused);
+    return;
+  }
   if (!fitsSomeRunner(spec, route.Queue->pool())) {
     logEvent(WorkflowEventKind::WorkflowRefused,
              {{"workflow", spec.id()},
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -92,6 +92,9 @@
   /// A runner that has neither sent a heartbeat nor answered for this long is
   /// removed.
   Milliseconds ForgetRunnerAfter{30'000};
+  /// Delay after which a submission may be repeated that was refused because
+  /// nothing can be stored.
+  Milliseconds LogRefusalRetry{1000};
   /// How long the acknowledgement of a deregistration waits for the ends of the
   /// runner's runs.
   Milliseconds DepartureWait{750};
@@ -137,6 +140,10 @@
   WorkflowLeader(const WorkflowLeaderOptions &options,
                  const WorkflowState &state, Moment at);
 
+  /// Tells why nothing can be stored at this moment; empty if it can. New
+  /// submissions are refused meanwhile.
+  void setLogRefusal(std::string reason) { LogRefusal = std::move(reason); }
+
   void call(const protocol::WorkflowCall &call, AnswerCallback answer,
             Moment at);
 
@@ -421,6 +428,7 @@
     std::vector<StoredCallback> Waiting;
   };
   std::map<std::string, Departure> Departures;
+  std::string LogRefusal;
   /// Workflows that recur at an interval and have not ended.
   std::set<std::string> Recurring;
   /// Occurrences whose BeginOccurrence change is being stored, by workflow.
--- a/src/masticwinch/programs/process_setup.cpp
+++ b/src/masticwinch/programs/process_setup.cpp
@@ -49,6 +49,8 @@
     ::close(descriptor);
   }
   std::signal(SIGPIPE, SIG_IGN);
+  // A write beyond the limit of a file's size fails as on a full disk.
+  std::signal(SIGXFSZ, SIG_IGN);
   std::set_terminate(terminate);
 }
 
--- a/src/masticwinch/workflow/control_vm_daemon.hpp
+++ b/src/masticwinch/workflow/control_vm_daemon.hpp
@@ -85,6 +85,8 @@
   // thread.
   bool leads() const { return Workflows.leads(); }
   std::string leaderName() const { return Log.leaderName(); }
+  /// Why changes can't be stored at this moment; empty if they can.
+  const std::string &refusal() const { return Log.refusal(); }
   const std::string &name() const { return Settings.Daemon.Process.Name; }
   const protocol::CellConfig &config() const {
     return Workflows.state().config();
--- a/src/masticwinch/workflow/workflow_driver.hpp
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -194,7 +194,10 @@
       reply(std::move(answer));
       return;
     }
-    decide("call", [&] { Leader->call(call, reply, currentMoment()); });
+    decide("call", [&] {
+      Leader->setLogRefusal(Commands.refusal());
+      Leader->call(call, reply, currentMoment());
+    });
   }
 
   void handleHello(const protocol::Envelope &envelope) {
--- a/tests/workflow/test_reelected_leader.cpp
+++ b/tests/workflow/test_reelected_leader.cpp
@@ -20,6 +20,7 @@
   }
   bool isLeader() const { return Leads; }
   std::uint64_t term() const { return Term; }
+  std::string refusal() const { return {}; }
   std::string leaderAddress() const { return {}; }
   std::vector<std::string> otherAddresses() const { return {}; }
   void resign(const std::string &) { Leads = false; }
