Count no crash under a run whose end its runner has reported

Cause: when a runner falls silent, its runs are exposed, and a crash of it is counted against their tasks once it is known. An end that the runner listed itself, in an answer that came late, did not end the exposure.

Change: a reported end as done, failed, stopped, broken or alone ends the exposures on that runner. Lapsed and lost runs are still exposed: the leader concludes these ends itself, and a task that crashes its runners ends so, too.

Ruled out: ending exposures with lapsed runs, in a trial with refused connections as the mark of a crash: two tests of deadly tasks fail, where a runner crashes without a refused connection.

--- a/src/masticwinch/coordination/workflow/workflow_state.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_state.cpp
@@ -22,6 +22,11 @@
   return false;
 }
 
+/// Whether only the runner itself can tell that a run has ended this way.
+bool isReported(protocol::RunEnd how) {
+  return how != protocol::RUN_LOST && how != protocol::RUN_LAPSED;
+}
+
 void fillRecord(protocol::StepRecord &record, const Step &step) {
   record.set_gang_failures(step.GangFailures);
   record.set_last_failed_run(step.LastFailedRun);
@@ -248,6 +253,12 @@
   if (task->Runner != end.runner() && !doneLate) {
     return;
   }
+  if (isReported(end.how())) {
+    // A later crash of the runner isn't one under this run.
+    std::erase_if(task->Exposures, [&](const Exposure &it) {
+      return it.Runner == end.runner();
+    });
+  }
   Workflow &workflow = found->second;
   workflow.Started = workflow.Started || end.how() != protocol::RUN_LOST;
   task->Runner.clear();
--- a/tests/coordination/workflow/test_workflow_state.cpp
+++ b/tests/coordination/workflow/test_workflow_state.cpp
@@ -239,3 +239,30 @@
   state.apply(forgetOf(2));
   CHECK_FALSE(state.runners().contains("i-1"));
 }
+
+// Guards against a job that is given up for crashes after its runs had ended.
+TEST_CASE("A crash of a runner after it has reported the end of a run is not "
+          "counted against the task",
+          "[workflow]") {
+  WorkflowState state;
+  state.apply(acceptOf(specOf("w", {stepOf(1)}), 10));
+  const TaskKey task{{"w", 0, 0}, 0};
+  for (std::uint32_t run = 1; run <= workflow::MaxCrashes; ++run) {
+    state.apply(assignOf(task, run, "r"));
+    protocol::WorkflowChange exposed;
+    exposed.mutable_expose()->set_runner("r");
+    protocol::ExposedRun *it = exposed.mutable_expose()->add_runs();
+    *it->mutable_task() = refOf(task);
+    it->set_run(run);
+    it->set_suspected(true);
+    state.apply(exposed);
+    state.apply(endOf(task, run, "r", protocol::RUN_FAILED));
+    protocol::WorkflowChange resolved;
+    resolved.mutable_resolve()->set_runner("r");
+    resolved.mutable_resolve()->set_crashed(true);
+    state.apply(resolved);
+  }
+  CHECK(state.find("w")->CurrentPhase == Phase::Running);
+  REQUIRE(state.findTask(task));
+  CHECK(state.findTask(task)->Crashes == 0);
+}
