--- a/fuzzing/workflow/fuzz_sessions.cpp
+++ b/fuzzing/workflow/fuzz_sessions.cpp
@@ -8,7 +8,7 @@
 
 TEST_CASE("A start that its runner's next life carries out after the runner "
           "left does not run twice",
-          "[workflow][.known-red]") {
+          "[workflow][fuzzing]") {
   CHECK_NOTHROW(runSession({{Kind::StoreBatch, 0, 0},
                             {Kind::StoreBatch, 0, 0},
                             {Kind::AdvanceTime, 0, 0},
