Let a resend wait until the end of its key's earlier claim is stored

Ruled out: a lost release (applied), two owners (one record for each key).

Change: a request whose key is in progress claims it again after 20, 40, 80 ms, for up to 250 ms or its deadline, before it is answered in_progress. The first reply is not held back.

The test of "in progress elsewhere" required the answer to the first claim at once, which is the fault; it now requires the same answer within 250 ms, after more than one claim.

--- a/src/masticwinch/coordination/requests/dispatcher.cpp
+++ b/src/masticwinch/coordination/requests/dispatcher.cpp
@@ -72,7 +72,9 @@
   ProfileClaims[record.Arrival.Profile] -= 1;
   if (result.verdict() == protocol::CLAIM_GRANTED) {
     claimGranted(record, now);
-  } else if (record.Stage != RequestStage::Done) {
+  } else if (record.Stage != RequestStage::Done &&
+             !(result.verdict() == protocol::CLAIM_IN_PROGRESS &&
+               claimLater(record, now))) {
     const ClaimRefusal refusal = refusalOf(result);
     finish(record, refusal.Outcome, refusal.Reason, refusal.FullAnswer, now);
   }
@@ -89,6 +91,23 @@
   admit(record, now);
 }
 
+/// The caller of the earlier request may have its reply already: the reply
+/// doesn't wait until the end of the claim is stored. Returns false when the
+/// time for that has passed.
+bool Dispatcher::claimLater(RequestRecord &record, SteadyTime now) {
+  if (!record.ClaimUntil) {
+    record.ClaimUntil = now + Options.InProgressWait;
+    record.ClaimInterval = Options.FirstClaimInterval;
+  }
+  if (now >= *record.ClaimUntil) {
+    return false;
+  }
+  record.RetryAt = std::min(now + record.ClaimInterval, *record.ClaimUntil);
+  record.ClaimInterval *= 2;
+  setTimer(record);
+  return true;
+}
+
 void Dispatcher::callerDisconnected(RequestNumber number, SteadyTime now) {
   const auto found = Records.find(number);
   if (found == Records.end() || found->second.Stage == RequestStage::Done) {
@@ -250,7 +269,8 @@
   SteadyTime due = record.DeadlineAt;
   if (record.Stage == RequestStage::Waiting) {
     due = std::min(due, record.QueueUntil);
-  } else if (record.Stage == RequestStage::BackingOff) {
+  } else if (record.Stage == RequestStage::BackingOff ||
+             (record.Stage == RequestStage::Claiming && !record.ClaimPending)) {
     due = std::min(due, record.RetryAt);
   } else if (record.Stage == RequestStage::Dispatched && record.HedgeAt) {
     due = std::min(due, *record.HedgeAt);
@@ -285,6 +305,8 @@
     endWithoutAnswer(record, RefusalReason::QueueTimeout, now);
   } else if (record.Stage == RequestStage::BackingOff) {
     enqueue(record, now);
+  } else if (record.Stage == RequestStage::Claiming) {
+    startClaim(record);
   } else {
     hedge(record, now);
     setTimer(record);
--- a/src/masticwinch/coordination/requests/dispatcher.hpp
+++ b/src/masticwinch/coordination/requests/dispatcher.hpp
@@ -34,6 +34,10 @@
   double RetryBurst = 20;
   Milliseconds FirstBackoff{10};
   Milliseconds LongestBackoff{1000};
+  /// How long a request waits for an earlier one with its key to end before it
+  /// is answered as in progress, and the first interval between its claims.
+  Milliseconds InProgressWait{250};
+  Milliseconds FirstClaimInterval{20};
   /// Seed of the backoff jitter.
   std::uint64_t Seed = 1;
 };
@@ -139,6 +143,7 @@
   // Request life cycle; see dispatcher.cpp.
   void startClaim(RequestRecord &record);
   void claimGranted(RequestRecord &record, SteadyTime now);
+  bool claimLater(RequestRecord &record, SteadyTime now);
   void finish(RequestRecord &record, RequestOutcome outcome,
               RefusalReason reason, AnswerPointer answer, SteadyTime now);
   void resolveClaim(RequestRecord &record, RequestOutcome outcome,
--- a/src/masticwinch/coordination/requests/request_record.hpp
+++ b/src/masticwinch/coordination/requests/request_record.hpp
@@ -50,8 +50,12 @@
   SteadyTime DeadlineAt{};
   /// When the request is refused if it still waits in the queue.
   SteadyTime QueueUntil{};
-  /// When the request returns to the queue after its backoff.
+  /// When the request returns to the queue after its backoff, or claims its key
+  /// again.
   SteadyTime RetryAt{};
+  /// When a request whose key is in progress stops claiming it.
+  std::optional<SteadyTime> ClaimUntil;
+  Milliseconds ClaimInterval{0};
   /// When a hedged request may be sent.
   std::optional<SteadyTime> HedgeAt;
   std::optional<SteadyTime> Timer;
--- a/tests/coordination/requests/test_dispatcher.cpp
+++ b/tests/coordination/requests/test_dispatcher.cpp
@@ -120,7 +120,17 @@
     CHECK(f.Claims.at(1).has_release());
   }
   SECTION("in progress elsewhere") {
-    f.claim(number, protocol::CLAIM_IN_PROGRESS);
+    const SteadyTime arrivedAt = f.now();
+    for (std::size_t answered = 0; f.Replies.empty();) {
+      REQUIRE(f.now() <= arrivedAt + Milliseconds(250));
+      if (f.Claims.size() > answered) {
+        ++answered;
+        f.claim(number, protocol::CLAIM_IN_PROGRESS);
+      } else {
+        f.advance(Milliseconds(10));
+      }
+    }
+    CHECK(f.Claims.size() > 1);
     CHECK(f.Starts.empty());
     CHECK(f.Replies.at(0).Reason == RefusalReason::InProgress);
     CHECK(f.Replies.at(0).Outcome == RequestOutcome::Unknown);
@@ -128,6 +138,47 @@
   CHECK((f.EntryDispatcher.idle() || !f.Starts.empty()));
 }
 
+// Guards against a resend that is answered as in progress although its caller
+// already has the reply of the earlier request, whose claim ends a little
+// later.
+TEST_CASE("A resend right after the reply doesn't find its key in progress",
+          "[requests][dispatcher]") {
+  DispatcherFixture f({Billed});
+  const RequestNumber number = f.arrive("billed", "k");
+  f.claim(number, protocol::CLAIM_IN_PROGRESS);
+  CHECK(f.Replies.empty());
+  f.advance(Milliseconds(20));
+  REQUIRE(f.Claims.size() == 2);
+  CHECK(f.Claims[1].claim().owner().request() == number);
+
+  SECTION("the earlier request was not run") {
+    f.claim(number, protocol::CLAIM_GRANTED);
+    REQUIRE(f.Starts.size() == 1);
+    f.end(f.Starts[0].Number, DispatchResult::Answered);
+    CHECK(f.Replies.at(0).Outcome == RequestOutcome::Answered);
+  }
+  SECTION("the caller disconnects between two claims") {
+    f.claim(number, protocol::CLAIM_IN_PROGRESS);
+    f.EntryDispatcher.callerDisconnected(number, f.now());
+    f.advance(Milliseconds(100));
+    CHECK(f.Claims.size() == 2);
+    CHECK(f.EntryDispatcher.idle());
+  }
+  SECTION("the serving lease is lost between two claims") {
+    f.claim(number, protocol::CLAIM_IN_PROGRESS);
+    f.EntryDispatcher.fence(f.now());
+    f.collect();
+    CHECK(f.Replies.at(0).Outcome == RequestOutcome::Unknown);
+    CHECK(f.EntryDispatcher.idle());
+  }
+  SECTION("the deadline passes first") {
+    f.advance(Milliseconds(1000));
+    CHECK(f.Replies.at(0).Outcome == RequestOutcome::Unknown);
+    f.claim(number, protocol::CLAIM_GRANTED);
+    CHECK(f.Claims.at(2).has_release());
+  }
+}
+
 TEST_CASE("Waiting requests end as not run when the serving lease is lost",
           "[requests][dispatcher]") {
   DispatcherFixture f({Billed}, 1, 1);
