Tell the lives of a runner apart by the fencing tokens of orders

A start without an answer was carried out seconds late by the next life of its runner, after its repetition was answered, its run had ended or its job was completed.

Cause: all orders of a term carried the term as fencing token, and a call names the runner by its id alone. Nothing let the new life tell a late order from a current one, and the leader forgets a start with its run. Ruled out: a stop for each start that may be late; that needs a replicated memory of all starts for as long as an order may be late, and still leaves polls that acknowledge ends.

Change: the token is the term and the number of the runner's life, which the leader counts over all runners and lives. The first poll to a new life makes it refuse all earlier orders, whatever the leader remembers of them. A refusal because of a later order of the same leader doesn't depose it.

--- a/fuzzing/workflow/simulated_runners.cpp
+++ b/fuzzing/workflow/simulated_runners.cpp
@@ -59,7 +59,8 @@
 }
 
 OrderAnswer WorkflowSimulator::start(const Order &order) {
-  const OrderAnswer checked = checkToken(order.Start.Runner, order.Term);
+  const OrderAnswer checked = checkToken(
+      order.Start.Runner, fencingTokenOf(order.Term, order.Start.LifeNumber));
   if (checked != OrderAnswer::Done) {
     return checked;
   }
@@ -136,7 +137,8 @@
 }
 
 OrderAnswer WorkflowSimulator::stop(const Order &order) {
-  const OrderAnswer checked = checkToken(order.Stop.Runner, order.Term);
+  const OrderAnswer checked = checkToken(
+      order.Stop.Runner, fencingTokenOf(order.Term, order.Stop.LifeNumber));
   if (checked != OrderAnswer::Done) {
     return checked;
   }
@@ -160,7 +162,8 @@
     answer.Answer = OrderAnswer::Silent;
     return answer;
   }
-  answer.Answer = checkToken(order.Poll.Runner, order.Term);
+  answer.Answer = checkToken(order.Poll.Runner,
+                             fencingTokenOf(order.Term, order.Poll.LifeNumber));
   if (answer.Answer != OrderAnswer::Done) {
     return answer;
   }
--- a/src/masticwinch/coordination/workflow/runner_orders.hpp
+++ b/src/masticwinch/coordination/workflow/runner_orders.hpp
@@ -21,6 +21,19 @@
   bool operator==(const RunnerLife &) const = default;
 };
 
+/// Number of the lives of runners that one leader can tell apart.
+constexpr std::uint64_t MaxLifeNumber = (1U << 20U) - 1;
+
+/// Returns the fencing token of an order. A runner refuses orders with a lower
+/// token than it has seen. The tokens rise from term to term and, within a
+/// term, from one life of a runner to the next: an order to a former life is
+/// refused by the next one, once that has got an order of its own. Exact as a
+/// double for 2^33 terms.
+constexpr std::uint64_t fencingTokenOf(std::uint64_t term,
+                                       std::uint32_t lifeNumber) {
+  return term * (MaxLifeNumber + 1) + lifeNumber;
+}
+
 /// Tells a runner to start a run. The order is idempotent.
 struct StartOrder {
   std::string Runner;
@@ -35,6 +48,8 @@
   /// The life of the runner that the order is meant for. Not sent: a call names
   /// the runner by its id alone.
   std::uint64_t BornUnixMs = 0;
+  /// Number of that life, counted by the leader over all runners.
+  std::uint32_t LifeNumber = 0;
 };
 
 /// Tells a runner to stop a run and to refuse any later order to start it.
@@ -43,6 +58,7 @@
   std::string Address;
   RunKey Run;
   std::uint64_t BornUnixMs = 0;
+  std::uint32_t LifeNumber = 0;
 };
 
 /// Polls a runner for its running and ended runs, and renews its lease.
@@ -58,12 +74,14 @@
   /// Long poll: how long the runner may wait for an end before it answers.
   std::uint32_t WaitMs = 0;
   std::uint64_t BornUnixMs = 0;
+  std::uint32_t LifeNumber = 0;
 };
 
 /// Result of an order to a runner.
 enum class OrderAnswer : std::uint8_t {
   Done,
-  /// Rejected: the runner has accepted an order with a higher fencing token.
+  /// Rejected: the runner has accepted an order with a higher fencing token, of
+  /// a later term or to a later life.
   Fenced,
   /// The run, or a later run of the task, has ended or was stopped on the
   /// runner.
--- a/src/masticwinch/coordination/workflow/runner_registry.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.cpp
@@ -30,6 +30,16 @@
   return runner && runner->life() == life ? runner : nullptr;
 }
 
+/// The leader gives up its term when the numbers are used up.
+std::uint32_t RunnerRegistry::nextLifeNumber() {
+  if (LastLifeNumber == MaxLifeNumber) {
+    Effects.Deposed = true;
+  } else {
+    ++LastLifeNumber;
+  }
+  return LastLifeNumber;
+}
+
 TrackedRun *RunnerRegistry::trackedRun(const std::string &id,
                                        const RunKey &run) {
   RunnerEntry *runner = findActive(id);
@@ -44,6 +54,7 @@
   const auto [it, added] = Runners.try_emplace(info.id());
   RunnerEntry &runner = it->second;
   if (added) {
+    runner.LifeNumber = nextLifeNumber();
     runner.InheritedLeasesUntil =
         now + longestDuration(info.restarted() ? Options.LongestLease
                                                : Options.Lease);
@@ -99,6 +110,7 @@
   // Answers to polls of the former life stay outdated.
   next.PollSequence = runner.PollSequence;
   next.Info = info;
+  next.LifeNumber = nextLifeNumber();
   next.Info.clear_leaving();
   next.Free = amountsOf(info.capacity());
   for (const auto &[run, it] : next.Runs) {
@@ -316,7 +328,8 @@
   it.StartAttempts += 1;
   Effects.Starts.push_back({runner.Info.id(), runner.Info.address(), run,
                             it.Payload, extendLease(runner, now), it.Checkpoint,
-                            it.Ticket, runner.Info.born_unix_ms()});
+                            it.Ticket, runner.Info.born_unix_ms(),
+                            runner.LifeNumber});
 }
 
 void RunnerRegistry::sendStop(RunnerEntry &runner, const RunKey &run,
@@ -325,7 +338,7 @@
   it.CallSentAt = now;
   it.NextStopAttempt = now + Options.RetryDelay;
   Effects.Stops.push_back({runner.Info.id(), runner.Info.address(), run,
-                           runner.Info.born_unix_ms()});
+                           runner.Info.born_unix_ms(), runner.LifeNumber});
 }
 
 void RunnerRegistry::sendPoll(RunnerEntry &runner, SteadyTime now) {
@@ -333,6 +346,7 @@
   poll.Runner = runner.Info.id();
   poll.Address = runner.Info.address();
   poll.BornUnixMs = runner.Info.born_unix_ms();
+  poll.LifeNumber = runner.LifeNumber;
   poll.Sequence = ++runner.PollSequence;
   // A call names the runner by its id alone. Another life of it would drop ends
   // that it has not listed yet, since its numbers begin anew.
--- a/src/masticwinch/coordination/workflow/runner_registry.hpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.hpp
@@ -99,6 +99,8 @@
 /// State of one life of a runner, as the leader knows it.
 struct RunnerEntry {
   protocol::RunnerInfo Info;
+  /// Part of the fencing token of all orders to this life.
+  std::uint32_t LifeNumber = 0;
   /// Negative if the runner has shrunk below what its runs need.
   ResourceAmounts Free;
   RunnerClock Clock;
@@ -280,6 +282,10 @@
 private:
   RunnerEntry *findActive(const std::string &id);
   RunnerEntry *findLife(const RunnerLife &life);
+  std::uint32_t nextLifeNumber();
+  template <class Order>
+  void checkFence(const RunnerEntry &runner, const Order &order,
+                  OrderAnswer answer);
   void beginLife(RunnerEntry &runner, const protocol::RunnerInfo &info,
                  SteadyTime now);
   void pollFailed(RunnerEntry &runner, OrderAnswer answer, SteadyTime now);
@@ -316,6 +322,7 @@
   RunnerRegistryOptions Options;
   NeedsLookup NeedsOf;
   std::map<std::string, RunnerEntry> Runners;
+  std::uint32_t LastLifeNumber = 0;
   SteadyTime NextStopRetry{};
   RunnerRegistryEffects Effects;
 };
--- a/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
@@ -12,6 +12,16 @@
 
 } // namespace
 
+/// Another leader has taken over if an order is refused that carries the
+/// highest token of this one.
+template <class Order>
+void RunnerRegistry::checkFence(const RunnerEntry &runner, const Order &order,
+                                OrderAnswer answer) {
+  if (answer == OrderAnswer::Fenced && order.LifeNumber == runner.LifeNumber) {
+    Effects.Deposed = true;
+  }
+}
+
 void RunnerRegistry::startAnswered(const StartOrder &order, OrderAnswer answer,
                                    SteadyTime now) {
   const RunKey &run = order.Run;
@@ -23,7 +33,7 @@
     remove(order.Runner);
     return;
   }
-  Effects.Deposed = Effects.Deposed || answer == OrderAnswer::Fenced;
+  checkFence(*runner, order, answer);
   if (answer == OrderAnswer::Unwell || isUnanswered(answer)) {
     runner->UnwellUntil = now + Options.UnwellBackoff;
   } else {
@@ -57,14 +67,15 @@
 
 void RunnerRegistry::stopAnswered(const StopOrder &order, OrderAnswer answer,
                                   SteadyTime now) {
-  if (!findLife({order.Runner, order.BornUnixMs})) {
+  const RunnerEntry *runner = findLife({order.Runner, order.BornUnixMs});
+  if (!runner) {
     return;
   }
   if (answer == OrderAnswer::OtherLife) {
     remove(order.Runner);
     return;
   }
-  Effects.Deposed = Effects.Deposed || answer == OrderAnswer::Fenced;
+  checkFence(*runner, order, answer);
   TrackedRun *it = trackedRun(order.Runner, order.Run);
   if (!it || it->Stage != RunStage::Stopping) {
     return;
@@ -95,6 +106,7 @@
     return;
   }
   if (answer.Answer != OrderAnswer::Done) {
+    checkFence(*runner, order, answer.Answer);
     pollFailed(*runner, answer.Answer, now);
     return;
   }
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -134,7 +134,7 @@
 /// is stored before it takes effect: an assignment before the start order, an
 /// end before the runner may drop it, a submission before the caller is told of
 /// its acceptance. Created from the replicated state in each term; the term is
-/// the fencing token of all orders. State machine without I/O.
+/// part of the fencing token of all orders. State machine without I/O.
 class WorkflowLeader {
 public:
   WorkflowLeader(const WorkflowLeaderOptions &options,
--- a/src/masticwinch/workflow/order_messages.cpp
+++ b/src/masticwinch/workflow/order_messages.cpp
@@ -4,11 +4,11 @@
 
 namespace {
 
-protocol::RunnerOrder orderTo(const std::string &runner,
-                              const std::string &address) {
+template <class Order> protocol::RunnerOrder orderTo(const Order &order) {
   protocol::RunnerOrder message;
-  message.set_runner(runner);
-  message.set_address(address);
+  message.set_runner(order.Runner);
+  message.set_address(order.Address);
+  message.set_life_number(order.LifeNumber);
   return message;
 }
 
@@ -24,7 +24,7 @@
 } // namespace
 
 protocol::RunnerOrder messageOf(const StartOrder &order) {
-  protocol::RunnerOrder message = orderTo(order.Runner, order.Address);
+  protocol::RunnerOrder message = orderTo(order);
   setRun(message, order.Run);
   protocol::StartTerms *terms = message.mutable_start();
   terms->set_payload(order.Payload);
@@ -35,14 +35,14 @@
 }
 
 protocol::RunnerOrder messageOf(const StopOrder &order) {
-  protocol::RunnerOrder message = orderTo(order.Runner, order.Address);
+  protocol::RunnerOrder message = orderTo(order);
   setRun(message, order.Run);
   message.mutable_stop();
   return message;
 }
 
 protocol::RunnerOrder messageOf(const PollOrder &order) {
-  protocol::RunnerOrder message = orderTo(order.Runner, order.Address);
+  protocol::RunnerOrder message = orderTo(order);
   protocol::LookTerms *terms = message.mutable_look();
   if (order.LeaseUntilMs) {
     terms->set_lease_until_ms(*order.LeaseUntilMs);
@@ -54,19 +54,23 @@
 
 StartOrder startOf(const protocol::RunnerOrder &message) {
   const protocol::StartTerms &terms = message.start();
-  return {message.runner(), message.address(),      runOf(message),
-          terms.payload(),  terms.lease_until_ms(), terms.checkpoint(),
-          terms.ticket()};
+  return {message.runner(),       message.address(),
+          runOf(message),         terms.payload(),
+          terms.lease_until_ms(), terms.checkpoint(),
+          terms.ticket(),         0,
+          message.life_number()};
 }
 
 StopOrder stopOf(const protocol::RunnerOrder &message) {
-  return {message.runner(), message.address(), runOf(message)};
+  return {message.runner(), message.address(), runOf(message), 0,
+          message.life_number()};
 }
 
 PollOrder pollOf(const protocol::RunnerOrder &message) {
   PollOrder order;
   order.Runner = message.runner();
   order.Address = message.address();
+  order.LifeNumber = message.life_number();
   if (message.look().has_lease_until_ms()) {
     order.LeaseUntilMs = message.look().lease_until_ms();
   }
--- a/src/masticwinch/workflow/order_relay.hpp
+++ b/src/masticwinch/workflow/order_relay.hpp
@@ -16,7 +16,8 @@
 namespace masticwinch::workflow {
 
 /// Relays a leader's orders to runners and sends the runners' answers back. It
-/// makes no decisions: the lease and the fencing token come with each order.
+/// makes no decisions: the lease and the parts of the fencing token come with
+/// each order.
 template <RunnerCalls Calls> class OrderRelay {
 public:
   OrderRelay(Calls &runners, asio::io_context &context, peers::Mailbox &outbox)
@@ -34,7 +35,7 @@
   /// Time for which answers are collected into one message.
   static constexpr Milliseconds BatchDelay{1};
 
-  void relay(const protocol::RunnerOrder &order, std::uint64_t token,
+  void relay(const protocol::RunnerOrder &order, std::uint64_t term,
              const std::string &leader) {
     const auto done = [this, leader,
                        number = order.order()](const PollAnswer &answer) {
@@ -48,11 +49,11 @@
       done(wrapped);
     };
     if (order.has_start()) {
-      Runners.start(startOf(order), token, orderDone);
+      Runners.start(startOf(order), term, orderDone);
     } else if (order.has_stop()) {
-      Runners.stop(stopOf(order), token, orderDone);
+      Runners.stop(stopOf(order), term, orderDone);
     } else if (order.has_look()) {
-      Runners.poll(pollOf(order), token, done);
+      Runners.poll(pollOf(order), term, done);
     }
   }
 
--- a/src/masticwinch/workflow/relayed_calls.hpp
+++ b/src/masticwinch/workflow/relayed_calls.hpp
@@ -53,28 +53,28 @@
   /// Called when an entry VM has offered to relay orders.
   void relaySeen(const std::string &address) { Relays[address] = Time.now(); }
 
-  void start(const StartOrder &order, std::uint64_t token, OrderDone done) {
+  void start(const StartOrder &order, std::uint64_t term, OrderDone done) {
     if (const std::string *relay = relayFor(order.Runner)) {
-      send(*relay, token, messageOf(order), Milliseconds(0), asPollDone(done));
+      send(*relay, term, messageOf(order), Milliseconds(0), asPollDone(done));
     } else {
-      DirectCalls.start(order, token, std::move(done));
+      DirectCalls.start(order, term, std::move(done));
     }
   }
 
-  void stop(const StopOrder &order, std::uint64_t token, OrderDone done) {
+  void stop(const StopOrder &order, std::uint64_t term, OrderDone done) {
     if (const std::string *relay = relayFor(order.Runner)) {
-      send(*relay, token, messageOf(order), Milliseconds(0), asPollDone(done));
+      send(*relay, term, messageOf(order), Milliseconds(0), asPollDone(done));
     } else {
-      DirectCalls.stop(order, token, std::move(done));
+      DirectCalls.stop(order, term, std::move(done));
     }
   }
 
-  void poll(const PollOrder &order, std::uint64_t token, PollDone done) {
+  void poll(const PollOrder &order, std::uint64_t term, PollDone done) {
     if (const std::string *relay = relayFor(order.Runner)) {
-      send(*relay, token, messageOf(order), Milliseconds(order.WaitMs),
+      send(*relay, term, messageOf(order), Milliseconds(order.WaitMs),
            std::move(done));
     } else {
-      DirectCalls.poll(order, token, std::move(done));
+      DirectCalls.poll(order, term, std::move(done));
     }
   }
 
@@ -114,18 +114,18 @@
     return &it->first;
   }
 
-  void send(const std::string &relay, std::uint64_t token,
+  void send(const std::string &relay, std::uint64_t term,
             protocol::RunnerOrder order, Milliseconds wait, PollDone done) {
-    if (token != NumberedTerm) {
-      NumberedTerm = token;
-      NextOrder = firstOrderOf(token);
+    if (term != NumberedTerm) {
+      NumberedTerm = term;
+      NextOrder = firstOrderOf(term);
     }
     const std::uint64_t number = NextOrder++;
     order.set_order(number);
     PendingOrders[number] = {Time.now() + wait + Options.ResponseTimeout,
                              std::move(done)};
     protocol::RunnerOrders &batch = Batches[relay];
-    batch.set_fencing_token(token);
+    batch.set_fencing_token(term);
     *batch.add_orders() = std::move(order);
     if (!FlushDue) {
       FlushDue = true;
--- a/src/masticwinch/workflow/runner_calls.hpp
+++ b/src/masticwinch/workflow/runner_calls.hpp
@@ -16,15 +16,16 @@
 using PollDone = std::function<void(PollAnswer)>;
 
 /// Requirements of a client that sends orders to runners, each with a leader's
-/// fencing token. `done` is called exactly once, on the control thread.
+/// term, of which the fencing token is made. `done` is called exactly once, on
+/// the control thread.
 template <class Calls>
 concept RunnerCalls = requires(Calls calls, const StartOrder &start,
                                const StopOrder &stop, const PollOrder &poll,
-                               std::uint64_t token, OrderDone orderDone,
+                               std::uint64_t term, OrderDone orderDone,
                                PollDone pollDone) {
-  calls.start(start, token, orderDone);
-  calls.stop(stop, token, orderDone);
-  calls.poll(poll, token, pollDone);
+  calls.start(start, term, orderDone);
+  calls.stop(stop, term, orderDone);
+  calls.poll(poll, term, pollDone);
 };
 
 /// The advice service's answer.
--- a/tests/coordination/workflow/test_reborn_runner.cpp
+++ b/tests/coordination/workflow/test_reborn_runner.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::uint64_t FirstBorn = 50'000;
 constexpr std::uint64_t SecondBorn = 90'000;
+constexpr std::uint64_t ThirdBorn = 95'000;
+constexpr std::uint64_t Term = 7;
 
 /// Times on the clocks of the two lives.
 constexpr std::int64_t FirstClockMs = 5'000'000;
@@ -45,6 +47,10 @@
   return answer;
 }
 
+template <class Order> std::uint64_t tokenOf(const Order &order) {
+  return fencingTokenOf(Term, order.LifeNumber);
+}
+
 /// A cell with the runner "i-1" in its first life, which has run a task to its
 /// end; the end has the number 5 and is stored.
 struct Fixture : LedCell {
@@ -310,3 +316,82 @@
   }
   CHECK(next.Now.Now - extended >= RunnerRegistryOptions().LongestLease);
 }
+
+// Guards against a start that is carried out late, by the runner's next life,
+// after its task has ended or was started elsewhere.
+TEST_CASE("A runner's new life refuses late orders to former ones once it has "
+          "got an order",
+          "[workflow]") {
+  Fixture cell;
+  cell.submit(Job);
+  cell.pass(LedCell::SchedulingTime);
+  REQUIRE(cell.Starts.back().Run == cell.Run);
+  const StartOrder late = cell.Starts.back();
+  const std::size_t polls = cell.Polls.size();
+
+  SECTION("unanswered") {}
+  SECTION("its repetition was answered and the job completed") {
+    cell.answerStart(OrderAnswer::Silent);
+    REQUIRE(cell.Starts.back().Run == cell.Run);
+    cell.answerStart(OrderAnswer::Done);
+    cell.answerPoll(endedOn(FirstBorn, FirstClockMs, 6, cell.Run));
+    REQUIRE(cell.phase(Job) == Phase::Completed);
+  }
+  SECTION("there was another life in between") { cell.beginSecondLife(); }
+  SECTION("the runner had left") {
+    cell.Leader.deregister(
+        {"i-1", FirstBorn}, [] {}, cell.Now);
+    cell.pass(LedCell::SchedulingTime);
+  }
+  SECTION("a poll shows the new life first") {
+    cell.answerPoll(listsOf(SecondBorn, SecondClockMs));
+  }
+
+  cell.heartbeat(lifeOf(ThirdBorn), 1, SecondClockMs);
+  cell.pass(LedCell::SchedulingTime);
+  REQUIRE(cell.Polls.size() > polls);
+  CHECK(cell.Polls.back().BornUnixMs == ThirdBorn);
+  CHECK(tokenOf(cell.Polls.back()) > tokenOf(late));
+}
+
+TEST_CASE(
+    "Orders of a later term have higher fencing tokens than all orders of "
+    "a former one",
+    "[workflow]") {
+  CHECK(fencingTokenOf(Term + 1, 0) > fencingTokenOf(Term, MaxLifeNumber));
+  Fixture cell;
+  cell.beginSecondLife();
+  LedCell next(cell.State);
+  next.pass(LedCell::SchedulingTime);
+  CHECK(fencingTokenOf(Term + 1, next.Polls.back().LifeNumber) >
+        tokenOf(cell.Polls.back()));
+}
+
+TEST_CASE(
+    "An order that a runner refuses because of a later one of this leader "
+    "does not depose it",
+    "[workflow]") {
+  RunnerRegistry registry({},
+                          [](const StepKey &) { return ResourceAmounts(); });
+  const SteadyTime now{std::chrono::seconds(100)};
+  registry.add(lifeOf(FirstBorn), now);
+  registry.tick(now);
+  const PollOrder earlier = registry.takeEffects().Polls.at(0);
+  registry.forget("i-1");
+  registry.add(lifeOf(FirstBorn), now);
+  registry.tick(now);
+  const PollOrder later = registry.takeEffects().Polls.at(0);
+  REQUIRE(tokenOf(later) > tokenOf(earlier));
+  PollAnswer fenced;
+  fenced.Answer = OrderAnswer::Fenced;
+
+  registry.startAnswered(
+      {"i-1", {}, {}, {}, 0, {}, {}, FirstBorn, earlier.LifeNumber},
+      OrderAnswer::Fenced, now);
+  registry.stopAnswered({"i-1", {}, {}, FirstBorn, earlier.LifeNumber},
+                        OrderAnswer::Fenced, now);
+  CHECK_FALSE(registry.takeEffects().Deposed);
+
+  registry.pollAnswered(later, fenced, now);
+  CHECK(registry.takeEffects().Deposed);
+}
--- a/tests/workflow/test_relayed_calls.cpp
+++ b/tests/workflow/test_relayed_calls.cpp
@@ -83,3 +83,16 @@
   REQUIRE(restarted.Answer);
   CHECK(restarted.Answer->ClockMs == 2);
 }
+
+TEST_CASE("A relayed order keeps the number of the runner's life",
+          "[workflow]") {
+  StartOrder start;
+  start.LifeNumber = 3;
+  StopOrder stop;
+  stop.LifeNumber = 4;
+  PollOrder poll;
+  poll.LifeNumber = 5;
+  CHECK(startOf(messageOf(start)).LifeNumber == 3);
+  CHECK(stopOf(messageOf(stop)).LifeNumber == 4);
+  CHECK(pollOf(messageOf(poll)).LifeNumber == 5);
+}
