Send only answers of keyed requests that are kept

Callers would have seen every request with a key at one entry VM end as unknown, claim_timeout, after one long answer there; found by reading.

Cause: the claim of a keyed request was completed with the whole answer, up to 1 MiB, although the table keeps 4 KiB of it at most. Such an answer, or a batch of 256 shorter ones, makes a command above the log's limit of 1 MiB, which is refused each time and sent again for ever.

Change: a longer answer isn't sent and is noted as not kept, as the table does itself; a batch ends at 256 KiB. What is stored doesn't change.

Measured: with the former dispatcher.cpp and claim_client.cpp both new tests fail (a batch of 1,051,655 bytes), now they pass.

--- a/src/masticwinch/coordination/requests/claim_client.cpp
+++ b/src/masticwinch/coordination/requests/claim_client.cpp
@@ -19,7 +19,10 @@
     InFlight->set_entry(Self.Name);
     InFlight->set_incarnation(Self.Incarnation);
     InFlight->set_number(++LastNumber);
-    for (std::size_t n = 0; n < MaxBatch && !Pending.empty(); ++n) {
+    std::size_t bytes = 0;
+    for (std::size_t n = 0;
+         n < MaxBatch && bytes < FullBatchBytes && !Pending.empty(); ++n) {
+      bytes += Pending.front().ByteSizeLong();
       *InFlight->add_changes() = std::move(Pending.front());
       Pending.pop_front();
     }
--- a/src/masticwinch/coordination/requests/claim_client.hpp
+++ b/src/masticwinch/coordination/requests/claim_client.hpp
@@ -16,6 +16,8 @@
 public:
   /// Maximum number of changes in a batch.
   static constexpr std::size_t MaxBatch = 256;
+  /// Size of the changes of a batch at which no more are added to it.
+  static constexpr std::size_t FullBatchBytes = 256UL * 1024;
 
   ClaimClient(EntryIncarnation self, Milliseconds resendAfter);
 
--- a/src/masticwinch/coordination/requests/dispatcher.cpp
+++ b/src/masticwinch/coordination/requests/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "masticwinch/coordination/requests/dispatcher.hpp"
 
 #include "masticwinch/coordination/requests/claim_refusal.hpp"
+#include "masticwinch/coordination/requests/claim_table.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -183,7 +184,12 @@
     if (answer != nullptr) {
       complete.mutable_answer()->set_status(answer->Status);
       complete.mutable_answer()->set_content_type(answer->ContentType);
-      complete.mutable_answer()->set_body(answer->Body);
+      // A longer body isn't kept, so it is not sent either.
+      if (answer->Body.size() <= ClaimTableLimits().MaxAnswerBytes) {
+        complete.mutable_answer()->set_body(answer->Body);
+      } else {
+        complete.mutable_answer()->set_not_kept(true);
+      }
     }
   }
   Effects.emplace_back(std::move(effect));
--- a/tests/coordination/requests/test_dispatcher.cpp
+++ b/tests/coordination/requests/test_dispatcher.cpp
@@ -1,3 +1,5 @@
+#include "masticwinch/coordination/requests/claim_client.hpp"
+
 #include <catch2/catch.hpp>
 
 #include "tests/coordination/requests/dispatcher_fixture.hpp"
@@ -179,6 +181,43 @@
   }
 }
 
+// Guards against a batch of claims that is too large for the log and behind
+// which no claim of the entry VM is ever stored.
+TEST_CASE("A claim is completed without an answer that is too long to be kept",
+          "[requests][dispatcher]") {
+  DispatcherFixture f({Billed});
+  const RequestNumber number = f.arrive("billed", "k");
+  f.claim(number, protocol::CLAIM_GRANTED);
+  const auto answer = std::make_shared<const Answer>(
+      Answer{200, "text", std::string(1024 * 1024, 'x')});
+  f.EntryDispatcher.dispatchEnded(f.Starts.at(0).Number,
+                                  DispatchResult::Answered, answer, f.now());
+  f.collect();
+  CHECK(f.Replies.at(0).FullAnswer == answer);
+  const protocol::StoredAnswer &kept = f.Claims.at(1).complete().answer();
+  CHECK(kept.body().empty());
+  CHECK(kept.not_kept());
+  CHECK(kept.status() == 200);
+}
+
+TEST_CASE("A batch of claims ends when it is full", "[requests]") {
+  ClaimClient client({"a", 1}, Milliseconds(100));
+  constexpr std::size_t Changes = 2 * ClaimClient::MaxBatch;
+  for (std::size_t i = 0; i < Changes; ++i) {
+    ChangeClaim change{i, {}};
+    change.Change.mutable_complete()->mutable_answer()->set_body(
+        std::string(4096, 'x'));
+    client.add(change);
+  }
+  std::size_t sent = 0;
+  while (const auto batch = client.due(SteadyTime{})) {
+    CHECK(batch->ByteSizeLong() < 512 * 1024);
+    sent += std::size_t(batch->changes_size());
+    client.acknowledged(batch->number());
+  }
+  CHECK(sent == Changes);
+}
+
 TEST_CASE("Waiting requests end as not run when the serving lease is lost",
           "[requests][dispatcher]") {
   DispatcherFixture f({Billed}, 1, 1);
