Store configurations in parts and never wait behind a record that can't be

Cause: the record was above the log's limit of 1 MiB. Its refusal looked like a passing one, so the leader tried it for ever and everything else waited behind it. Nothing compared sizes with limits before a change was taken. Ruled out: the time that a large configuration takes (0.2 s for 10,000 routes).

Change: a configuration above 128 KiB is stored in parts that the state puts together; changes that are decided together fill records of 256 KiB; what no record can hold is refused with both figures. The log's result tells a passing refusal from a permanent one, which ends the term.

--- a/benchmarks/control_group.hpp
+++ b/benchmarks/control_group.hpp
@@ -106,8 +106,8 @@
     if (RemainingCommands == 0) {
       return;
     }
-    const auto position = Log.propose(Command);
-    if (position) {
+    const control::ProposalResult proposed = Log.propose(Command);
+    if (const control::LogPosition *position = control::positionOf(proposed)) {
       --RemainingCommands;
       ProposedAt[*position] = Time.now();
     }
--- a/src/masticwinch/control/cell_service.hpp
+++ b/src/masticwinch/control/cell_service.hpp
@@ -169,7 +169,16 @@
     }
     protocol::Command command = request.command();
     command.set_at_unix_ms(unixMillis());
-    const auto position = Commands.propose(command.SerializeAsString());
+    const ProposalResult proposed =
+        Commands.propose(command.SerializeAsString());
+    if (isTooLarge(proposed)) {
+      protocol::CommandResult result;
+      result.set_code(protocol::LIMIT);
+      result.set_message("the command is larger than a record may be");
+      replyWith(envelope, result);
+      return;
+    }
+    const LogPosition *position = positionOf(proposed);
     if (!position) {
       refuseCommand(envelope);
       return;
@@ -186,13 +195,19 @@
     if (!refusal) {
       return false;
     }
+    replyWith(envelope, *refusal);
+    return true;
+  }
+
+  /// Replies with a result that stands, although nothing is stored.
+  void replyWith(const protocol::Envelope &envelope,
+                 const protocol::CommandResult &result) {
     protocol::Envelope reply;
     protocol::CommandReply *body = reply.mutable_command_reply();
     body->set_call(envelope.command_request().call());
     body->set_taken(true);
-    *body->mutable_result() = *refusal;
+    *body->mutable_result() = result;
     Outbox.send(envelope.reply_address(), std::move(reply));
-    return true;
   }
 
   /// Whether a new incarnation of an entry VM has to wait until the lease of
--- a/src/masticwinch/control/replicated_log.cpp
+++ b/src/masticwinch/control/replicated_log.cpp
@@ -101,14 +101,20 @@
   scheduleProcessing();
 }
 
-std::optional<LogPosition> ReplicatedLog::propose(const std::string &record) {
+ProposalResult ReplicatedLog::propose(const std::string &record) {
+  if (record.size() > Options.Replica.MaxEntryBytes) {
+    Events.write(ReplicatedLogEvent::RecordTooLarge,
+                 {{"bytes", record.size()},
+                  {"max_bytes", Options.Replica.MaxEntryBytes}});
+    return ProposalRefusal::TooLarge;
+  }
   if (!Refusal.empty()) {
-    return std::nullopt;
+    return ProposalRefusal::NotNow;
   }
   const auto index = LocalReplica->propose(record, Time.now());
   scheduleProcessing();
   if (!index) {
-    return std::nullopt;
+    return ProposalRefusal::NotNow;
   }
   return LogPosition{*index, LocalReplica->term()};
 }
--- a/src/masticwinch/control/replicated_log.hpp
+++ b/src/masticwinch/control/replicated_log.hpp
@@ -102,7 +102,7 @@
   /// rebuilt.
   void resign(const std::string &reason);
 
-  std::optional<LogPosition> propose(const std::string &record);
+  ProposalResult propose(const std::string &record);
 
   /// Why records can't be stored at this moment; empty if they can. A leader
   /// that can't store them hands over as soon as another replica can lead.
--- a/src/masticwinch/control/replicated_log_event.hpp
+++ b/src/masticwinch/control/replicated_log_event.hpp
@@ -24,6 +24,7 @@
   LeadershipOffered,
   LeadershipResigned,
   LeaseLapsed,
+  RecordTooLarge,
 };
 
 } // namespace masticwinch::control
@@ -48,7 +49,8 @@
       EnumName<Event>{Event::MembershipRepair, "membership_repair"},
       EnumName<Event>{Event::LeadershipOffered, "leadership_offered"},
       EnumName<Event>{Event::LeadershipResigned, "leadership_resigned"},
-      EnumName<Event>{Event::LeaseLapsed, "leadership_lease_lapsed"}};
+      EnumName<Event>{Event::LeaseLapsed, "leadership_lease_lapsed"},
+      EnumName<Event>{Event::RecordTooLarge, "record_too_large"}};
 };
 
 } // namespace masticwinch
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -2,6 +2,7 @@
 
 #include "masticwinch/coordination/workflow/critical_path.hpp"
 #include "masticwinch/coordination/workflow/queue_routes.hpp"
+#include "masticwinch/coordination/workflow/record_limits.hpp"
 
 #include <algorithm>
 
@@ -304,6 +305,10 @@
     answer(answerOf(protocol::VERDICT_INVALID, *problem));
     return;
   }
+  if (const auto problem = changeSizeError(accepted.ByteSizeLong())) {
+    answer(answerOf(protocol::VERDICT_INVALID, *problem));
+    return;
+  }
   if (State.find(spec.id())) {
     answer(answerOf(protocol::VERDICT_OK, "accepted before"));
     return;
@@ -368,9 +373,10 @@
     stored();
     return;
   }
-  protocol::WorkflowChange configured;
-  *configured.mutable_configure() = config;
-  propose(std::move(configured), std::move(stored));
+  for (protocol::WorkflowChange &it : configurationChanges(config)) {
+    propose(std::move(it));
+  }
+  PendingCallbacks.push_back(std::move(stored));
 }
 
 void WorkflowLeader::agentSeen(const std::string &address, Moment at) {
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -1,3 +1,4 @@
+#include "masticwinch/coordination/workflow/record_limits.hpp"
 #include "masticwinch/coordination/workflow/workflow_leader.hpp"
 
 #include <algorithm>
@@ -89,7 +90,9 @@
     }
   } else if (change.has_expose() || change.has_resolve()) {
     appliedCrashes(at);
-  } else if (change.has_configure()) {
+  } else if (change.has_configure() ||
+             (change.has_configure_part() &&
+              change.configure_part().version() == State.config().version())) {
     logEvent(WorkflowEventKind::ConfigurationStored,
              {{"version", std::to_string(State.config().version())}});
   }
@@ -408,10 +411,15 @@
     PassDone = true;
   }
   if (PendingRecord.changes_size() > 0 || !PendingEnds.empty()) {
-    const std::uint64_t number = NextBatch++;
-    BatchCallbacks[number] = std::exchange(PendingCallbacks, {});
-    BatchEnds[number] = std::exchange(PendingEnds, {});
-    Effects.Batches.push_back({number, std::exchange(PendingRecord, {})});
+    for (protocol::WorkflowRecord &it :
+         packRecords(std::exchange(PendingRecord, {}))) {
+      Effects.Batches.push_back({NextBatch++, std::move(it)});
+    }
+    // What waits for a change waits for the last record; they are stored in
+    // order.
+    const std::uint64_t last = Effects.Batches.back().Number;
+    BatchCallbacks[last] = std::exchange(PendingCallbacks, {});
+    BatchEnds[last] = std::exchange(PendingEnds, {});
   }
   return std::exchange(Effects, {});
 }
--- a/src/masticwinch/coordination/workflow/workflow_state.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_state.cpp
@@ -146,6 +146,8 @@
     return resolve(change.resolve());
   case protocol::WorkflowChange::kConfigure:
     return configure(change.configure());
+  case protocol::WorkflowChange::kConfigurePart:
+    return configurePart(change.configure_part());
   case protocol::WorkflowChange::CHANGE_NOT_SET:
     return;
   }
@@ -184,6 +186,30 @@
   }
 }
 
+/// Adds a part to those before it. The first part of a newer version replaces
+/// parts of which the rest was never stored.
+void WorkflowState::configurePart(const protocol::ConfigurePart &part) {
+  if (part.version() <= Config.version()) {
+    return;
+  }
+  if (part.offset() == 0) {
+    PartialConfig = part;
+  } else if (part.version() == PartialConfig.version() &&
+             part.offset() == PartialConfig.data().size()) {
+    PartialConfig.mutable_data()->append(part.data());
+  } else {
+    return;
+  }
+  if (PartialConfig.data().size() < PartialConfig.total_bytes()) {
+    return;
+  }
+  protocol::CellConfig config;
+  if (config.ParseFromString(PartialConfig.data())) {
+    configure(config);
+  }
+  PartialConfig.Clear();
+}
+
 void WorkflowState::accept(const protocol::AcceptWorkflow &accept) {
   const auto [it, added] = Workflows.try_emplace(accept.spec().id());
   if (!added) {
@@ -374,6 +400,7 @@
 protocol::WorkflowSnapshot WorkflowState::snapshot() const {
   protocol::WorkflowSnapshot snapshot;
   *snapshot.mutable_config() = Config;
+  *snapshot.mutable_partial_config() = PartialConfig;
   // Sorted, so that equal states have equal bytes.
   std::map<std::string, const Workflow *> sorted;
   for (const auto &[id, workflow] : Workflows) {
@@ -390,6 +417,7 @@
 
 void WorkflowState::restore(const protocol::WorkflowSnapshot &snapshot) {
   Config = snapshot.config();
+  PartialConfig = snapshot.partial_config();
   Workflows.clear();
   Runners.clear();
   ExposedTasks.clear();
--- a/src/masticwinch/coordination/workflow/workflow_state.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_state.hpp
@@ -52,6 +52,7 @@
   void end(const protocol::EndRun &end);
   void begin(const protocol::BeginOccurrence &begin);
   void configure(const protocol::CellConfig &config);
+  void configurePart(const protocol::ConfigurePart &part);
   void record(const protocol::RunnerInfo &info);
   void forget(const protocol::ForgetRunner &forget);
   void expose(const protocol::ExposeRuns &expose);
@@ -65,6 +66,8 @@
   void indexExposures(const Workflow &workflow);
 
   protocol::CellConfig Config;
+  /// The parts so far of a configuration that isn't complete.
+  protocol::ConfigurePart PartialConfig;
   std::unordered_map<std::string, Workflow> Workflows;
   std::map<std::string, protocol::RunnerInfo> Runners;
   /// Tasks with exposures, by runner; derived from these.
--- a/src/masticwinch/workers/placement_driver.hpp
+++ b/src/masticwinch/workers/placement_driver.hpp
@@ -240,7 +240,10 @@
     const auto since = std::chrono::duration_cast<Milliseconds>(
         Time.systemNow().time_since_epoch());
     command.set_at_unix_ms(static_cast<std::uint64_t>(since.count()));
-    return Commands.propose(command.SerializeAsString());
+    const control::ProposalResult proposed =
+        Commands.propose(command.SerializeAsString());
+    const control::LogPosition *position = control::positionOf(proposed);
+    return position ? std::optional(*position) : std::nullopt;
   }
 
   void record(const placement::RecordBatch &batch) {
--- a/src/masticwinch/workflow/control_vm_daemon.cpp
+++ b/src/masticwinch/workflow/control_vm_daemon.cpp
@@ -32,4 +32,11 @@
   return options;
 }
 
+HttpServerOptions controlServerOptions(const ControlVmSettings &settings) {
+  constexpr std::size_t MaxBodyBytes = 6UL * 1024 * 1024;
+  HttpServerOptions options = programs::serverOptions(settings.Control);
+  options.MaxBodyBytes = MaxBodyBytes;
+  return options;
+}
+
 } // namespace masticwinch::workflow
--- a/src/masticwinch/workflow/control_vm_daemon.hpp
+++ b/src/masticwinch/workflow/control_vm_daemon.hpp
@@ -35,6 +35,10 @@
 /// Leader options, with the runners' lease limited by the settings.
 WorkflowLeaderOptions leaderOptionsOf(const ControlVmSettings &settings);
 
+/// Options of the server for runners and operators. Configurations may be
+/// longer than other requests.
+HttpServerOptions controlServerOptions(const ControlVmSettings &settings);
+
 /// Daemon of a control VM for workflows. `Platform` implements the interfaces
 /// to runners, operators and the advice service.
 template <class Platform> class ControlVmDaemon {
@@ -65,7 +69,7 @@
         Advice(Calls, settings.Daemon.AdviceAddress), Agent(Advice, Mailbox),
         Workflows(Context, Log, Mailbox, RunnerOrders, Time, Events, Metrics,
                   leaderOptionsOf(settings)),
-        Api(*this), Server(programs::serverOptions(settings.Control),
+        Api(*this), Server(controlServerOptions(settings),
                            [this](std::shared_ptr<HttpExchange> it) {
                              asio::post(Context, [this, it] { handle(it); });
                            }),
--- a/src/masticwinch/workflow/workflow_driver.hpp
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -372,11 +372,17 @@
 
   /// Proposes batches to the log in order. Batches that the log can't accept
   /// now, such as while the disk is full, are kept, and their effects wait.
-  /// Another leader would start from what is stored.
+  /// Another leader would start from what is stored; so does this one after a
+  /// batch that can never be stored, and nothing waits behind it.
   void propose() {
     while (!UnproposedBatches.empty()) {
-      const auto position = Commands.propose(
+      const control::ProposalResult proposed = Commands.propose(
           UnproposedBatches.front().Record.SerializeAsString());
+      if (control::isTooLarge(proposed)) {
+        abandonLeadership("propose", "a record is too large for the log");
+        return;
+      }
+      const control::LogPosition *position = control::positionOf(proposed);
       if (!position) {
         Events.writeNamed("workflow_batches_wait",
                           {{"batches", UnproposedBatches.size()}});
--- a/tests/control/test_cell_service.cpp
+++ b/tests/control/test_cell_service.cpp
@@ -19,7 +19,7 @@
 /// A log whose replies to proposals are set by the test.
 class MockLog {
 public:
-  MAKE_MOCK1(propose, std::optional<LogPosition>(const std::string &));
+  MAKE_MOCK1(propose, ProposalResult(const std::string &));
   MAKE_CONST_MOCK0(isLeader, bool());
   MAKE_CONST_MOCK0(leaderAddress, std::string());
 };
@@ -111,7 +111,7 @@
 TEST_CASE("A follower refuses commands and returns a leader hint",
           "[control][service]") {
   Leader leader;
-  ALLOW_CALL(leader.Log, propose(_)).RETURN(std::nullopt);
+  ALLOW_CALL(leader.Log, propose(_)).RETURN(ProposalRefusal::NotNow);
   leader.Service->receive(commandFrom(putProfile("sheet", 0), 1));
 
   REQUIRE(leader.Sender.Sent.size() == 1);
@@ -120,6 +120,18 @@
   CHECK(reply.leader_hint() == "tcp://leader");
 }
 
+TEST_CASE("A command that is too large for a record is refused for good",
+          "[control][service]") {
+  Leader leader;
+  ALLOW_CALL(leader.Log, propose(_)).RETURN(ProposalRefusal::TooLarge);
+  leader.Service->receive(commandFrom(putProfile("sheet", 0), 1));
+
+  REQUIRE(leader.Sender.Sent.size() == 1);
+  const auto &reply = leader.Sender.Sent[0].Content.command_reply();
+  CHECK(reply.taken());
+  CHECK(reply.result().code() == protocol::LIMIT);
+}
+
 TEST_CASE("A proposal overwritten by another leader gets no reply",
           "[control][service]") {
   Leader leader;
--- a/tests/workers/test_placement_driver.cpp
+++ b/tests/workers/test_placement_driver.cpp
@@ -12,9 +12,9 @@
 
 /// A log whose records are committed by the test.
 struct FakeLog {
-  std::optional<control::LogPosition> propose(const std::string &record) {
+  control::ProposalResult propose(const std::string &record) {
     if (!Leads) {
-      return std::nullopt;
+      return control::ProposalRefusal::NotNow;
     }
     Records.push_back({{++Index, 1}, record});
     return Records.back().first;
--- a/tests/workflow/test_reelected_leader.cpp
+++ b/tests/workflow/test_reelected_leader.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 struct FakeLog {
-  std::optional<control::LogPosition> propose(const std::string &record) {
+  control::ProposalResult propose(const std::string &record) {
     Proposed.push_back(record);
     return control::LogPosition{++LastIndex, Term};
   }
--- a/tests/workflow/test_workflow_driver.cpp
+++ b/tests/workflow/test_workflow_driver.cpp
@@ -15,7 +15,10 @@
 
 /// A log that keeps proposed records until the test applies them.
 struct FakeLog {
-  std::optional<control::LogPosition> propose(const std::string &record) {
+  control::ProposalResult propose(const std::string &record) {
+    if (record.size() > MaxBytes) {
+      return control::ProposalRefusal::TooLarge;
+    }
     Records.push_back(record);
     Leads = Leads && !LapsesOnPropose;
     return control::LogPosition{Records.size(), Term};
@@ -28,6 +31,7 @@
   void resign(const std::string &) { Leads = false; }
 
   std::vector<std::string> Records;
+  std::size_t MaxBytes = 1024 * 1024;
   std::uint64_t Term = 1;
   bool Leads = true;
   /// Whether the lease of leadership lapses while a record is proposed.
@@ -187,3 +191,25 @@
   REQUIRE(control.Calls.Acknowledged.size() == 2);
   CHECK(control.Calls.Acknowledged[1] == (lapses ? 0 : 3));
 }
+
+// Guards against a leader that tries a record for ever that can't be stored,
+// while everything else waits behind it.
+TEST_CASE("A record that is too large for the log ends the leadership, and "
+          "nothing waits behind it",
+          "[workflow]") {
+  Fixture control;
+  control.Log.MaxBytes = 1;
+  control.heartbeat("i-1");
+  CHECK_FALSE(control.Log.Leads);
+  CHECK(control.Log.Records.empty());
+
+  control.Log.MaxBytes = 1024 * 1024;
+  control.Log.Leads = true;
+  control.Log.Term = 2;
+  control.Driver.becomeLeader();
+  control.heartbeat("i-2");
+  REQUIRE(control.Log.Records.size() == 1);
+  control.apply(control.Log.Records.back());
+  CHECK(control.Stored == 1);
+  CHECK(control.Driver.state().runners().contains("i-2"));
+}
