Bound the time for which a step avoids runners that it failed on

Cause: a runner on which a run of a step failed got no more of its tasks while another had the capacity, whether or not that was free. The fuzzed sessions left such runners out of their check at rest. Ruled out: tickets; the same happens on queues without advice.

Change: 2 s after the step's last failure, its tasks that still wait may run where it failed, too. RestCheck::ExceptAvoidedRunners is gone; the check at rest is stricter without it.

--- a/fuzzing/workflow/fuzz_sessions.cpp
+++ b/fuzzing/workflow/fuzz_sessions.cpp
@@ -120,8 +120,7 @@
                             {Kind::AdvanceTime, 0, 0},
                             {Kind::StoreBatch, 0, 0},
                             {Kind::DeliverOrder, 13, 0},
-                            {Kind::EndRun, 3, 0}},
-                           RestCheck::All));
+                            {Kind::EndRun, 3, 0}}));
 }
 
 TEST_CASE("A gang that failed on a runner which it can't do without starts "
@@ -137,6 +136,5 @@
                   {Kind::StoreBatch, 0, 0},    {Kind::DeliverOrder, 0, 0},
                   {Kind::DeliverOrder, 3, 0},  {Kind::DeliverOrder, 3, 0},
                   {Kind::DeliverOrder, 3, 0},  {Kind::EndRun, 0, 0},
-                  {Kind::RunnerCrashes, 1, 0}, {Kind::RunnerCrashes, 1, 0}},
-                 RestCheck::All));
+                  {Kind::RunnerCrashes, 1, 0}, {Kind::RunnerCrashes, 1, 0}}));
 }
--- a/fuzzing/workflow/simulated_rest.cpp
+++ b/fuzzing/workflow/simulated_rest.cpp
@@ -29,7 +29,7 @@
 
 } // namespace
 
-void WorkflowSimulator::settle(RestCheck check) {
+void WorkflowSimulator::settle() {
   const SteadyTime begin = Now;
   std::int64_t nextHeartbeat = clockMs();
   std::string left;
@@ -45,7 +45,7 @@
     }
     deliverEverything();
     finishRuns();
-    left = workLeft(check);
+    left = workLeft();
     if (left.empty()) {
       return;
     }
@@ -107,7 +107,7 @@
 
 /// Describes work that could still be done, or a run that should have been
 /// stopped; empty if there is none.
-std::string WorkflowSimulator::workLeft(RestCheck check) const {
+std::string WorkflowSimulator::workLeft() const {
   for (const auto &[id, workflow] : State.workflows()) {
     if (isFinal(workflow.CurrentPhase)) {
       continue;
@@ -117,8 +117,8 @@
     }
     for (const Occurrence &occurrence : workflow.Occurrences) {
       for (std::uint32_t i = 0; i < occurrence.Steps.size(); ++i) {
-        std::string left = workLeft({id, occurrence.Number, i},
-                                    workflow.Spec.steps(int(i)), check);
+        std::string left =
+            workLeft({id, occurrence.Number, i}, workflow.Spec.steps(int(i)));
         if (!left.empty()) {
           return left;
         }
@@ -129,8 +129,7 @@
 }
 
 std::string WorkflowSimulator::workLeft(const StepKey &key,
-                                        const protocol::StepSpec &spec,
-                                        RestCheck check) const {
+                                        const protocol::StepSpec &spec) const {
   if (!State.isReady(key)) {
     return {};
   }
@@ -151,7 +150,7 @@
       return fmt::format("{} still runs", textOf(run.Task));
     }
   }
-  if (idle > 0 && fits(key, spec, idle, check)) {
+  if (idle > 0 && fits(key, spec, idle)) {
     return fmt::format("{} of {} tasks of {} could run and don't", idle,
                        step.Tasks.size(), textOf(key));
   }
@@ -167,23 +166,16 @@
 /// Whether all tasks of a gang, or at least one of another step, fit beside the
 /// tasks that last. One that lasts itself needs a runner with twice its room.
 bool WorkflowSimulator::fits(const StepKey &key, const protocol::StepSpec &spec,
-                             std::size_t tasks, RestCheck check) const {
+                             std::size_t tasks) const {
   const ResourceAmounts needs = needsOf(spec);
   ResourceAmounts room = needs;
   if (!spec.gang()) {
     room += needs;
   }
-  const Workflow *workflow = State.find(key.Workflow);
-  const bool advised = workflow && workflow->Spec.queue() == "advised";
-  const auto firstFailed = Failed.lower_bound({key, {}});
-  const bool failed = firstFailed != Failed.end() && firstFailed->first == key;
   std::size_t places = 0;
   for (const auto &[id, runner] : Runners) {
     const auto approval = Approvals.find({key, id});
-    const bool unasked = advised && approval == Approvals.end();
-    const bool avoided = check == RestCheck::ExceptAvoidedRunners &&
-                         (Failed.contains({key, id}) || (unasked && failed));
-    if (runner.Info.draining() || avoided ||
+    if (runner.Info.draining() ||
         (approval != Approvals.end() && !approval->second)) {
       continue;
     }
--- a/fuzzing/workflow/simulated_runners.cpp
+++ b/fuzzing/workflow/simulated_runners.cpp
@@ -225,9 +225,6 @@
     for (const EndedRun &listed : answer.Ended) {
       it.Heard = it.Heard || it.Listed.Number == listed.Number;
     }
-    if (it.Heard && it.Listed.How == protocol::RUN_FAILED) {
-      Failed.emplace(it.Listed.Run.Task.Step, id);
-    }
   }
 }
 
@@ -309,7 +306,6 @@
   runner.Info.add_labels(id.back() % 2 == 0 ? "rack-0" : "rack-1");
   runner.Info.set_born_unix_ms(born);
   Silent.erase(id);
-  std::erase_if(Failed, [&](const auto &it) { return it.second == id; });
   Runners[id] = std::move(runner);
 }
 
--- a/fuzzing/workflow/workflow_simulator.cpp
+++ b/fuzzing/workflow/workflow_simulator.cpp
@@ -431,7 +431,6 @@
   }
   Batches.clear();
   Advice.clear();
-  Failed.clear();
   for (auto &[id, runner] : Runners) {
     runner.ToldCapacity.reset();
   }
@@ -461,12 +460,12 @@
       config, [] {}, at());
 }
 
-void runSession(const std::vector<WorkflowAction> &actions, RestCheck check) {
+void runSession(const std::vector<WorkflowAction> &actions) {
   WorkflowSimulator simulator;
   for (const WorkflowAction &it : actions) {
     simulator.perform(it);
   }
-  simulator.settle(check);
+  simulator.settle();
 }
 
 } // namespace masticwinch::fuzzing
--- a/fuzzing/workflow/workflow_simulator.hpp
+++ b/fuzzing/workflow/workflow_simulator.hpp
@@ -55,15 +55,6 @@
 /// Writes an action as `{kind, A, B}`.
 std::ostream &operator<<(std::ostream &out, const WorkflowAction &action);
 
-/// Which idle room the check of a session at rest counts.
-enum class RestCheck : std::uint8_t {
-  All,
-  /// Except, for a step, the runners on which a run of it failed: the leader
-  /// avoids them while another may run it, even one that lacks the room; and
-  /// those not asked about since (KNOWN-RED.txt).
-  ExceptAvoidedRunners,
-};
-
 /// Simulates a replicated workflow state, its leader, and runners that follow
 /// the rules of fencing and leases. Orders, answers and messages of runners are
 /// lost, delayed or reordered, the leader changes while batches are in flight,
@@ -78,7 +69,7 @@
   /// Delivers and stores everything without a loss and lets time pass until
   /// nothing is left to do. Throws `std::logic_error` if work that could run is
   /// left.
-  void settle(RestCheck check);
+  void settle();
 
 private:
   enum class OrderKind : std::uint8_t { Start, Stop, Poll };
@@ -218,13 +209,13 @@
   // simulated_rest.cpp
   void deliverEverything();
   void finishRuns();
-  std::string workLeft(RestCheck check) const;
+  std::string workLeft() const;
   std::string workLeft(const workflow::StepKey &key,
-                       const protocol::StepSpec &spec, RestCheck check) const;
+                       const protocol::StepSpec &spec) const;
   std::string strayRun() const;
   bool runs(const std::string &runner, const workflow::RunKey &run) const;
   bool fits(const workflow::StepKey &key, const protocol::StepSpec &spec,
-            std::size_t tasks, RestCheck check) const;
+            std::size_t tasks) const;
 
   SteadyTime Now;
   workflow::WorkflowState State;
@@ -250,9 +241,6 @@
   std::map<workflow::TaskKey, std::uint64_t> Starts;
   /// Tasks of which a run ended as done, and that end was acknowledged.
   std::set<workflow::TaskKey> Done;
-  /// Steps of which the leader has heard that a run failed on this life of a
-  /// runner.
-  std::set<std::pair<workflow::StepKey, std::string>> Failed;
   std::map<std::string, Ticket> Tickets;
   /// Whether the advice service approves a runner for a step.
   std::map<std::pair<workflow::StepKey, std::string>, bool> Approvals;
@@ -272,7 +260,6 @@
 
 /// Runs a session until it is at rest; throws `std::logic_error` if an
 /// invariant is violated.
-void runSession(const std::vector<WorkflowAction> &actions,
-                RestCheck check = RestCheck::ExceptAvoidedRunners);
+void runSession(const std::vector<WorkflowAction> &actions);
 
 } // namespace masticwinch::fuzzing
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -72,6 +72,9 @@
   /// Number of waiting steps with slow advice whose tickets one pass renews, in
   /// rank order.
   std::size_t SlowRenewals = 24;
+  /// Time since the last failure of a step after which its tasks that still
+  /// wait may run where it failed, too. Until then, others may have room.
+  Milliseconds AvoidFailedFor{2000};
   /// Interval at which ended workflows and lost runners are cleaned up.
   Milliseconds CleanupInterval{1000};
   /// Interval between two reports of the steps that wait longest.
@@ -199,8 +202,9 @@
     /// Tasks whose assignment is being stored.
     std::set<std::uint32_t> InFlight;
     /// Runners on which a run of the step failed; they get no more tasks of it
-    /// while others may run it.
+    /// for a while if others may run it.
     std::set<std::string> FailedRunners;
+    SteadyTime LastFailure{};
     /// Number of tasks that can be started, if it has been counted since the
     /// last change of the step's tasks.
     std::optional<std::size_t> Startable;
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -307,6 +307,7 @@
     const auto open = OpenSteps.find(task.Step);
     if (open != OpenSteps.end() && it.End.how() == protocol::RUN_FAILED) {
       open->second.FailedRunners.insert(it.Runner);
+      open->second.LastFailure = at.Now;
     }
     EndsBeingStored[task.Step.Workflow] += 1;
     protocol::WorkflowChange ended;
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -375,8 +375,11 @@
   OpenStep &open = OpenSteps.at(key);
   const protocol::StepSpec &spec = *State.findSpec(key);
   const std::vector<std::uint32_t> tasks = startableTasks(key, open, at.Now);
+  const bool avoidedLongEnough =
+      !tasks.empty() && at.Now - open.LastFailure >= Options.AvoidFailedFor;
   if (!open.FailedRunners.empty() &&
-      !hasOtherRunners(key, queue->has_advice(), pool->second)) {
+      (avoidedLongEnough ||
+       !hasOtherRunners(key, queue->has_advice(), pool->second))) {
     open.FailedRunners.clear();
   }
   const bool advised = queue->has_advice();
