End the term when the numbers of runners' lives are used up

Nothing was seen by callers.

Cause: the flag for a deposed leader is only logged; a second place set it.

Change: the registry throws, which costs the leadership like any decision that fails, and a later term has numbers of its own. Only an order with the highest token counts as refused by another leader.

--- a/src/masticwinch/coordination/workflow/runner_registry.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.cpp
@@ -1,6 +1,7 @@
 #include "masticwinch/coordination/workflow/runner_registry.hpp"
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace masticwinch::workflow {
 
@@ -30,14 +31,13 @@
   return runner && runner->life() == life ? runner : nullptr;
 }
 
-/// The leader gives up its term when the numbers are used up.
+/// Throws `std::overflow_error` when the numbers of the term are used up, which
+/// costs the leadership; a later term has numbers of its own.
 std::uint32_t RunnerRegistry::nextLifeNumber() {
   if (LastLifeNumber == MaxLifeNumber) {
-    Effects.Deposed = true;
-  } else {
-    ++LastLifeNumber;
+    throw std::overflow_error("the numbers of runners' lives are used up");
   }
-  return LastLifeNumber;
+  return ++LastLifeNumber;
 }
 
 TrackedRun *RunnerRegistry::trackedRun(const std::string &id,
--- a/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
@@ -138,7 +138,6 @@
 
 void RunnerRegistry::pollFailed(RunnerEntry &runner, OrderAnswer answer,
                                 SteadyTime now) {
-  Effects.Deposed = Effects.Deposed || answer == OrderAnswer::Fenced;
   runner.PollPending = false;
   runner.FailedPolls += 1;
   if (isUnanswered(answer)) {
--- a/tests/coordination/workflow/test_reborn_runner.cpp
+++ b/tests/coordination/workflow/test_reborn_runner.cpp
@@ -390,8 +390,22 @@
       OrderAnswer::Fenced, now);
   registry.stopAnswered({"i-1", {}, {}, FirstBorn, earlier.LifeNumber},
                         OrderAnswer::Fenced, now);
+  registry.pollAnswered(earlier, fenced, now);
   CHECK_FALSE(registry.takeEffects().Deposed);
 
   registry.pollAnswered(later, fenced, now);
   CHECK(registry.takeEffects().Deposed);
 }
+
+TEST_CASE("A leader that can't number a runner's life fails the decision",
+          "[workflow]") {
+  RunnerRegistry registry({},
+                          [](const StepKey &) { return ResourceAmounts(); });
+  const SteadyTime now{std::chrono::seconds(100)};
+  for (std::uint64_t born = 1; born <= MaxLifeNumber; ++born) {
+    registry.add(lifeOf(born), now);
+  }
+  CHECK(registry.find("i-1")->LifeNumber == MaxLifeNumber);
+  CHECK_THROWS_AS(registry.add(lifeOf(MaxLifeNumber + 1), now),
+                  std::overflow_error);
+}
