--- a/src/masticwinch/workflow/control_vm_daemon.hpp
+++ b/src/masticwinch/workflow/control_vm_daemon.hpp
@@ -89,6 +89,7 @@
   // thread.
   bool leads() const { return Workflows.leads(); }
   std::string leaderName() const { return Log.leaderName(); }
+  std::uint64_t term() const { return Log.term(); }
   /// Why changes can't be stored at this moment; empty if they can.
   const std::string &refusal() const { return Log.refusal(); }
   const std::string &name() const { return Settings.Daemon.Process.Name; }
--- a/src/masticwinch/workflow/entry_gateway.cpp
+++ b/src/masticwinch/workflow/entry_gateway.cpp
@@ -139,6 +139,7 @@
     return;
   }
   if (answer.verdict() != protocol::VERDICT_NOT_LEADING) {
+    ConfigVersion = answer.config_version();
     finish(answer.call(), CallOutcome::Answered, answer);
     return;
   }
--- a/src/masticwinch/workflow/entry_gateway.hpp
+++ b/src/masticwinch/workflow/entry_gateway.hpp
@@ -77,6 +77,10 @@
 
   const std::string &leader() const { return Leader; }
 
+  /// Version of the configuration by which the leader handled the call that it
+  /// answered last; 0 before the first answer.
+  std::uint64_t configVersion() const { return ConfigVersion; }
+
 private:
   struct PendingCall {
     protocol::WorkflowCall Call;
@@ -112,6 +116,7 @@
   SteadyTime NextHello{};
   std::uint64_t HelloSequence = 0;
   std::uint64_t NextCall = 1;
+  std::uint64_t ConfigVersion = 0;
   std::map<std::uint64_t, PendingCall> Calls;
 };
 
--- a/src/masticwinch/workflow/entry_vm_daemon.hpp
+++ b/src/masticwinch/workflow/entry_vm_daemon.hpp
@@ -116,6 +116,10 @@
     Metrics.observedGauge(
         {"masticwinch_entry_requests_open", "Requests without an answer yet."},
         [this] { return double(OpenRequests); });
+    Metrics.observedGauge({"masticwinch_entry_configuration_version",
+                           "Version by which the leader handled the call that "
+                           "it answered last."},
+                          [this] { return double(Gateway.configVersion()); });
   }
 
   void handle(const std::shared_ptr<HttpExchange> &exchange) {
