Keep time on a clock that goes on while the VM is suspended

Seen by callers: a control VM that was suspended while it led answered reads with the configuration of before, though a newer one had been acknowledged seconds earlier by another leader.

Cause: the lease of leadership, and every other bound on time, was measured on the standard library's steady clock, which stands still while a VM is suspended. The VM went on with what was left of its lease after it woke.

Change: SteadyTime is a time point of BootClock (CLOCK_BOOTTIME), a type of its own, so that the compiler refuses its use with a timer of another clock; timers are set by the time that is left.

Evidence: test_suspended_vms.py stops the leader with its steady clock (a preloaded clock_gettime), has another VM acknowledge a change, waits 2 s, sends reads on open connections and lets the leader go on.

--- a/benchmarks/control.cpp
+++ b/benchmarks/control.cpp
@@ -70,10 +70,10 @@
 void measure(const std::string &name, BenchReplica &leader,
              const Workload &workload) {
   constexpr double MicrosecondsPerMillisecond = 1000;
-  const SteadyTime begin = std::chrono::steady_clock::now();
+  const SteadyTime begin = BootClock::now();
   const std::vector<double> latencies = leader.run(workload);
   const std::chrono::duration<double> time =
-      std::chrono::steady_clock::now() - begin;
+      BootClock::now() - begin;
   capacity::printFigure(name + "_commits",
                         double(latencies.size()) / time.count(), "per_second");
   capacity::printFigure(name + "_commit_p50",
@@ -101,11 +101,11 @@
     ReplicaSet group(path, 1);
     group.leader().run({ManyClients, commits});
   }
-  const SteadyTime begin = std::chrono::steady_clock::now();
+  const SteadyTime begin = BootClock::now();
   ReplicaSet group(path, 1);
   group.leader();
   const std::chrono::duration<double, std::milli> time =
-      std::chrono::steady_clock::now() - begin;
+      BootClock::now() - begin;
   capacity::printFigure(name, time.count(), "ms");
 }
 
--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -89,6 +89,10 @@
 file(GLOB_RECURSE TEST_SOURCES CONFIGURE_DEPENDS
   ${PROJECT_SOURCE_DIR}/tests/*.cpp ${PROJECT_SOURCE_DIR}/fuzzing/*.cpp
   ${PROJECT_SOURCE_DIR}/platform/tests/*.cpp)
+list(FILTER TEST_SOURCES EXCLUDE REGEX "/suspended_clock\\.cpp$")
+add_library(masticwinch-suspended-clock MODULE
+  ${PROJECT_SOURCE_DIR}/platform/tests/suspended_clock.cpp)
+target_link_libraries(masticwinch-suspended-clock PRIVATE masticwinch_options)
 if(TEST_SOURCES)
   add_executable(masticwinch-tests ${TEST_SOURCES})
   target_include_directories(masticwinch-tests PRIVATE ${PROJECT_SOURCE_DIR})
--- a/src/masticwinch/callers/request_service.cpp
+++ b/src/masticwinch/callers/request_service.cpp
@@ -104,7 +104,7 @@
   const SteadyTime wakeAt =
       std::min(now + TickInterval,
                RequestDispatcher.nextWake().value_or(now + TickInterval));
-  Timer.expires_at(wakeAt);
+  Timer.expires_after(wakeAt - now);
   Timer.async_wait([this](const std::error_code &ec) {
     if (!ec) {
       RequestDispatcher.tick(Time.now());
--- a/src/masticwinch/common/clock.cpp
+++ b/src/masticwinch/common/clock.cpp
@@ -1,11 +1,18 @@
 #include "masticwinch/common/clock.hpp"
 
+#include <ctime>
+
 namespace masticwinch {
 
-SteadyTime OperatingSystemClock::now() const {
-  return std::chrono::steady_clock::now();
+BootClock::time_point BootClock::now() noexcept {
+  timespec at{};
+  clock_gettime(CLOCK_BOOTTIME, &at);
+  return time_point(std::chrono::seconds(at.tv_sec) +
+                    std::chrono::nanoseconds(at.tv_nsec));
 }
 
+SteadyTime OperatingSystemClock::now() const { return BootClock::now(); }
+
 SystemTime OperatingSystemClock::systemNow() const {
   return std::chrono::system_clock::now();
 }
--- a/src/masticwinch/common/clock.hpp
+++ b/src/masticwinch/common/clock.hpp
@@ -4,9 +4,25 @@
 
 namespace masticwinch {
 
-/// Time point of a monotonic clock; differences are meaningful only within one
+/// Monotonic clock that goes on while the VM is suspended, which that of the
+/// standard library does not. It has a type of its own so that its time points
+/// can't be passed to a timer of another clock. The names are those that the
+/// standard library expects of a clock.
+struct BootClock {
+  // NOLINTBEGIN(readability-identifier-naming)
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  static constexpr bool is_steady = true;
+  // NOLINTEND(readability-identifier-naming)
+
+  static time_point now() noexcept;
+};
+
+/// Time point of `BootClock`; differences are meaningful only within one
 /// process.
-using SteadyTime = std::chrono::steady_clock::time_point;
+using SteadyTime = BootClock::time_point;
 
 /// Time point of the wall clock, for event lines and display.
 using SystemTime = std::chrono::system_clock::time_point;
--- a/src/masticwinch/control/replicated_log.cpp
+++ b/src/masticwinch/control/replicated_log.cpp
@@ -316,7 +316,7 @@
 }
 
 void ReplicatedLog::armTimer() {
-  ReplicaTimer.expires_at(LocalReplica->nextTick());
+  ReplicaTimer.expires_after(LocalReplica->nextTick() - Time.now());
   ReplicaTimer.async_wait([this](const std::error_code &ec) {
     if (!ec) {
       LocalReplica->tick(Time.now());
--- a/src/masticwinch/ctl/ctl_command.cpp
+++ b/src/masticwinch/ctl/ctl_command.cpp
@@ -48,9 +48,9 @@
 
 CtlExit waitUntilInForce(std::uint64_t revision, const CtlFlags &flags,
                          CellConnection &connection) {
-  const SteadyTime end = std::chrono::steady_clock::now() + flags.WaitTimeout;
+  const SteadyTime end = BootClock::now() + flags.WaitTimeout;
   nlohmann::json inForce;
-  while (std::chrono::steady_clock::now() < end) {
+  while (BootClock::now() < end) {
     const HttpCallResult result = connection.call({"GET", "/v1/in-force", ""});
     inForce = parse(result.Response.Body);
     if (result.Outcome == HttpOutcome::Answered && inForce.is_object() &&
--- a/src/masticwinch/load/load_generator.cpp
+++ b/src/masticwinch/load/load_generator.cpp
@@ -18,8 +18,8 @@
   std::uint32_t ResendsLeft = 0;
 };
 
-std::chrono::steady_clock::duration toDuration(double seconds) {
-  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+SteadyTime::duration toDuration(double seconds) {
+  return std::chrono::duration_cast<SteadyTime::duration>(
       std::chrono::duration<double>(seconds));
 }
 
@@ -52,7 +52,8 @@
     if (!at) {
       return;
     }
-    Timers[stream]->expires_at(StartTime + toDuration(*at));
+    Timers[stream]->expires_after(StartTime + toDuration(*at) -
+                                  TimeSource.now());
     Timers[stream]->async_wait([this, stream, at](const std::error_code &ec) {
       if (!ec) {
         arrive(stream, *at);
--- a/src/masticwinch/peers/cell_client.cpp
+++ b/src/masticwinch/peers/cell_client.cpp
@@ -17,7 +17,7 @@
 
 struct CellClient::Call {
   Call(asio::io_context &context, Milliseconds timeout)
-      : Retry(context), Deadline(std::chrono::steady_clock::now() + timeout) {}
+      : Retry(context), Deadline(BootClock::now() + timeout) {}
 
   std::uint64_t Id = 0;
   protocol::Envelope Message;
@@ -73,7 +73,7 @@
     return;
   }
   Call &call = *it->second;
-  if (std::chrono::steady_clock::now() >= call.Deadline) {
+  if (BootClock::now() >= call.Deadline) {
     finish(id, CellCallOutcome::Unknown, {});
     return;
   }
--- a/src/masticwinch/peers/internal/outbound_connection.cpp
+++ b/src/masticwinch/peers/internal/outbound_connection.cpp
@@ -26,7 +26,7 @@
 /// Queued messages are combined into one write up to this size.
 constexpr std::size_t MaxWriteBytes = 256 * 1024;
 
-SteadyTime now() { return std::chrono::steady_clock::now(); }
+SteadyTime now() { return BootClock::now(); }
 
 } // namespace
 
@@ -189,7 +189,7 @@
 /// Checks after the timeout whether sent messages have been acknowledged.
 void OutboundConnection::awaitAcknowledgement() {
   AckTimerRunning = true;
-  AckTimer.expires_at(LastProgressAt + AckTimeout);
+  AckTimer.expires_after(LastProgressAt + AckTimeout - now());
   AckTimer.async_wait(
       [self = shared_from_this()](const std::error_code &error) {
         self->AckTimerRunning = false;
--- a/src/masticwinch/stand_in/worker_stand_in.cpp
+++ b/src/masticwinch/stand_in/worker_stand_in.cpp
@@ -128,7 +128,7 @@
     Timer.cancel();
     return;
   }
-  Timer.expires_at(*next);
+  Timer.expires_after(*next - Time.now());
   Timer.async_wait([this](const std::error_code &ec) {
     if (!ec) {
       advance();
--- a/src/masticwinch/workflow/workflow_driver.hpp
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -268,7 +268,7 @@
       guard("effects", [this] { executeEffects(); });
     } else if (!EffectsScheduled) {
       EffectsScheduled = true;
-      EffectsTimer.expires_at(LastEffectsAt + delay);
+      EffectsTimer.expires_after(LastEffectsAt + delay - Time.now());
       EffectsTimer.async_wait([this](const std::error_code &ec) {
         if (!ec) {
           guard("effects", [this] { executeEffects(); });
