Route requests whose target is in absolute form

Seen by callers: 404 on a route that is in force, for GET http://host/prefix/.

Cause: the whole target was taken as the path, and the host from the Host field. HTTP/1.1 servers must accept the absolute form, and take the host from it (RFC 9112, 3.2.2).

Change: splitTarget gives the authority, path and query; the authority stands before the Host field.

--- a/src/masticwinch/http/http_server.cpp
+++ b/src/masticwinch/http/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "masticwinch/http/internal/connection_table.hpp"
 #include "masticwinch/http/internal/refusing_socket.hpp"
+#include "masticwinch/http/internal/request_target.hpp"
 #include "masticwinch/http/internal/response_rules.hpp"
 #include "masticwinch/http/percent_encoding.hpp"
 
@@ -337,9 +338,15 @@
   const restinio::http_request_header_t &header = request->header();
   HttpRequest received;
   received.Method = header.method().c_str();
-  received.Path = std::string(header.path());
-  received.Query = std::string(header.query());
+  const internal::RequestTarget target =
+      internal::splitTarget(header.request_target());
+  received.Path = std::string(target.Path);
+  received.Query = std::string(target.Query);
   received.Body = request->body();
+  if (!target.Authority.empty()) {
+    // It stands in place of any Host field (RFC 9112, 3.2.2).
+    received.Headers.add("Host", std::string(target.Authority));
+  }
   header.for_each_field(
       [&](const auto &it) { received.Headers.add(it.name(), it.value()); });
   const auto exchange = std::make_shared<Exchange>(shared_from_this(), request,
--- a/tests/http/test_http_server.cpp
+++ b/tests/http/test_http_server.cpp
@@ -23,7 +23,10 @@
                  const HttpRequest &it = exchange->request();
                  exchange->respond(
                      {200,
-                      {{"X-Path", it.Path}, {"X-Query", it.Query}},
+                      {{"X-Path", it.Path},
+                       {"X-Query", it.Query},
+                       {"X-Host", std::string(it.Headers.find("Host").value_or(
+                                      std::string_view()))}},
                       it.Method + " " + it.Body});
                }) {
     Server.start();
@@ -69,6 +72,17 @@
   CHECK(result.Response.Body == call.Method + " " + call.Body);
 }
 
+TEST_CASE("A target in absolute form names the host and the path",
+          "[http][server]") {
+  EchoServer server;
+  const std::string answer =
+      server.exchangeRaw("GET http://h.example/a?b HTTP/1.1\r\nHost: other\r\n"
+                         "Connection: close\r\n\r\n");
+  CHECK(answer.find("X-Path: /a\r\n") != std::string::npos);
+  CHECK(answer.find("X-Query: b\r\n") != std::string::npos);
+  CHECK(answer.find("X-Host: h.example\r\n") != std::string::npos);
+}
+
 TEST_CASE("Query parameters are found by name and decoded", "[http][server]") {
   HttpRequest request;
   request.Query = "a=1&b%20c=x%3Dy&empty&bad=%zz";
