Answer a request that expects 100 Continue before its body

Seen by operators: a client that waits for 100 Continue sent no body, and went on to another VM after a second.

Cause: nothing recognized the expectation; RESTinio calls the handler only with the whole request.

Change: the server's socket watches what it receives. If headers with the expectation end what has arrived, the client waits, and the socket writes the interim response. A client that has sent its body already gets none.

--- a/src/masticwinch/http/internal/refusing_socket.cpp
+++ b/src/masticwinch/http/internal/refusing_socket.cpp
@@ -78,6 +78,17 @@
   Lingers = true;
 }
 
+void RefusingSocket::received(std::string_view bytes) {
+  static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+  if (Expectation.receive(bytes)) {
+    // The client waits, so that the send buffer is empty. If the write fails,
+    // the client sends the body after a while all the same.
+    asio::error_code ec;
+    non_blocking(true, ec);
+    write_some(asio::buffer(Continue), ec);
+  }
+}
+
 void RefusingSocket::close() {
   if (Lingers) {
     std::make_shared<LingeringSocket>(
--- /dev/null
+++ b/tests/http/test_expectation_watch.cpp
@@ -0,0 +1,32 @@
+#include <catch2/catch.hpp>
+
+#include "masticwinch/http/internal/expectation_watch.hpp"
+
+using namespace masticwinch::internal;
+
+TEST_CASE("A client that waits for 100 Continue is recognized", "[http]") {
+  const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\nexpect:  "
+                           "100-Continue\r\nContent-Length: 2\r\n\r\n";
+  ExpectationWatch watch;
+  SECTION("in one piece") { CHECK(watch.receive(head)); }
+  SECTION("in two pieces") {
+    CHECK_FALSE(watch.receive(head.substr(0, 30)));
+    CHECK(watch.receive(head.substr(30)));
+  }
+  SECTION("after another request") {
+    CHECK_FALSE(watch.receive("POST /a HTTP/1.1\r\n\r\n"));
+    CHECK_FALSE(watch.receive("body"));
+    CHECK(watch.receive(head));
+  }
+  SECTION("but not if it has sent the body") {
+    CHECK_FALSE(watch.receive(head + "{}"));
+  }
+  SECTION("but not without the expectation") {
+    CHECK_FALSE(watch.receive("POST /a HTTP/1.1\r\nX-Expect: "
+                              "100-continue\r\n\r\n"));
+  }
+  SECTION("after a long body") {
+    CHECK_FALSE(watch.receive(std::string(9000, 'x')));
+    CHECK(watch.receive(head));
+  }
+}
--- a/tests/http/test_http_server.cpp
+++ b/tests/http/test_http_server.cpp
@@ -83,6 +83,26 @@
   CHECK(answer.find("X-Host: h.example\r\n") != std::string::npos);
 }
 
+TEST_CASE("A caller that waits for 100 Continue gets it and then the response",
+          "[http][server]") {
+  EchoServer server;
+  asio::io_context loop;
+  asio::ip::tcp::socket socket(loop);
+  socket.connect({asio::ip::address_v4::loopback(), server.Server.port()});
+  asio::write(socket,
+              asio::buffer(std::string(
+                  "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+                  "Expect: 100-continue\r\nConnection: close\r\n\r\n")));
+  std::string answer;
+  asio::read_until(socket, asio::dynamic_buffer(answer), "\r\n\r\n");
+  CHECK(answer == "HTTP/1.1 100 Continue\r\n\r\n");
+  asio::write(socket, asio::buffer(std::string("{}")));
+  asio::error_code ec;
+  asio::read(socket, asio::dynamic_buffer(answer), ec);
+  CHECK(answer.find("HTTP/1.1 200 OK\r\n") != std::string::npos);
+  CHECK(answer.ends_with("POST {}"));
+}
+
 TEST_CASE("Query parameters are found by name and decoded", "[http][server]") {
   HttpRequest request;
   request.Query = "a=1&b%20c=x%3Dy&empty&bad=%zz";
