--- a/benchmarks/control.cpp
+++ b/benchmarks/control.cpp
@@ -72,8 +72,7 @@
   constexpr double MicrosecondsPerMillisecond = 1000;
   const SteadyTime begin = BootClock::now();
   const std::vector<double> latencies = leader.run(workload);
-  const std::chrono::duration<double> time =
-      BootClock::now() - begin;
+  const std::chrono::duration<double> time = BootClock::now() - begin;
   capacity::printFigure(name + "_commits",
                         double(latencies.size()) / time.count(), "per_second");
   capacity::printFigure(name + "_commit_p50",
--- a/src/masticwinch/coordination/workflow/queue_routes.cpp
+++ b/src/masticwinch/coordination/workflow/queue_routes.cpp
@@ -14,6 +14,20 @@
 
 constexpr std::size_t IdLength = 16;
 
+char toLower(char c) {
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+/// Compares a stored host with a canonical one without copying the former.
+bool isHost(std::string_view stored, std::string_view canonical) {
+  if (stored.ends_with('.')) {
+    stored.remove_suffix(1);
+  }
+  return std::equal(stored.begin(), stored.end(), canonical.begin(),
+                    canonical.end(),
+                    [](char a, char b) { return toLower(a) == b; });
+}
+
 bool isHex(char c) {
   return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') ||
          (c >= 'A' && c <= 'F');
@@ -21,13 +35,27 @@
 
 } // namespace
 
+std::string canonicalHost(std::string_view host) {
+  if (host.ends_with('.')) {
+    host.remove_suffix(1);
+  }
+  std::string canonical(host);
+  std::transform(canonical.begin(), canonical.end(), canonical.begin(),
+                 toLower);
+  return canonical;
+}
+
+std::string_view withoutPort(std::string_view host) {
+  return host.substr(0, host.find(':'));
+}
+
 std::optional<QueueRoute> findRoute(const protocol::CellConfig &config,
                                     std::string_view host,
                                     std::string_view path) {
-  const std::string_view name = host.substr(0, host.find(':'));
+  const std::string name = canonicalHost(withoutPort(host));
   const protocol::QueueConfig *best = nullptr;
   for (const protocol::QueueConfig &it : config.queues()) {
-    if (it.host() == name && path.starts_with(it.path_prefix()) &&
+    if (isHost(it.host(), name) && path.starts_with(it.path_prefix()) &&
         (!best || it.path_prefix().size() > best->path_prefix().size())) {
       best = &it;
     }
@@ -57,12 +85,21 @@
 }
 
 std::optional<std::string> validationError(const protocol::CellConfig &config) {
+  if (config.version() == 0) {
+    return "versions begin with 1";
+  }
+  std::set<std::string> pools;
+  for (const protocol::PoolConfig &it : config.pools()) {
+    if (!pools.insert(it.name()).second) {
+      return "there are two pools " + it.name();
+    }
+  }
   std::set<std::pair<std::string, std::string>> places;
   for (const protocol::QueueConfig &it : config.queues()) {
-    if (!findPool(config, it.pool())) {
+    if (!pools.contains(it.pool())) {
       return "queue " + it.name() + " names an unknown pool " + it.pool();
     }
-    if (!places.emplace(it.host(), it.path_prefix()).second) {
+    if (!places.emplace(canonicalHost(it.host()), it.path_prefix()).second) {
       return "queue " + it.name() + " has the host and prefix of another";
     }
     if (it.timeout_ms() == 0) {
--- a/src/masticwinch/coordination/workflow/queue_routes.hpp
+++ b/src/masticwinch/coordination/workflow/queue_routes.hpp
@@ -15,7 +15,15 @@
   std::string Suffix;
 };
 
-/// Returns the queue of the host with the longest matching path prefix.
+/// The form in which host names are compared: in lower case, since case has no
+/// meaning in them, and without the final dot of a fully qualified name.
+std::string canonicalHost(std::string_view host);
+
+/// The host without a port.
+std::string_view withoutPort(std::string_view host);
+
+/// Returns the queue of the host with the longest matching path prefix. `host`
+/// may have a port.
 std::optional<QueueRoute> findRoute(const protocol::CellConfig &config,
                                     std::string_view host,
                                     std::string_view path);
--- a/tests/coordination/workflow/test_decisions.cpp
+++ b/tests/coordination/workflow/test_decisions.cpp
@@ -167,6 +167,10 @@
   CHECK(findRoute(config, "host:80", "/sheets/deep/x")->Queue->name() ==
         "nested");
   CHECK(findRoute(config, "host", "/sheets/x")->Suffix == "x");
+  // Case and a final dot have no meaning in host names.
+  CHECK(findRoute(config, "HOST.:80", "/sheets/x"));
+  CHECK_FALSE(findRoute(config, "hos", "/sheets/x"));
+  CHECK_FALSE(findRoute(config, "host..", "/sheets/x"));
   CHECK_FALSE(findRoute(config, "other", "/sheets/x"));
   CHECK_FALSE(findRoute(config, "host", "/other/x"));
 }
@@ -181,6 +185,14 @@
   protocol::CellConfig shared = configOf(1);
   *shared.add_queues() = shared.queues(0);
   CHECK(validationError(shared));
+  shared.mutable_queues(1)->set_host("HOST.");
+  CHECK(validationError(shared));
+  shared.mutable_queues(1)->set_path_prefix("/other/");
+  CHECK_FALSE(validationError(shared));
+  protocol::CellConfig ambiguous = configOf(1);
+  *ambiguous.add_pools() = ambiguous.pools(0);
+  CHECK(validationError(ambiguous));
+  CHECK(validationError(configOf(0)));
   protocol::CellConfig noTime = configOf(1);
   noTime.mutable_queues(0)->set_timeout_ms(0);
   CHECK(validationError(noTime));
--- a/tests/http/test_expectation_watch.cpp
+++ b/tests/http/test_expectation_watch.cpp
@@ -1,7 +1,7 @@
-#include <catch2/catch.hpp>
-
 #include "masticwinch/http/internal/expectation_watch.hpp"
 
+#include <catch2/catch.hpp>
+
 using namespace masticwinch::internal;
 
 TEST_CASE("A client that waits for 100 Continue is recognized", "[http]") {
