Let accepted work go on when its queue is renamed, moved or dropped

Seen by callers: a job that had been accepted was never started once an operator replaced its route by one of another name, or dropped it. Of two routes of one name, the jobs of both went to the first one's service.

Cause: a job kept the name of its route, and the scheduler looked the name up in the newest configuration.

Change: a queue is identified by its host and path prefix. The replicated state keeps the queues that a configuration drops for as long as open work needs them; an acceptance carries its queue, since the configuration may have changed between the decision and its storing. Jobs of earlier records are still found by name.

--- a/fuzzing/workflow/simulated_runners.cpp
+++ b/fuzzing/workflow/simulated_runners.cpp
@@ -96,7 +96,7 @@
 bool WorkflowSimulator::acceptsTicket(const Runner &runner,
                                       const StartOrder &order) const {
   const Workflow *workflow = State.find(order.Run.Task.Step.Workflow);
-  if (!workflow || workflow->Spec.queue() != "advised") {
+  if (!workflow || workflow->Spec.queue() != "host/advised/") {
     return true;
   }
   const auto it = Tickets.find(order.Ticket);
--- a/src/masticwinch/coordination/workflow/queue_routes.cpp
+++ b/src/masticwinch/coordination/workflow/queue_routes.cpp
@@ -66,13 +66,8 @@
   return QueueRoute{best, std::string(path.substr(best->path_prefix().size()))};
 }
 
-const protocol::QueueConfig *findQueue(const protocol::CellConfig &config,
-                                       const std::string &name) {
-  const auto &all = config.queues();
-  const auto it = std::find_if(all.begin(), all.end(), [&](const auto &queue) {
-    return queue.name() == name;
-  });
-  return it == all.end() ? nullptr : &*it;
+std::string queueId(const protocol::QueueConfig &queue) {
+  return canonicalHost(queue.host()) + queue.path_prefix();
 }
 
 const protocol::PoolConfig *findPool(const protocol::CellConfig &config,
--- a/src/masticwinch/coordination/workflow/queue_routes.hpp
+++ b/src/masticwinch/coordination/workflow/queue_routes.hpp
@@ -28,8 +28,10 @@
                                     std::string_view host,
                                     std::string_view path);
 
-const protocol::QueueConfig *findQueue(const protocol::CellConfig &config,
-                                       const std::string &name);
+/// Identifies a queue by its address. Its name may change, and other queues may
+/// have the same.
+std::string queueId(const protocol::QueueConfig &queue);
+
 const protocol::PoolConfig *findPool(const protocol::CellConfig &config,
                                      const std::string &name);
 
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -80,8 +80,7 @@
     return;
   }
   static const protocol::QueueConfig NoQueue;
-  const protocol::QueueConfig *found =
-      findQueue(State.config(), workflow.Spec.queue());
+  const protocol::QueueConfig *found = State.findQueue(workflow.Spec.queue());
   const protocol::QueueConfig &queue = found ? *found : NoQueue;
   SchedulingInfo &info = Scheduling[id];
   info.CriticalPaths = remainingCriticalPaths(workflow.Spec, queue);
@@ -158,7 +157,7 @@
                                  const AnswerCallback &answer, Moment at) {
   protocol::WorkflowAnswer reply = answerOf(protocol::VERDICT_OK);
   if (route.Suffix.empty()) {
-    reply.set_waiting(queuedCount(route.Queue->name(), at));
+    reply.set_waiting(queuedCount(queueId(*route.Queue), at));
     answer(reply);
     return;
   }
@@ -270,7 +269,7 @@
     return std::nullopt;
   }
   AdmissionInput input;
-  if (const auto work = ProbationWork.find(queue.name());
+  if (const auto work = ProbationWork.find(queueId(queue));
       work != ProbationWork.end()) {
     const auto kept = ProbationProcessors.find(queue.pool());
     input.MilliProcessors = kept == ProbationProcessors.end()
@@ -300,7 +299,7 @@
   protocol::WorkflowSpec &spec = *accepted.mutable_accept()->mutable_spec();
   spec = sent;
   spec.set_id(route.Suffix);
-  spec.set_queue(route.Queue->name());
+  spec.set_queue(queueId(*route.Queue));
   if (const auto problem = validationError(spec)) {
     answer(answerOf(protocol::VERDICT_INVALID, *problem));
     return;
@@ -358,6 +357,7 @@
   }
   accepted.mutable_accept()->set_at_unix_ms(at.UnixMs);
   accepted.mutable_accept()->set_max_attempts(route.Queue->max_attempts());
+  *accepted.mutable_accept()->mutable_queue() = *route.Queue;
   PendingSubmissions[spec.id()].push_back(std::move(answer));
   logEvent(WorkflowEventKind::WorkflowAccepted,
            {{"workflow", spec.id()}, {"queue", spec.queue()}});
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -367,7 +367,7 @@
 void WorkflowLeader::scheduleStep(const StepKey &key, Fleet &fleet, Moment at) {
   const Workflow *workflow = State.find(key.Workflow);
   const protocol::QueueConfig *queue =
-      workflow ? findQueue(State.config(), workflow->Spec.queue()) : nullptr;
+      workflow ? State.findQueue(workflow->Spec.queue()) : nullptr;
   const auto pool = queue ? fleet.Pools.find(queue->pool()) : fleet.Pools.end();
   if (pool == fleet.Pools.end()) {
     return;
--- a/src/masticwinch/coordination/workflow/workflow_leader_waits.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_waits.cpp
@@ -92,7 +92,7 @@
                              const std::vector<RankedStep> &tried, Moment at) {
   const OpenStep &open = OpenSteps.at(key);
   const protocol::QueueConfig *queue =
-      findQueue(State.config(), open.Parent->Spec.queue());
+      State.findQueue(open.Parent->Spec.queue());
   Fleet unclaimed = fleet;
   unclaimed.Claimed.clear();
   std::size_t approved = 0;
--- a/src/masticwinch/coordination/workflow/workflow_state.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_state.cpp
@@ -1,5 +1,7 @@
 #include "masticwinch/coordination/workflow/workflow_state.hpp"
 
+#include "masticwinch/coordination/workflow/queue_routes.hpp"
+
 #include <algorithm>
 
 namespace masticwinch::workflow {
@@ -181,11 +183,48 @@
 }
 
 void WorkflowState::configure(const protocol::CellConfig &config) {
-  if (config.version() > Config.version()) {
-    Config = config;
+  if (config.version() <= Config.version()) {
+    return;
+  }
+  keepQueuesInUse();
+  Config = config;
+  indexQueues();
+}
+
+/// Keeps the queues of open workflows, which the next configuration may drop.
+void WorkflowState::keepQueuesInUse() {
+  std::map<std::string, protocol::QueueConfig> kept;
+  for (const auto &[id, workflow] : Workflows) {
+    const std::string &queue = workflow.Spec.queue();
+    if (isFinal(workflow.CurrentPhase) || kept.contains(queue)) {
+      continue;
+    }
+    if (const protocol::QueueConfig *known = findQueue(queue)) {
+      kept.emplace(queue, *known);
+    }
+  }
+  DroppedQueues = std::move(kept);
+}
+
+void WorkflowState::indexQueues() {
+  QueuePositions.clear();
+  for (int i = 0; i < Config.queues_size(); ++i) {
+    QueuePositions.try_emplace(queueId(Config.queues(i)), i);
+  }
+  for (int i = 0; i < Config.queues_size(); ++i) {
+    QueuePositions.try_emplace(Config.queues(i).name(), i);
   }
 }
 
+const protocol::QueueConfig *
+WorkflowState::findQueue(const std::string &id) const {
+  if (const auto it = QueuePositions.find(id); it != QueuePositions.end()) {
+    return &Config.queues(it->second);
+  }
+  const auto it = DroppedQueues.find(id);
+  return it == DroppedQueues.end() ? nullptr : &it->second;
+}
+
 /// Adds a part to those before it. The first part of a newer version replaces
 /// parts of which the rest was never stored.
 void WorkflowState::configurePart(const protocol::ConfigurePart &part) {
@@ -219,6 +258,9 @@
   workflow.Spec = accept.spec();
   workflow.AcceptedAtUnixMs = accept.at_unix_ms();
   workflow.MaxAttempts = std::max<std::uint32_t>(accept.max_attempts(), 1);
+  if (accept.has_queue() && !findQueue(accept.spec().queue())) {
+    DroppedQueues[accept.spec().queue()] = accept.queue();
+  }
   if (workflow.Spec.repeats() == 0) {
     beginOccurrence(workflow, 0);
   }
@@ -412,12 +454,22 @@
   for (const auto &[id, runner] : Runners) {
     *snapshot.add_runners() = runner;
   }
+  for (const auto &[id, queue] : DroppedQueues) {
+    protocol::DroppedQueue *dropped = snapshot.add_dropped_queues();
+    dropped->set_id(id);
+    *dropped->mutable_queue() = queue;
+  }
   return snapshot;
 }
 
 void WorkflowState::restore(const protocol::WorkflowSnapshot &snapshot) {
   Config = snapshot.config();
   PartialConfig = snapshot.partial_config();
+  indexQueues();
+  DroppedQueues.clear();
+  for (const protocol::DroppedQueue &it : snapshot.dropped_queues()) {
+    DroppedQueues.emplace(it.id(), it.queue());
+  }
   Workflows.clear();
   Runners.clear();
   ExposedTasks.clear();
--- a/src/masticwinch/coordination/workflow/workflow_state.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_state.hpp
@@ -24,6 +24,9 @@
   void restore(const protocol::WorkflowSnapshot &snapshot);
 
   const protocol::CellConfig &config() const { return Config; }
+  /// The queue of a workflow, by its id: as it is configured, or as it was when
+  /// it was dropped. Null if no open workflow is known to need it.
+  const protocol::QueueConfig *findQueue(const std::string &id) const;
   /// Unordered. References to a workflow stay valid until it is forgotten.
   const std::unordered_map<std::string, Workflow> &workflows() const {
     return Workflows;
@@ -65,7 +68,16 @@
   void updateCompletion(Workflow &workflow, std::uint32_t occurrence);
   void indexExposures(const Workflow &workflow);
 
+  void indexQueues();
+  void keepQueuesInUse();
+
   protocol::CellConfig Config;
+  /// Positions in the configuration by queue id and, for workflows that were
+  /// accepted by an earlier version of this software, by queue name.
+  std::unordered_map<std::string, int> QueuePositions;
+  /// Dropped queues by id. Those that no open workflow needs are removed with
+  /// the next configuration.
+  std::map<std::string, protocol::QueueConfig> DroppedQueues;
   /// The parts so far of a configuration that isn't complete.
   protocol::ConfigurePart PartialConfig;
   std::unordered_map<std::string, Workflow> Workflows;
