--- /dev/null
+++ b/src/masticwinch/coordination/workflow/entry_terms.cpp
@@ -0,0 +1,63 @@
+#include "masticwinch/coordination/workflow/entry_terms.hpp"
+
+#include "masticwinch/coordination/workflow/queue_routes.hpp"
+
+namespace masticwinch::workflow {
+
+/// Forgets what a newer version may have changed. Returns whether the version
+/// is the newest known one.
+bool EntryTerms::advance(std::uint64_t version) {
+  if (version > Version) {
+    Version = version;
+    Timeouts.clear();
+    Limits.reset();
+  }
+  return version == Version;
+}
+
+void EntryTerms::learn(const protocol::AgentWelcome &welcome) {
+  if (welcome.leads() && advance(welcome.config_version()) &&
+      welcome.has_limits()) {
+    Limits = welcome.limits();
+  }
+}
+
+void EntryTerms::learn(const protocol::WorkflowAnswer &answer) {
+  if (!advance(answer.config_version()) || !answer.has_route() ||
+      Timeouts.size() >= MaxTimeouts) {
+    return;
+  }
+  const protocol::RouteTerms &route = answer.route();
+  Timeouts[{canonicalHost(route.host()), route.path_prefix()}] =
+      Milliseconds(route.timeout_ms());
+}
+
+std::optional<Milliseconds> EntryTerms::timeout(std::string_view host,
+                                                std::string_view path) const {
+  const std::string name = canonicalHost(withoutPort(host));
+  std::optional<Milliseconds> found;
+  std::size_t longest = 0;
+  for (auto it = Timeouts.lower_bound({name, ""});
+       it != Timeouts.end() && it->first.first == name; ++it) {
+    const std::string &prefix = it->first.second;
+    if (path.starts_with(prefix) && prefix.size() >= longest) {
+      found = it->second;
+      longest = prefix.size();
+    }
+  }
+  return found;
+}
+
+std::optional<ExceededLimit>
+EntryTerms::exceededLimit(std::size_t headerBytes,
+                          std::size_t bodyBytes) const {
+  if (Limits && headerBytes > Limits->max_header_bytes()) {
+    return ExceededLimit::HeaderBytes;
+  }
+  if (Limits && bodyBytes > Limits->max_body_bytes()) {
+    return ExceededLimit::BodyBytes;
+  }
+  return std::nullopt;
+}
+
+} // namespace masticwinch::workflow
--- /dev/null
+++ b/src/masticwinch/coordination/workflow/entry_terms.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "masticwinch/common/clock.hpp"
+#include "masticwinch/protocol/workflow.pb.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace masticwinch::workflow {
+
+/// Limit of callers' requests that a request exceeds.
+enum class ExceededLimit : std::uint8_t { HeaderBytes, BodyBytes };
+
+/// What an entry VM knows of the configuration: the limits of requests, and the
+/// timeouts of the queues that it has forwarded calls to. It learns both from
+/// the leader's messages; those about an older version than the newest known
+/// one are ignored.
+class EntryTerms {
+public:
+  /// Learns the limits from a leader's welcome.
+  void learn(const protocol::AgentWelcome &welcome);
+
+  /// Learns the timeout of the queue that handled a call.
+  void learn(const protocol::WorkflowAnswer &answer);
+
+  /// Version of the configuration; 0 if none is known.
+  std::uint64_t version() const { return Version; }
+
+  /// Timeout of the queue with this address; nothing if it isn't known.
+  std::optional<Milliseconds> timeout(std::string_view host,
+                                      std::string_view path) const;
+
+  /// The first limit that a request exceeds; nothing while no limits are known.
+  std::optional<ExceededLimit> exceededLimit(std::size_t headerBytes,
+                                             std::size_t bodyBytes) const;
+
+private:
+  /// Most queues whose timeouts are kept.
+  static constexpr std::size_t MaxTimeouts = 1024;
+
+  bool advance(std::uint64_t version);
+
+  std::uint64_t Version = 0;
+  std::optional<protocol::CallerLimits> Limits;
+  /// By canonical host and path prefix.
+  std::map<std::pair<std::string, std::string>, Milliseconds> Timeouts;
+};
+
+} // namespace masticwinch::workflow
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -18,6 +18,14 @@
   return answer;
 }
 
+protocol::RouteTerms termsOf(const protocol::QueueConfig &queue) {
+  protocol::RouteTerms terms;
+  terms.set_host(queue.host());
+  terms.set_path_prefix(queue.path_prefix());
+  terms.set_timeout_ms(queue.timeout_ms());
+  return terms;
+}
+
 } // namespace
 
 WorkflowLeader::WorkflowLeader(const WorkflowLeaderOptions &options,
@@ -125,6 +133,11 @@
     answer(answerOf(protocol::VERDICT_NO_QUEUE, "no queue has this address"));
     return;
   }
+  answer = [answer = std::move(answer),
+            terms = termsOf(*route->Queue)](protocol::WorkflowAnswer reply) {
+    *reply.mutable_route() = terms;
+    answer(std::move(reply));
+  };
   switch (call.request_case()) {
   case protocol::WorkflowCall::kSubmit:
     return submit(call.submit(), *route, std::move(answer), at);
--- a/src/masticwinch/http/http_message.cpp
+++ b/src/masticwinch/http/http_message.cpp
@@ -15,6 +15,14 @@
   Lines.push_back({std::move(name), std::move(value)});
 }
 
+std::size_t HttpHeaders::byteSize() const {
+  std::size_t bytes = 0;
+  for (const HttpHeader &it : Lines) {
+    bytes += it.Name.size() + it.Value.size();
+  }
+  return bytes;
+}
+
 std::optional<std::string_view> HttpHeaders::find(std::string_view name) const {
   for (const HttpHeader &it : Lines) {
     if (equalHeaderNames(it.Name, name)) {
--- a/src/masticwinch/http/http_message.hpp
+++ b/src/masticwinch/http/http_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <optional>
@@ -32,6 +33,9 @@
 
   const std::vector<HttpHeader> &lines() const { return Lines; }
 
+  /// Size of all names and values.
+  std::size_t byteSize() const;
+
 private:
   std::vector<HttpHeader> Lines;
 };
--- a/src/masticwinch/workflow/entry_gateway.cpp
+++ b/src/masticwinch/workflow/entry_gateway.cpp
@@ -81,10 +81,13 @@
                         CallDone done) {
   const std::uint64_t number = NextCall++;
   call.set_call(number);
+  const Milliseconds queueTimeout =
+      Terms.timeout(call.host(), call.path()).value_or(Options.MaxWait);
   PendingCall &pending = Calls[number];
   pending.Call = std::move(call);
   pending.Done = std::move(done);
-  pending.Deadline = Time.now() + std::min(timeout, Options.MaxWait);
+  pending.Deadline =
+      Time.now() + std::min({timeout, queueTimeout, Options.MaxWait});
   pending.NextSend = Time.now();
   if (!Leader.empty()) {
     send(pending);
@@ -139,7 +142,7 @@
     return;
   }
   if (answer.verdict() != protocol::VERDICT_NOT_LEADING) {
-    ConfigVersion = answer.config_version();
+    Terms.learn(answer);
     finish(answer.call(), CallOutcome::Answered, answer);
     return;
   }
@@ -161,6 +164,7 @@
     return;
   }
   LastWelcome = Time.now();
+  Terms.learn(welcome);
   if (sender == Leader) {
     return;
   }
--- a/src/masticwinch/workflow/entry_gateway.hpp
+++ b/src/masticwinch/workflow/entry_gateway.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "masticwinch/common/clock.hpp"
+#include "masticwinch/coordination/workflow/entry_terms.hpp"
 #include "masticwinch/protocol/envelope.pb.h"
 
 #include <asio/io_context.hpp>
@@ -66,7 +67,8 @@
   void start();
 
   /// Sends a request to the leader. `timeout` is how long the caller waits; the
-  /// call ends after it or after `MaxWait`, whichever is shorter.
+  /// call ends after it, after the queue's timeout as far as it is known, or
+  /// after `MaxWait`, whichever is shortest.
   void call(protocol::WorkflowCall call, Milliseconds timeout, CallDone done);
 
   /// Handles answers and welcomes; other messages are ignored.
@@ -77,9 +79,8 @@
 
   const std::string &leader() const { return Leader; }
 
-  /// Version of the configuration by which the leader handled the call that it
-  /// answered last; 0 before the first answer.
-  std::uint64_t configVersion() const { return ConfigVersion; }
+  /// What is known of the leader's configuration.
+  const EntryTerms &terms() const { return Terms; }
 
 private:
   struct PendingCall {
@@ -116,7 +117,7 @@
   SteadyTime NextHello{};
   std::uint64_t HelloSequence = 0;
   std::uint64_t NextCall = 1;
-  std::uint64_t ConfigVersion = 0;
+  EntryTerms Terms;
   std::map<std::uint64_t, PendingCall> Calls;
 };
 
--- a/src/masticwinch/workflow/entry_vm_daemon.hpp
+++ b/src/masticwinch/workflow/entry_vm_daemon.hpp
@@ -116,10 +116,10 @@
     Metrics.observedGauge(
         {"masticwinch_entry_requests_open", "Requests without an answer yet."},
         [this] { return double(OpenRequests); });
-    Metrics.observedGauge({"masticwinch_entry_configuration_version",
-                           "Version by which the leader handled the call that "
-                           "it answered last."},
-                          [this] { return double(Gateway.configVersion()); });
+    Metrics.observedGauge(
+        {"masticwinch_entry_configuration_version",
+         "Newest version of the configuration that a leader has stated."},
+        [this] { return double(Gateway.terms().version()); });
   }
 
   void handle(const std::shared_ptr<HttpExchange> &exchange) {
--- a/src/masticwinch/workflow/workflow_driver.hpp
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -207,6 +207,12 @@
     welcome->set_sequence(envelope.agent_hello().sequence());
     welcome->set_leads(leads());
     welcome->set_leader_hint(Commands.leaderAddress());
+    if (leads()) {
+      welcome->set_config_version(State.config().version());
+      if (State.config().has_limits()) {
+        *welcome->mutable_limits() = State.config().limits();
+      }
+    }
     for (const std::string &it : Commands.otherAddresses()) {
       welcome->add_controls(it);
     }
