Let a process announce another address than it listens on

Cause: nothing could stand between two VMs of a cell, neither an address translation nor a proxy that injects faults, since a process announces the address that it binds.

Change: the setting announced_address, by default internal_address; the mailbox sends it as the reply address, a control VM is known by it.

--- a/src/masticwinch/control/control_daemon.cpp
+++ b/src/masticwinch/control/control_daemon.cpp
@@ -49,7 +49,7 @@
   options.Replica = settings.Replica;
   options.SnapshotEntries = settings.SnapshotEntries;
   options.Self.Name = settings.Process.Name;
-  options.Self.Address = settings.Process.InternalAddress;
+  options.Self.Address = settings.Process.AnnouncedAddress;
   options.Self.DataCenter = settings.Process.DataCenter;
   for (const programs::PeerSettings &it : settings.Members) {
     options.InitialMembers.push_back({{}, it.Name, it.Address, "", false});
--- a/src/masticwinch/control/control_settings.cpp
+++ b/src/masticwinch/control/control_settings.cpp
@@ -77,30 +77,30 @@
 } // namespace
 
 Result<ControlSettings> loadControlSettings(const std::string &file) {
-  return readSettings<ControlSettings>(
-      file, [](SettingsReader &reader, ControlSettings &settings) {
-        settings.Process = programs::readProcessSettings(reader);
-        settings.DataFolder = reader.requiredString("data_folder");
-        settings.Members = programs::readPeerSettings(reader, "members");
-        settings.Operators = programs::readHttpSettings(reader, "operators");
-        reader.object("leases", [&](SettingsReader &nested) {
-          readLeases(nested, settings.Service);
-        });
-        readPlacement(reader, settings.Placement);
-        reader.object("replication", [&](SettingsReader &nested) {
-          readReplication(nested, settings);
-        });
-        const bool listed =
-            std::any_of(settings.Members.begin(), settings.Members.end(),
-                        [&](const programs::PeerSettings &it) {
-                          return it.Name == settings.Process.Name &&
-                                 it.Address == settings.Process.InternalAddress;
-                        });
-        if (!listed) {
-          reader.report("members",
-                        "must list this process by name and internal_address");
-        }
-      });
+  return readSettings<ControlSettings>(file, [](SettingsReader &reader,
+                                                ControlSettings &settings) {
+    settings.Process = programs::readProcessSettings(reader);
+    settings.DataFolder = reader.requiredString("data_folder");
+    settings.Members = programs::readPeerSettings(reader, "members");
+    settings.Operators = programs::readHttpSettings(reader, "operators");
+    reader.object("leases", [&](SettingsReader &nested) {
+      readLeases(nested, settings.Service);
+    });
+    readPlacement(reader, settings.Placement);
+    reader.object("replication", [&](SettingsReader &nested) {
+      readReplication(nested, settings);
+    });
+    const bool listed =
+        std::any_of(settings.Members.begin(), settings.Members.end(),
+                    [&](const programs::PeerSettings &it) {
+                      return it.Name == settings.Process.Name &&
+                             it.Address == settings.Process.AnnouncedAddress;
+                    });
+    if (!listed) {
+      reader.report("members",
+                    "must list this process by name and announced_address");
+    }
+  });
 }
 
 } // namespace masticwinch::control
--- a/src/masticwinch/peers/mailbox.cpp
+++ b/src/masticwinch/peers/mailbox.cpp
@@ -86,9 +86,11 @@
         Work(asio::make_work_guard(Context)) {}
 
   void listen() {
-    const auto endpoint = endpointOf(Options.Address);
+    const std::string &address =
+        Options.ListenAddress.empty() ? Options.Address : Options.ListenAddress;
+    const auto endpoint = endpointOf(address);
     if (!endpoint) {
-      throw std::runtime_error("can't listen on " + Options.Address +
+      throw std::runtime_error("can't listen on " + address +
                                ": must be tcp://IP:PORT");
     }
     try {
@@ -97,7 +99,7 @@
       Acceptor.bind(*endpoint);
       Acceptor.listen();
     } catch (const std::system_error &error) {
-      throw std::runtime_error("can't listen on " + Options.Address + ": " +
+      throw std::runtime_error("can't listen on " + address + ": " +
                                error.what());
     }
     accept();
--- a/src/masticwinch/peers/mailbox.hpp
+++ b/src/masticwinch/peers/mailbox.hpp
@@ -20,9 +20,10 @@
   std::string Cluster;
   std::string Process;
   std::uint64_t Incarnation = 0;
-  /// Address to listen on, which is also sent as the reply address, such as
-  /// `tcp://10.0.0.1:7000`.
+  /// Address that is sent as the reply address, such as `tcp://10.0.0.5:7000`.
   std::string Address;
+  /// Address to listen on; empty for `Address`.
+  std::string ListenAddress = {};
   /// A longer message closes the connection on which it is received.
   std::size_t MaxMessageBytes = 4 * 1024 * 1024;
   /// Size of the messages waiting to be sent, to all peers together, at which
--- a/src/masticwinch/programs/daemon_options.cpp
+++ b/src/masticwinch/programs/daemon_options.cpp
@@ -20,7 +20,8 @@
   options.Cluster = process.Cluster;
   options.Process = process.Name;
   options.Incarnation = incarnation;
-  options.Address = process.InternalAddress;
+  options.Address = process.AnnouncedAddress;
+  options.ListenAddress = process.InternalAddress;
   return options;
 }
 
--- a/src/masticwinch/programs/endpoint_settings.cpp
+++ b/src/masticwinch/programs/endpoint_settings.cpp
@@ -27,6 +27,9 @@
   process.EventsFile = reader.optionalString("events_file", "");
   process.InternalAddress = reader.requiredString("internal_address");
   checkInternalAddress(reader, "internal_address", process.InternalAddress);
+  process.AnnouncedAddress =
+      reader.optionalString("announced_address", process.InternalAddress);
+  checkInternalAddress(reader, "announced_address", process.AnnouncedAddress);
   return process;
 }
 
--- a/src/masticwinch/programs/endpoint_settings.hpp
+++ b/src/masticwinch/programs/endpoint_settings.hpp
@@ -17,6 +17,9 @@
   std::string EventsFile;
   /// Address for messages from other processes, `tcp://IP:PORT`.
   std::string InternalAddress;
+  /// Address at which other processes reach that one, if a proxy or an address
+  /// translation is between; otherwise the same.
+  std::string AnnouncedAddress;
 };
 
 /// Name and address of another process.
--- a/src/masticwinch/workflow/control_vm_daemon.cpp
+++ b/src/masticwinch/workflow/control_vm_daemon.cpp
@@ -12,7 +12,7 @@
   options.Replica = settings.Replica;
   options.SnapshotEntries = settings.SnapshotEntries;
   options.Self.Name = process.Name;
-  options.Self.Address = process.InternalAddress;
+  options.Self.Address = process.AnnouncedAddress;
   options.Self.DataCenter = process.DataCenter;
   bool isSeed = false;
   for (const programs::PeerSettings &it : settings.Daemon.Seeds) {
