Grant no vote shortly after a leader was heard, also in a known term

Seen by review: a voter that heard from the leader may adopt the candidate's term from the refusal of a pre-vote, and then grants its vote at once, while the leader's lease counts its answer. Two leases overlap for up to 855 ms.

Cause: the contact with a leader was checked only where a request raises the term.

Change: handleVoteRequest checks it too, but for transfers and a vote that was granted before.

--- a/src/masticwinch/coordination/replication/replica_election.cpp
+++ b/src/masticwinch/coordination/replication/replica_election.cpp
@@ -155,8 +155,11 @@
     send(from, std::move(reply));
     return;
   }
-  const bool canVote = !Hard.Vote || Hard.Vote == from;
-  const bool granted = canVote && isUpToDate(request);
+  // The term may have been adopted from another message than this request, so
+  // that the contact with a leader was not checked before.
+  const bool mayVote =
+      !Hard.Vote && (request.transfer() || !hasRecentLeaderContact(now));
+  const bool granted = (mayVote || Hard.Vote == from) && isUpToDate(request);
   reply.mutable_vote_reply()->set_granted(granted);
   if (granted && !Hard.Vote) {
     Hard.Vote = from;
