Send 100 Continue behind no part of a response, and find every expectation

Seen by review: the interim response could be written into a response that was being written; headers behind a body of 8 KB, or in one piece with the end of a body, weren't recognized; HTTP/1.0 got one.

Evidence: test_expectation_watch.cpp, test_request_target.cpp. The interleaving was found by reading; no test brings it about.

--- a/src/masticwinch/http/internal/expectation_watch.cpp
+++ b/src/masticwinch/http/internal/expectation_watch.cpp
@@ -3,6 +3,7 @@
 #include "masticwinch/http/http_message.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace masticwinch::internal {
 
@@ -22,6 +23,9 @@
 bool statesExpectation(std::string_view headers) {
   while (!headers.empty()) {
     const std::string_view line = headers.substr(0, headers.find(LineEnd));
+    if (line.ends_with(" HTTP/1.0")) {
+      return false;
+    }
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos &&
         equalHeaderNames(line.substr(0, colon), "Expect") &&
@@ -38,18 +42,24 @@
 
 bool ExpectationWatch::receive(std::string_view bytes) {
   if (Received.size() + bytes.size() > MaxHeaderBytes) {
-    Received.clear();
-    return false;
+    Received = std::string();
   }
-  Received += bytes;
-  const std::size_t end = Received.find(HeadersEnd);
+  Received +=
+      bytes.substr(bytes.size() - std::min(bytes.size(), MaxHeaderBytes));
+  const std::size_t end = Received.rfind(HeadersEnd);
   if (end == std::string::npos) {
     return false;
   }
-  const bool waits =
-      end + HeadersEnd.size() == Received.size() && statesExpectation(Received);
-  Received.clear();
-  return waits;
+  // Before the headers, the end of a body may have arrived.
+  const std::string all = std::exchange(Received, std::string());
+  if (end + HeadersEnd.size() != all.size()) {
+    return false;
+  }
+  const std::size_t before =
+      end == 0 ? std::string::npos : all.rfind(HeadersEnd, end - 1);
+  const std::size_t first =
+      before == std::string::npos ? 0 : before + HeadersEnd.size();
+  return statesExpectation(std::string_view(all).substr(first));
 }
 
 } // namespace masticwinch::internal
--- a/src/masticwinch/http/internal/expectation_watch.hpp
+++ b/src/masticwinch/http/internal/expectation_watch.hpp
@@ -16,7 +16,7 @@
 
 private:
   /// Longer headers are not searched.
-  static constexpr std::size_t MaxHeaderBytes = 8 * 1024;
+  static constexpr std::size_t MaxHeaderBytes = 17UL * 1024;
 
   /// Bytes since the end of the last headers, as far as they may be headers.
   std::string Received;
--- a/src/masticwinch/http/internal/refusing_socket.cpp
+++ b/src/masticwinch/http/internal/refusing_socket.cpp
@@ -80,9 +80,9 @@
 
 void RefusingSocket::received(std::string_view bytes) {
   static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
-  if (Expectation.receive(bytes)) {
-    // The client waits, so that the send buffer is empty. If the write fails,
-    // the client sends the body after a while all the same.
+  if (Expectation.receive(bytes) && !Writes) {
+    // Otherwise, or if the write fails, the client sends the body after a while
+    // all the same.
     asio::error_code ec;
     non_blocking(true, ec);
     write_some(asio::buffer(Continue), ec);
--- a/src/masticwinch/http/internal/refusing_socket.hpp
+++ b/src/masticwinch/http/internal/refusing_socket.hpp
@@ -32,11 +32,12 @@
   void shutdown(shutdown_type what, asio::error_code &ec);
   void close();
 
-  // The name is Asio's.
+  // The names are Asio's.
   // NOLINTBEGIN(readability-identifier-naming)
   template <class Buffer, class Handler>
   void async_read_some(const Buffer &buffer, Handler handler) {
-    const auto executor = asio::get_associated_executor(handler);
+    const auto executor =
+        asio::get_associated_executor(handler, get_executor());
     asio::ip::tcp::socket::async_read_some(
         buffer, asio::bind_executor(executor, [this, buffer,
                                                handler = std::move(handler)](
@@ -50,12 +51,29 @@
           handler(ec, bytes);
         }));
   }
+
+  template <class Buffers, class Handler>
+  void async_write_some(const Buffers &buffers, Handler handler) {
+    const auto executor =
+        asio::get_associated_executor(handler, get_executor());
+    Writes = true;
+    asio::ip::tcp::socket::async_write_some(
+        buffers,
+        asio::bind_executor(executor, [this, handler = std::move(handler)](
+                                          const asio::error_code &ec,
+                                          std::size_t bytes) mutable {
+          Writes = false;
+          handler(ec, bytes);
+        }));
+  }
   // NOLINTEND(readability-identifier-naming)
 
 private:
   void received(std::string_view bytes);
 
   ExpectationWatch Expectation;
+  /// Whether a part of a response is being written.
+  bool Writes = false;
   bool Lingers = false;
 };
 
--- a/tests/http/test_expectation_watch.cpp
+++ b/tests/http/test_expectation_watch.cpp
@@ -25,8 +25,16 @@
     CHECK_FALSE(watch.receive("POST /a HTTP/1.1\r\nX-Expect: "
                               "100-continue\r\n\r\n"));
   }
-  SECTION("after a long body") {
-    CHECK_FALSE(watch.receive(std::string(9000, 'x')));
+  SECTION("after a body of any length") {
+    const std::size_t length = GENERATE(10, 17'000, 40'000);
+    CHECK_FALSE(watch.receive(std::string(length, 'x')));
     CHECK(watch.receive(head));
   }
+  SECTION("in one piece with the end of a body") {
+    CHECK(watch.receive("POST /a HTTP/1.1\r\n\r\nbody" + head));
+  }
+  SECTION("but not in HTTP/1.0") {
+    CHECK_FALSE(watch.receive("POST /a HTTP/1.0\r\nExpect: "
+                              "100-continue\r\n\r\n"));
+  }
 }
--- a/tests/http/test_request_target.cpp
+++ b/tests/http/test_request_target.cpp
@@ -18,6 +18,9 @@
 
   CHECK(splitTarget("http://host").Path == "/");
   CHECK(splitTarget("http://host?q").Query == "q");
+  CHECK(splitTarget("http://user@host/a").Authority == "host");
+  CHECK(splitTarget("/a?b#c").Query == "b");
+  CHECK(splitTarget("/a#c").Path == "/a");
   CHECK(splitTarget("*").Path == "*");
   CHECK(splitTarget("/http://host/").Path == "/http://host/");
 }
