Learn a timeout under the version by which the call was routed

Seen by review: an answer that left after a newer configuration named the older one's timeout under the newer version, and entry VMs kept it; late answers were not learned from, so that a timeout that was too short stayed. A prefix covered addresses of a longer one that was not known. Limits were applied however long no leader had confirmed them. The size of a submission was checked before its queue was added.

Change: the leader states the version of the routing; a timeout covers the addresses right below its prefix; late answers count; limits need a leader that was heard lately; 0 limits nothing; the queue is stored without its name and counts in the size.

Evidence: test_entry_terms.cpp and test_changed_queues.cpp for the version, the prefix and 0; no test brings about the other three.

--- a/src/masticwinch/coordination/workflow/entry_terms.cpp
+++ b/src/masticwinch/coordination/workflow/entry_terms.cpp
@@ -16,6 +16,11 @@
 }
 
 void EntryTerms::learn(const protocol::AgentWelcome &welcome) {
+  if (welcome.leads() && welcome.config_version() == 0) {
+    // The cell was founded anew.
+    *this = EntryTerms();
+    return;
+  }
   if (welcome.leads() && advance(welcome.config_version()) &&
       welcome.has_limits()) {
     Limits = welcome.limits();
@@ -40,7 +45,11 @@
   for (auto it = Timeouts.lower_bound({name, ""});
        it != Timeouts.end() && it->first.first == name; ++it) {
     const std::string &prefix = it->first.second;
-    if (path.starts_with(prefix) && prefix.size() >= longest) {
+    // A further segment may belong to a queue with a longer prefix that is not
+    // known.
+    const bool covers = path.starts_with(prefix) &&
+                        path.find('/', prefix.size()) == std::string_view::npos;
+    if (covers && prefix.size() >= longest) {
       found = it->second;
       longest = prefix.size();
     }
@@ -51,10 +60,13 @@
 std::optional<ExceededLimit>
 EntryTerms::exceededLimit(std::size_t headerBytes,
                           std::size_t bodyBytes) const {
-  if (Limits && headerBytes > Limits->max_header_bytes()) {
+  const auto exceeds = [](std::size_t bytes, std::uint32_t limit) {
+    return limit > 0 && bytes > limit;
+  };
+  if (Limits && exceeds(headerBytes, Limits->max_header_bytes())) {
     return ExceededLimit::HeaderBytes;
   }
-  if (Limits && bodyBytes > Limits->max_body_bytes()) {
+  if (Limits && exceeds(bodyBytes, Limits->max_body_bytes())) {
     return ExceededLimit::BodyBytes;
   }
   return std::nullopt;
--- a/src/masticwinch/coordination/workflow/entry_terms.hpp
+++ b/src/masticwinch/coordination/workflow/entry_terms.hpp
@@ -36,6 +36,7 @@
                                       std::string_view path) const;
 
   /// The first limit that a request exceeds; nothing while no limits are known.
+  /// A limit of 0 limits nothing.
   std::optional<ExceededLimit> exceededLimit(std::size_t headerBytes,
                                              std::size_t bodyBytes) const;
 
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -133,8 +133,10 @@
     answer(answerOf(protocol::VERDICT_NO_QUEUE, "no queue has this address"));
     return;
   }
-  answer = [answer = std::move(answer),
-            terms = termsOf(*route->Queue)](protocol::WorkflowAnswer reply) {
+  answer = [answer = std::move(answer), terms = termsOf(*route->Queue),
+            version =
+                State.config().version()](protocol::WorkflowAnswer reply) {
+    reply.set_config_version(version);
     *reply.mutable_route() = terms;
     answer(std::move(reply));
   };
@@ -313,6 +315,9 @@
   spec = sent;
   spec.set_id(route.Suffix);
   spec.set_queue(queueId(*route.Queue));
+  protocol::QueueConfig &queue = *accepted.mutable_accept()->mutable_queue();
+  queue = *route.Queue;
+  queue.clear_name();
   if (const auto problem = validationError(spec)) {
     answer(answerOf(protocol::VERDICT_INVALID, *problem));
     return;
@@ -370,7 +375,6 @@
   }
   accepted.mutable_accept()->set_at_unix_ms(at.UnixMs);
   accepted.mutable_accept()->set_max_attempts(route.Queue->max_attempts());
-  *accepted.mutable_accept()->mutable_queue() = *route.Queue;
   PendingSubmissions[spec.id()].push_back(std::move(answer));
   logEvent(WorkflowEventKind::WorkflowAccepted,
            {{"workflow", spec.id()}, {"queue", spec.queue()}});
--- a/src/masticwinch/workflow/entry_gateway.cpp
+++ b/src/masticwinch/workflow/entry_gateway.cpp
@@ -137,12 +137,15 @@
 }
 
 void EntryGateway::handleAnswer(const protocol::WorkflowAnswer &answer) {
+  const bool handled = answer.verdict() != protocol::VERDICT_NOT_LEADING;
+  if (handled) {
+    Terms.learn(answer);
+  }
   const auto it = Calls.find(answer.call());
   if (it == Calls.end()) {
     return;
   }
-  if (answer.verdict() != protocol::VERDICT_NOT_LEADING) {
-    Terms.learn(answer);
+  if (handled) {
     finish(answer.call(), CallOutcome::Answered, answer);
     return;
   }
@@ -177,4 +180,12 @@
 
 bool EntryGateway::isConnected() const { return !Leader.empty(); }
 
+std::optional<ExceededLimit>
+EntryGateway::exceededLimit(std::size_t headerBytes,
+                            std::size_t bodyBytes) const {
+  const bool current =
+      isConnected() && Time.now() - LastWelcome <= Options.LeaderTimeout;
+  return current ? Terms.exceededLimit(headerBytes, bodyBytes) : std::nullopt;
+}
+
 } // namespace masticwinch::workflow
--- a/src/masticwinch/workflow/entry_gateway.hpp
+++ b/src/masticwinch/workflow/entry_gateway.hpp
@@ -82,6 +82,11 @@
   /// What is known of the leader's configuration.
   const EntryTerms &terms() const { return Terms; }
 
+  /// The first configured limit that a request exceeds. Nothing while the
+  /// limits may be outdated, since no leader has confirmed them lately.
+  std::optional<ExceededLimit> exceededLimit(std::size_t headerBytes,
+                                             std::size_t bodyBytes) const;
+
 private:
   struct PendingCall {
     protocol::WorkflowCall Call;
--- a/src/masticwinch/workflow/workflow_driver.hpp
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -183,7 +183,9 @@
                         number = call.call()](protocol::WorkflowAnswer answer) {
       protocol::Envelope outgoing;
       answer.set_call(number);
-      answer.set_config_version(State.config().version());
+      if (answer.config_version() == 0) {
+        answer.set_config_version(State.config().version());
+      }
       *outgoing.mutable_workflow_answer() = std::move(answer);
       Outbox.send(address, std::move(outgoing));
     };
--- a/tests/coordination/workflow/test_changed_queues.cpp
+++ b/tests/coordination/workflow/test_changed_queues.cpp
@@ -45,7 +45,10 @@
     auto verdict = protocol::WORKFLOW_VERDICT_UNSPECIFIED;
     Leader->call(
         call,
-        [&](const protocol::WorkflowAnswer &it) { verdict = it.verdict(); },
+        [&](const protocol::WorkflowAnswer &it) {
+          verdict = it.verdict();
+          LastAnswer = it;
+        },
         Now);
     const WorkflowEffects effects = Leader->takeEffects(Now);
     decide();
@@ -89,6 +92,7 @@
   }
 
   WorkflowState State;
+  protocol::WorkflowAnswer LastAnswer;
 
 private:
   void addRunner(const std::string &id, const std::string &pool) {
@@ -174,6 +178,16 @@
   CHECK(session.runner() == "i-0");
 }
 
+// Guards against an entry VM that applies the timeout of an older version.
+TEST_CASE("An answer names the version by which its call was routed",
+          "[workflow]") {
+  Session session;
+  session.submitAnd("/sheets/" + Id, [&] { session.configure(configOf(2)); });
+  CHECK(session.State.config().version() == 2);
+  CHECK(session.LastAnswer.config_version() == 1);
+  CHECK(session.LastAnswer.route().timeout_ms() == 3000);
+}
+
 TEST_CASE("A dropped queue takes no work", "[workflow]") {
   Session session;
   session.configure(dropped(2));
--- a/tests/coordination/workflow/test_entry_terms.cpp
+++ b/tests/coordination/workflow/test_entry_terms.cpp
@@ -39,6 +39,8 @@
   terms.learn(answerOf(3, "/a/b/", 300));
   CHECK(terms.timeout("host.example:80", "/a/x") == Milliseconds(700));
   CHECK(terms.timeout("HOST.example", "/a/b/x") == Milliseconds(300));
+  // A queue with a longer prefix may be there that no call has named yet.
+  CHECK_FALSE(terms.timeout("host.example", "/a/c/x"));
   CHECK_FALSE(terms.timeout("host.example", "/b/x"));
   CHECK_FALSE(terms.timeout("other.example", "/a/x"));
 }
@@ -59,8 +61,10 @@
 TEST_CASE("A request above a configured limit is recognized", "[workflow]") {
   EntryTerms terms;
   CHECK_FALSE(terms.exceededLimit(1'000'000, 1'000'000));
-  protocol::AgentWelcome unconfigured;
-  unconfigured.set_leads(true);
+  protocol::AgentWelcome unconfigured = welcomeOf(0, 10);
+  terms.learn(unconfigured);
+  CHECK_FALSE(terms.exceededLimit(1'000'000, 1'000'000));
+  unconfigured.clear_limits();
   terms.learn(unconfigured);
   CHECK_FALSE(terms.exceededLimit(1'000'000, 1'000'000));
   terms.learn(welcomeOf(3, 1000));
@@ -69,4 +73,6 @@
   CHECK(terms.exceededLimit(0, 1001) == ExceededLimit::BodyBytes);
   terms.learn(welcomeOf(2, 10));
   CHECK_FALSE(terms.exceededLimit(0, 1000));
+  terms.learn(welcomeOf(4, 0));
+  CHECK_FALSE(terms.exceededLimit(0, 1'000'000));
 }
