Log what each queue gets, once a second

Hypotheses 1 and 2 of the incident (a queue that is accepted and gets nothing; a queue that is refused while others get in) looked alike in the leader's log: step_waits names single steps, pool_load none of their queues. queue_load states for the queues with the longest waits what was accepted, refused and assigned since the last line and how long the oldest step has waited.

--- a/src/masticwinch/coordination/workflow/workflow_event.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_event.hpp
@@ -42,6 +42,7 @@
   AdviceFailed,
   StepWaits,
   PoolLoad,
+  QueueLoad,
   ConfigurationStored,
   ConfigurationOutdated,
   Deposed,
@@ -92,6 +93,7 @@
       EnumName<Kind>{Kind::AdviceFailed, "advice_failed"},
       EnumName<Kind>{Kind::StepWaits, "step_waits"},
       EnumName<Kind>{Kind::PoolLoad, "pool_load"},
+      EnumName<Kind>{Kind::QueueLoad, "queue_load"},
       EnumName<Kind>{Kind::ConfigurationStored, "configuration_stored"},
       EnumName<Kind>{Kind::ConfigurationOutdated, "configuration_outdated"},
       EnumName<Kind>{Kind::Deposed, "leader_deposed"}};
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -360,6 +360,7 @@
     return;
   }
   if (const auto after = admissionRetryDelay(spec, *route.Queue)) {
+    Tally.refused(spec.queue());
     logEvent(WorkflowEventKind::WorkflowRefused,
              {{"workflow", spec.id()},
               {"reason", "would end late"},
@@ -376,6 +377,7 @@
   accepted.mutable_accept()->set_at_unix_ms(at.UnixMs);
   accepted.mutable_accept()->set_max_attempts(route.Queue->max_attempts());
   PendingSubmissions[spec.id()].push_back(std::move(answer));
+  Tally.accepted(spec.queue());
   logEvent(WorkflowEventKind::WorkflowAccepted,
            {{"workflow", spec.id()}, {"queue", spec.queue()}});
   propose(std::move(accepted));
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -6,6 +6,7 @@
 #include "masticwinch/coordination/workflow/gang_claims.hpp"
 #include "masticwinch/coordination/workflow/gang_forecast.hpp"
 #include "masticwinch/coordination/workflow/queue_routes.hpp"
+#include "masticwinch/coordination/workflow/queue_tally.hpp"
 #include "masticwinch/coordination/workflow/runner_health.hpp"
 #include "masticwinch/coordination/workflow/runner_registry.hpp"
 #include "masticwinch/coordination/workflow/step_planner.hpp"
@@ -83,6 +84,8 @@
   /// workflow was accepted.
   std::size_t WaitsPerReport = 4;
   Milliseconds MinReportedWait{3000};
+  /// Maximum number of queues in a report; those with the longest waits.
+  std::size_t QueuesPerReport = 8;
   /// Time for which a query of a running workflow's state waits for its
   /// completion: somewhat longer than an end takes from the runner to the log.
   Milliseconds QueryWait{50};
@@ -393,6 +396,7 @@
   void reportWaits(const Fleet &fleet, const std::vector<RankedStep> &tried,
                    Moment at);
   void logPoolLoads(const Fleet &fleet, const std::vector<RankedStep> &tried);
+  void logQueueLoads(Moment at);
   void logWait(const StepKey &key, const Fleet &fleet,
                const std::vector<RankedStep> &tried, Moment at);
   std::size_t fittingTasks(const StepKey &key,
@@ -463,6 +467,7 @@
   StepKey LastOnTimeInTurn;
   StepKey LastLateInTurn;
   SteadyTime NextWaitReport{};
+  QueueTally Tally;
   /// Core-milliseconds of waiting work that can be on time, by priority.
   std::map<std::uint32_t, std::uint64_t> WaitingWork;
   /// Mean processors of a task of the waiting gangs, in thousandths of a core;
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -426,6 +426,7 @@
   }
   Registry.reserve(runner, {task, run}, std::move(trackedRun), at.Now);
   open.InFlight.insert(planned.Index);
+  Tally.assigned(open.Parent->Spec.queue());
   open.Startable.reset();
   logEvent(WorkflowEventKind::RunAssigned, {{"task", textOf(task)},
                                             {"run", std::to_string(run)},
--- a/src/masticwinch/coordination/workflow/workflow_leader_waits.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_waits.cpp
@@ -14,6 +14,7 @@
   }
   NextWaitReport = at.Now + Options.WaitReportInterval;
   logPoolLoads(fleet, tried);
+  logQueueLoads(at);
   std::vector<std::pair<SteadyTime, StepKey>> waiting;
   for (const auto &[key, open] : OpenSteps) {
     const SteadyTime since = open.Info->Ranking.Accepted;
@@ -73,6 +74,48 @@
   }
 }
 
+/// Logs what the queues got since the last report and how long their work
+/// waits, of the queues whose work waits longest.
+void WorkflowLeader::logQueueLoads(Moment at) {
+  struct Load {
+    QueueCounts Counts;
+    std::size_t StepsWaiting = 0;
+    Milliseconds LongestWait{0};
+  };
+  std::map<std::string, Load> loads;
+  for (auto &[queue, counts] : Tally.take()) {
+    loads[queue].Counts = counts;
+  }
+  for (const auto &[key, open] : OpenSteps) {
+    if (startableCount(key, open) == 0) {
+      continue;
+    }
+    Load &load = loads[open.Parent->Spec.queue()];
+    ++load.StepsWaiting;
+    load.LongestWait =
+        std::max(load.LongestWait, std::chrono::duration_cast<Milliseconds>(
+                                       at.Now - open.Info->Ranking.Accepted));
+  }
+  std::vector<std::pair<Milliseconds, std::string>> longest;
+  for (const auto &[queue, load] : loads) {
+    longest.emplace_back(load.LongestWait, queue);
+  }
+  std::sort(longest.rbegin(), longest.rend());
+  longest.resize(std::min(longest.size(), Options.QueuesPerReport));
+  for (const auto &[wait, queue] : longest) {
+    const Load &load = loads.at(queue);
+    const protocol::QueueConfig *config = State.findQueue(queue);
+    logEvent(WorkflowEventKind::QueueLoad,
+             {{"queue", queue},
+              {"priority", std::to_string(config ? config->priority() : 0)},
+              {"accepted", std::to_string(load.Counts.Accepted)},
+              {"refused", std::to_string(load.Counts.Refused)},
+              {"tasks_assigned", std::to_string(load.Counts.Assigned)},
+              {"steps_waiting", std::to_string(load.StepsWaiting)},
+              {"longest_since_accepted_ms", std::to_string(wait.count())}});
+  }
+}
+
 /// Number of tasks of a step that would fit if all its tickets were valid.
 std::size_t WorkflowLeader::fittingTasks(const StepKey &key,
                                          const protocol::QueueConfig &queue,
