Close callers' connections while an entry VM hears no leader

Callers that keep their connections got 503 and 504 from an entry VM that was cut off from all control VMs for as long as the cut lasted, although its health check failed and a new connection would have reached another VM. Connections were closed after an answer only during a stop.

Now each answer closes its connection while the health check fails, also the answers that end waiting calls; once a leader is heard again, connections are kept as before.

--- a/src/masticwinch/http/http_server.cpp
+++ b/src/masticwinch/http/http_server.cpp
@@ -417,8 +417,8 @@
   return Impl->Connections.counts();
 }
 
-void HttpServer::closeConnectionsAfterAnswers() {
-  Impl->CloseAfterAnswers = true;
+void HttpServer::closeConnectionsAfterAnswers(bool close) {
+  Impl->CloseAfterAnswers = close;
 }
 
 void HttpServer::stop() { Impl->close(); }
--- a/src/masticwinch/http/http_server.hpp
+++ b/src/masticwinch/http/http_server.hpp
@@ -86,8 +86,9 @@
   HttpConnectionCounts connections() const;
 
   /// From now on closes each connection after the next response, so that
-  /// callers with a persistent connection reconnect to another server.
-  void closeConnectionsAfterAnswers();
+  /// callers with a persistent connection reconnect to another server; or, if
+  /// `close` is false, keeps connections open again. Thread-safe.
+  void closeConnectionsAfterAnswers(bool close = true);
 
   /// Stops accepting, waits up to `StopWriteTimeout` for pending responses to
   /// be written, closes all connections and joins the threads. Must not be
--- a/src/masticwinch/workflow/entry_vm_daemon.hpp
+++ b/src/masticwinch/workflow/entry_vm_daemon.hpp
@@ -85,6 +85,11 @@
   void requestBegan() { ++OpenRequests; }
   void requestEnded() { --OpenRequests; }
 
+  /// Called before each answer to a caller. While this VM isn't ready, the
+  /// answer closes its connection, since a caller that keeps it would reach no
+  /// other VM.
+  void prepareAnswer() { Server.closeConnectionsAfterAnswers(!isReady()); }
+
 private:
   /// Exit status after a second stop signal.
   static constexpr int StoppedAtOnce = 143;
