Send a call again only if its first copy is lost

An entry VM sent each call again every 0.4 s while its leader was busy, and once more whenever it found the same leader again, so a leader that was late got several times the work. A call that only VMs without leadership had received ended as unknown (504), although it was not run. A refusal that a former leader had sent ended a call that the present one could still accept, so "not run" could be untrue.

A copy now counts as lost once the leader has answered a hello that was sent after it: messages between two processes arrive in order or are lost. Copies that were answered without an effect are counted, so that a call none of whose copies can have one ends as not run. A refusal ends a call only if it comes from the receiver of the latest copy.

--- a/src/masticwinch/workflow/entry_gateway.cpp
+++ b/src/masticwinch/workflow/entry_gateway.cpp
@@ -47,7 +47,8 @@
   if (now >= NextHello) {
     sendHello();
   }
-  resendOverdue();
+  endOverdue();
+  sendDue();
 }
 
 void EntryGateway::dropLeader() {
@@ -88,7 +89,6 @@
   pending.Done = std::move(done);
   pending.Deadline =
       Time.now() + std::min({timeout, queueTimeout, Options.MaxWait});
-  pending.NextSend = Time.now();
   if (!Leader.empty()) {
     send(pending);
   } else if (!canWait(pending)) {
@@ -99,27 +99,33 @@
 void EntryGateway::send(PendingCall &call) {
   protocol::Envelope envelope;
   *envelope.mutable_workflow_call() = call.Call;
-  call.NextSend = Time.now() + Options.ResendAfter;
-  call.Unanswered = true;
+  call.Copies.sent(Leader, HelloSequence, Time.now());
   Outbox.send(Leader, std::move(envelope));
 }
 
-void EntryGateway::resendOverdue() {
-  const SteadyTime now = Time.now();
+void EntryGateway::endOverdue() {
   std::vector<std::uint64_t> expired;
-  for (auto &[number, it] : Calls) {
+  for (const auto &[number, it] : Calls) {
     if (!canWait(it)) {
       expired.push_back(number);
-    } else if (!Leader.empty() && now >= it.NextSend) {
-      send(it);
     }
   }
   for (std::uint64_t it : expired) {
-    const bool unknown = Calls.at(it).Unanswered;
+    const bool unknown = Calls.at(it).Copies.mayHaveEffect();
     finish(it, unknown ? CallOutcome::Unknown : CallOutcome::NotAccepted, {});
   }
 }
 
+/// Sends the calls that the leader has not received, as far as is known.
+void EntryGateway::sendDue() {
+  for (auto &[number, it] : Calls) {
+    if (!Leader.empty() && it.Copies.isDue(Leader, AnsweredHello,
+                                           Options.ResendAfter, Time.now())) {
+      send(it);
+    }
+  }
+}
+
 void EntryGateway::finish(std::uint64_t number, CallOutcome outcome,
                           const protocol::WorkflowAnswer &answer) {
   const auto call = Calls.extract(number);
@@ -130,13 +136,14 @@
 
 void EntryGateway::receive(const protocol::Envelope &envelope) {
   if (envelope.has_workflow_answer()) {
-    handleAnswer(envelope.workflow_answer());
+    handleAnswer(envelope.reply_address(), envelope.workflow_answer());
   } else if (envelope.has_agent_welcome()) {
     handleWelcome(envelope);
   }
 }
 
-void EntryGateway::handleAnswer(const protocol::WorkflowAnswer &answer) {
+void EntryGateway::handleAnswer(const std::string &sender,
+                                const protocol::WorkflowAnswer &answer) {
   const bool handled = answer.verdict() != protocol::VERDICT_NOT_LEADING;
   if (handled) {
     Terms.learn(answer);
@@ -145,13 +152,19 @@
   if (it == Calls.end()) {
     return;
   }
-  if (handled) {
+  CallCopies &copies = it->second.Copies;
+  const bool refused = answer.verdict() == protocol::VERDICT_REFUSED;
+  if (handled && (!refused || copies.isLatestAt(sender))) {
     finish(answer.call(), CallOutcome::Answered, answer);
     return;
   }
-  // The call is sent again to the leader that is found next.
-  it->second.NextSend = Time.now();
-  NextHello = Time.now();
+  // The call is sent again to the leader that is found next; or, after the
+  // refusal of a former leader, waits for the answer of the latest one, which
+  // may have accepted it.
+  copies.notHandled(sender);
+  if (!handled) {
+    NextHello = Time.now();
+  }
 }
 
 void EntryGateway::handleWelcome(const protocol::Envelope &envelope) {
@@ -168,14 +181,13 @@
   }
   LastWelcome = Time.now();
   Terms.learn(welcome);
-  if (sender == Leader) {
-    return;
-  }
-  Leader = sender;
-  Events.writeNamed("leader_found", {{"address", Leader}});
-  for (auto &[number, it] : Calls) {
-    send(it);
+  // A number above the latest one answers an earlier process at this address.
+  AnsweredHello = welcome.sequence() <= HelloSequence ? welcome.sequence() : 0;
+  if (sender != Leader) {
+    Leader = sender;
+    Events.writeNamed("leader_found", {{"address", Leader}});
   }
+  sendDue();
 }
 
 bool EntryGateway::isConnected() const { return !Leader.empty(); }
--- a/src/masticwinch/workflow/entry_gateway.hpp
+++ b/src/masticwinch/workflow/entry_gateway.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "masticwinch/common/clock.hpp"
+#include "masticwinch/coordination/workflow/call_copies.hpp"
 #include "masticwinch/coordination/workflow/entry_terms.hpp"
 #include "masticwinch/protocol/envelope.pb.h"
 
@@ -33,7 +34,7 @@
   Milliseconds SearchInterval{100};
   /// The leader counts as lost when it has not answered for this long.
   Milliseconds LeaderTimeout{800};
-  /// A call without an answer is sent again after this time.
+  /// Shortest time after which a call without an answer is sent again.
   Milliseconds ResendAfter{400};
   /// Longest time that a call waits for its answer.
   Milliseconds MaxWait{2000};
@@ -56,8 +57,8 @@
     std::function<void(CallOutcome, const protocol::WorkflowAnswer &)>;
 
 /// Connects an entry VM to the leader: finds it, sends it callers' requests,
-/// and sends pending requests to the new leader after a change. A request whose
-/// answer is late is sent again, which is safe because submissions are
+/// and sends pending requests to the new leader after a change. A request that
+/// was lost on its way is sent again, which is safe because submissions are
 /// deduplicated by id. Runs on the control thread.
 class EntryGateway {
 public:
@@ -92,19 +93,19 @@
     protocol::WorkflowCall Call;
     CallDone Done;
     SteadyTime Deadline;
-    SteadyTime NextSend;
-    /// Set once the call was sent, so that a leader may have accepted it.
-    bool Unanswered = false;
+    CallCopies Copies;
   };
 
   void scheduleTick();
   void tick();
   void sendHello();
-  void resendOverdue();
+  void endOverdue();
+  void sendDue();
   void send(PendingCall &call);
   void finish(std::uint64_t number, CallOutcome outcome,
               const protocol::WorkflowAnswer &answer);
-  void handleAnswer(const protocol::WorkflowAnswer &answer);
+  void handleAnswer(const std::string &sender,
+                    const protocol::WorkflowAnswer &answer);
   void handleWelcome(const protocol::Envelope &envelope);
   void dropLeader();
   bool canWait(const PendingCall &call) const;
@@ -121,6 +122,8 @@
   SteadyTime LeaderlessSince{};
   SteadyTime NextHello{};
   std::uint64_t HelloSequence = 0;
+  /// The latest hello that the leader has answered.
+  std::uint64_t AnsweredHello = 0;
   std::uint64_t NextCall = 1;
   EntryTerms Terms;
   std::map<std::uint64_t, PendingCall> Calls;
--- a/tests/workflow/test_entry_gateway.cpp
+++ b/tests/workflow/test_entry_gateway.cpp
@@ -24,14 +24,57 @@
     return outcome;
   }
 
-  void welcome(bool leads) {
+  void welcome(bool leads, std::uint64_t sequence = 0) {
+    welcomeFrom(Control, leads, sequence);
+  }
+
+  void welcomeFrom(const std::string &control, bool leads,
+                   std::uint64_t sequence = 0) {
     protocol::Envelope envelope;
-    envelope.set_reply_address(Control);
+    envelope.set_reply_address(control);
     envelope.mutable_agent_welcome()->set_leads(leads);
+    envelope.mutable_agent_welcome()->set_sequence(sequence);
+    Gateway.receive(envelope);
+  }
+
+  /// Begins the first call, a large one, whose end is stored in `Ended`.
+  void beginLargeCall() {
+    protocol::WorkflowCall call;
+    call.set_path(std::string(LargeCallBytes, 'x'));
+    Gateway.call(std::move(call), Milliseconds(2000),
+                 [this](CallOutcome it, const protocol::WorkflowAnswer &) {
+                   Ended = it;
+                 });
+  }
+
+  /// Answers the first call. Calls are numbered from the wall clock at the
+  /// gateway's creation, which is 0.
+  void answer(const std::string &control, protocol::WorkflowVerdict verdict) {
+    protocol::Envelope envelope;
+    envelope.set_reply_address(control);
+    envelope.mutable_workflow_answer()->set_call(0);
+    envelope.mutable_workflow_answer()->set_verdict(verdict);
     Gateway.receive(envelope);
   }
 
+  /// How often a large call was sent; messages stay in the mailbox, which is
+  /// not started.
+  std::uint64_t largeCallsSent() const {
+    return Mailbox.traffic().QueuedBytes / LargeCallBytes;
+  }
+
+  /// Advances the clock and lets the gateway's timer expire.
+  void pass(Milliseconds time) {
+    constexpr Milliseconds TimerTime{120};
+    Time.advance(time);
+    Context.restart();
+    Context.run_for(TimerTime);
+  }
+
+  static constexpr std::size_t LargeCallBytes = 100'000;
   const std::string Control = "tcp://127.0.0.1:1";
+  const std::string OtherControl = "tcp://127.0.0.1:2";
+  std::optional<CallOutcome> Ended;
   ManualClock Time;
   EventLog Events{{"entry", 1, "/dev/null"}, Time};
   asio::io_context Context;
@@ -64,3 +107,77 @@
   entry.welcome(true);
   CHECK_FALSE(entry.call());
 }
+
+// Guards against entry VMs that multiply the work of a busy leader.
+TEST_CASE("A call is sent again only once the leader has answered a later "
+          "hello",
+          "[workflow]") {
+  Fixture entry;
+  entry.Gateway.start();
+  entry.welcome(true, 1);
+  entry.beginLargeCall();
+  REQUIRE(entry.largeCallsSent() == 1);
+  entry.pass(Milliseconds(500));
+  entry.welcome(true, 1);
+  entry.pass(Milliseconds(500));
+  CHECK(entry.largeCallsSent() == 1);
+  entry.welcome(true, 2);
+  CHECK(entry.largeCallsSent() == 2);
+}
+
+TEST_CASE("A call whose leader is lost and found again is not sent twice while "
+          "the first copy may wait there",
+          "[workflow]") {
+  Fixture entry;
+  entry.Gateway.start();
+  entry.welcome(true, 1);
+  entry.beginLargeCall();
+  entry.pass(Milliseconds(900));
+  REQUIRE_FALSE(entry.Gateway.isConnected());
+  entry.welcome(true, 1);
+  REQUIRE(entry.Gateway.isConnected());
+  CHECK(entry.largeCallsSent() == 1);
+}
+
+TEST_CASE("A call that only a VM without leadership received was not run",
+          "[workflow]") {
+  Fixture entry;
+  entry.Gateway.start();
+  entry.welcome(true, 1);
+  entry.beginLargeCall();
+  entry.answer(entry.Control, protocol::VERDICT_NOT_LEADING);
+  entry.welcome(false, 1);
+  CHECK_FALSE(entry.Ended);
+  entry.pass(Milliseconds(1400));
+  CHECK(entry.Ended == CallOutcome::NotAccepted);
+}
+
+TEST_CASE("A call that was sent and not answered is unknown", "[workflow]") {
+  Fixture entry;
+  entry.Gateway.start();
+  entry.welcome(true, 1);
+  entry.beginLargeCall();
+  entry.pass(Milliseconds(900));
+  // The other control VMs answer, and know no other leader.
+  entry.welcomeFrom(entry.OtherControl, false);
+  CHECK_FALSE(entry.Gateway.isConnected());
+  CHECK_FALSE(entry.Ended);
+  entry.pass(Milliseconds(1400));
+  CHECK(entry.Ended == CallOutcome::Unknown);
+  // From now on nothing is held.
+  CHECK(entry.call() == CallOutcome::NotAccepted);
+}
+
+TEST_CASE("The refusal of a former leader doesn't end a call that the present "
+          "one has",
+          "[workflow]") {
+  Fixture entry;
+  entry.welcomeFrom(entry.Control, true);
+  entry.beginLargeCall();
+  entry.welcomeFrom(entry.OtherControl, true);
+  REQUIRE(entry.largeCallsSent() == 2);
+  entry.answer(entry.Control, protocol::VERDICT_REFUSED);
+  CHECK_FALSE(entry.Ended);
+  entry.answer(entry.OtherControl, protocol::VERDICT_OK);
+  CHECK(entry.Ended == CallOutcome::Answered);
+}
