Refuse submissions that waited too long for a busy leader

A leader that got more than it could handle accepted submissions that had waited in its queue for longer than their callers do, while those behind them waited as long: its runners worked for callers that had left, and nobody was refused.

A new submission that has waited for more than 0.8 s for the control thread is now refused before any effect, with a retry delay that differs between submissions. Refusing is cheaper than accepting, so the queue shrinks to where the rest can be answered in time. A late copy of an accepted submission is still answered as accepted; queries and cancellations are carried out.

--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -335,6 +335,21 @@
     waiting->second.push_back(std::move(answer));
     return;
   }
+  if (const auto after = retryAfterDelay(Options.CallDelay, CallDelay,
+                                         std::hash<std::string>()(spec.id()))) {
+    Tally.refused(spec.queue());
+    logEvent(WorkflowEventKind::WorkflowRefused,
+             {{"workflow", spec.id()},
+              {"reason", "waited too long"},
+              {"queue", spec.queue()},
+              {"waited_ms", std::to_string(CallDelay.count())},
+              {"retry_after_ms", std::to_string(after->count())}});
+    protocol::WorkflowAnswer refused =
+        answerOf(protocol::VERDICT_REFUSED, "waited too long");
+    refused.set_retry_after_ms(static_cast<std::uint32_t>(after->count()));
+    answer(refused);
+    return;
+  }
   if (!LogRefusal.empty()) {
     logEvent(WorkflowEventKind::WorkflowRefused,
              {{"workflow", spec.id()},
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -2,6 +2,7 @@
 
 #include "masticwinch/coordination/workflow/admission.hpp"
 #include "masticwinch/coordination/workflow/advice_tracker.hpp"
+#include "masticwinch/coordination/workflow/call_delay.hpp"
 #include "masticwinch/coordination/workflow/crash_containment.hpp"
 #include "masticwinch/coordination/workflow/gang_claims.hpp"
 #include "masticwinch/coordination/workflow/gang_forecast.hpp"
@@ -30,6 +31,7 @@
   RunnerHealthOptions Health;
   CrashContainmentOptions Containment;
   AdmissionOptions Admission;
+  CallDelayOptions CallDelay;
   /// Minimum interval between two scheduling passes; events in between are
   /// handled in one pass.
   Milliseconds ScheduleInterval{10};
@@ -150,6 +152,8 @@
   /// submissions are refused meanwhile.
   void setLogRefusal(std::string reason) { LogRefusal = std::move(reason); }
 
+  /// States how long the next call has waited in this VM's queue.
+  void setCallDelay(Milliseconds delay) { CallDelay = delay; }
   void call(const protocol::WorkflowCall &call, AnswerCallback answer,
             Moment at);
 
@@ -437,6 +441,7 @@
   };
   std::map<std::string, Departure> Departures;
   std::string LogRefusal;
+  Milliseconds CallDelay{0};
   /// Workflows that recur at an interval and have not ended.
   std::set<std::string> Recurring;
   /// Occurrences whose BeginOccurrence change is being stored, by workflow.
--- a/src/masticwinch/workflow/workflow_driver.hpp
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -122,8 +122,11 @@
     }
   }
 
-  /// Records how long a message waited for the control thread.
-  void messageDelayed(SteadyTime::duration delay) { Load.recordDelay(delay); }
+  /// Records how long the next message waited for the control thread.
+  void messageDelayed(SteadyTime::duration delay) {
+    Load.recordDelay(delay);
+    MessageDelay = delay;
+  }
 
   void receive(const protocol::Envelope &envelope) {
     if (envelope.has_workflow_call()) {
@@ -199,6 +202,8 @@
     }
     decide("call", [&] {
       Leader->setLogRefusal(Commands.refusal());
+      Leader->setCallDelay(
+          std::chrono::duration_cast<Milliseconds>(MessageDelay));
       Leader->call(call, reply, currentMoment());
     });
   }
@@ -435,6 +440,8 @@
   asio::steady_timer EffectsTimer;
   Histogram &StoreSeconds;
   HandlerLoad Load;
+  /// How long the message that is handled, or is next, has waited.
+  SteadyTime::duration MessageDelay{};
   std::map<WorkflowEventKind, Counter *> DecisionCounters;
   bool EffectsScheduled = false;
   SteadyTime LastEffectsAt{};
--- a/tests/workflow/test_workflow_driver.cpp
+++ b/tests/workflow/test_workflow_driver.cpp
@@ -39,7 +39,11 @@
 };
 
 struct FakeSender {
-  void send(const std::string &, const protocol::Envelope &) {}
+  void send(const std::string &, const protocol::Envelope &envelope) {
+    Sent.push_back(envelope);
+  }
+
+  std::vector<protocol::Envelope> Sent;
 };
 
 struct FakeCalls {
@@ -213,3 +217,35 @@
   CHECK(control.Stored == 1);
   CHECK(control.Driver.state().runners().contains("i-2"));
 }
+
+TEST_CASE("A submission that waited too long for the control thread is refused "
+          "and not stored",
+          "[workflow]") {
+  Fixture control;
+  control.heartbeat("i-1");
+  control.apply(control.Log.Records.back());
+  protocol::WorkflowRecord configured;
+  *configured.add_changes()->mutable_configure() = configOf(1);
+  control.apply(configured.SerializeAsString());
+  const std::size_t stored = control.Log.Records.size();
+  protocol::Envelope envelope;
+  envelope.set_reply_address("tcp://127.0.0.1:1");
+  protocol::WorkflowCall &call = *envelope.mutable_workflow_call();
+  call.set_host("host");
+  call.set_path("/sheets/000000000000000a");
+  *call.mutable_submit() = specOf("000000000000000a", {stepOf(1)});
+  const auto receiveAfter = [&](Milliseconds delay) {
+    control.Time.advance(std::chrono::seconds(1));
+    control.Driver.messageDelayed(delay);
+    control.Driver.receive(envelope);
+  };
+  receiveAfter(CallDelayOptions().MaxDelay + Milliseconds(1));
+  REQUIRE(control.Sender.Sent.size() == 1);
+  const protocol::WorkflowAnswer &answer =
+      control.Sender.Sent.back().workflow_answer();
+  CHECK(answer.verdict() == protocol::VERDICT_REFUSED);
+  CHECK(answer.retry_after_ms() > 0);
+  CHECK(control.Log.Records.size() == stored);
+  receiveAfter(Milliseconds(0));
+  CHECK(control.Log.Records.size() == stored + 1);
+}
