Refuse calls at once that a busy leader can't answer in time

While the leader was overloaded, entry VMs held every request until its caller's deadline and answered 504, although the request could not have been answered in time; the number of calls that waited was bounded by the callers' connections alone.

An entry VM now measures how long the leader takes to answer a hello, which waits in the same queue as calls. While that is longer than 0.8 s or than the caller waits, submissions and queries are refused before they are sent, with Retry-After; cancellations, which take work away, are not. At most 2,048 calls of 16 MB together wait; a further one is refused at once, since the waiting ones may already have an effect. The hello interval is shorter while the leader is late, so that calls are sent again soon after it has caught up.

--- a/src/masticwinch/workflow/entry_gateway.cpp
+++ b/src/masticwinch/workflow/entry_gateway.cpp
@@ -64,11 +64,14 @@
 }
 
 void EntryGateway::sendHello() {
-  NextHello = Time.now() +
-              (Leader.empty() ? Options.SearchInterval : Options.HelloInterval);
+  // The delay of a busy leader is measured more often.
+  const bool often = Leader.empty() || leaderDelay() >= Options.SearchInterval;
+  NextHello =
+      Time.now() + (often ? Options.SearchInterval : Options.HelloInterval);
   protocol::Envelope envelope;
   envelope.mutable_agent_hello()->set_sequence(++HelloSequence);
   envelope.mutable_agent_hello()->set_carries_orders(true);
+  Delay.sent(HelloSequence, Time.now());
   if (!Leader.empty()) {
     Outbox.send(Leader, std::move(envelope));
     return;
@@ -78,17 +81,39 @@
   }
 }
 
+std::optional<CallOutcome>
+EntryGateway::refusalOf(const protocol::WorkflowCall &call, std::size_t bytes,
+                        Milliseconds wait) const {
+  if (Calls.size() >= Options.MaxCalls ||
+      CallBytes + bytes > Options.MaxCallBytes) {
+    return CallOutcome::TooManyWait;
+  }
+  // Cancellations take work away.
+  if (!call.has_cancel() &&
+      leaderDelay() > std::min(wait, Options.MaxLeaderDelay)) {
+    return CallOutcome::LeaderBusy;
+  }
+  return std::nullopt;
+}
+
 void EntryGateway::call(protocol::WorkflowCall call, Milliseconds timeout,
                         CallDone done) {
   const std::uint64_t number = NextCall++;
   call.set_call(number);
   const Milliseconds queueTimeout =
       Terms.timeout(call.host(), call.path()).value_or(Options.MaxWait);
+  const Milliseconds wait = std::min({timeout, queueTimeout, Options.MaxWait});
+  const std::size_t bytes = call.ByteSizeLong();
+  if (const auto refusal = refusalOf(call, bytes, wait)) {
+    done(*refusal, {});
+    return;
+  }
   PendingCall &pending = Calls[number];
+  CallBytes += bytes;
+  pending.Bytes = bytes;
   pending.Call = std::move(call);
   pending.Done = std::move(done);
-  pending.Deadline =
-      Time.now() + std::min({timeout, queueTimeout, Options.MaxWait});
+  pending.Deadline = Time.now() + wait;
   if (!Leader.empty()) {
     send(pending);
   } else if (!canWait(pending)) {
@@ -130,6 +155,7 @@
                           const protocol::WorkflowAnswer &answer) {
   const auto call = Calls.extract(number);
   if (!call.empty()) {
+    CallBytes -= call.mapped().Bytes;
     call.mapped().Done(outcome, answer);
   }
 }
@@ -184,9 +210,11 @@
   // A number above the latest one answers an earlier process at this address.
   AnsweredHello = welcome.sequence() <= HelloSequence ? welcome.sequence() : 0;
   if (sender != Leader) {
+    Delay.reset();
     Leader = sender;
     Events.writeNamed("leader_found", {{"address", Leader}});
   }
+  Delay.answered(AnsweredHello, Time.now());
   sendDue();
 }
 
--- a/src/masticwinch/workflow/entry_gateway.hpp
+++ b/src/masticwinch/workflow/entry_gateway.hpp
@@ -3,6 +3,7 @@
 #include "masticwinch/common/clock.hpp"
 #include "masticwinch/coordination/workflow/call_copies.hpp"
 #include "masticwinch/coordination/workflow/entry_terms.hpp"
+#include "masticwinch/coordination/workflow/leader_delay.hpp"
 #include "masticwinch/protocol/envelope.pb.h"
 
 #include <asio/io_context.hpp>
@@ -42,6 +43,13 @@
   /// leader has been found for this long, something else is wrong, and calls
   /// are refused at once until a leader is found.
   Milliseconds MaxElectionTime{1300};
+  /// Calls other than cancellations are refused at once while the leader takes
+  /// longer than this to answer, or longer than the caller waits.
+  Milliseconds MaxLeaderDelay{800};
+  /// Calls that wait for an answer at the same time, and their size. Further
+  /// ones are refused at once.
+  std::size_t MaxCalls = 2048;
+  std::size_t MaxCallBytes = 16 * 1024 * 1024;
 };
 
 /// How a call to the leader ended.
@@ -49,6 +57,11 @@
   Answered,
   /// No leader received it, so it has no effect now or later.
   NotAccepted,
+  /// Refused without sending it, because too many others wait.
+  TooManyWait,
+  /// Refused without sending it, because the leader is too busy to answer it in
+  /// time.
+  LeaderBusy,
   /// A leader may have accepted it.
   Unknown,
 };
@@ -80,6 +93,15 @@
 
   const std::string &leader() const { return Leader; }
 
+  /// Number and size of the calls that wait for an answer.
+  std::size_t waitingCalls() const { return Calls.size(); }
+  std::size_t waitingBytes() const { return CallBytes; }
+
+  /// How long the leader takes to answer; zero if there is none.
+  Milliseconds leaderDelay() const {
+    return Leader.empty() ? Milliseconds(0) : Delay.estimate(Time.now());
+  }
+
   /// What is known of the leader's configuration.
   const EntryTerms &terms() const { return Terms; }
 
@@ -91,11 +113,15 @@
 private:
   struct PendingCall {
     protocol::WorkflowCall Call;
+    std::size_t Bytes = 0;
     CallDone Done;
     SteadyTime Deadline;
     CallCopies Copies;
   };
 
+  std::optional<CallOutcome> refusalOf(const protocol::WorkflowCall &call,
+                                       std::size_t bytes,
+                                       Milliseconds wait) const;
   void scheduleTick();
   void tick();
   void sendHello();
@@ -127,6 +153,9 @@
   std::uint64_t NextCall = 1;
   EntryTerms Terms;
   std::map<std::uint64_t, PendingCall> Calls;
+  /// Size of all of `Calls`.
+  std::size_t CallBytes = 0;
+  LeaderDelay Delay;
 };
 
 } // namespace masticwinch::workflow
--- a/src/masticwinch/workflow/entry_vm_daemon.hpp
+++ b/src/masticwinch/workflow/entry_vm_daemon.hpp
@@ -121,6 +121,19 @@
     Metrics.observedGauge(
         {"masticwinch_entry_requests_open", "Requests without an answer yet."},
         [this] { return double(OpenRequests); });
+    Metrics.observedGauge({"masticwinch_entry_calls_waiting",
+                           "Calls that wait for the leader's answer."},
+                          [this] { return double(Gateway.waitingCalls()); });
+    Metrics.observedGauge(
+        {"masticwinch_entry_calls_waiting_bytes",
+         "Size of the calls that wait for the leader's answer."},
+        [this] { return double(Gateway.waitingBytes()); });
+    Metrics.observedGauge(
+        {"masticwinch_entry_leader_delay_seconds",
+         "How long the leader takes to answer; 0 if none is known."},
+        [this] {
+          return std::chrono::duration<double>(Gateway.leaderDelay()).count();
+        });
     Metrics.observedGauge(
         {"masticwinch_entry_configuration_version",
          "Newest version of the configuration that a leader has stated."},
--- a/tests/workflow/test_entry_gateway.cpp
+++ b/tests/workflow/test_entry_gateway.cpp
@@ -13,11 +13,22 @@
 /// A gateway with a manual clock and a control VM at whose address nobody
 /// listens.
 struct Fixture {
-  Fixture() { Time.advance(std::chrono::seconds(100)); }
+  explicit Fixture(EntryGatewayOptions options = {})
+      : Options(std::move(options)) {
+    Time.advance(std::chrono::seconds(100));
+  }
+
+  EntryGatewayOptions optionsWithControl() const {
+    EntryGatewayOptions options = Options;
+    options.Controls = {Control};
+    return options;
+  }
 
-  std::optional<CallOutcome> call() {
+  /// Begins a call; returns its outcome if it ended at once.
+  std::optional<CallOutcome> call(Milliseconds timeout = Milliseconds(2000),
+                                  const protocol::WorkflowCall &call = {}) {
     std::optional<CallOutcome> outcome;
-    Gateway.call({}, Milliseconds(2000),
+    Gateway.call(call, timeout,
                  [&](CallOutcome it, const protocol::WorkflowAnswer &) {
                    outcome = it;
                  });
@@ -72,6 +83,7 @@
   }
 
   static constexpr std::size_t LargeCallBytes = 100'000;
+  const EntryGatewayOptions Options;
   const std::string Control = "tcp://127.0.0.1:1";
   const std::string OtherControl = "tcp://127.0.0.1:2";
   std::optional<CallOutcome> Ended;
@@ -81,7 +93,7 @@
   peers::Mailbox Mailbox{{"cell", "entry", 1, "tcp://127.0.0.1:0"},
                          [](const protocol::Envelope &) {},
                          Events};
-  EntryGateway Gateway{{{Control}}, Context, Mailbox, Events, Time};
+  EntryGateway Gateway{optionsWithControl(), Context, Mailbox, Events, Time};
 };
 
 } // namespace
@@ -181,3 +193,63 @@
   entry.answer(entry.OtherControl, protocol::VERDICT_OK);
   CHECK(entry.Ended == CallOutcome::Answered);
 }
+
+TEST_CASE("A call is refused at once while too many others wait",
+          "[workflow]") {
+  EntryGatewayOptions options;
+  options.MaxCalls = 2;
+  Fixture entry(options);
+  entry.welcome(true);
+  entry.beginLargeCall();
+  CHECK_FALSE(entry.call());
+  CHECK(entry.Gateway.waitingCalls() == 2);
+  CHECK(entry.call() == CallOutcome::TooManyWait);
+  CHECK(entry.Gateway.waitingCalls() == 2);
+  entry.answer(entry.Control, protocol::VERDICT_OK);
+  CHECK(entry.Gateway.waitingCalls() == 1);
+  CHECK_FALSE(entry.call());
+}
+
+TEST_CASE("A call is refused at once while the others are too large together",
+          "[workflow]") {
+  EntryGatewayOptions options;
+  options.MaxCallBytes = Fixture::LargeCallBytes + 1000;
+  Fixture entry(options);
+  entry.welcome(true);
+  entry.beginLargeCall();
+  CHECK(entry.Gateway.waitingBytes() >= Fixture::LargeCallBytes);
+  protocol::WorkflowCall large;
+  large.set_path(std::string(Fixture::LargeCallBytes, 'x'));
+  CHECK(entry.call(Milliseconds(2000), large) == CallOutcome::TooManyWait);
+  entry.answer(entry.Control, protocol::VERDICT_OK);
+  CHECK(entry.Gateway.waitingBytes() == 0);
+  CHECK_FALSE(entry.call(Milliseconds(2000), large));
+}
+
+// Guards against callers that are held until their deadline by a leader that is
+// too busy to refuse them.
+TEST_CASE("Calls are refused at once while the leader answers too late",
+          "[workflow]") {
+  Fixture entry;
+  entry.Gateway.start();
+  entry.welcome(true, 1);
+  // Hellos are sent in each step, and only the first one is answered, again and
+  // again.
+  entry.pass(Milliseconds(400));
+  entry.welcome(true, 1);
+  entry.pass(Milliseconds(400));
+  entry.welcome(true, 1);
+  CHECK(entry.Gateway.leaderDelay() == Milliseconds(400));
+  CHECK(entry.call(Milliseconds(300)) == CallOutcome::LeaderBusy);
+  CHECK_FALSE(entry.call(Milliseconds(500)));
+  entry.pass(Milliseconds(450));
+  REQUIRE(entry.Gateway.isConnected());
+  CHECK(entry.call() == CallOutcome::LeaderBusy);
+  protocol::WorkflowCall cancellation;
+  cancellation.mutable_cancel();
+  CHECK_FALSE(entry.call(Milliseconds(2000), cancellation));
+  // The latest hello is answered.
+  entry.welcome(true, 4);
+  CHECK(entry.Gateway.leaderDelay() == Milliseconds(0));
+  CHECK_FALSE(entry.call());
+}
