--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -2,6 +2,7 @@
 
 #include "masticwinch/coordination/workflow/admission.hpp"
 #include "masticwinch/coordination/workflow/advice_tracker.hpp"
+#include "masticwinch/coordination/workflow/call_delay.hpp"
 #include "masticwinch/coordination/workflow/crash_containment.hpp"
 #include "masticwinch/coordination/workflow/gang_claims.hpp"
 #include "masticwinch/coordination/workflow/gang_forecast.hpp"
@@ -14,6 +15,7 @@
 #include "masticwinch/coordination/workflow/step_planner.hpp"
 #include "masticwinch/coordination/workflow/step_ranking.hpp"
 #include "masticwinch/coordination/workflow/workflow_event.hpp"
+#include "masticwinch/coordination/workflow/workflow_leader_options.hpp"
 #include "masticwinch/coordination/workflow/workflow_state.hpp"
 
 #include <functional>
@@ -26,96 +28,6 @@
 
 namespace masticwinch::workflow {
 
-struct WorkflowLeaderOptions {
-  RunnerRegistryOptions Runners;
-  AdviceTrackerOptions Advice;
-  RunnerHealthOptions Health;
-  CrashContainmentOptions Containment;
-  AdmissionOptions Admission;
-  OverdueShareOptions Overdue;
-  /// Number of overdue steps that one pass tries first, the longest waiting
-  /// ones, and number of others that it tries in turn.
-  std::size_t OverdueStepsPerPass = 16;
-  std::size_t OverdueStepsInTurnPerPass = 16;
-  /// Longest time for which runners are drained for one overdue step, and the
-  /// time until they are drained for the same step again.
-  Milliseconds MaxDrainTime{8000};
-  /// Minimum interval between two scheduling passes; events in between are
-  /// handled in one pass.
-  Milliseconds ScheduleInterval{10};
-  /// Added to the interval for each runner, since a pass visits all of them.
-  std::chrono::microseconds ScheduleIntervalPerRunner{30};
-  /// Number of steps that can be on time that one pass tries to place in rank
-  /// order, and number of others that it tries in turn, so that steps that fit
-  /// nowhere don't keep the rest from being tried.
-  std::size_t StepsPerPass = 128;
-  std::size_t StepsInTurnPerPass = 32;
-  /// The same for late steps. There may be thousands of them after an overload,
-  /// and trying them gains little.
-  std::size_t LateStepsPerPass = 20;
-  std::size_t LateStepsInTurnPerPass = 20;
-  /// Largest share of the time that passes may take, in thousandths. The rest
-  /// is left for the answers of runners, heartbeats and calls, so that a
-  /// backlog that makes passes expensive can't keep the leader from working it
-  /// off.
-  std::uint32_t MaxPassTimePermille = 250;
-  /// How waiting steps are ranked.
-  RankingPolicy Ranking = RankingPolicy::OnTimeFirst;
-  /// Whether gangs that wait for resources gather room as it becomes free.
-  bool GatherForGangs = true;
-  /// One waiting gang may gather room for every this many runners.
-  std::size_t RunnersPerGatheringGang = 48;
-  /// Share of a pool's processors that gangs may hold while they gather room,
-  /// in thousandths. These stand idle.
-  std::int64_t GatheredPermille = 30;
-  /// A gang begins to gather room if all of it is expected to be free within
-  /// this time.
-  Milliseconds GatherHorizon{2000};
-  /// Maximum number of runners whose tickets are renewed for a step that fits
-  /// on no runner yet.
-  std::size_t RunnersPerRenewal = 80;
-  /// A gang that is expected to fit within this time isn't asked about more
-  /// runners.
-  Milliseconds AskMoreHorizon{1000};
-  /// A gang whose approved runners have room for this many times its tasks when
-  /// they are empty is asked about more runners only after a while.
-  std::size_t EnoughApprovedRoom = 4;
-  /// Number of waiting steps with slow advice whose tickets one pass renews, in
-  /// rank order.
-  std::size_t SlowRenewals = 24;
-  /// Time since the last failure of a step after which its tasks that still
-  /// wait may run where it failed, too. Until then, others may have room.
-  Milliseconds AvoidFailedFor{2000};
-  /// Interval at which ended workflows and lost runners are cleaned up.
-  Milliseconds CleanupInterval{1000};
-  /// Interval between two reports of the steps that wait longest.
-  Milliseconds WaitReportInterval{1000};
-  /// Maximum number of steps in a report, and the minimum time since their
-  /// workflow was accepted.
-  std::size_t WaitsPerReport = 4;
-  Milliseconds MinReportedWait{3000};
-  /// Maximum number of queues in a report; those with the longest waits.
-  std::size_t QueuesPerReport = 8;
-  /// Time for which a query of a running workflow's state waits for its
-  /// completion: somewhat longer than an end takes from the runner to the log.
-  Milliseconds QueryWait{50};
-  /// The same if ends of the workflow's runs are being stored.
-  Milliseconds MaxQueryWait{100};
-  /// Maximum age of a cached count of queued workflows.
-  Milliseconds QueuedCountMaxAge{300};
-  /// Minimum time for which the state of an ended workflow can be queried.
-  Milliseconds EndedRetention{150'000};
-  /// A runner that has neither sent a heartbeat nor answered for this long is
-  /// removed.
-  Milliseconds ForgetRunnerAfter{30'000};
-  /// Delay after which a submission may be repeated that was refused because
-  /// nothing can be stored.
-  Milliseconds LogRefusalRetry{1000};
-  /// How long the acknowledgement of a deregistration waits for the ends of the
-  /// runner's runs.
-  Milliseconds DepartureWait{750};
-};
-
 /// The time at which an input is handled, on the steady and the wall clock.
 struct Moment {
   SteadyTime Now{};
@@ -160,6 +72,8 @@
   /// submissions are refused meanwhile.
   void setLogRefusal(std::string reason) { LogRefusal = std::move(reason); }
 
+  /// States how long the next call has waited in this VM's queue.
+  void setCallDelay(Milliseconds delay) { CallDelay = delay; }
   void call(const protocol::WorkflowCall &call, AnswerCallback answer,
             Moment at);
 
@@ -488,6 +402,7 @@
   };
   std::map<std::string, Departure> Departures;
   std::string LogRefusal;
+  Milliseconds CallDelay{0};
   /// Workflows that recur at an interval and have not ended.
   std::set<std::string> Recurring;
   /// Occurrences whose BeginOccurrence change is being stored, by workflow.
--- a/src/masticwinch/workflow/entry_gateway.cpp
+++ b/src/masticwinch/workflow/entry_gateway.cpp
@@ -47,7 +47,8 @@
   if (now >= NextHello) {
     sendHello();
   }
-  resendOverdue();
+  endOverdue();
+  sendDue();
 }
 
 void EntryGateway::dropLeader() {
@@ -63,11 +64,14 @@
 }
 
 void EntryGateway::sendHello() {
-  NextHello = Time.now() +
-              (Leader.empty() ? Options.SearchInterval : Options.HelloInterval);
+  // The delay of a busy leader is measured more often.
+  const bool often = Leader.empty() || leaderDelay() >= Options.SearchInterval;
+  NextHello =
+      Time.now() + (often ? Options.SearchInterval : Options.HelloInterval);
   protocol::Envelope envelope;
   envelope.mutable_agent_hello()->set_sequence(++HelloSequence);
   envelope.mutable_agent_hello()->set_carries_orders(true);
+  Delay.sent(HelloSequence, Time.now());
   if (!Leader.empty()) {
     Outbox.send(Leader, std::move(envelope));
     return;
@@ -77,18 +81,39 @@
   }
 }
 
+std::optional<CallOutcome>
+EntryGateway::refusalOf(const protocol::WorkflowCall &call, std::size_t bytes,
+                        Milliseconds wait) const {
+  if (Calls.size() >= Options.MaxCalls ||
+      CallBytes + bytes > Options.MaxCallBytes) {
+    return CallOutcome::TooManyWait;
+  }
+  // Cancellations take work away.
+  if (!call.has_cancel() &&
+      leaderDelay() > std::min(wait, Options.MaxLeaderDelay)) {
+    return CallOutcome::LeaderBusy;
+  }
+  return std::nullopt;
+}
+
 void EntryGateway::call(protocol::WorkflowCall call, Milliseconds timeout,
                         CallDone done) {
   const std::uint64_t number = NextCall++;
   call.set_call(number);
   const Milliseconds queueTimeout =
       Terms.timeout(call.host(), call.path()).value_or(Options.MaxWait);
+  const Milliseconds wait = std::min({timeout, queueTimeout, Options.MaxWait});
+  const std::size_t bytes = call.ByteSizeLong();
+  if (const auto refusal = refusalOf(call, bytes, wait)) {
+    done(*refusal, {});
+    return;
+  }
   PendingCall &pending = Calls[number];
+  CallBytes += bytes;
+  pending.Bytes = bytes;
   pending.Call = std::move(call);
   pending.Done = std::move(done);
-  pending.Deadline =
-      Time.now() + std::min({timeout, queueTimeout, Options.MaxWait});
-  pending.NextSend = Time.now();
+  pending.Deadline = Time.now() + wait;
   if (!Leader.empty()) {
     send(pending);
   } else if (!canWait(pending)) {
@@ -99,44 +124,52 @@
 void EntryGateway::send(PendingCall &call) {
   protocol::Envelope envelope;
   *envelope.mutable_workflow_call() = call.Call;
-  call.NextSend = Time.now() + Options.ResendAfter;
-  call.Unanswered = true;
+  call.Copies.sent(Leader, HelloSequence, Time.now());
   Outbox.send(Leader, std::move(envelope));
 }
 
-void EntryGateway::resendOverdue() {
-  const SteadyTime now = Time.now();
+void EntryGateway::endOverdue() {
   std::vector<std::uint64_t> expired;
-  for (auto &[number, it] : Calls) {
+  for (const auto &[number, it] : Calls) {
     if (!canWait(it)) {
       expired.push_back(number);
-    } else if (!Leader.empty() && now >= it.NextSend) {
-      send(it);
     }
   }
   for (std::uint64_t it : expired) {
-    const bool unknown = Calls.at(it).Unanswered;
+    const bool unknown = Calls.at(it).Copies.mayHaveEffect();
     finish(it, unknown ? CallOutcome::Unknown : CallOutcome::NotAccepted, {});
   }
 }
 
+/// Sends the calls that the leader has not received, as far as is known.
+void EntryGateway::sendDue() {
+  for (auto &[number, it] : Calls) {
+    if (!Leader.empty() && it.Copies.isDue(Leader, AnsweredHello,
+                                           Options.ResendAfter, Time.now())) {
+      send(it);
+    }
+  }
+}
+
 void EntryGateway::finish(std::uint64_t number, CallOutcome outcome,
                           const protocol::WorkflowAnswer &answer) {
   const auto call = Calls.extract(number);
   if (!call.empty()) {
+    CallBytes -= call.mapped().Bytes;
     call.mapped().Done(outcome, answer);
   }
 }
 
 void EntryGateway::receive(const protocol::Envelope &envelope) {
   if (envelope.has_workflow_answer()) {
-    handleAnswer(envelope.workflow_answer());
+    handleAnswer(envelope.reply_address(), envelope.workflow_answer());
   } else if (envelope.has_agent_welcome()) {
     handleWelcome(envelope);
   }
 }
 
-void EntryGateway::handleAnswer(const protocol::WorkflowAnswer &answer) {
+void EntryGateway::handleAnswer(const std::string &sender,
+                                const protocol::WorkflowAnswer &answer) {
   const bool handled = answer.verdict() != protocol::VERDICT_NOT_LEADING;
   if (handled) {
     Terms.learn(answer);
@@ -145,13 +178,19 @@
   if (it == Calls.end()) {
     return;
   }
-  if (handled) {
+  CallCopies &copies = it->second.Copies;
+  const bool refused = answer.verdict() == protocol::VERDICT_REFUSED;
+  if (handled && (!refused || copies.isLatestAt(sender))) {
     finish(answer.call(), CallOutcome::Answered, answer);
     return;
   }
-  // The call is sent again to the leader that is found next.
-  it->second.NextSend = Time.now();
-  NextHello = Time.now();
+  // The call is sent again to the leader that is found next; or, after the
+  // refusal of a former leader, waits for the answer of the latest one, which
+  // may have accepted it.
+  copies.notHandled(sender);
+  if (!handled) {
+    NextHello = Time.now();
+  }
 }
 
 void EntryGateway::handleWelcome(const protocol::Envelope &envelope) {
@@ -168,14 +207,15 @@
   }
   LastWelcome = Time.now();
   Terms.learn(welcome);
-  if (sender == Leader) {
-    return;
-  }
-  Leader = sender;
-  Events.writeNamed("leader_found", {{"address", Leader}});
-  for (auto &[number, it] : Calls) {
-    send(it);
-  }
+  // A number above the latest one answers an earlier process at this address.
+  AnsweredHello = welcome.sequence() <= HelloSequence ? welcome.sequence() : 0;
+  if (sender != Leader) {
+    Delay.reset();
+    Leader = sender;
+    Events.writeNamed("leader_found", {{"address", Leader}});
+  }
+  Delay.answered(AnsweredHello, Time.now());
+  sendDue();
 }
 
 bool EntryGateway::isConnected() const { return !Leader.empty(); }
--- a/src/masticwinch/workflow/entry_gateway.hpp
+++ b/src/masticwinch/workflow/entry_gateway.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "masticwinch/common/clock.hpp"
+#include "masticwinch/coordination/workflow/call_copies.hpp"
 #include "masticwinch/coordination/workflow/entry_terms.hpp"
+#include "masticwinch/coordination/workflow/leader_delay.hpp"
 #include "masticwinch/protocol/envelope.pb.h"
 
 #include <asio/io_context.hpp>
@@ -33,7 +35,7 @@
   Milliseconds SearchInterval{100};
   /// The leader counts as lost when it has not answered for this long.
   Milliseconds LeaderTimeout{800};
-  /// A call without an answer is sent again after this time.
+  /// Shortest time after which a call without an answer is sent again.
   Milliseconds ResendAfter{400};
   /// Longest time that a call waits for its answer.
   Milliseconds MaxWait{2000};
@@ -41,6 +43,13 @@
   /// leader has been found for this long, something else is wrong, and calls
   /// are refused at once until a leader is found.
   Milliseconds MaxElectionTime{1300};
+  /// Calls other than cancellations are refused at once while the leader takes
+  /// longer than this to answer, or longer than the caller waits.
+  Milliseconds MaxLeaderDelay{800};
+  /// Calls that wait for an answer at the same time, and their size. Further
+  /// ones are refused at once.
+  std::size_t MaxCalls = 2048;
+  std::size_t MaxCallBytes = 16 * 1024 * 1024;
 };
 
 /// How a call to the leader ended.
@@ -48,6 +57,11 @@
   Answered,
   /// No leader received it, so it has no effect now or later.
   NotAccepted,
+  /// Refused without sending it, because too many others wait.
+  TooManyWait,
+  /// Refused without sending it, because the leader is too busy to answer it in
+  /// time.
+  LeaderBusy,
   /// A leader may have accepted it.
   Unknown,
 };
@@ -56,8 +70,8 @@
     std::function<void(CallOutcome, const protocol::WorkflowAnswer &)>;
 
 /// Connects an entry VM to the leader: finds it, sends it callers' requests,
-/// and sends pending requests to the new leader after a change. A request whose
-/// answer is late is sent again, which is safe because submissions are
+/// and sends pending requests to the new leader after a change. A request that
+/// was lost on its way is sent again, which is safe because submissions are
 /// deduplicated by id. Runs on the control thread.
 class EntryGateway {
 public:
@@ -79,6 +93,15 @@
 
   const std::string &leader() const { return Leader; }
 
+  /// Number and size of the calls that wait for an answer.
+  std::size_t waitingCalls() const { return Calls.size(); }
+  std::size_t waitingBytes() const { return CallBytes; }
+
+  /// How long the leader takes to answer; zero if there is none.
+  Milliseconds leaderDelay() const {
+    return Leader.empty() ? Milliseconds(0) : Delay.estimate(Time.now());
+  }
+
   /// What is known of the leader's configuration.
   const EntryTerms &terms() const { return Terms; }
 
@@ -90,21 +113,25 @@
 private:
   struct PendingCall {
     protocol::WorkflowCall Call;
+    std::size_t Bytes = 0;
     CallDone Done;
     SteadyTime Deadline;
-    SteadyTime NextSend;
-    /// Set once the call was sent, so that a leader may have accepted it.
-    bool Unanswered = false;
+    CallCopies Copies;
   };
 
+  std::optional<CallOutcome> refusalOf(const protocol::WorkflowCall &call,
+                                       std::size_t bytes,
+                                       Milliseconds wait) const;
   void scheduleTick();
   void tick();
   void sendHello();
-  void resendOverdue();
+  void endOverdue();
+  void sendDue();
   void send(PendingCall &call);
   void finish(std::uint64_t number, CallOutcome outcome,
               const protocol::WorkflowAnswer &answer);
-  void handleAnswer(const protocol::WorkflowAnswer &answer);
+  void handleAnswer(const std::string &sender,
+                    const protocol::WorkflowAnswer &answer);
   void handleWelcome(const protocol::Envelope &envelope);
   void dropLeader();
   bool canWait(const PendingCall &call) const;
@@ -121,9 +148,14 @@
   SteadyTime LeaderlessSince{};
   SteadyTime NextHello{};
   std::uint64_t HelloSequence = 0;
+  /// The latest hello that the leader has answered.
+  std::uint64_t AnsweredHello = 0;
   std::uint64_t NextCall = 1;
   EntryTerms Terms;
   std::map<std::uint64_t, PendingCall> Calls;
+  /// Size of all of `Calls`.
+  std::size_t CallBytes = 0;
+  LeaderDelay Delay;
 };
 
 } // namespace masticwinch::workflow
