Bound what a stuck, wide or unstated overdue step takes from others

Found by an independent review of the share for overdue work, by reading: a step that can never start kept its whole queue from being let in, since its work counted in the queue's backlog for ever; a wide step for which runners were drained took every place that became free, and owed the share for a minute; steps without an estimate took the share without using it up; an occurrence was judged by the time at which its workflow had been accepted; a queue that came back went before one with a lasting backlog; a drain outlived its step's right to it, and two steps that never fit took turns in draining.

The share is accounted for by pool with a virtual time, each task costs something, the share can be overdrawn by 8 s at most, and every step of a pass looks at what is left. Runners are drained only for a step of which nothing started and that is expected to find its room within 4 s; each drain that fails doubles the pause until the next one, and its step no longer counts in the backlog. countFitting divides instead of counting.

--- a/src/masticwinch/coordination/workflow/gang_forecast.cpp
+++ b/src/masticwinch/coordination/workflow/gang_forecast.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace masticwinch::workflow {
 
@@ -36,15 +37,22 @@
 } // namespace
 
 std::size_t countFitting(ResourceAmounts free, const ResourceAmounts &needs) {
-  std::size_t count = 0;
-  while (free.canFit(needs)) {
-    free -= needs;
-    ++count;
-    if (needs == ResourceAmounts()) {
-      break;
-    }
+  if (!free.canFit(needs)) {
+    return 0;
+  }
+  if (needs == ResourceAmounts()) {
+    return 1;
   }
-  return count;
+  std::int64_t count = std::numeric_limits<std::int64_t>::max();
+  const auto limit = [&count](std::int64_t available, std::int64_t needed) {
+    if (needed > 0) {
+      count = std::min(count, available / needed);
+    }
+  };
+  limit(free.MilliProcessors, needs.MilliProcessors);
+  limit(free.MemoryMb, needs.MemoryMb);
+  limit(free.Accelerators, needs.Accelerators);
+  return std::size_t(count);
 }
 
 std::optional<GangForecast>
--- a/src/masticwinch/coordination/workflow/overdue_share.cpp
+++ b/src/masticwinch/coordination/workflow/overdue_share.cpp
@@ -7,70 +7,100 @@
 namespace {
 
 constexpr std::int64_t MillionthsPerCoreMs = 1'000'000;
+constexpr std::uint64_t MilliPerCore = 1000;
+
+/// What a task without a stated duration counts as.
+constexpr std::uint64_t UnstatedDurationMs = 1000;
+/// What a task that goes on until it is cancelled counts as, at least.
+constexpr std::uint64_t LongRunningMs = 10'000;
+/// What a task counts as that needs memory or accelerators only.
+constexpr std::uint64_t UnstatedMilliProcessors = 1000;
+/// Bounds the cost of a task with an estimate of weeks.
+constexpr std::uint64_t MaxCostCoreMs = 1'000'000'000;
 
 } // namespace
 
+std::uint64_t OverdueShare::costOf(const protocol::StepSpec &step) {
+  std::uint64_t duration =
+      step.estimate_ms() > 0 ? step.estimate_ms() : UnstatedDurationMs;
+  if (step.long_running()) {
+    duration = std::max(duration, LongRunningMs);
+  }
+  const std::uint64_t processors = step.needs().milli_processors() > 0
+                                       ? step.needs().milli_processors()
+                                       : UnstatedMilliProcessors;
+  return std::clamp<std::uint64_t>(duration * processors / MilliPerCore, 1,
+                                   MaxCostCoreMs);
+}
+
 void OverdueShare::accrue(const std::string &pool,
                           std::uint64_t milliProcessors, SteadyTime now) {
-  const auto [it, added] = Buckets.try_emplace(pool);
-  Bucket &bucket = it->second;
+  const auto [it, added] = Pools.try_emplace(pool);
+  Pool &entry = it->second;
   const Milliseconds since = std::min(
       Options.MaxUnused,
       added ? Options.MaxUnused
-            : std::chrono::duration_cast<Milliseconds>(now - bucket.AccruedAt));
-  bucket.AccruedAt = now;
-  const auto perMs =
+            : std::chrono::duration_cast<Milliseconds>(now - entry.AccruedAt));
+  entry.AccruedAt = now;
+  entry.LeftPerMs =
       std::int64_t(milliProcessors) * std::int64_t(Options.SharePermille);
-  bucket.Left = std::min(perMs * Options.MaxUnused.count(),
-                         bucket.Left + perMs * since.count());
+  entry.Left = std::min(entry.LeftPerMs * Options.MaxUnused.count(),
+                        entry.Left + entry.LeftPerMs * since.count());
 }
 
 bool OverdueShare::hasLeft(const std::string &pool) const {
-  const auto it = Buckets.find(pool);
-  return it != Buckets.end() && it->second.Left > 0;
+  const auto it = Pools.find(pool);
+  return it != Pools.end() && it->second.Left > 0;
 }
 
 void OverdueShare::spend(const std::string &pool, const std::string &queue,
                          std::uint64_t coreMs) {
-  Buckets[pool].Left -= std::int64_t(coreMs) * MillionthsPerCoreMs;
-  if (const auto it = Queues.find(queue); it != Queues.end()) {
+  Pool &entry = Pools[pool];
+  entry.Left =
+      std::max(-entry.LeftPerMs * Options.MaxOverdrawn.count(),
+               entry.Left - std::int64_t(coreMs) * MillionthsPerCoreMs);
+  if (const auto it = entry.Queues.find(queue); it != entry.Queues.end()) {
+    entry.VirtualTime = std::max(entry.VirtualTime, it->second.SpentCoreMs);
     it->second.SpentCoreMs += coreMs;
   }
 }
 
-void OverdueShare::setBacklogs(
-    const std::map<std::string, std::uint64_t> &coreMsByQueue) {
-  std::erase_if(Queues, [&](const auto &it) {
+void OverdueShare::setBacklogs(const std::string &pool,
+                               const Backlogs &coreMsByQueue) {
+  Pool &entry = Pools[pool];
+  std::erase_if(entry.Queues, [&](const auto &it) {
     return !coreMsByQueue.contains(it.first);
   });
-  const auto least = std::min_element(
-      Queues.begin(), Queues.end(), [](const auto &a, const auto &b) {
-        return a.second.SpentCoreMs < b.second.SpentCoreMs;
-      });
-  const std::uint64_t level =
-      least == Queues.end() ? 0 : least->second.SpentCoreMs;
   for (const auto &[queue, coreMs] : coreMsByQueue) {
-    Queues.try_emplace(queue, QueueBacklog{0, level}).first->second.CoreMs =
-        coreMs;
+    entry.Queues.try_emplace(queue, QueueBacklog{0, entry.VirtualTime})
+        .first->second.CoreMs = coreMs;
   }
 }
 
-std::uint64_t OverdueShare::spentBy(const std::string &queue) const {
-  const auto it = Queues.find(queue);
-  return it == Queues.end() ? 0 : it->second.SpentCoreMs;
+std::uint64_t OverdueShare::spentBy(const std::string &pool,
+                                    const std::string &queue) const {
+  const auto entry = Pools.find(pool);
+  if (entry == Pools.end()) {
+    return 0;
+  }
+  const auto it = entry->second.Queues.find(queue);
+  return it == entry->second.Queues.end() ? entry->second.VirtualTime
+                                          : it->second.SpentCoreMs;
 }
 
-Milliseconds OverdueShare::drainTime(const std::string &queue,
-                                     std::uint64_t milliProcessors,
+Milliseconds OverdueShare::drainTime(const std::string &pool,
+                                     const std::string &queue,
                                      std::uint64_t perSecond) const {
-  const auto it = Queues.find(queue);
-  if (it == Queues.end()) {
+  const auto entry = Pools.find(pool);
+  if (entry == Pools.end() || !entry->second.Queues.contains(queue)) {
     return Milliseconds(0);
   }
-  const std::uint64_t share =
-      milliProcessors * Options.SharePermille / 1000 / Queues.size();
-  return Milliseconds(it->second.CoreMs * 1000 /
-                      std::max<std::uint64_t>({perSecond, share, 1}));
+  const auto &queues = entry->second.Queues;
+  const auto sharePerSecond =
+      std::uint64_t(entry->second.LeftPerMs * 1000 / MillionthsPerCoreMs);
+  return Milliseconds(
+      queues.at(queue).CoreMs * 1000 /
+      std::max<std::uint64_t>({perSecond, sharePerSecond / queues.size(), 1}));
 }
 
 } // namespace masticwinch::workflow
--- a/src/masticwinch/coordination/workflow/overdue_share.hpp
+++ b/src/masticwinch/coordination/workflow/overdue_share.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "masticwinch/common/clock.hpp"
+#include "masticwinch/protocol/workflow.pb.h"
 
 #include <cstdint>
 #include <map>
@@ -16,13 +17,15 @@
   std::uint64_t SharePermille = 100;
   /// For how long an unused share accumulates.
   Milliseconds MaxUnused{2000};
+  /// For how long overdue steps may wait after a step that overdrew the share.
+  Milliseconds MaxOverdrawn{8000};
 };
 
 /// Keeps a share of each pool for steps that have waited for long, whatever
 /// ranks before them. Answers lasting load: work of a later priority and work
 /// that is late would otherwise wait as long as anything before it arrives. A
-/// token bucket in core-milliseconds; one step may overdraw it. The queues with
-/// overdue steps get equal parts of it.
+/// token bucket in core-milliseconds; the last step that takes from it may
+/// overdraw it. The queues with overdue steps get equal parts of it.
 class OverdueShare {
 public:
   explicit OverdueShare(OverdueShareOptions options) : Options(options) {}
@@ -34,6 +37,10 @@
     return (age + remaining) * 1000 > objective * Options.ObjectivePermille;
   }
 
+  /// What a task takes from the share, in core-milliseconds. A task whose
+  /// duration or processors are not stated takes some as well.
+  static std::uint64_t costOf(const protocol::StepSpec &step);
+
   /// Adds the share of the time since the last call for this pool.
   void accrue(const std::string &pool, std::uint64_t milliProcessors,
               SteadyTime now);
@@ -42,34 +49,41 @@
   void spend(const std::string &pool, const std::string &queue,
              std::uint64_t coreMs);
 
-  /// Sets the overdue work of all queues, in core-milliseconds. A queue that
-  /// had none begins level with the one that has got least.
-  void setBacklogs(const std::map<std::string, std::uint64_t> &coreMsByQueue);
+  /// Overdue work in core-milliseconds, by queue.
+  using Backlogs = std::map<std::string, std::uint64_t>;
+
+  /// Sets the overdue work of a pool's queues.
+  void setBacklogs(const std::string &pool, const Backlogs &coreMsByQueue);
 
-  /// What the queue has got, for comparison with others that have a backlog;
-  /// the one that has got least goes first.
-  std::uint64_t spentBy(const std::string &queue) const;
+  /// What the queue has got, for comparison with others of the pool that have
+  /// a backlog; the one that has got least goes first.
+  std::uint64_t spentBy(const std::string &pool,
+                        const std::string &queue) const;
 
   /// How long the queue takes to work off its backlog if it gets `perSecond`
   /// core-milliseconds a second, or its part of the share if that is more.
-  Milliseconds drainTime(const std::string &queue,
-                         std::uint64_t milliProcessors,
+  Milliseconds drainTime(const std::string &pool, const std::string &queue,
                          std::uint64_t perSecond) const;
 
 private:
-  struct Bucket {
+  struct QueueBacklog {
+    std::uint64_t CoreMs = 0;
+    std::uint64_t SpentCoreMs = 0;
+  };
+  struct Pool {
     /// In millionths of a core-millisecond.
     std::int64_t Left = 0;
+    std::int64_t LeftPerMs = 0;
     SteadyTime AccruedAt{};
+    std::map<std::string, QueueBacklog> Queues;
+    /// What the queue that was served last had got before. A queue whose first
+    /// step becomes overdue begins there, neither ahead of the others nor
+    /// behind.
+    std::uint64_t VirtualTime = 0;
   };
 
   OverdueShareOptions Options;
-  std::map<std::string, Bucket> Buckets;
-  struct QueueBacklog {
-    std::uint64_t CoreMs = 0;
-    std::uint64_t SpentCoreMs = 0;
-  };
-  std::map<std::string, QueueBacklog> Queues;
+  std::map<std::string, Pool> Pools;
 };
 
 } // namespace masticwinch::workflow
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -305,9 +305,8 @@
       Milliseconds(criticalPath.count() *
                    (std::int64_t(queue.stretch_permille()) - 1000) / 1000) +
       Milliseconds(queue.latency_target_ms());
-  input.OverdueDrain =
-      Overdue.drainTime(queueId(queue), input.MilliProcessors,
-                        ServiceRate.perSecond(queueId(queue), now));
+  input.OverdueDrain = Overdue.drainTime(
+      queue.pool(), queueId(queue), ServiceRate.perSecond(queueId(queue), now));
   input.Salt = std::hash<std::string>()(spec.id());
   return retryAfter(Options.Admission, input);
 }
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -132,8 +132,10 @@
     /// for a while if others may run it.
     std::set<std::string> FailedRunners;
     SteadyTime LastFailure{};
-    /// When runners were last drained for the step.
-    SteadyTime DrainedAt{};
+    /// When the step last failed to start although runners were drained for it,
+    /// and how often that happened.
+    SteadyTime DrainFailedAt{};
+    std::uint32_t FailedDrains = 0;
     /// Number of tasks that can be started, if it has been counted since the
     /// last change of the step's tasks.
     std::optional<std::size_t> Startable;
@@ -254,8 +256,8 @@
 
   // workflow_leader_schedule.cpp
   void schedule(Moment at);
-  std::vector<RankedStep> rankedSteps(Moment at);
-  std::vector<RankedStep> tryable(std::vector<RankedStep> ranked);
+  std::vector<RankedStep> rankedSteps(const Fleet &fleet, Moment at);
+  std::vector<RankedStep> tryable(std::vector<RankedStep> ranked, Moment at);
   static void limit(std::vector<RankedStep> &steps, std::size_t first,
                     std::size_t inTurn, StepKey &last);
   void scheduleStep(const RankedStep &ranked, Fleet &fleet, Moment at);
@@ -287,19 +289,22 @@
     /// Number of the step's tasks that each runner is drained for, by its id.
     std::map<std::string, std::size_t> Places;
   };
-  std::vector<RankedStep> takeOverdue(std::vector<RankedStep> &late);
-  bool mayTakeShare(const StepKey &key, const OpenStep &open) const;
+  std::vector<RankedStep> takeOverdue(std::vector<RankedStep> &late, Moment at);
+  bool isOverdue(const StepKey &key, const OpenStep &open, Moment at) const;
+  SteadyTime dueAt(const StepKey &key, const OpenStep &open, Moment at) const;
+  bool mayTakeShare(const StepKey &key, const std::string &pool) const;
   bool isDrainedFor(const StepKey &key) const;
+  bool mayDrain(const OpenStep &open, SteadyTime now) const;
+  void endDrain(const std::string &pool, SteadyTime now);
   void limitToShare(std::vector<PlannedRun> &planned,
                     const protocol::StepSpec &spec, const std::string &pool,
                     const std::string &queue);
   bool drainRunners(const StepKey &key, std::size_t tasks, bool advised,
                     Fleet &fleet, const std::string &poolName, Moment at);
-  Drain *drainOf(const StepKey &key, const std::string &pool, SteadyTime now);
   std::map<std::string, std::size_t>
   drainPlaces(const StepKey &key, std::size_t tasks, bool advised,
               const Fleet &fleet, const Fleet::Pool &pool, Moment at) const;
-  void forgetDrains();
+  void forgetDrains(SteadyTime now);
 
   // workflow_leader_gangs.cpp
   void restoreClaims(Fleet &fleet);
--- a/src/masticwinch/coordination/workflow/workflow_leader_options.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_options.hpp
@@ -26,9 +26,9 @@
   /// ones, and number of others that it tries in turn.
   std::size_t OverdueStepsPerPass = 16;
   std::size_t OverdueStepsInTurnPerPass = 16;
-  /// Longest time for which runners are drained for one overdue step, and the
-  /// time until they are drained for the same step again.
-  Milliseconds MaxDrainTime{8000};
+  /// Longest time for which runners are drained for one overdue step, which has
+  /// to be expected to find its room within it.
+  Milliseconds MaxDrainTime{4000};
   CallDelayOptions CallDelay;
   /// Minimum interval between two scheduling passes; events in between are
   /// handled in one pass.
--- a/src/masticwinch/coordination/workflow/workflow_leader_overdue.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_overdue.cpp
@@ -5,16 +5,37 @@
 
 namespace masticwinch::workflow {
 
+/// When the step's work was due: when its workflow was accepted, or of one that
+/// recurs, the time of the occurrence.
+SteadyTime WorkflowLeader::dueAt(const StepKey &key, const OpenStep &open,
+                                 Moment at) const {
+  const protocol::WorkflowSpec &spec = open.Parent->Spec;
+  if (spec.repeats() == 0) {
+    return open.Info->Ranking.Accepted;
+  }
+  const std::uint64_t due =
+      spec.first_at_unix_ms() + key.Occurrence * spec.interval_ms();
+  const std::uint64_t age = at.UnixMs > due ? at.UnixMs - due : 0;
+  return std::max(open.Info->Ranking.Accepted, at.Now - Milliseconds(age));
+}
+
+/// Whether the step has waited so long that the pool's share is for it. One
+/// that is kept apart after crashes waits for another reason.
+bool WorkflowLeader::isOverdue(const StepKey &key, const OpenStep &open,
+                               Moment at) const {
+  const auto age =
+      std::chrono::duration_cast<Milliseconds>(at.Now - dueAt(key, open, at));
+  return Overdue.isOverdue(open.Info->Ranking.Objective, age,
+                           open.Info->CriticalPaths[key.Step]) &&
+         !open.SuspectSince &&
+         !Containment.isOnProbation(open.Parent->Spec.queue(), at.Now);
+}
+
 /// Whether the step may go before all others: its pool's share is not used up,
 /// or runners are being drained for it.
 bool WorkflowLeader::mayTakeShare(const StepKey &key,
-                                  const OpenStep &open) const {
-  const protocol::QueueConfig *queue =
-      State.findQueue(open.Parent->Spec.queue());
-  if (!queue) {
-    return false;
-  }
-  return Overdue.hasLeft(queue->pool()) || isDrainedFor(key);
+                                  const std::string &pool) const {
+  return Overdue.hasLeft(pool) || isDrainedFor(key);
 }
 
 bool WorkflowLeader::isDrainedFor(const StepKey &key) const {
@@ -25,15 +46,17 @@
 /// Removes from the late steps those that this pass tries before all others,
 /// and returns them. The rest keep their rank.
 std::vector<WorkflowLeader::RankedStep>
-WorkflowLeader::takeOverdue(std::vector<RankedStep> &late) {
+WorkflowLeader::takeOverdue(std::vector<RankedStep> &late, Moment at) {
   std::vector<RankedStep> overdue;
   for (const RankedStep &it : late) {
     const OpenStep &open = OpenSteps.at(*it.Key);
-    if (it.Overdue && mayTakeShare(*it.Key, open)) {
+    const std::string &queue = open.Parent->Spec.queue();
+    const protocol::QueueConfig *config = State.findQueue(queue);
+    if (it.Overdue && config && mayTakeShare(*it.Key, config->pool())) {
       overdue.push_back(it);
       overdue.back().Overdue = {!isDrainedFor(*it.Key),
-                                Overdue.spentBy(open.Parent->Spec.queue()),
-                                open.Info->Ranking.Accepted};
+                                Overdue.spentBy(config->pool(), queue),
+                                dueAt(*it.Key, open, at)};
     }
   }
   limit(overdue, Options.OverdueStepsPerPass, Options.OverdueStepsInTurnPerPass,
@@ -57,7 +80,7 @@
                                   const protocol::StepSpec &spec,
                                   const std::string &pool,
                                   const std::string &queue) {
-  const std::uint64_t work = taskWork(spec);
+  const std::uint64_t work = OverdueShare::costOf(spec);
   std::size_t taken = 0;
   while (taken < planned.size() &&
          (taken == 0 || spec.gang() || Overdue.hasLeft(pool))) {
@@ -67,35 +90,41 @@
   planned.resize(taken);
 }
 
-void WorkflowLeader::forgetDrains() {
-  std::erase_if(Drains, [&](const auto &it) {
-    const auto open = OpenSteps.find(it.second.Step);
-    return open == OpenSteps.end() ||
-           startableCount(it.second.Step, open->second) == 0;
-  });
+/// Whether runners may be drained for the step: after a drain that failed only
+/// after a pause, which doubles with each one, so that a step that never finds
+/// room leaves the runners to others.
+bool WorkflowLeader::mayDrain(const OpenStep &open, SteadyTime now) const {
+  constexpr std::uint32_t MaxDoublings = 5;
+  return open.FailedDrains == 0 ||
+         now - open.DrainFailedAt >=
+             Options.MaxDrainTime *
+                 (1 << std::min(open.FailedDrains, MaxDoublings));
 }
 
-/// The drain of the pool if it is for this step, or may begin for it; null
-/// otherwise. A step that doesn't start in time makes way for another one.
-WorkflowLeader::Drain *WorkflowLeader::drainOf(const StepKey &key,
-                                               const std::string &pool,
-                                               SteadyTime now) {
-  OpenStep &open = OpenSteps.at(key);
-  const auto it = Drains.find(pool);
-  if (it == Drains.end()) {
-    const bool again = open.DrainedAt != SteadyTime{} &&
-                       now - open.DrainedAt < Options.MaxDrainTime;
-    return again ? nullptr : &(Drains[pool] = {key, now, {}});
+/// Ends the drain of a pool whose step has not started.
+void WorkflowLeader::endDrain(const std::string &pool, SteadyTime now) {
+  const auto drain = Drains.extract(pool);
+  const auto open =
+      drain.empty() ? OpenSteps.end() : OpenSteps.find(drain.mapped().Step);
+  if (open != OpenSteps.end()) {
+    open->second.DrainFailedAt = now;
+    ++open->second.FailedDrains;
   }
-  if (it->second.Step != key) {
-    return nullptr;
+}
+
+/// Ends the drains that have lasted too long or whose step no longer waits.
+void WorkflowLeader::forgetDrains(SteadyTime now) {
+  std::vector<std::string> ended;
+  for (const auto &[pool, drain] : Drains) {
+    const auto open = OpenSteps.find(drain.Step);
+    if (now - drain.Since >= Options.MaxDrainTime || open == OpenSteps.end() ||
+        startableCount(drain.Step, open->second) == 0) {
+      ended.push_back(pool);
+    }
   }
-  if (now - it->second.Since < Options.MaxDrainTime) {
-    return &it->second;
+  for (const std::string &it : ended) {
+    endDrain(it, now);
   }
-  open.DrainedAt = now;
-  Drains.erase(it);
-  return nullptr;
 }
 
 /// How many tasks of the step each runner is to be drained for: of a gang all,
@@ -126,12 +155,13 @@
         std::max<std::int64_t>(
             share / std::max<std::int64_t>(needs.MilliProcessors, 1), 1));
   }
-  if (const auto forecast = forecastGangRoom(needs, wanted, runners, at.Now,
-                                             spec.max_per_runner())) {
-    runners = forecast->Runners;
-  }
   std::map<std::string, std::size_t> places;
-  for (const RunnerEntry *it : runners) {
+  const auto forecast =
+      forecastGangRoom(needs, wanted, runners, at.Now, spec.max_per_runner());
+  if (!forecast || forecast->Horizon > Options.MaxDrainTime) {
+    return places;
+  }
+  for (const RunnerEntry *it : forecast->Runners) {
     std::size_t fit = countFitting(amountsOf(it->Info.capacity()), needs);
     if (spec.max_per_runner() > 0) {
       fit = std::min<std::size_t>(fit, spec.max_per_runner());
@@ -152,24 +182,28 @@
 bool WorkflowLeader::drainRunners(const StepKey &key, std::size_t tasks,
                                   bool advised, Fleet &fleet,
                                   const std::string &poolName, Moment at) {
-  Drain *drain = drainOf(key, poolName, at.Now);
-  if (!drain) {
+  OpenStep &open = OpenSteps.at(key);
+  if (!Drains.contains(poolName) && mayDrain(open, at.Now)) {
+    Drains[poolName] = {key, at.Now, {}};
+  }
+  const auto drain = Drains.find(poolName);
+  if (drain == Drains.end() || drain->second.Step != key) {
     return false;
   }
   const Fleet::Pool &pool = fleet.Pools.at(poolName);
   const bool usable =
-      std::all_of(drain->Places.begin(), drain->Places.end(),
+      std::all_of(drain->second.Places.begin(), drain->second.Places.end(),
                   [&](const auto &it) { return pool.find(it.first); });
-  if (drain->Places.empty() || !usable) {
-    drain->Places = drainPlaces(key, tasks, advised, fleet, pool, at);
+  if (drain->second.Places.empty() || !usable) {
+    drain->second.Places = drainPlaces(key, tasks, advised, fleet, pool, at);
   }
-  if (drain->Places.empty()) {
-    Drains.erase(poolName);
+  if (drain->second.Places.empty()) {
+    endDrain(poolName, at.Now);
     return false;
   }
   const ResourceAmounts needs = needsOf(*State.findSpec(key));
   std::vector<std::string> runners;
-  for (const auto &[id, places] : drain->Places) {
+  for (const auto &[id, places] : drain->second.Places) {
     ResourceAmounts &claimed = fleet.Claimed[pool.find(id)];
     for (std::size_t i = 0; i < places; ++i) {
       claimed += needs;
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -39,11 +39,12 @@
 } // namespace
 
 /// Ranks the waiting steps and updates the sums of waiting work.
-std::vector<WorkflowLeader::RankedStep> WorkflowLeader::rankedSteps(Moment at) {
+std::vector<WorkflowLeader::RankedStep>
+WorkflowLeader::rankedSteps(const Fleet &fleet, Moment at) {
   std::vector<RankedStep> ranked;
   WaitingWork.clear();
   ProbationWork.clear();
-  std::map<std::string, std::uint64_t> overdueWork;
+  std::map<std::string, OverdueShare::Backlogs> overdueWork;
   std::int64_t gangTasks = 0;
   std::int64_t gangProcessors = 0;
   for (auto &[key, open] : OpenSteps) {
@@ -72,34 +73,36 @@
       WaitingWork[rank.Priority] += work;
     }
     ranked.push_back({rank, &key, std::nullopt});
-    // Those that are kept apart wait for another reason than the load.
-    const RankingInput &terms = open.Info->Ranking;
-    const auto age =
-        std::chrono::duration_cast<Milliseconds>(at.Now - terms.Accepted);
-    if (Overdue.isOverdue(terms.Objective, age, remaining) &&
-        !open.SuspectSince && !Containment.isOnProbation(queue, at.Now)) {
+    if (isOverdue(key, open, at)) {
       ranked.back().Overdue = OverdueRank();
-      overdueWork[queue] += work;
+      // Work that drained runners had no room for doesn't say how long other
+      // work will wait.
+      const protocol::QueueConfig *config = State.findQueue(queue);
+      if (config && open.FailedDrains == 0) {
+        overdueWork[config->pool()][queue] += work;
+      }
     }
   }
   if (gangTasks > 0) {
     GangTaskProcessors = gangProcessors / gangTasks;
   }
-  Overdue.setBacklogs(overdueWork);
-  return tryable(std::move(ranked));
+  for (const auto &[name, pool] : fleet.Pools) {
+    Overdue.setBacklogs(name, overdueWork[name]);
+  }
+  return tryable(std::move(ranked), at);
 }
 
 /// Selects the steps that a pass tries to place, in rank order, from all
 /// waiting steps in the order of their keys.
 std::vector<WorkflowLeader::RankedStep>
-WorkflowLeader::tryable(std::vector<RankedStep> ranked) {
+WorkflowLeader::tryable(std::vector<RankedStep> ranked, Moment at) {
   const auto firstLate = std::stable_partition(
       ranked.begin(), ranked.end(), [](const RankedStep &it) {
         return it.Rank.Forecast == CompletionForecast::OnTime;
       });
   std::vector<RankedStep> late(firstLate, ranked.end());
   ranked.erase(firstLate, ranked.end());
-  const std::vector<RankedStep> overdue = takeOverdue(late);
+  const std::vector<RankedStep> overdue = takeOverdue(late, at);
   // A claim lasts only while its step is tried in each pass.
   std::vector<RankedStep> claiming;
   const auto claims = [&](const RankedStep &it) {
@@ -247,11 +250,11 @@
     UsableProcessors[name] = pool.MilliProcessors;
     Overdue.accrue(name, pool.MilliProcessors, at.Now);
   }
-  forgetDrains();
+  forgetDrains(at.Now);
   keepApart(fleet, at.Now);
   countProbation(fleet);
   reportProbation(fleet, at.Now);
-  const std::vector<RankedStep> ranked = rankedSteps(at);
+  const std::vector<RankedStep> ranked = rankedSteps(fleet, at);
   restoreClaims(fleet);
   for (const RankedStep &it : ranked) {
     scheduleStep(it, fleet, at);
@@ -402,11 +405,16 @@
   const bool advised = queue->has_advice();
   const std::optional<GangClaim> held =
       spec.gang() ? releaseClaim(key, fleet) : std::nullopt;
+  const bool overdue = ranked.Overdue && mayTakeShare(key, pool->first);
+  if (ranked.Overdue && !overdue && !held) {
+    // Others have used up the share in this pass.
+    return;
+  }
   std::vector<PlannedRun> planned = planStep(
       spec, tasks, candidates(key, advised, fleet, pool->second, true, at),
       GangTaskProcessors);
   const bool foundRoom = planned.size() == tasks.size();
-  if (ranked.Overdue) {
+  if (overdue) {
     limitToShare(planned, spec, pool->first, workflow->Spec.queue());
   }
   const Step &step = *State.findStep(key);
@@ -414,6 +422,9 @@
     assign(key, open, it, nextRun(step, spec, it.Index),
            checkpointOf(step, spec, it.Index), at);
   }
+  if (!planned.empty() && isDrainedFor(key)) {
+    Drains.erase(pool->first);
+  }
   if (foundRoom) {
     Claims.remove(key);
     return;
@@ -421,8 +432,8 @@
   if (advised) {
     Advice.addStep(key, queue->name(), queue->advice());
   }
-  if (ranked.Overdue && drainRunners(key, tasks.size() - planned.size(),
-                                     advised, fleet, pool->first, at)) {
+  if (overdue && planned.empty() && !tasks.empty() &&
+      drainRunners(key, tasks.size(), advised, fleet, pool->first, at)) {
     Claims.remove(key);
     return;
   }
--- a/tests/coordination/workflow/test_overdue_share.cpp
+++ b/tests/coordination/workflow/test_overdue_share.cpp
@@ -11,7 +11,8 @@
 constexpr SteadyTime Start{std::chrono::seconds(100)};
 
 /// A tenth of the processors, which accumulates for two seconds.
-constexpr OverdueShareOptions Tenth{3000, 100, Milliseconds(2000)};
+constexpr OverdueShareOptions Tenth{3000, 100, Milliseconds(2000),
+                                    Milliseconds(8000)};
 
 } // namespace
 
@@ -36,18 +37,63 @@
   CHECK_FALSE(share.hasLeft("pool"));
 }
 
+TEST_CASE("A step that overdraws the share doesn't use it up for long",
+          "[workflow]") {
+  OverdueShare share(Tenth);
+  share.accrue("pool", TenCores, Start);
+  for (int i = 0; i < 10'000; ++i) {
+    share.spend("pool", "queue", 1'000'000'000);
+  }
+  for (int i = 0; i < 5; ++i) {
+    CHECK_FALSE(share.hasLeft("pool"));
+    share.accrue("pool", TenCores, Start + (i + 1) * Milliseconds(2000));
+  }
+  CHECK(share.hasLeft("pool"));
+}
+
+TEST_CASE("Every task takes something from the share for overdue steps",
+          "[workflow]") {
+  protocol::StepSpec step;
+  CHECK(OverdueShare::costOf(step) == 1000);
+  step.mutable_needs()->set_milli_processors(2000);
+  step.set_estimate_ms(400);
+  CHECK(OverdueShare::costOf(step) == 800);
+  step.set_long_running(true);
+  CHECK(OverdueShare::costOf(step) == 20'000);
+}
+
 TEST_CASE("Queues with overdue steps get equal parts of the share",
           "[workflow]") {
   OverdueShare share(Tenth);
-  share.setBacklogs({{"busy", 5000}});
+  share.accrue("pool", TenCores, Start);
+  share.setBacklogs("pool", {{"busy", 5000}});
   share.spend("pool", "busy", 700);
-  share.setBacklogs({{"busy", 4300}, {"new", 800}});
-  CHECK(share.spentBy("new") == share.spentBy("busy"));
-  share.spend("pool", "busy", 1);
-  CHECK(share.spentBy("new") < share.spentBy("busy"));
-  CHECK(share.drainTime("new", TenCores, 0) == Milliseconds(1600));
-  CHECK(share.drainTime("new", TenCores, 8000) == Milliseconds(100));
-  CHECK(share.drainTime("none", TenCores, 0) == Milliseconds(0));
+  share.spend("pool", "busy", 300);
+  share.setBacklogs("pool", {{"busy", 4000}, {"new", 800}});
+  CHECK(share.spentBy("pool", "new") < share.spentBy("pool", "busy"));
+  share.spend("pool", "new", 800);
+  CHECK(share.spentBy("pool", "new") > share.spentBy("pool", "busy"));
+  CHECK(share.drainTime("pool", "new", 0) == Milliseconds(1600));
+  CHECK(share.drainTime("pool", "new", 8000) == Milliseconds(100));
+  CHECK(share.drainTime("pool", "none", 0) == Milliseconds(0));
+  CHECK(share.drainTime("other", "new", 0) == Milliseconds(0));
+}
+
+// A queue that came back began at the least that any queue had got: 0, if one
+// could not be served.
+TEST_CASE("A queue whose backlog comes and goes doesn't go before one that has "
+          "one all the time",
+          "[workflow]") {
+  OverdueShare share(Tenth);
+  share.accrue("pool", TenCores, Start);
+  share.setBacklogs("pool", {{"stuck", 1}, {"lasting", 5000}});
+  share.spend("pool", "lasting", 1000);
+  share.spend("pool", "lasting", 1000);
+  share.setBacklogs("pool", {{"stuck", 1}, {"lasting", 3000}, {"back", 500}});
+  share.spend("pool", "back", 500);
+  share.setBacklogs("pool", {{"stuck", 1}, {"lasting", 3000}});
+  share.setBacklogs("pool", {{"stuck", 1}, {"lasting", 3000}, {"back", 500}});
+  CHECK(share.spentBy("pool", "back") >= 1000);
 }
 
 TEST_CASE("A step is overdue once it can't complete within a multiple of the "
