Let connections that wait make room for callers with a request

Callers saw: with as many connections held open as a server admits, sending nothing, half a request or nothing after an answer, a new caller got no answer until one of them closed, although the readiness check passed. New connections stayed in the kernel's queue, neither served nor refused.

Cause: RESTinio's limiter stops accepting at the limit, whatever the connections do, and closes one without a request only after 60 s.

Now the server counts the connections itself. At the limit, the one that has been without a request in progress for longest is closed; one with unread bytes is passed over, since they may be a whole request. If all have a request in progress, which includes a response being written, the new connection gets 503 with Retry-After and is closed. RESTinio's limiter stays as a bound 32 connections above that. A parser beside RESTinio's tells how far a connection's requests have come.

The share of the descriptors for callers grows from half to what files, an HTTP client's calls and connections in passing leave; half stays the least. Metrics state the open connections, their limit, and how many were admitted, refused and closed.

Evidence: on the former code, four of the new tests of room failed: no answer to callers beside held connections, no 503 while all connections have a request in progress. The one with four threads did not end within 30 s. All pass now.

The test "Connections above the limit wait until others close" required the fault: its callers had been answered and were idle, and a third had to wait for one of them to close. It is replaced by tests that bound the peak in the same way and require the answer, or the refusal if all connections have a request in progress.

--- a/src/masticwinch/http/http_client.cpp
+++ b/src/masticwinch/http/http_client.cpp
@@ -18,10 +18,6 @@
 /// Size of libcurl's connection cache, over all hosts.
 constexpr long MaxIdleConnections = 1024;
 
-/// Calls may use one part in this many of the process's file descriptors;
-/// further calls wait for a connection.
-constexpr std::uint64_t DescriptorDivisor = 4;
-
 /// Initializes libcurl once per process.
 void initializeCurl() {
   static const CURLcode Code = curl_global_init(CURL_GLOBAL_ALL);
@@ -45,7 +41,7 @@
     curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, MaxIdleConnections);
     if (const std::uint64_t limit = descriptorLimit(); limit > 0) {
       curl_multi_setopt(Multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
-                        static_cast<long>(limit / DescriptorDivisor));
+                        static_cast<long>(limit / HttpClientDescriptorDivisor));
     }
   }
 
--- a/src/masticwinch/http/http_client.hpp
+++ b/src/masticwinch/http/http_client.hpp
@@ -73,6 +73,10 @@
   std::string Detail;
 };
 
+/// Calls may use one part in this many of the process's file descriptors;
+/// further calls wait for a connection.
+inline constexpr std::uint64_t HttpClientDescriptorDivisor = 4;
+
 /// Identifies a running call.
 using HttpCallId = std::uint64_t;
 
--- a/src/masticwinch/http/http_server.cpp
+++ b/src/masticwinch/http/http_server.cpp
@@ -1,5 +1,6 @@
 #include "masticwinch/http/http_server.hpp"
 
+#include "masticwinch/http/internal/admission.hpp"
 #include "masticwinch/http/internal/connection_table.hpp"
 #include "masticwinch/http/internal/refusing_socket.hpp"
 #include "masticwinch/http/internal/request_target.hpp"
@@ -74,13 +75,16 @@
   using RestinioServer = restinio::http_server_t<Traits>;
 
   Implementation(HttpServerOptions options, HttpHandler handler)
-      : Options(std::move(options)), Handler(std::move(handler)) {}
+      : Options(std::move(options)), Handler(std::move(handler)),
+        Admission(
+            std::make_shared<internal::Admission>(Options.MaxConnections)) {}
 
   void open();
   void close();
   void handle(const RestinioRequest &request);
   void write(const RestinioRequest &request, HttpResponse response,
              HttpAnswerFault fault);
+  std::shared_ptr<void> trackWrite(std::uint64_t connection);
   std::optional<HttpResponse>
   findRequestError(const RestinioRequest &request) const;
 
@@ -97,6 +101,8 @@
   std::vector<std::thread> Threads;
 
   internal::ConnectionTable Connections;
+  /// Shared with the connections' sockets.
+  const std::shared_ptr<internal::Admission> Admission;
 };
 
 /// The exchange that is passed to the handler.
@@ -142,8 +148,12 @@
   void state_changed(const restinio::connection_state::notice_t &notice) {
     using namespace restinio::connection_state;
     if (std::holds_alternative<accepted_t>(notice.cause())) {
-      Server->Connections.opened();
+      const std::uint64_t connection = notice.connection_id();
+      const bool admitted = Server->Admission->opened(connection);
+      internal::RefusingSocket::connectNextReader(Server->Admission, connection,
+                                                  admitted);
     } else if (std::holds_alternative<closed_t>(notice.cause())) {
+      Server->Admission->closed(notice.connection_id());
       Server->Connections.closed(notice.connection_id());
     }
   }
@@ -259,7 +269,8 @@
                           ? asio::ip::tcp::v6()
                           : asio::ip::tcp::v4())
             .incoming_http_msg_limits(limits)
-            .max_parallel_connections(Options.MaxConnections)
+            .max_parallel_connections(Options.MaxConnections +
+                                      ConnectionsInPassing)
             .max_pipelined_requests(MaxPipelinedRequests)
             .read_next_http_message_timelimit(IdleTimeout)
             .write_http_response_timelimit(WriteTimeout)
@@ -355,6 +366,19 @@
   Handler(exchange);
 }
 
+/// Counts a response as being written, and its request as in progress, until
+/// the returned token is destroyed.
+std::shared_ptr<void>
+HttpServer::Implementation::trackWrite(std::uint64_t connection) {
+  std::shared_ptr<void> pending = Connections.trackWrite(connection);
+  return std::shared_ptr<void>(this, [pending = std::move(pending),
+                                      admission = Admission,
+                                      connection](void *) mutable {
+    admission->answered(connection);
+    pending.reset();
+  });
+}
+
 void HttpServer::Implementation::write(const RestinioRequest &request,
                                        HttpResponse response,
                                        HttpAnswerFault fault) {
@@ -381,11 +405,10 @@
   if (!response.Body.empty()) {
     output.set_body(std::move(response.Body));
   }
-  auto finish =
-      [output = std::move(output),
-       pending = Connections.trackWrite(request->connection_id())]() mutable {
-        output.done([pending = std::move(pending)](const auto &) {});
-      };
+  auto finish = [output = std::move(output),
+                 pending = trackWrite(request->connection_id())]() mutable {
+    output.done([pending = std::move(pending)](const auto &) {});
+  };
   if (InsideHandler) {
     asio::post(*Loop, std::move(finish));
   } else {
@@ -414,7 +437,7 @@
 std::uint16_t HttpServer::port() const { return Impl->BoundPort; }
 
 HttpConnectionCounts HttpServer::connections() const {
-  return Impl->Connections.counts();
+  return Impl->Admission->counts();
 }
 
 void HttpServer::closeConnectionsAfterAnswers() {
--- a/src/masticwinch/http/http_server.hpp
+++ b/src/masticwinch/http/http_server.hpp
@@ -19,14 +19,31 @@
   std::size_t Threads = 1;
   std::size_t MaxHeaderBytes = 16 * 1024;
   std::size_t MaxBodyBytes = 1024 * 1024;
-  /// Further connections are not accepted until others close.
+  /// At this limit, the connection that has been without a request in progress
+  /// for longest is closed to make room for a new one. If all have a request in
+  /// progress, the new one gets 503 and is closed.
   std::size_t MaxConnections = 4096;
 };
 
-/// Number of open connections, now and at the peak.
+/// Most connections of a server beyond its limit that are open for a moment,
+/// until those that are refused or make room are closed.
+inline constexpr std::size_t ConnectionsInPassing = 32;
+
+/// Most closed connections of a process that are kept for a second, until the
+/// caller has got the response or closes too; further ones are closed at once.
+inline constexpr std::size_t MaxLingeringConnections = 32;
+
+/// Numbers of a server's connections.
 struct HttpConnectionCounts {
+  /// Open connections, now and at the peak, without those that are being
+  /// refused or closed for room.
   std::size_t Open = 0;
   std::size_t Peak = 0;
+  std::size_t Limit = 0;
+  /// Connections since the start.
+  std::uint64_t Admitted = 0;
+  std::uint64_t Refused = 0;
+  std::uint64_t ClosedForRoom = 0;
 };
 
 /// Fault to inject into a response, for stand-ins in tests.
--- /dev/null
+++ b/src/masticwinch/http/internal/connection_book.cpp
@@ -0,0 +1,93 @@
+#include "masticwinch/http/internal/connection_book.hpp"
+
+namespace masticwinch::internal {
+
+void ConnectionBook::list(Id connection, const Entry &entry) {
+  if (entry.isWaiting() && !entry.Closing) {
+    Waiting.emplace(entry.WaitingSince, connection);
+  }
+}
+
+void ConnectionBook::unlist(Id connection, const Entry &entry) {
+  Waiting.erase({entry.WaitingSince, connection});
+}
+
+void ConnectionBook::open(Id connection, SteadyTime now) {
+  const auto [it, isNew] = Entries.try_emplace(connection);
+  if (isNew) {
+    it->second.WaitingSince = now;
+    list(connection, it->second);
+  }
+}
+
+std::optional<CloseReason> ConnectionBook::close(Id connection) {
+  const auto it = Entries.find(connection);
+  if (it == Entries.end()) {
+    return std::nullopt;
+  }
+  const std::optional<CloseReason> reason = it->second.Closing;
+  ToBeClosed -= reason ? 1 : 0;
+  unlist(connection, it->second);
+  Entries.erase(it);
+  return reason;
+}
+
+bool ConnectionBook::received(Id connection, std::uint64_t wholeRequests,
+                              RequestPart part, SteadyTime) {
+  const auto it = Entries.find(connection);
+  if (it == Entries.end()) {
+    return false;
+  }
+  Entry &entry = it->second;
+  entry.Part = part;
+  entry.WholeRequests = wholeRequests;
+  if (entry.isWaiting()) {
+    return false;
+  }
+  unlist(connection, entry);
+  if (!entry.Closing) {
+    return false;
+  }
+  entry.Closing.reset();
+  --ToBeClosed;
+  return true;
+}
+
+void ConnectionBook::answered(Id connection, SteadyTime now) {
+  const auto it = Entries.find(connection);
+  if (it == Entries.end() || it->second.isWaiting()) {
+    return;
+  }
+  ++it->second.AnsweredRequests;
+  if (it->second.isWaiting()) {
+    it->second.WaitingSince = now;
+    list(connection, it->second);
+  }
+}
+
+std::optional<ConnectionBook::Id>
+ConnectionBook::longestWaiting(const std::function<bool(Id)> &condition) const {
+  for (const auto &[since, connection] : Waiting) {
+    if (condition(connection)) {
+      return connection;
+    }
+  }
+  return std::nullopt;
+}
+
+void ConnectionBook::beginClose(Id connection, CloseReason reason) {
+  const auto it = Entries.find(connection);
+  if (it == Entries.end() || it->second.Closing) {
+    return;
+  }
+  unlist(connection, it->second);
+  it->second.Closing = reason;
+  ++ToBeClosed;
+}
+
+bool ConnectionBook::isToBeClosed(Id connection) const {
+  const auto it = Entries.find(connection);
+  return it != Entries.end() && it->second.Closing;
+}
+
+} // namespace masticwinch::internal
--- a/src/masticwinch/http/internal/connection_table.cpp
+++ b/src/masticwinch/http/internal/connection_table.cpp
@@ -1,7 +1,5 @@
 #include "masticwinch/http/internal/connection_table.hpp"
 
-#include <algorithm>
-
 namespace masticwinch::internal {
 
 void ConnectionTable::abandon(const PendingList &requests, bool callerGone) {
@@ -12,17 +10,10 @@
   }
 }
 
-void ConnectionTable::opened() {
-  const std::lock_guard<std::mutex> lock(Mutex);
-  ++Counts.Open;
-  Counts.Peak = std::max(Counts.Peak, Counts.Open);
-}
-
 void ConnectionTable::closed(std::uint64_t connection) {
   PendingList requests;
   {
     const std::lock_guard<std::mutex> lock(Mutex);
-    --Counts.Open;
     const auto it = Requests.find(connection);
     if (it == Requests.end()) {
       return;
@@ -92,9 +83,4 @@
   return !Requests.contains(connection) && !PendingWrites.contains(connection);
 }
 
-HttpConnectionCounts ConnectionTable::counts() const {
-  const std::lock_guard<std::mutex> lock(Mutex);
-  return Counts;
-}
-
 } // namespace masticwinch::internal
--- a/src/masticwinch/http/internal/connection_table.hpp
+++ b/src/masticwinch/http/internal/connection_table.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "masticwinch/common/clock.hpp"
-#include "masticwinch/http/http_server.hpp"
 
 #include <condition_variable>
 #include <cstdint>
@@ -21,13 +20,11 @@
   virtual void abandon(bool callerGone) = 0;
 };
 
-/// Tracks the connections of a server: their number, their pending requests and
-/// the responses that are being written. Thread-safe; never calls a request
+/// Tracks the pending requests of a server's connections and the responses that
+/// are being written. Thread-safe; never calls a request
 /// while holding the lock.
 class ConnectionTable {
 public:
-  void opened();
-
   /// Removes a connection and abandons its requests.
   void closed(std::uint64_t connection);
 
@@ -48,8 +45,6 @@
   /// Whether the connection has neither a pending request nor a pending write.
   bool isIdle(std::uint64_t connection) const;
 
-  HttpConnectionCounts counts() const;
-
 private:
   struct PendingEntry {
     /// For comparison only.
@@ -63,7 +58,6 @@
 
   mutable std::mutex Mutex;
   std::condition_variable WritesFinished;
-  HttpConnectionCounts Counts;
   /// Number of responses that are not yet fully written, by connection.
   std::map<std::uint64_t, std::size_t> PendingWrites;
   std::map<std::uint64_t, PendingList> Requests;
--- a/src/masticwinch/http/internal/refusing_socket.cpp
+++ b/src/masticwinch/http/internal/refusing_socket.cpp
@@ -1,13 +1,18 @@
 #include "masticwinch/http/internal/refusing_socket.hpp"
 
+#include "masticwinch/http/internal/response_rules.hpp"
+
 #include <asio/bind_executor.hpp>
 #include <asio/buffer.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/strand.hpp>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <memory>
+#include <mutex>
+#include <optional>
 
 namespace masticwinch::internal {
 
@@ -18,13 +23,38 @@
 
 thread_local std::string NextResponse;
 
+struct NextReader {
+  std::shared_ptr<Admission> Server;
+  std::uint64_t Connection = 0;
+  bool Admitted = false;
+};
+
+thread_local std::optional<NextReader> NextReaderToJoin;
+
+std::string refusal() {
+  HttpResponse response =
+      errorResponse(503, "connections_used_up",
+                    "the server has no connection to spare; try again");
+  response.Headers.add("Retry-After", "1");
+  return serializeFinalResponse(response);
+}
+
 /// Reads and discards data until the peer closes, the timeout expires or
 /// `MaxDiscardedBytes` were read.
 class LingeringSocket : public std::enable_shared_from_this<LingeringSocket> {
 public:
   explicit LingeringSocket(asio::ip::tcp::socket socket)
       : Socket(std::move(socket)), Strand(Socket.get_executor()),
-        Timer(Socket.get_executor(), LingerTimeout) {}
+        Timer(Socket.get_executor(), LingerTimeout) {
+    ++Count;
+  }
+
+  ~LingeringSocket() { --Count; }
+  LingeringSocket(const LingeringSocket &) = delete;
+  LingeringSocket &operator=(const LingeringSocket &) = delete;
+
+  /// Whether one more may linger; the process has `MaxLingeringConnections`.
+  static bool hasRoom() { return Count < MaxLingeringConnections; }
 
   void start() {
     Timer.async_wait(asio::bind_executor(
@@ -51,6 +81,8 @@
             }));
   }
 
+  static inline std::atomic<std::size_t> Count = 0;
+
   asio::ip::tcp::socket Socket;
   asio::strand<asio::ip::tcp::socket::executor_type> Strand;
   asio::steady_timer Timer;
@@ -60,16 +92,108 @@
 
 } // namespace
 
+/// Connects a socket to `Admission`; outlives the socket.
+class RefusingSocket::AdmissionLink final
+    : public AdmittedConnection,
+      public std::enable_shared_from_this<AdmissionLink> {
+public:
+  AdmissionLink(RefusingSocket *socket, asio::any_io_executor executor,
+                NextReader reader)
+      : Reader(std::move(reader)), Executor(std::move(executor)),
+        Socket(socket) {}
+
+  bool hasUnreadBytes() override {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    asio::error_code ec;
+    // A closed socket gives its place up by itself.
+    return Socket == nullptr || Socket->available(ec) > 0;
+  }
+
+  void requestClose(CloseReason reason) override {
+    asio::post(Executor, [self = shared_from_this(), reason] {
+      if (!self->Reader.Server->isToBeClosed(self->Reader.Connection)) {
+        return;
+      }
+      const std::lock_guard<std::mutex> lock(self->Mutex);
+      if (self->Socket != nullptr) {
+        self->Socket->endReading(reason);
+      }
+    });
+  }
+
+  void leave() {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    Socket = nullptr;
+  }
+
+  const NextReader Reader;
+
+private:
+  const asio::any_io_executor Executor;
+  std::mutex Mutex;
+  /// Null once the socket is closed.
+  RefusingSocket *Socket;
+};
+
 void RefusingSocket::respondAtNextShutdown(std::string text) {
   NextResponse = std::move(text);
 }
 
+void RefusingSocket::connectNextReader(std::shared_ptr<Admission> admission,
+                                       std::uint64_t connection,
+                                       bool admitted) {
+  NextReaderToJoin = {std::move(admission), connection, admitted};
+}
+
+void RefusingSocket::join(const asio::any_io_executor &executor) {
+  if (!NextReaderToJoin) {
+    return;
+  }
+  Link = std::make_shared<AdmissionLink>(
+      this, executor, *std::exchange(NextReaderToJoin, std::nullopt));
+  if (Link->Reader.Admitted) {
+    Link->Reader.Server->join(Link->Reader.Connection, Link);
+  } else {
+    Closes = true;
+    FinalResponse = refusal();
+  }
+}
+
+void RefusingSocket::leave() {
+  if (Link) {
+    Link->leave();
+  }
+}
+
+void RefusingSocket::endReading(CloseReason) {
+  Closes = true;
+  if (Progress.part() != RequestPart::None) {
+    FinalResponse = refusal();
+  }
+  asio::error_code ec;
+  cancel(ec);
+}
+
+/// Result of a read that RESTinio gets: it ignores a cancelled one, and closes
+/// the connection after an error.
+asio::error_code
+RefusingSocket::resultOfRead(const asio::error_code &ec) const {
+  const bool cancelled = ec == asio::error::operation_aborted;
+  if (cancelled && Closes && is_open()) {
+    return asio::error::connection_aborted;
+  }
+  return ec;
+}
+
 void RefusingSocket::shutdown(shutdown_type what, asio::error_code &ec) {
-  if (NextResponse.empty()) {
+  std::string response = std::exchange(NextResponse, {});
+  if (!FinalResponse.empty()) {
+    response = std::exchange(FinalResponse, {});
+  }
+  if (response.empty()) {
     asio::ip::tcp::socket::shutdown(what, ec);
     return;
   }
-  const std::string response = std::exchange(NextResponse, {});
   // The response fits into the send buffer of an idle connection, so that one
   // non-blocking write suffices.
   non_blocking(true, ec);
@@ -80,6 +204,16 @@
 
 void RefusingSocket::received(std::string_view bytes) {
   static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+  Progress.receive(bytes);
+  if (Link) {
+    const NextReader &reader = Link->Reader;
+    reader.Server->received(reader.Connection, Progress);
+    if (Closes && !reader.Server->isToBeClosed(reader.Connection)) {
+      // The request that makes the connection stay came just in time.
+      Closes = false;
+      FinalResponse.clear();
+    }
+  }
   if (Expectation.receive(bytes) && !Writes) {
     // Otherwise, or if the write fails, the client sends the body after a while
     // all the same.
@@ -90,7 +224,8 @@
 }
 
 void RefusingSocket::close() {
-  if (Lingers) {
+  leave();
+  if (Lingers && LingeringSocket::hasRoom()) {
     std::make_shared<LingeringSocket>(
         std::move(static_cast<asio::ip::tcp::socket &>(*this)))
         ->start();
--- a/src/masticwinch/http/internal/refusing_socket.hpp
+++ b/src/masticwinch/http/internal/refusing_socket.hpp
@@ -1,14 +1,20 @@
 #pragma once
 
+#include "masticwinch/http/internal/admission.hpp"
 #include "masticwinch/http/internal/expectation_watch.hpp"
+#include "masticwinch/http/internal/request_progress.hpp"
 
 #include <asio/associated_executor.hpp>
 #include <asio/bind_executor.hpp>
 #include <asio/buffer.hpp>
+#include <asio/error.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 
 #include <cstddef>
+#include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -19,16 +25,30 @@
 /// reads and discards incoming data for a bounded time (lingering close):
 /// closing a socket with unread data resets the connection, and the peer may
 /// lose the response. To a client that waits for it before it sends the body of
-/// its request, it sends `100 Continue`. The functions hide those of Asio's
-/// socket and have the same signatures.
+/// its request, it sends `100 Continue`. It reports to `Admission` what
+/// arrives, and makes RESTinio close the connection, by a failed read, if
+/// `Admission` refuses or closes it. The functions hide those of Asio's socket
+/// and have the same signatures.
 class RefusingSocket : public asio::ip::tcp::socket {
 public:
   explicit RefusingSocket(asio::io_context &loop)
       : asio::ip::tcp::socket(loop) {}
+  /// A socket is moved only before its first read.
+  RefusingSocket(RefusingSocket &&) = default;
+  RefusingSocket &operator=(RefusingSocket &&) = default;
+  RefusingSocket(const RefusingSocket &) = delete;
+  RefusingSocket &operator=(const RefusingSocket &) = delete;
+  ~RefusingSocket() { leave(); }
 
   /// Sets the response that the next shutdown on this thread sends.
   static void respondAtNextShutdown(std::string text);
 
+  /// Sets the connection of the socket that reads next on this thread for the
+  /// first time: RESTinio reports a connection without its socket, just before
+  /// it starts reading. If the connection isn't admitted, it is refused.
+  static void connectNextReader(std::shared_ptr<Admission> admission,
+                                std::uint64_t connection, bool admitted);
+
   void shutdown(shutdown_type what, asio::error_code &ec);
   void close();
 
@@ -38,6 +58,15 @@
   void async_read_some(const Buffer &buffer, Handler handler) {
     const auto executor =
         asio::get_associated_executor(handler, get_executor());
+    if (!Link) {
+      join(executor);
+    }
+    if (Closes) {
+      asio::post(executor, [handler = std::move(handler)]() mutable {
+        handler(asio::error::connection_aborted, 0);
+      });
+      return;
+    }
     asio::ip::tcp::socket::async_read_some(
         buffer, asio::bind_executor(executor, [this, buffer,
                                                handler = std::move(handler)](
@@ -48,7 +77,7 @@
                 {static_cast<const char *>(asio::mutable_buffer(buffer).data()),
                  bytes});
           }
-          handler(ec, bytes);
+          handler(resultOfRead(ec), bytes);
         }));
   }
 
@@ -69,9 +98,21 @@
   // NOLINTEND(readability-identifier-naming)
 
 private:
+  class AdmissionLink;
+
+  void join(const asio::any_io_executor &executor);
+  void leave();
   void received(std::string_view bytes);
+  asio::error_code resultOfRead(const asio::error_code &ec) const;
+  void endReading(CloseReason reason);
 
   ExpectationWatch Expectation;
+  RequestProgress Progress;
+  std::shared_ptr<AdmissionLink> Link;
+  /// Response to send at the shutdown; may be empty.
+  std::string FinalResponse;
+  /// Whether the connection was refused or is to be closed.
+  bool Closes = false;
   /// Whether a part of a response is being written.
   bool Writes = false;
   bool Lingers = false;
--- a/src/masticwinch/programs/daemon_options.hpp
+++ b/src/masticwinch/programs/daemon_options.hpp
@@ -16,6 +16,9 @@
 peers::MailboxOptions mailboxOptions(const ProcessSettings &process,
                                      std::uint64_t incarnation);
 
+/// Number of a process's descriptors that the connections of callers may use.
+std::uint64_t descriptorsForCallers(std::uint64_t limit);
+
 /// Options of an HTTP server. Its connections are limited to half of the file
 /// descriptors of the process, which leaves the rest for files and outgoing
 /// calls.
--- a/src/masticwinch/workflow/control_vm_daemon.hpp
+++ b/src/masticwinch/workflow/control_vm_daemon.hpp
@@ -152,6 +152,7 @@
 
   void registerMetrics() {
     registerDaemonMetrics(Metrics, Mailbox, Events);
+    registerConnectionMetrics(Metrics, Server);
     Metrics.observedGauge(
         {"masticwinch_leader", "1 while this control VM leads the cell."},
         [this] { return leads() ? 1.0 : 0.0; });
--- a/src/masticwinch/workflow/daemon_metrics.cpp
+++ b/src/masticwinch/workflow/daemon_metrics.cpp
@@ -1,6 +1,7 @@
 #include "masticwinch/workflow/daemon_metrics.hpp"
 
 #include "masticwinch/events/event_log.hpp"
+#include "masticwinch/http/http_server.hpp"
 #include "masticwinch/metrics/metric_registry.hpp"
 #include "masticwinch/metrics/process_metrics.hpp"
 #include "masticwinch/peers/mailbox.hpp"
@@ -19,4 +20,27 @@
       [&events] { return double(events.droppedLines()); });
 }
 
+void registerConnectionMetrics(MetricRegistry &registry,
+                               const HttpServer &server) {
+  registry.observedGauge(
+      {"masticwinch_connections_open", "Open connections of callers."},
+      [&server] { return double(server.connections().Open); });
+  registry.observedGauge(
+      {"masticwinch_connections_limit",
+       "Connections at which a new one needs another's place or is refused."},
+      [&server] { return double(server.connections().Limit); });
+  registry.observedCounter(
+      {"masticwinch_connections_admitted_total", "Connections admitted."},
+      [&server] { return double(server.connections().Admitted); });
+  registry.observedCounter(
+      {"masticwinch_connections_refused_total",
+       "Connections refused since all others had a request in progress."},
+      [&server] { return double(server.connections().Refused); });
+  registry.observedCounter(
+      {"masticwinch_connections_closed_total",
+       "Connections without a request in progress that were closed.",
+       {{"reason", "room"}}},
+      [&server] { return double(server.connections().ClosedForRoom); });
+}
+
 } // namespace masticwinch::workflow
--- a/src/masticwinch/workflow/daemon_metrics.hpp
+++ b/src/masticwinch/workflow/daemon_metrics.hpp
@@ -2,6 +2,7 @@
 
 namespace masticwinch {
 class EventLog;
+class HttpServer;
 class MetricRegistry;
 } // namespace masticwinch
 
@@ -17,4 +18,9 @@
                            const peers::Mailbox &mailbox,
                            const EventLog &events);
 
+/// Registers the numbers of connections of the server for callers or operators,
+/// which outlives the registry's use.
+void registerConnectionMetrics(MetricRegistry &registry,
+                               const HttpServer &server);
+
 } // namespace masticwinch::workflow
--- a/src/masticwinch/workflow/entry_vm_daemon.hpp
+++ b/src/masticwinch/workflow/entry_vm_daemon.hpp
@@ -110,6 +110,7 @@
 
   void registerMetrics() {
     registerDaemonMetrics(Metrics, Mailbox, Events);
+    registerConnectionMetrics(Metrics, Server);
     Metrics.observedGauge(
         {"masticwinch_entry_ready", "1 while the health check passes."},
         [this] { return isReady() ? 1.0 : 0.0; });
