Apply the configuration's timeouts to callers' connections

Callers saw: a connection with half a request, or without one, stayed open for 60 s whatever the configuration's limits.header_timeout_ms and idle_timeout_ms said.

Cause: entry VMs get both with the limits of bytes and had no way to apply them; RESTinio's one limit of 60 s for a whole request is fixed at the start.

Now the server checks the connections without a request in progress itself, an eighth of the shortest timeout and one second at most apart: headers that take too long get 408, as does a body that takes longer than 60 s; an idle connection closes. A connection whose bytes are unread is left to the next check. The entry VM passes the timeouts of the newest known configuration to the server, where they apply to open connections too. 0 limits nothing. RESTinio's limit of reading is out of the way, so that a longer timeout is kept as well.

--- a/src/masticwinch/coordination/workflow/entry_terms.cpp
+++ b/src/masticwinch/coordination/workflow/entry_terms.cpp
@@ -72,4 +72,12 @@
   return std::nullopt;
 }
 
+std::optional<CallerTimeouts> EntryTerms::callerTimeouts() const {
+  if (!Limits) {
+    return std::nullopt;
+  }
+  return CallerTimeouts{Milliseconds(Limits->header_timeout_ms()),
+                        Milliseconds(Limits->idle_timeout_ms())};
+}
+
 } // namespace masticwinch::workflow
--- a/src/masticwinch/coordination/workflow/entry_terms.hpp
+++ b/src/masticwinch/coordination/workflow/entry_terms.hpp
@@ -16,6 +16,15 @@
 /// Limit of callers' requests that a request exceeds.
 enum class ExceededLimit : std::uint8_t { HeaderBytes, BodyBytes };
 
+/// How long a caller's connection may take for a request's headers, and be
+/// without a request; 0 limits nothing.
+struct CallerTimeouts {
+  Milliseconds Header{0};
+  Milliseconds Idle{0};
+
+  bool operator==(const CallerTimeouts &) const = default;
+};
+
 /// What an entry VM knows of the configuration: the limits of requests, and the
 /// timeouts of the queues that it has forwarded calls to. It learns both from
 /// the leader's messages; those about an older version than the newest known
@@ -40,6 +49,9 @@
   std::optional<ExceededLimit> exceededLimit(std::size_t headerBytes,
                                              std::size_t bodyBytes) const;
 
+  /// The timeouts of connections; nothing while no limits are known.
+  std::optional<CallerTimeouts> callerTimeouts() const;
+
 private:
   /// Most queues whose timeouts are kept.
   static constexpr std::size_t MaxTimeouts = 1024;
--- a/src/masticwinch/http/http_server.cpp
+++ b/src/masticwinch/http/http_server.cpp
@@ -29,10 +29,11 @@
 /// One request in the handler and one read ahead, so that a closed connection
 /// is detected while the handler processes the first one.
 constexpr std::size_t MaxPipelinedRequests = 2;
-constexpr std::chrono::seconds IdleTimeout{60};
 constexpr std::chrono::seconds WriteTimeout{30};
-/// Effectively unlimited: the handler enforces its own deadlines.
+/// Effectively unlimited: the handler enforces its own deadlines, `Admission`
+/// those of connections without a request in progress.
 constexpr std::chrono::hours HandlingTimeout{24};
+constexpr std::chrono::hours ReadTimeout{24 * 365};
 
 /// Whether RESTinio is calling the handler on this thread. A response that is
 /// sent during that call makes RESTinio start reading the next request twice,
@@ -76,11 +77,12 @@
 
   Implementation(HttpServerOptions options, HttpHandler handler)
       : Options(std::move(options)), Handler(std::move(handler)),
-        Admission(
-            std::make_shared<internal::Admission>(Options.MaxConnections)) {}
+        Admission(std::make_shared<internal::Admission>(Options.MaxConnections,
+                                                        Options.Timeouts)) {}
 
   void open();
   void close();
+  void closeExpiredConnections();
   void handle(const RestinioRequest &request);
   void write(const RestinioRequest &request, HttpResponse response,
              HttpAnswerFault fault);
@@ -98,6 +100,7 @@
   std::shared_mutex LoopMutex;
   std::unique_ptr<EventLoop> Loop;
   std::unique_ptr<RestinioServer> Server;
+  std::unique_ptr<asio::steady_timer> TimeoutTimer;
   std::vector<std::thread> Threads;
 
   internal::ConnectionTable Connections;
@@ -272,7 +275,7 @@
             .max_parallel_connections(Options.MaxConnections +
                                       ConnectionsInPassing)
             .max_pipelined_requests(MaxPipelinedRequests)
-            .read_next_http_message_timelimit(IdleTimeout)
+            .read_next_http_message_timelimit(ReadTimeout)
             .write_http_response_timelimit(WriteTimeout)
             .handle_request_timeout(HandlingTimeout)
             .logger(this)
@@ -289,6 +292,8 @@
             });
       });
   Server->open_sync();
+  TimeoutTimer = std::make_unique<asio::steady_timer>(*Loop);
+  closeExpiredConnections();
   for (std::size_t i = 0; i < std::max<std::size_t>(Options.Threads, 1); ++i) {
     Threads.emplace_back([loop = Loop.get()] {
       const auto work = asio::make_work_guard(*loop);
@@ -297,6 +302,15 @@
   }
 }
 
+void HttpServer::Implementation::closeExpiredConnections() {
+  TimeoutTimer->expires_after(Admission->closeExpired());
+  TimeoutTimer->async_wait([this](const asio::error_code &ec) {
+    if (!ec) {
+      closeExpiredConnections();
+    }
+  });
+}
+
 void HttpServer::Implementation::close() {
   if (!Loop) {
     return;
@@ -316,6 +330,7 @@
 
   const std::unique_lock<std::shared_mutex> lock(LoopMutex);
   Connections.abandonAll();
+  TimeoutTimer.reset();
   // Connections refer to the acceptor, so they are destroyed first.
   Loop->shutdown();
   Server.reset();
@@ -444,6 +459,10 @@
   Impl->CloseAfterAnswers = true;
 }
 
+void HttpServer::setTimeouts(const HttpTimeouts &timeouts) {
+  Impl->Admission->setTimeouts(timeouts);
+}
+
 void HttpServer::stop() { Impl->close(); }
 
 } // namespace masticwinch
--- a/src/masticwinch/http/http_server.hpp
+++ b/src/masticwinch/http/http_server.hpp
@@ -10,6 +10,21 @@
 
 namespace masticwinch {
 
+/// How long a connection may be without a request in progress; 0 limits
+/// nothing. They are checked at intervals of an eighth of the shortest, and of
+/// one second at most.
+struct HttpTimeouts {
+  /// From the first byte of a request to the end of its headers; then 408.
+  Milliseconds Header{60'000};
+  /// From the end of the headers to that of the body; then 408.
+  Milliseconds Body{60'000};
+  /// Without a byte of a request, from the opening or the last response on;
+  /// then the connection closes.
+  Milliseconds Idle{60'000};
+
+  bool operator==(const HttpTimeouts &) const = default;
+};
+
 /// Address, threads and limits of an HTTP server.
 struct HttpServerOptions {
   std::string Address = "127.0.0.1";
@@ -23,6 +38,7 @@
   /// for longest is closed to make room for a new one. If all have a request in
   /// progress, the new one gets 503 and is closed.
   std::size_t MaxConnections = 4096;
+  HttpTimeouts Timeouts = {};
 };
 
 /// Most connections of a server beyond its limit that are open for a moment,
@@ -43,7 +59,11 @@
   /// Connections since the start.
   std::uint64_t Admitted = 0;
   std::uint64_t Refused = 0;
+  /// Closed without a request in progress, by reason.
   std::uint64_t ClosedForRoom = 0;
+  std::uint64_t HeaderTimeouts = 0;
+  std::uint64_t BodyTimeouts = 0;
+  std::uint64_t IdleTimeouts = 0;
 };
 
 /// Fault to inject into a response, for stand-ins in tests.
@@ -106,6 +126,10 @@
   /// callers with a persistent connection reconnect to another server.
   void closeConnectionsAfterAnswers();
 
+  /// Replaces the timeouts, also for open connections; safe to call from any
+  /// thread.
+  void setTimeouts(const HttpTimeouts &timeouts);
+
   /// Stops accepting, waits up to `StopWriteTimeout` for pending responses to
   /// be written, closes all connections and joins the threads. Must not be
   /// called from the handler. Exchanges that outlive the server ignore their
--- a/src/masticwinch/http/internal/admission.cpp
+++ b/src/masticwinch/http/internal/admission.cpp
@@ -2,9 +2,19 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace masticwinch::internal {
 
+namespace {
+
+constexpr Milliseconds MinCheckInterval{20};
+constexpr Milliseconds MaxCheckInterval{1000};
+/// Checks during the shortest timeout.
+constexpr int ChecksPerTimeout = 8;
+
+} // namespace
+
 Admission::ConnectionPointer Admission::find(std::uint64_t connection) const {
   const auto it = Connections.find(connection);
   return it == Connections.end() ? nullptr : it->second.lock();
@@ -78,9 +88,53 @@
 void Admission::closed(std::uint64_t connection) {
   const std::lock_guard<std::mutex> lock(Mutex);
   Connections.erase(connection);
-  if (Book.close(connection) == CloseReason::Room) {
-    ++Counts.ClosedForRoom;
+  if (const std::optional<CloseReason> reason = Book.close(connection)) {
+    switch (*reason) {
+    case CloseReason::Room:
+      ++Counts.ClosedForRoom;
+      break;
+    case CloseReason::HeaderTimeout:
+      ++Counts.HeaderTimeouts;
+      break;
+    case CloseReason::BodyTimeout:
+      ++Counts.BodyTimeouts;
+      break;
+    case CloseReason::IdleTimeout:
+      ++Counts.IdleTimeouts;
+      break;
+    }
+  }
+}
+
+void Admission::setTimeouts(const HttpTimeouts &timeouts) {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  Timeouts = timeouts;
+}
+
+Milliseconds Admission::closeExpired() {
+  std::vector<std::pair<ConnectionPointer, CloseReason>> closing;
+  Milliseconds interval = MaxCheckInterval;
+  {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    for (const auto &[id, reason] : Book.expired(Timeouts, Time.now())) {
+      // Unread bytes change what the connection waits for.
+      const ConnectionPointer connection = find(id);
+      if (connection && !connection->hasUnreadBytes()) {
+        Book.beginClose(id, reason);
+        closing.emplace_back(connection, reason);
+      }
+    }
+    for (const Milliseconds it :
+         {Timeouts.Header, Timeouts.Body, Timeouts.Idle}) {
+      if (it > Milliseconds::zero()) {
+        interval = std::min(interval, it / ChecksPerTimeout);
+      }
+    }
+  }
+  for (const auto &[connection, reason] : closing) {
+    connection->requestClose(reason);
   }
+  return std::max(interval, MinCheckInterval);
 }
 
 bool Admission::isToBeClosed(std::uint64_t connection) const {
--- a/src/masticwinch/http/internal/admission.hpp
+++ b/src/masticwinch/http/internal/admission.hpp
@@ -28,10 +28,14 @@
 
 /// Bounds the connections of a server. At the limit, the connection that has
 /// waited longest without a request in progress makes room for a new one; if
-/// all have one in progress, the new connection is refused. Thread-safe.
+/// all have one in progress, the new connection is refused. Closes connections
+/// that wait longer than the timeouts. Thread-safe.
 class Admission {
 public:
-  explicit Admission(std::size_t limit) { Counts.Limit = limit; }
+  Admission(std::size_t limit, const HttpTimeouts &timeouts)
+      : Timeouts(timeouts) {
+    Counts.Limit = limit;
+  }
 
   /// Decides on a new connection; returns whether it is admitted.
   bool opened(std::uint64_t connection);
@@ -46,6 +50,12 @@
 
   bool isToBeClosed(std::uint64_t connection) const;
 
+  void setTimeouts(const HttpTimeouts &timeouts);
+
+  /// Closes the connections that exceed a timeout; returns the time after which
+  /// this is to be called again.
+  Milliseconds closeExpired();
+
   HttpConnectionCounts counts() const;
 
 private:
@@ -56,6 +66,7 @@
 
   mutable std::mutex Mutex;
   OperatingSystemClock Time;
+  HttpTimeouts Timeouts;
   ConnectionBook Book;
   std::map<std::uint64_t, std::weak_ptr<AdmittedConnection>> Connections;
   HttpConnectionCounts Counts;
--- a/src/masticwinch/http/internal/connection_book.cpp
+++ b/src/masticwinch/http/internal/connection_book.cpp
@@ -16,6 +16,7 @@
   const auto [it, isNew] = Entries.try_emplace(connection);
   if (isNew) {
     it->second.WaitingSince = now;
+    it->second.PartSince = now;
     list(connection, it->second);
   }
 }
@@ -33,24 +34,30 @@
 }
 
 bool ConnectionBook::received(Id connection, std::uint64_t wholeRequests,
-                              RequestPart part, SteadyTime) {
+                              RequestPart part, SteadyTime now) {
   const auto it = Entries.find(connection);
   if (it == Entries.end()) {
     return false;
   }
   Entry &entry = it->second;
+  const bool partChanged = entry.Part != part;
   entry.Part = part;
   entry.WholeRequests = wholeRequests;
-  if (entry.isWaiting()) {
-    return false;
+  if (partChanged) {
+    entry.PartSince = now;
   }
-  unlist(connection, entry);
-  if (!entry.Closing) {
-    return false;
+  if (!entry.isWaiting()) {
+    unlist(connection, entry);
+  }
+  const bool stays =
+      entry.Closing && (!entry.isWaiting() ||
+                        (partChanged && entry.Closing != CloseReason::Room));
+  if (stays) {
+    entry.Closing.reset();
+    --ToBeClosed;
+    list(connection, entry);
   }
-  entry.Closing.reset();
-  --ToBeClosed;
-  return true;
+  return stays;
 }
 
 void ConnectionBook::answered(Id connection, SteadyTime now) {
@@ -61,6 +68,7 @@
   ++it->second.AnsweredRequests;
   if (it->second.isWaiting()) {
     it->second.WaitingSince = now;
+    it->second.PartSince = now;
     list(connection, it->second);
   }
 }
@@ -75,6 +83,32 @@
   return std::nullopt;
 }
 
+std::vector<std::pair<ConnectionBook::Id, CloseReason>>
+ConnectionBook::expired(const HttpTimeouts &timeouts, SteadyTime now) const {
+  std::vector<std::pair<Id, CloseReason>> expired;
+  const auto check = [&](const Entry &entry, Id connection, Milliseconds limit,
+                         CloseReason reason) {
+    if (limit > Milliseconds::zero() && now - entry.PartSince > limit) {
+      expired.emplace_back(connection, reason);
+    }
+  };
+  for (const auto &[since, connection] : Waiting) {
+    const Entry &entry = Entries.at(connection);
+    switch (entry.Part) {
+    case RequestPart::None:
+      check(entry, connection, timeouts.Idle, CloseReason::IdleTimeout);
+      break;
+    case RequestPart::Head:
+      check(entry, connection, timeouts.Header, CloseReason::HeaderTimeout);
+      break;
+    case RequestPart::Body:
+      check(entry, connection, timeouts.Body, CloseReason::BodyTimeout);
+      break;
+    }
+  }
+  return expired;
+}
+
 void ConnectionBook::beginClose(Id connection, CloseReason reason) {
   const auto it = Entries.find(connection);
   if (it == Entries.end() || it->second.Closing) {
--- a/src/masticwinch/http/internal/connection_book.hpp
+++ b/src/masticwinch/http/internal/connection_book.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "masticwinch/common/clock.hpp"
+#include "masticwinch/http/http_server.hpp"
 #include "masticwinch/http/internal/request_progress.hpp"
 
 #include <cstddef>
@@ -10,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace masticwinch::internal {
 
@@ -17,6 +19,9 @@
 enum class CloseReason : std::uint8_t {
   /// Another caller needs the connection's place.
   Room,
+  HeaderTimeout,
+  BodyTimeout,
+  IdleTimeout,
 };
 
 /// What the connections of a server are doing, and which one is closed next. A
@@ -34,8 +39,8 @@
 
   /// Records what has arrived on a connection: the number of whole requests
   /// since it opened, and the part of a request after them. A connection that
-  /// was to be closed stays if it has a request in progress now; returns
-  /// whether that happened.
+  /// was to be closed stays if it has a request in progress now, or if its
+  /// timeout no longer applies; returns whether that happened.
   bool received(Id connection, std::uint64_t wholeRequests, RequestPart part,
                 SteadyTime now);
 
@@ -47,6 +52,10 @@
   std::optional<Id>
   longestWaiting(const std::function<bool(Id)> &condition) const;
 
+  /// The connections that exceed a timeout, with the reason to close them.
+  std::vector<std::pair<Id, CloseReason>> expired(const HttpTimeouts &timeouts,
+                                                  SteadyTime now) const;
+
   /// Marks a connection as one to be closed; it counts as closed from now on.
   void beginClose(Id connection, CloseReason reason);
 
@@ -61,6 +70,8 @@
     std::uint64_t AnsweredRequests = 0;
     RequestPart Part = RequestPart::None;
     SteadyTime WaitingSince;
+    /// Since when the connection waits in the current part.
+    SteadyTime PartSince;
     std::optional<CloseReason> Closing = std::nullopt;
 
     bool isWaiting() const { return AnsweredRequests >= WholeRequests; }
--- a/src/masticwinch/http/internal/refusing_socket.cpp
+++ b/src/masticwinch/http/internal/refusing_socket.cpp
@@ -39,6 +39,12 @@
   return serializeFinalResponse(response);
 }
 
+std::string timeoutResponse() {
+  return serializeFinalResponse(
+      errorResponse(408, "request_timeout",
+                    "the request didn't arrive whole within the time allowed"));
+}
+
 /// Reads and discards data until the peer closes, the timeout expires or
 /// `MaxDiscardedBytes` were read.
 class LingeringSocket : public std::enable_shared_from_this<LingeringSocket> {
@@ -165,10 +171,10 @@
   }
 }
 
-void RefusingSocket::endReading(CloseReason) {
+void RefusingSocket::endReading(CloseReason reason) {
   Closes = true;
   if (Progress.part() != RequestPart::None) {
-    FinalResponse = refusal();
+    FinalResponse = reason == CloseReason::Room ? refusal() : timeoutResponse();
   }
   asio::error_code ec;
   cancel(ec);
--- a/src/masticwinch/http/internal/response_rules.cpp
+++ b/src/masticwinch/http/internal/response_rules.cpp
@@ -39,6 +39,8 @@
     return "Not Found";
   case 405:
     return "Method Not Allowed";
+  case 408:
+    return "Request Timeout";
   case 409:
     return "Conflict";
   case 410:
--- a/src/masticwinch/workflow/daemon_metrics.cpp
+++ b/src/masticwinch/workflow/daemon_metrics.cpp
@@ -36,11 +36,18 @@
       {"masticwinch_connections_refused_total",
        "Connections refused since all others had a request in progress."},
       [&server] { return double(server.connections().Refused); });
-  registry.observedCounter(
-      {"masticwinch_connections_closed_total",
-       "Connections without a request in progress that were closed.",
-       {{"reason", "room"}}},
-      [&server] { return double(server.connections().ClosedForRoom); });
+  const auto closed = [&](const std::string &reason,
+                          std::uint64_t HttpConnectionCounts::*count) {
+    registry.observedCounter(
+        {"masticwinch_connections_closed_total",
+         "Connections without a request in progress that were closed.",
+         {{"reason", reason}}},
+        [&server, count] { return double(server.connections().*count); });
+  };
+  closed("room", &HttpConnectionCounts::ClosedForRoom);
+  closed("header_timeout", &HttpConnectionCounts::HeaderTimeouts);
+  closed("body_timeout", &HttpConnectionCounts::BodyTimeouts);
+  closed("idle_timeout", &HttpConnectionCounts::IdleTimeouts);
 }
 
 } // namespace masticwinch::workflow
--- a/src/masticwinch/workflow/entry_vm_daemon.hpp
+++ b/src/masticwinch/workflow/entry_vm_daemon.hpp
@@ -24,6 +24,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <cstdlib>
+#include <optional>
 
 namespace masticwinch::workflow {
 
@@ -131,10 +132,25 @@
   void receive(const protocol::Envelope &envelope) {
     CurrentActivity.begin("message", envelope.sender());
     Gateway.receive(envelope);
+    applyTimeouts();
     Agent.receive(envelope);
     Relay.receive(envelope);
   }
 
+  /// Applies the timeouts of the newest known configuration to the callers'
+  /// connections; those applied last stay while it isn't known.
+  void applyTimeouts() {
+    const std::optional<CallerTimeouts> timeouts =
+        Gateway.terms().callerTimeouts();
+    if (timeouts && timeouts != AppliedTimeouts) {
+      AppliedTimeouts = timeouts;
+      HttpTimeouts applied;
+      applied.Header = timeouts->Header;
+      applied.Idle = timeouts->Idle;
+      Server.setTimeouts(applied);
+    }
+  }
+
   void stop() {
     Events.writeNamed("entry_stopping", {{"open", OpenRequests}});
     Stopping = true;
@@ -180,6 +196,7 @@
   OrderRelay<RunnerClient> Relay;
   typename Platform::template CallersApi<EntryVmDaemon> Api;
   HttpServer Server;
+  std::optional<CallerTimeouts> AppliedTimeouts;
   HttpServer ReadinessServer;
   MetricsEndpoint MetricsServer;
   asio::steady_timer StopTimer;
--- a/tests/coordination/workflow/test_entry_terms.cpp
+++ b/tests/coordination/workflow/test_entry_terms.cpp
@@ -76,3 +76,21 @@
   terms.learn(welcomeOf(4, 0));
   CHECK_FALSE(terms.exceededLimit(0, 1'000'000));
 }
+
+TEST_CASE("The timeouts of connections are those of the configuration",
+          "[workflow]") {
+  EntryTerms terms;
+  CHECK_FALSE(terms.callerTimeouts());
+  protocol::AgentWelcome welcome;
+  welcome.set_leads(true);
+  welcome.set_config_version(3);
+  welcome.mutable_limits()->set_header_timeout_ms(2000);
+  terms.learn(welcome);
+  CHECK(terms.callerTimeouts() ==
+        CallerTimeouts{Milliseconds(2000), Milliseconds(0)});
+  welcome.set_config_version(4);
+  welcome.mutable_limits()->set_idle_timeout_ms(5000);
+  terms.learn(welcome);
+  CHECK(terms.callerTimeouts() ==
+        CallerTimeouts{Milliseconds(2000), Milliseconds(5000)});
+}
--- a/tests/http/raw_caller.hpp
+++ b/tests/http/raw_caller.hpp
@@ -13,6 +13,17 @@
 
 namespace masticwinch::testing {
 
+/// Whether the condition holds within a bounded time. The server takes note of
+/// a closed connection after the caller sees it.
+template <class Condition> bool eventually(Condition condition) {
+  constexpr int Checks = 300;
+  constexpr std::chrono::milliseconds Interval{10};
+  for (int i = 0; i < Checks && !condition(); ++i) {
+    std::this_thread::sleep_for(Interval);
+  }
+  return condition();
+}
+
 /// A caller that sends bytes as they are and waits for bytes for a bounded
 /// time.
 class RawCaller {
--- a/tests/http/test_connection_room.cpp
+++ b/tests/http/test_connection_room.cpp
@@ -9,6 +9,7 @@
 #include <mutex>
 
 using namespace masticwinch;
+using testing::eventually;
 using testing::RawCaller;
 
 namespace {
@@ -85,7 +86,8 @@
   }
   CHECK(server.Server.connections().Peak <= Limit);
   CHECK(server.Server.connections().Refused == 0);
-  CHECK(server.Server.connections().ClosedForRoom >= 3);
+  CHECK(eventually(
+      [&] { return server.Server.connections().ClosedForRoom >= 3; }));
 }
 
 TEST_CASE("The connection that waits longest makes room", "[http][server]") {
--- a/tests/workflow/test_connection_metrics.cpp
+++ b/tests/workflow/test_connection_metrics.cpp
@@ -7,6 +7,7 @@
 #include "tests/http/raw_caller.hpp"
 
 using namespace masticwinch;
+using testing::eventually;
 using testing::RawCaller;
 
 TEST_CASE("The metrics tell refused connections from those that made room",
@@ -32,5 +33,5 @@
   CHECK(shows("limit 1"));
   CHECK(shows("admitted_total 2"));
   CHECK(shows("refused_total 1"));
-  CHECK(shows("closed_total{reason=\"room\"} 1"));
+  CHECK(eventually([&] { return shows("closed_total{reason=\"room\"} 1"); }));
 }
