Answer callers that end their sending half after a request

Callers saw: a client that shut its sending half down right after a whole request got a closed connection and no answer, although its change may have been stored.

Cause: RESTinio takes the end of the bytes for the end of the connection and closes it, whatever is in progress.

Now the socket holds that end back while the connection has a request in progress, and waits for a reset instead. When the last response is written, RESTinio gets the end and closes. A reset is reported at once as before. The wait owns RESTinio's handler, so that a stopping server drops it with its event loop.

--- a/src/masticwinch/http/http_server.hpp
+++ b/src/masticwinch/http/http_server.hpp
@@ -87,7 +87,9 @@
 
   /// Registers a function that is called once, on a thread of the server, if
   /// the caller's connection closes before `respond`. If it has already closed,
-  /// the function is called immediately.
+  /// the function is called immediately. A caller that ends its sending half,
+  /// which is all that TCP shows of one that closes its connection, counts as
+  /// there until the connection is reset.
   virtual void onCallerGone(std::function<void()> function) = 0;
 };
 
--- a/src/masticwinch/http/internal/admission.cpp
+++ b/src/masticwinch/http/internal/admission.cpp
@@ -81,8 +81,21 @@
 }
 
 void Admission::answered(std::uint64_t connection) {
+  ConnectionPointer ended;
+  {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    if (Book.answered(connection, Time.now())) {
+      ended = find(connection);
+    }
+  }
+  if (ended) {
+    ended->requestEnd();
+  }
+}
+
+bool Admission::holdEnd(std::uint64_t connection) {
   const std::lock_guard<std::mutex> lock(Mutex);
-  Book.answered(connection, Time.now());
+  return Book.holdEnd(connection);
 }
 
 void Admission::closed(std::uint64_t connection) {
--- a/src/masticwinch/http/internal/admission.hpp
+++ b/src/masticwinch/http/internal/admission.hpp
@@ -24,6 +24,10 @@
   /// Makes the connection close later, on its own thread, if
   /// `Admission::isToBeClosed` still holds then.
   virtual void requestClose(CloseReason reason) = 0;
+
+  /// Makes the connection close later, on its own thread, since its caller's
+  /// bytes have ended and all requests are answered.
+  virtual void requestEnd() = 0;
 };
 
 /// Bounds the connections of a server. At the limit, the connection that has
@@ -46,6 +50,10 @@
   /// Records what has arrived on a connection, see `ConnectionBook`.
   void received(std::uint64_t connection, const RequestProgress &progress);
   void answered(std::uint64_t connection);
+
+  /// Whether the end of the caller's bytes is to be held; `requestEnd` follows
+  /// then.
+  bool holdEnd(std::uint64_t connection);
   void closed(std::uint64_t connection);
 
   bool isToBeClosed(std::uint64_t connection) const;
--- a/src/masticwinch/http/internal/connection_book.cpp
+++ b/src/masticwinch/http/internal/connection_book.cpp
@@ -60,17 +60,28 @@
   return stays;
 }
 
-void ConnectionBook::answered(Id connection, SteadyTime now) {
+bool ConnectionBook::answered(Id connection, SteadyTime now) {
   const auto it = Entries.find(connection);
   if (it == Entries.end() || it->second.isWaiting()) {
-    return;
+    return false;
   }
   ++it->second.AnsweredRequests;
-  if (it->second.isWaiting()) {
-    it->second.WaitingSince = now;
-    it->second.PartSince = now;
-    list(connection, it->second);
+  if (!it->second.isWaiting()) {
+    return false;
+  }
+  it->second.WaitingSince = now;
+  it->second.PartSince = now;
+  list(connection, it->second);
+  return it->second.HoldsEnd;
+}
+
+bool ConnectionBook::holdEnd(Id connection) {
+  const auto it = Entries.find(connection);
+  if (it == Entries.end() || it->second.isWaiting()) {
+    return false;
   }
+  it->second.HoldsEnd = true;
+  return true;
 }
 
 std::optional<ConnectionBook::Id>
--- a/src/masticwinch/http/internal/connection_book.hpp
+++ b/src/masticwinch/http/internal/connection_book.hpp
@@ -44,8 +44,14 @@
   bool received(Id connection, std::uint64_t wholeRequests, RequestPart part,
                 SteadyTime now);
 
-  /// Records that the response to a request was written or given up.
-  void answered(Id connection, SteadyTime now);
+  /// Records that the response to a request was written or given up. Returns
+  /// whether the end of the caller's bytes was held and no request is in
+  /// progress any longer.
+  bool answered(Id connection, SteadyTime now);
+
+  /// Records that the caller's bytes have ended. Returns whether the connection
+  /// has a request in progress, so that this end is held until it has none.
+  bool holdEnd(Id connection);
 
   /// The connection that has waited longest, of those that satisfy the
   /// condition and are not to be closed yet.
@@ -69,6 +75,7 @@
     std::uint64_t WholeRequests = 0;
     std::uint64_t AnsweredRequests = 0;
     RequestPart Part = RequestPart::None;
+    bool HoldsEnd = false;
     SteadyTime WaitingSince;
     /// Since when the connection waits in the current part.
     SteadyTime PartSince;
--- a/src/masticwinch/http/internal/refusing_socket.cpp
+++ b/src/masticwinch/http/internal/refusing_socket.cpp
@@ -127,6 +127,15 @@
     });
   }
 
+  void requestEnd() override {
+    asio::post(Executor, [self = shared_from_this()] {
+      const std::lock_guard<std::mutex> lock(self->Mutex);
+      if (self->Socket != nullptr) {
+        self->Socket->endHeld();
+      }
+    });
+  }
+
   void leave() {
     const std::lock_guard<std::mutex> lock(Mutex);
     Socket = nullptr;
@@ -191,6 +200,30 @@
   return ec;
 }
 
+bool RefusingSocket::holdsEnd() const {
+  return Link && !Closes &&
+         Link->Reader.Server->holdEnd(Link->Reader.Connection);
+}
+
+void RefusingSocket::endHeld() {
+  Ends = true;
+  asio::error_code ec;
+  cancel(ec);
+}
+
+/// Result of the read whose end of the bytes was held. RESTinio cancels it
+/// itself before it writes the last response of a connection.
+asio::error_code
+RefusingSocket::resultOfHeldEnd(const asio::error_code &ec) const {
+  if (!is_open()) {
+    return asio::error::operation_aborted;
+  }
+  if (ec == asio::error::operation_aborted) {
+    return Ends ? asio::error_code(asio::error::eof) : ec;
+  }
+  return asio::error::connection_reset;
+}
+
 void RefusingSocket::shutdown(shutdown_type what, asio::error_code &ec) {
   std::string response = std::exchange(NextResponse, {});
   if (!FinalResponse.empty()) {
--- a/src/masticwinch/http/internal/refusing_socket.hpp
+++ b/src/masticwinch/http/internal/refusing_socket.hpp
@@ -27,8 +27,10 @@
 /// lose the response. To a client that waits for it before it sends the body of
 /// its request, it sends `100 Continue`. It reports to `Admission` what
 /// arrives, and makes RESTinio close the connection, by a failed read, if
-/// `Admission` refuses or closes it. The functions hide those of Asio's socket
-/// and have the same signatures.
+/// `Admission` refuses or closes it. The end of the caller's bytes is held
+/// while a request is in progress: RESTinio takes it for the end of the
+/// connection, but the caller may only have ended its sending half. The
+/// functions hide those of Asio's socket and have the same signatures.
 class RefusingSocket : public asio::ip::tcp::socket {
 public:
   explicit RefusingSocket(asio::io_context &loop)
@@ -68,7 +70,7 @@
       return;
     }
     asio::ip::tcp::socket::async_read_some(
-        buffer, asio::bind_executor(executor, [this, buffer,
+        buffer, asio::bind_executor(executor, [this, buffer, executor,
                                                handler = std::move(handler)](
                                                   const asio::error_code &ec,
                                                   std::size_t bytes) mutable {
@@ -77,6 +79,10 @@
                 {static_cast<const char *>(asio::mutable_buffer(buffer).data()),
                  bytes});
           }
+          if (ec == asio::error::eof && holdsEnd()) {
+            awaitReset(executor, std::move(handler));
+            return;
+          }
           handler(resultOfRead(ec), bytes);
         }));
   }
@@ -100,11 +106,26 @@
 private:
   class AdmissionLink;
 
+  /// Waits until the connection is reset or `endHeld` is called. The operation
+  /// keeps the handler, so that it is dropped with the event loop.
+  template <class Executor, class Handler>
+  void awaitReset(const Executor &executor, Handler handler) {
+    async_wait(
+        wait_error,
+        asio::bind_executor(executor, [this, handler = std::move(handler)](
+                                          const asio::error_code &ec) mutable {
+          handler(resultOfHeldEnd(ec), 0);
+        }));
+  }
+
   void join(const asio::any_io_executor &executor);
   void leave();
   void received(std::string_view bytes);
   asio::error_code resultOfRead(const asio::error_code &ec) const;
   void endReading(CloseReason reason);
+  bool holdsEnd() const;
+  void endHeld();
+  asio::error_code resultOfHeldEnd(const asio::error_code &ec) const;
 
   ExpectationWatch Expectation;
   RequestProgress Progress;
@@ -113,6 +134,8 @@
   std::string FinalResponse;
   /// Whether the connection was refused or is to be closed.
   bool Closes = false;
+  /// Whether all requests before the held end of the bytes are answered.
+  bool Ends = false;
   /// Whether a part of a response is being written.
   bool Writes = false;
   bool Lingers = false;
--- a/tests/http/test_connection_book.cpp
+++ b/tests/http/test_connection_book.cpp
@@ -109,3 +109,15 @@
   book.beginClose(1, CloseReason::Room);
   CHECK_FALSE(book.received(1, 0, RequestPart::None, at(4)));
 }
+
+TEST_CASE("The end of a caller's bytes is held until all is answered",
+          "[http]") {
+  ConnectionBook book;
+  book.open(1, at(0));
+  CHECK_FALSE(book.holdEnd(1));
+  book.received(1, 2, RequestPart::None, at(1));
+  CHECK(book.holdEnd(1));
+  CHECK_FALSE(book.answered(1, at(2)));
+  CHECK(book.answered(1, at(3)));
+  CHECK_FALSE(book.answered(1, at(4)));
+}
