--- a/src/masticwinch/http/http_server.cpp
+++ b/src/masticwinch/http/http_server.cpp
@@ -1,5 +1,6 @@
 #include "masticwinch/http/http_server.hpp"
 
+#include "masticwinch/http/internal/admission.hpp"
 #include "masticwinch/http/internal/connection_table.hpp"
 #include "masticwinch/http/internal/refusing_socket.hpp"
 #include "masticwinch/http/internal/request_target.hpp"
@@ -28,10 +29,11 @@
 /// One request in the handler and one read ahead, so that a closed connection
 /// is detected while the handler processes the first one.
 constexpr std::size_t MaxPipelinedRequests = 2;
-constexpr std::chrono::seconds IdleTimeout{60};
 constexpr std::chrono::seconds WriteTimeout{30};
-/// Effectively unlimited: the handler enforces its own deadlines.
+/// Effectively unlimited: the handler enforces its own deadlines, `Admission`
+/// those of connections without a request in progress.
 constexpr std::chrono::hours HandlingTimeout{24};
+constexpr std::chrono::hours ReadTimeout{24 * 365};
 
 /// Whether RESTinio is calling the handler on this thread. A response that is
 /// sent during that call makes RESTinio start reading the next request twice,
@@ -74,13 +76,17 @@
   using RestinioServer = restinio::http_server_t<Traits>;
 
   Implementation(HttpServerOptions options, HttpHandler handler)
-      : Options(std::move(options)), Handler(std::move(handler)) {}
+      : Options(std::move(options)), Handler(std::move(handler)),
+        Admission(std::make_shared<internal::Admission>(Options.MaxConnections,
+                                                        Options.Timeouts)) {}
 
   void open();
   void close();
+  void closeExpiredConnections();
   void handle(const RestinioRequest &request);
   void write(const RestinioRequest &request, HttpResponse response,
              HttpAnswerFault fault);
+  std::shared_ptr<void> trackWrite(std::uint64_t connection);
   std::optional<HttpResponse>
   findRequestError(const RestinioRequest &request) const;
 
@@ -94,9 +100,12 @@
   std::shared_mutex LoopMutex;
   std::unique_ptr<EventLoop> Loop;
   std::unique_ptr<RestinioServer> Server;
+  std::unique_ptr<asio::steady_timer> TimeoutTimer;
   std::vector<std::thread> Threads;
 
   internal::ConnectionTable Connections;
+  /// Shared with the connections' sockets.
+  const std::shared_ptr<internal::Admission> Admission;
 };
 
 /// The exchange that is passed to the handler.
@@ -142,8 +151,12 @@
   void state_changed(const restinio::connection_state::notice_t &notice) {
     using namespace restinio::connection_state;
     if (std::holds_alternative<accepted_t>(notice.cause())) {
-      Server->Connections.opened();
+      const std::uint64_t connection = notice.connection_id();
+      const bool admitted = Server->Admission->opened(connection);
+      internal::RefusingSocket::connectNextReader(Server->Admission, connection,
+                                                  admitted);
     } else if (std::holds_alternative<closed_t>(notice.cause())) {
+      Server->Admission->closed(notice.connection_id());
       Server->Connections.closed(notice.connection_id());
     }
   }
@@ -259,9 +272,10 @@
                           ? asio::ip::tcp::v6()
                           : asio::ip::tcp::v4())
             .incoming_http_msg_limits(limits)
-            .max_parallel_connections(Options.MaxConnections)
+            .max_parallel_connections(Options.MaxConnections +
+                                      ConnectionsInPassing)
             .max_pipelined_requests(MaxPipelinedRequests)
-            .read_next_http_message_timelimit(IdleTimeout)
+            .read_next_http_message_timelimit(ReadTimeout)
             .write_http_response_timelimit(WriteTimeout)
             .handle_request_timeout(HandlingTimeout)
             .logger(this)
@@ -278,6 +292,8 @@
             });
       });
   Server->open_sync();
+  TimeoutTimer = std::make_unique<asio::steady_timer>(*Loop);
+  closeExpiredConnections();
   for (std::size_t i = 0; i < std::max<std::size_t>(Options.Threads, 1); ++i) {
     Threads.emplace_back([loop = Loop.get()] {
       const auto work = asio::make_work_guard(*loop);
@@ -286,6 +302,15 @@
   }
 }
 
+void HttpServer::Implementation::closeExpiredConnections() {
+  TimeoutTimer->expires_after(Admission->closeExpired());
+  TimeoutTimer->async_wait([this](const asio::error_code &ec) {
+    if (!ec) {
+      closeExpiredConnections();
+    }
+  });
+}
+
 void HttpServer::Implementation::close() {
   if (!Loop) {
     return;
@@ -305,6 +330,7 @@
 
   const std::unique_lock<std::shared_mutex> lock(LoopMutex);
   Connections.abandonAll();
+  TimeoutTimer.reset();
   // Connections refer to the acceptor, so they are destroyed first.
   Loop->shutdown();
   Server.reset();
@@ -355,6 +381,19 @@
   Handler(exchange);
 }
 
+/// Counts a response as being written, and its request as in progress, until
+/// the returned token is destroyed.
+std::shared_ptr<void>
+HttpServer::Implementation::trackWrite(std::uint64_t connection) {
+  std::shared_ptr<void> pending = Connections.trackWrite(connection);
+  return std::shared_ptr<void>(this, [pending = std::move(pending),
+                                      admission = Admission,
+                                      connection](void *) mutable {
+    admission->answered(connection);
+    pending.reset();
+  });
+}
+
 void HttpServer::Implementation::write(const RestinioRequest &request,
                                        HttpResponse response,
                                        HttpAnswerFault fault) {
@@ -381,11 +420,10 @@
   if (!response.Body.empty()) {
     output.set_body(std::move(response.Body));
   }
-  auto finish =
-      [output = std::move(output),
-       pending = Connections.trackWrite(request->connection_id())]() mutable {
-        output.done([pending = std::move(pending)](const auto &) {});
-      };
+  auto finish = [output = std::move(output),
+                 pending = trackWrite(request->connection_id())]() mutable {
+    output.done([pending = std::move(pending)](const auto &) {});
+  };
   if (InsideHandler) {
     asio::post(*Loop, std::move(finish));
   } else {
@@ -414,13 +452,17 @@
 std::uint16_t HttpServer::port() const { return Impl->BoundPort; }
 
 HttpConnectionCounts HttpServer::connections() const {
-  return Impl->Connections.counts();
+  return Impl->Admission->counts();
 }
 
 void HttpServer::closeConnectionsAfterAnswers(bool close) {
   Impl->CloseAfterAnswers = close;
 }
 
+void HttpServer::setTimeouts(const HttpTimeouts &timeouts) {
+  Impl->Admission->setTimeouts(timeouts);
+}
+
 void HttpServer::stop() { Impl->close(); }
 
 } // namespace masticwinch
--- a/src/masticwinch/http/http_server.hpp
+++ b/src/masticwinch/http/http_server.hpp
@@ -10,6 +10,21 @@
 
 namespace masticwinch {
 
+/// How long a connection may be without a request in progress; 0 limits
+/// nothing. They are checked at intervals of an eighth of the shortest, and of
+/// one second at most.
+struct HttpTimeouts {
+  /// From the first byte of a request to the end of its headers; then 408.
+  Milliseconds Header{60'000};
+  /// From the end of the headers to that of the body; then 408.
+  Milliseconds Body{60'000};
+  /// Without a byte of a request, from the opening or the last response on;
+  /// then the connection closes.
+  Milliseconds Idle{60'000};
+
+  bool operator==(const HttpTimeouts &) const = default;
+};
+
 /// Address, threads and limits of an HTTP server.
 struct HttpServerOptions {
   std::string Address = "127.0.0.1";
@@ -19,14 +34,36 @@
   std::size_t Threads = 1;
   std::size_t MaxHeaderBytes = 16 * 1024;
   std::size_t MaxBodyBytes = 1024 * 1024;
-  /// Further connections are not accepted until others close.
+  /// At this limit, the connection that has been without a request in progress
+  /// for longest is closed to make room for a new one. If all have a request in
+  /// progress, the new one gets 503 and is closed.
   std::size_t MaxConnections = 4096;
+  HttpTimeouts Timeouts = {};
 };
 
-/// Number of open connections, now and at the peak.
+/// Most connections of a server beyond its limit that are open for a moment,
+/// until those that are refused or make room are closed.
+inline constexpr std::size_t ConnectionsInPassing = 32;
+
+/// Most closed connections of a process that are kept for a second, until the
+/// caller has got the response or closes too; further ones are closed at once.
+inline constexpr std::size_t MaxLingeringConnections = 32;
+
+/// Numbers of a server's connections.
 struct HttpConnectionCounts {
+  /// Open connections, now and at the peak, without those that are being
+  /// refused or closed for room.
   std::size_t Open = 0;
   std::size_t Peak = 0;
+  std::size_t Limit = 0;
+  /// Connections since the start.
+  std::uint64_t Admitted = 0;
+  std::uint64_t Refused = 0;
+  /// Closed without a request in progress, by reason.
+  std::uint64_t ClosedForRoom = 0;
+  std::uint64_t HeaderTimeouts = 0;
+  std::uint64_t BodyTimeouts = 0;
+  std::uint64_t IdleTimeouts = 0;
 };
 
 /// Fault to inject into a response, for stand-ins in tests.
@@ -50,7 +87,9 @@
 
   /// Registers a function that is called once, on a thread of the server, if
   /// the caller's connection closes before `respond`. If it has already closed,
-  /// the function is called immediately.
+  /// the function is called immediately. A caller that ends its sending half,
+  /// which is all that TCP shows of one that closes its connection, counts as
+  /// there until the connection is reset.
   virtual void onCallerGone(std::function<void()> function) = 0;
 };
 
@@ -90,6 +129,10 @@
   /// `close` is false, keeps connections open again. Thread-safe.
   void closeConnectionsAfterAnswers(bool close = true);
 
+  /// Replaces the timeouts, also for open connections; safe to call from any
+  /// thread.
+  void setTimeouts(const HttpTimeouts &timeouts);
+
   /// Stops accepting, waits up to `StopWriteTimeout` for pending responses to
   /// be written, closes all connections and joins the threads. Must not be
   /// called from the handler. Exchanges that outlive the server ignore their
