Try requests with a short deadline, and name the reason of a refusal

Callers saw: a request with X-Deadline-Ms: 200 was always answered 503 "no leader; nothing was run", although a leader was there.

Cause: the entry VM took 150 ms off every deadline and refused what had less than 60 ms left, with the response of a missing leader. A call also ended only at the next tick of 50 ms, after a short deadline.

--- a/src/masticwinch/workflow/entry_gateway.cpp
+++ b/src/masticwinch/workflow/entry_gateway.cpp
@@ -79,16 +79,23 @@
 
 void EntryGateway::call(protocol::WorkflowCall call, Milliseconds timeout,
                         CallDone done) {
+  if (timeout < Options.MinWait) {
+    done(CallOutcome::TooLittleTime, {});
+    return;
+  }
   const std::uint64_t number = NextCall++;
   call.set_call(number);
   const Milliseconds queueTimeout =
       Terms.timeout(call.host(), call.path()).value_or(Options.MaxWait);
-  PendingCall &pending = Calls[number];
-  pending.Call = std::move(call);
-  pending.Done = std::move(done);
-  pending.Deadline =
-      Time.now() + std::min({timeout, queueTimeout, Options.MaxWait});
-  pending.NextSend = Time.now();
+  const Milliseconds wait = std::min({timeout, queueTimeout, Options.MaxWait});
+  PendingCall &pending =
+      Calls
+          .try_emplace(number,
+                       PendingCall{std::move(call), std::move(done),
+                                   Time.now() + wait,
+                                   asio::steady_timer(Context), Time.now()})
+          .first->second;
+  expireAfter(pending, wait);
   if (!Leader.empty()) {
     send(pending);
   } else if (!canWait(pending)) {
@@ -96,6 +103,15 @@
   }
 }
 
+void EntryGateway::expireAfter(PendingCall &call, Milliseconds wait) {
+  call.Expiry.expires_after(wait);
+  call.Expiry.async_wait([this](const std::error_code &ec) {
+    if (!ec) {
+      resendOverdue();
+    }
+  });
+}
+
 void EntryGateway::send(PendingCall &call) {
   protocol::Envelope envelope;
   *envelope.mutable_workflow_call() = call.Call;
--- a/src/masticwinch/workflow/entry_gateway.hpp
+++ b/src/masticwinch/workflow/entry_gateway.hpp
@@ -37,6 +37,9 @@
   Milliseconds ResendAfter{400};
   /// Longest time that a call waits for its answer.
   Milliseconds MaxWait{2000};
+  /// A call with less time than this ends at once, because an answer takes two
+  /// round trips and a disk sync.
+  Milliseconds MinWait{20};
   /// A call waits for a leader while an election may be in progress. If no
   /// leader has been found for this long, something else is wrong, and calls
   /// are refused at once until a leader is found.
@@ -48,6 +51,9 @@
   Answered,
   /// No leader received it, so it has no effect now or later.
   NotAccepted,
+  /// The caller waits too briefly for an answer. It was not sent, so it has no
+  /// effect now or later.
+  TooLittleTime,
   /// A leader may have accepted it.
   Unknown,
 };
@@ -92,6 +98,8 @@
     protocol::WorkflowCall Call;
     CallDone Done;
     SteadyTime Deadline;
+    /// Ends the call at its deadline, which may be before the next tick.
+    asio::steady_timer Expiry;
     SteadyTime NextSend;
     /// Set once the call was sent, so that a leader may have accepted it.
     bool Unanswered = false;
@@ -101,6 +109,7 @@
   void tick();
   void sendHello();
   void resendOverdue();
+  void expireAfter(PendingCall &call, Milliseconds wait);
   void send(PendingCall &call);
   void finish(std::uint64_t number, CallOutcome outcome,
               const protocol::WorkflowAnswer &answer);
--- a/tests/workflow/test_entry_gateway.cpp
+++ b/tests/workflow/test_entry_gateway.cpp
@@ -15,9 +15,9 @@
 struct Fixture {
   Fixture() { Time.advance(std::chrono::seconds(100)); }
 
-  std::optional<CallOutcome> call() {
+  std::optional<CallOutcome> call(Milliseconds timeout = Milliseconds(2000)) {
     std::optional<CallOutcome> outcome;
-    Gateway.call({}, Milliseconds(2000),
+    Gateway.call({}, timeout,
                  [&](CallOutcome it, const protocol::WorkflowAnswer &) {
                    outcome = it;
                  });
@@ -64,3 +64,28 @@
   entry.welcome(true);
   CHECK_FALSE(entry.call());
 }
+
+TEST_CASE("A call with too little time for an answer is not sent, and the "
+          "outcome says so with and without a leader",
+          "[workflow]") {
+  Fixture entry;
+  CHECK(entry.call(Milliseconds(5)) == CallOutcome::TooLittleTime);
+  entry.welcome(true);
+  CHECK(entry.call(Milliseconds(5)) == CallOutcome::TooLittleTime);
+  CHECK_FALSE(entry.call(Milliseconds(100)));
+}
+
+TEST_CASE("A call that was sent and has no answer ends as unknown at its "
+          "deadline, before the next tick",
+          "[workflow]") {
+  Fixture entry;
+  entry.welcome(true);
+  std::optional<CallOutcome> outcome;
+  entry.Gateway.call(
+      {}, Milliseconds(25),
+      [&](CallOutcome it, const protocol::WorkflowAnswer &) { outcome = it; });
+  REQUIRE_FALSE(outcome);
+  entry.Time.advance(Milliseconds(25));
+  entry.Context.run_for(std::chrono::seconds(5));
+  CHECK(outcome == CallOutcome::Unknown);
+}
