Give a refused submission a turn to return

Callers saw: whoever came back first and most often got the room. Callers that honour Retry-After got less than those that come back after 10 ms, and were told up to 12 s with a deadline of 3 s.

Cause: a refusal kept no place; each attempt was judged anew.

Now a refused submission holds a turn, the time at which the accepted work and the turns before it leave room for it. It is let in from its turn on, for the second by which Retry-After is rounded up and one more, and told the time that remains if it comes earlier. Room for turns that are due isn't given to newcomers; it is reduced to the share of turns that were taken lately. The entry VM states how long the caller still waits, and a turn beyond that is not given.

--- a/src/masticwinch/coordination/workflow/admission.cpp
+++ b/src/masticwinch/coordination/workflow/admission.cpp
@@ -4,10 +4,23 @@
 
 namespace masticwinch::workflow {
 
+std::uint64_t usableProcessors(const AdmissionOptions &options,
+                               const AdmissionInput &input) {
+  return input.MilliProcessors * options.UsablePermille / 1000;
+}
+
+Milliseconds retryDelay(const AdmissionOptions &options, Milliseconds wait,
+                        std::uint64_t salt) {
+  const Milliseconds base =
+      std::clamp(wait, options.MinRetryAfter, options.MaxRetryAfter);
+  const std::uint64_t spread =
+      static_cast<std::uint64_t>(base.count()) * options.SpreadPermille / 1000;
+  return base + Milliseconds(spread == 0 ? 0 : salt % spread);
+}
+
 std::optional<Milliseconds> retryAfter(const AdmissionOptions &options,
                                        const AdmissionInput &input) {
-  const std::uint64_t usable =
-      input.MilliProcessors * options.UsablePermille / 1000;
+  const std::uint64_t usable = usableProcessors(options, input);
   if (usable == 0) {
     return options.MaxRetryAfter / 2;
   }
@@ -15,11 +28,7 @@
   if (wait <= input.Slack) {
     return std::nullopt;
   }
-  const Milliseconds base = std::clamp(
-      wait - input.Slack, options.MinRetryAfter, options.MaxRetryAfter);
-  const std::uint64_t spread =
-      static_cast<std::uint64_t>(base.count()) * options.SpreadPermille / 1000;
-  return base + Milliseconds(spread == 0 ? 0 : input.Salt % spread);
+  return retryDelay(options, wait - input.Slack, input.Salt);
 }
 
 } // namespace masticwinch::workflow
--- a/src/masticwinch/coordination/workflow/admission.hpp
+++ b/src/masticwinch/coordination/workflow/admission.hpp
@@ -34,6 +34,14 @@
   std::uint64_t Salt = 0;
 };
 
+/// Thousandths of a core that work can use.
+std::uint64_t usableProcessors(const AdmissionOptions &options,
+                               const AdmissionInput &input);
+
+/// The delay returned to a caller that may retry after `wait`.
+Milliseconds retryDelay(const AdmissionOptions &options, Milliseconds wait,
+                        std::uint64_t salt);
+
 /// Returns nothing if a submission can complete within its objective after the
 /// work ahead of it, otherwise the delay after which the caller may retry. Load
 /// shedding: when more work arrives than the fleet can run, accepting all of it
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -37,7 +37,8 @@
                  return spec ? needsOf(*spec) : ResourceAmounts();
                }),
       Advice(options.Advice), Health(options.Health),
-      Containment(options.Containment), LedSince(at.Now) {
+      Containment(options.Containment), LedSince(at.Now),
+      Refused(options.Refused) {
   for (const auto &[id, info] : State.runners()) {
     Registry.add(info, at.Now);
     Heartbeats[id] = {info.born_unix_ms(), 0, at.Now};
@@ -142,7 +143,7 @@
   };
   switch (call.request_case()) {
   case protocol::WorkflowCall::kSubmit:
-    return submit(call.submit(), *route, std::move(answer), at);
+    return submit(call, *route, std::move(answer), at);
   case protocol::WorkflowCall::kCancel:
     return cancel(route->Suffix, answer);
   default:
@@ -277,13 +278,16 @@
   return known;
 }
 
-std::optional<Milliseconds>
-WorkflowLeader::admissionRetryDelay(const protocol::WorkflowSpec &spec,
-                                    const protocol::QueueConfig &queue) const {
-  if (spec.repeats() > 0) {
-    return std::nullopt;
-  }
+AdmissionInput
+WorkflowLeader::admissionInput(const protocol::WorkflowSpec &spec,
+                               const protocol::QueueConfig &queue) const {
   AdmissionInput input;
+  const Milliseconds criticalPath =
+      longestCriticalPath(remainingCriticalPaths(spec, queue));
+  input.Slack =
+      Milliseconds(criticalPath.count() *
+                   (std::int64_t(queue.stretch_permille()) - 1000) / 1000) +
+      Milliseconds(queue.latency_target_ms());
   if (const auto work = ProbationWork.find(queueId(queue));
       work != ProbationWork.end()) {
     const auto kept = ProbationProcessors.find(queue.pool());
@@ -297,22 +301,61 @@
       input.WorkAhead += priority <= queue.priority() ? waiting : 0;
     }
   }
-  const Milliseconds criticalPath =
-      longestCriticalPath(remainingCriticalPaths(spec, queue));
-  input.Slack =
-      Milliseconds(criticalPath.count() *
-                   (std::int64_t(queue.stretch_permille()) - 1000) / 1000) +
-      Milliseconds(queue.latency_target_ms());
   input.Salt = std::hash<std::string>()(spec.id());
-  return retryAfter(Options.Admission, input);
+  return input;
 }
 
-void WorkflowLeader::submit(const protocol::WorkflowSpec &sent,
+/// Returns nothing if a submission is let in: at its turn, or if there is room
+/// behind the accepted work and the turns before it.
+std::optional<WorkflowLeader::LateRefusal>
+WorkflowLeader::judge(const protocol::WorkflowSpec &spec,
+                      const protocol::QueueConfig &queue, Milliseconds timeout,
+                      Moment at) {
+  if (spec.repeats() > 0) {
+    return std::nullopt;
+  }
+  const AdmissionInput input = admissionInput(spec, queue);
+  const std::uint64_t usable = usableProcessors(Options.Admission, input);
+  if (usable == 0 || ProbationWork.contains(queueId(queue))) {
+    const auto after = retryAfter(Options.Admission, input);
+    return after ? std::optional(LateRefusal{*after}) : std::nullopt;
+  }
+  Refused.expire(at.Now);
+  const TurnRequest request{spec.id(), queue.priority(), estimatedWork(spec)};
+  if (const auto left = Refused.untilTurn(request, at.Now)) {
+    if (left->count() > 0) {
+      return LateRefusal{*left, "kept"};
+    }
+    Refused.take(spec.id());
+    // What it was told holds unless it would have no value by then.
+    const Milliseconds criticalPath =
+        longestCriticalPath(remainingCriticalPaths(spec, queue));
+    const Milliseconds wait(input.WorkAhead * 1000 / usable);
+    if (wait + criticalPath <= LateFactor * (input.Slack + criticalPath)) {
+      return std::nullopt;
+    }
+  }
+  const Milliseconds room = Refused.untilRoom(
+      queue.priority(), {input.WorkAhead, usable, input.Slack}, at.Now);
+  if (room.count() == 0) {
+    return std::nullopt;
+  }
+  const Milliseconds turn = std::max(room, Options.Admission.MinRetryAfter);
+  const Milliseconds returns = std::chrono::ceil<std::chrono::seconds>(turn);
+  const bool inTime = turn <= Options.Admission.MaxRetryAfter &&
+                      (timeout.count() == 0 || returns <= timeout);
+  if (inTime && Refused.add(request, at.Now + turn)) {
+    return LateRefusal{turn, "given"};
+  }
+  return LateRefusal{retryDelay(Options.Admission, room, input.Salt)};
+}
+
+void WorkflowLeader::submit(const protocol::WorkflowCall &call,
                             const QueueRoute &route, AnswerCallback answer,
                             Moment at) {
   protocol::WorkflowChange accepted;
   protocol::WorkflowSpec &spec = *accepted.mutable_accept()->mutable_spec();
-  spec = sent;
+  spec = call.submit();
   spec.set_id(route.Suffix);
   spec.set_queue(queueId(*route.Queue));
   protocol::QueueConfig &queue = *accepted.mutable_accept()->mutable_queue();
@@ -359,7 +402,8 @@
     answer(refused);
     return;
   }
-  if (const auto after = admissionRetryDelay(spec, *route.Queue)) {
+  if (const auto late =
+          judge(spec, *route.Queue, Milliseconds(call.timeout_ms()), at)) {
     Tally.refused(spec.queue());
     logEvent(WorkflowEventKind::WorkflowRefused,
              {{"workflow", spec.id()},
@@ -367,10 +411,12 @@
               {"queue", spec.queue()},
               {"configuration", std::to_string(State.config().version())},
               {"steps_waiting", std::to_string(OpenSteps.size())},
-              {"retry_after_ms", std::to_string(after->count())}});
+              {"retry_after_ms", std::to_string(late->RetryAfter.count())},
+              {"turn", late->Turn}});
     protocol::WorkflowAnswer refused =
         answerOf(protocol::VERDICT_REFUSED, "would end late");
-    refused.set_retry_after_ms(static_cast<std::uint32_t>(after->count()));
+    refused.set_retry_after_ms(
+        static_cast<std::uint32_t>(late->RetryAfter.count()));
     answer(refused);
     return;
   }
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -7,6 +7,7 @@
 #include "masticwinch/coordination/workflow/gang_forecast.hpp"
 #include "masticwinch/coordination/workflow/queue_routes.hpp"
 #include "masticwinch/coordination/workflow/queue_tally.hpp"
+#include "masticwinch/coordination/workflow/refused_submissions.hpp"
 #include "masticwinch/coordination/workflow/runner_health.hpp"
 #include "masticwinch/coordination/workflow/runner_registry.hpp"
 #include "masticwinch/coordination/workflow/step_planner.hpp"
@@ -30,6 +31,7 @@
   RunnerHealthOptions Health;
   CrashContainmentOptions Containment;
   AdmissionOptions Admission;
+  RefusedSubmissionsOptions Refused;
   /// Minimum interval between two scheduling passes; events in between are
   /// handled in one pass.
   Milliseconds ScheduleInterval{10};
@@ -265,7 +267,7 @@
                StoredCallback stored = nullptr);
   void logEvent(WorkflowEventKind kind,
                 std::vector<std::pair<std::string, std::string>> fields);
-  void submit(const protocol::WorkflowSpec &sent, const QueueRoute &route,
+  void submit(const protocol::WorkflowCall &call, const QueueRoute &route,
               AnswerCallback answer, Moment at);
   void answerState(const QueueRoute &route, const AnswerCallback &answer,
                    Moment at);
@@ -277,9 +279,17 @@
   bool fitsSomeRunner(const protocol::WorkflowSpec &spec,
                       const std::string &pool) const;
   std::uint64_t expectedProcessors(const std::string &pool) const;
-  std::optional<Milliseconds>
-  admissionRetryDelay(const protocol::WorkflowSpec &spec,
-                      const protocol::QueueConfig &queue) const;
+  /// A submission that would end late, and its turn to return.
+  struct LateRefusal {
+    Milliseconds RetryAfter{0};
+    /// Whether it got a turn, kept the one that it had, or has none.
+    const char *Turn = "none";
+  };
+  std::optional<LateRefusal> judge(const protocol::WorkflowSpec &spec,
+                                   const protocol::QueueConfig &queue,
+                                   Milliseconds timeout, Moment at);
+  AdmissionInput admissionInput(const protocol::WorkflowSpec &spec,
+                                const protocol::QueueConfig &queue) const;
 
   // workflow_leader_runners.cpp
   void addMissingRunner(const std::string &id, Moment at);
@@ -468,6 +478,7 @@
   StepKey LastLateInTurn;
   SteadyTime NextWaitReport{};
   QueueTally Tally;
+  RefusedSubmissions Refused;
   /// Core-milliseconds of waiting work that can be on time, by priority.
   std::map<std::uint32_t, std::uint64_t> WaitingWork;
   /// Mean processors of a task of the waiting gangs, in thousandths of a core;
--- a/src/masticwinch/workflow/entry_gateway.cpp
+++ b/src/masticwinch/workflow/entry_gateway.cpp
@@ -92,7 +92,7 @@
       Calls
           .try_emplace(number,
                        PendingCall{std::move(call), std::move(done),
-                                   Time.now() + wait,
+                                   Time.now() + wait, Time.now() + timeout,
                                    asio::steady_timer(Context), Time.now()})
           .first->second;
   expireAfter(pending, wait);
@@ -114,6 +114,10 @@
 
 void EntryGateway::send(PendingCall &call) {
   protocol::Envelope envelope;
+  const auto left =
+      std::chrono::ceil<Milliseconds>(call.CallerDeadline - Time.now());
+  call.Call.set_timeout_ms(
+      static_cast<std::uint32_t>(std::max(left, Milliseconds(1)).count()));
   *envelope.mutable_workflow_call() = call.Call;
   call.NextSend = Time.now() + Options.ResendAfter;
   call.Unanswered = true;
--- a/src/masticwinch/workflow/entry_gateway.hpp
+++ b/src/masticwinch/workflow/entry_gateway.hpp
@@ -98,6 +98,8 @@
     protocol::WorkflowCall Call;
     CallDone Done;
     SteadyTime Deadline;
+    /// Until when the caller waits, which may be longer.
+    SteadyTime CallerDeadline;
     /// Ends the call at its deadline, which may be before the next tick.
     asio::steady_timer Expiry;
     SteadyTime NextSend;
