--- a/src/masticwinch/coordination/workflow/overdue_share.hpp
+++ b/src/masticwinch/coordination/workflow/overdue_share.hpp
@@ -13,6 +13,10 @@
   /// A step that would complete after more than this multiple of its
   /// workflow's objective, in thousandths, is overdue.
   std::int64_t ObjectivePermille = 3000;
+  /// No step is overdue before its work has waited this long: short work that
+  /// has missed its objective in a brief surge is behind what still can meet
+  /// its own.
+  Milliseconds MinWait{10'000};
   /// Share of a pool's processors for overdue steps, in thousandths.
   std::uint64_t SharePermille = 100;
   /// For how long an unused share accumulates.
@@ -34,7 +38,8 @@
   /// whose remaining critical path takes `remaining`.
   bool isOverdue(Milliseconds objective, Milliseconds age,
                  Milliseconds remaining) const {
-    return (age + remaining) * 1000 > objective * Options.ObjectivePermille;
+    return age >= Options.MinWait &&
+           (age + remaining) * 1000 > objective * Options.ObjectivePermille;
   }
 
   /// What a task takes from the share, in core-milliseconds. A task whose
--- a/src/masticwinch/coordination/workflow/workflow_leader_options.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_options.hpp
@@ -5,6 +5,7 @@
 #include "masticwinch/coordination/workflow/call_delay.hpp"
 #include "masticwinch/coordination/workflow/crash_containment.hpp"
 #include "masticwinch/coordination/workflow/overdue_share.hpp"
+#include "masticwinch/coordination/workflow/refused_submissions.hpp"
 #include "masticwinch/coordination/workflow/runner_health.hpp"
 #include "masticwinch/coordination/workflow/runner_registry.hpp"
 #include "masticwinch/coordination/workflow/step_ranking.hpp"
@@ -30,6 +31,7 @@
   /// to be expected to find its room within it.
   Milliseconds MaxDrainTime{4000};
   CallDelayOptions CallDelay;
+  RefusedSubmissionsOptions Refused;
   /// Minimum interval between two scheduling passes; events in between are
   /// handled in one pass.
   Milliseconds ScheduleInterval{10};
--- a/src/masticwinch/workflow/entry_gateway.cpp
+++ b/src/masticwinch/workflow/entry_gateway.cpp
@@ -98,6 +98,10 @@
 
 void EntryGateway::call(protocol::WorkflowCall call, Milliseconds timeout,
                         CallDone done) {
+  if (timeout < Options.MinWait) {
+    done(CallOutcome::TooLittleTime, {});
+    return;
+  }
   const std::uint64_t number = NextCall++;
   call.set_call(number);
   const Milliseconds queueTimeout =
@@ -108,12 +112,15 @@
     done(*refusal, {});
     return;
   }
-  PendingCall &pending = Calls[number];
   CallBytes += bytes;
-  pending.Bytes = bytes;
-  pending.Call = std::move(call);
-  pending.Done = std::move(done);
-  pending.Deadline = Time.now() + wait;
+  PendingCall &pending =
+      Calls
+          .try_emplace(number,
+                       PendingCall{std::move(call), bytes, std::move(done),
+                                   Time.now() + wait, Time.now() + timeout,
+                                   CallCopies(), asio::steady_timer(Context)})
+          .first->second;
+  expireAfter(pending, wait);
   if (!Leader.empty()) {
     send(pending);
   } else if (!canWait(pending)) {
@@ -121,8 +128,21 @@
   }
 }
 
+void EntryGateway::expireAfter(PendingCall &call, Milliseconds wait) {
+  call.Expiry.expires_after(wait);
+  call.Expiry.async_wait([this](const std::error_code &ec) {
+    if (!ec) {
+      endOverdue();
+    }
+  });
+}
+
 void EntryGateway::send(PendingCall &call) {
   protocol::Envelope envelope;
+  const auto left =
+      std::chrono::ceil<Milliseconds>(call.CallerDeadline - Time.now());
+  call.Call.set_timeout_ms(
+      static_cast<std::uint32_t>(std::max(left, Milliseconds(1)).count()));
   *envelope.mutable_workflow_call() = call.Call;
   call.Copies.sent(Leader, HelloSequence, Time.now());
   Outbox.send(Leader, std::move(envelope));
--- a/src/masticwinch/workflow/entry_gateway.hpp
+++ b/src/masticwinch/workflow/entry_gateway.hpp
@@ -39,6 +39,9 @@
   Milliseconds ResendAfter{400};
   /// Longest time that a call waits for its answer.
   Milliseconds MaxWait{2000};
+  /// A call with less time than this ends at once, because an answer takes two
+  /// round trips and a disk sync.
+  Milliseconds MinWait{20};
   /// A call waits for a leader while an election may be in progress. If no
   /// leader has been found for this long, something else is wrong, and calls
   /// are refused at once until a leader is found.
@@ -62,6 +65,9 @@
   /// Refused without sending it, because the leader is too busy to answer it in
   /// time.
   LeaderBusy,
+  /// The caller waits too briefly for an answer. It was not sent, so it has no
+  /// effect now or later.
+  TooLittleTime,
   /// A leader may have accepted it.
   Unknown,
 };
@@ -116,7 +122,11 @@
     std::size_t Bytes = 0;
     CallDone Done;
     SteadyTime Deadline;
+    /// Until when the caller waits, which may be longer.
+    SteadyTime CallerDeadline;
     CallCopies Copies;
+    /// Ends the call at its deadline, which may be before the next tick.
+    asio::steady_timer Expiry;
   };
 
   std::optional<CallOutcome> refusalOf(const protocol::WorkflowCall &call,
@@ -127,6 +137,7 @@
   void sendHello();
   void endOverdue();
   void sendDue();
+  void expireAfter(PendingCall &call, Milliseconds wait);
   void send(PendingCall &call);
   void finish(std::uint64_t number, CallOutcome outcome,
               const protocol::WorkflowAnswer &answer);
--- a/tests/coordination/workflow/test_overdue_share.cpp
+++ b/tests/coordination/workflow/test_overdue_share.cpp
@@ -11,8 +11,8 @@
 constexpr SteadyTime Start{std::chrono::seconds(100)};
 
 /// A tenth of the processors, which accumulates for two seconds.
-constexpr OverdueShareOptions Tenth{3000, 100, Milliseconds(2000),
-                                    Milliseconds(8000)};
+constexpr OverdueShareOptions Tenth{3000, Milliseconds(1000), 100,
+                                    Milliseconds(2000), Milliseconds(8000)};
 
 } // namespace
 
@@ -104,4 +104,6 @@
                               Milliseconds(500)));
   CHECK(share.isOverdue(Milliseconds(1000), Milliseconds(2501),
                         Milliseconds(500)));
+  CHECK_FALSE(
+      share.isOverdue(Milliseconds(10), Milliseconds(999), Milliseconds(0)));
 }
--- a/tests/workflow/test_entry_gateway.cpp
+++ b/tests/workflow/test_entry_gateway.cpp
@@ -253,3 +253,28 @@
   CHECK(entry.Gateway.leaderDelay() == Milliseconds(0));
   CHECK_FALSE(entry.call());
 }
+
+TEST_CASE("A call with too little time for an answer is not sent, and the "
+          "outcome says so with and without a leader",
+          "[workflow]") {
+  Fixture entry;
+  CHECK(entry.call(Milliseconds(5)) == CallOutcome::TooLittleTime);
+  entry.welcome(true);
+  CHECK(entry.call(Milliseconds(5)) == CallOutcome::TooLittleTime);
+  CHECK_FALSE(entry.call(Milliseconds(100)));
+}
+
+TEST_CASE("A call that was sent and has no answer ends as unknown at its "
+          "deadline, before the next tick",
+          "[workflow]") {
+  Fixture entry;
+  entry.welcome(true);
+  std::optional<CallOutcome> outcome;
+  entry.Gateway.call(
+      {}, Milliseconds(25),
+      [&](CallOutcome it, const protocol::WorkflowAnswer &) { outcome = it; });
+  REQUIRE_FALSE(outcome);
+  entry.Time.advance(Milliseconds(25));
+  entry.Context.run_for(std::chrono::seconds(5));
+  CHECK(outcome == CallOutcome::Unknown);
+}
