--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -123,6 +123,12 @@
   --build ${PROJECT_BINARY_DIR} --seeds 1,3,12 --seconds 15)
 set_tests_properties(platform-soak PROPERTIES TIMEOUT 300 RUN_SERIAL ON)
 
+# Under this seed callers of several kinds keep the cell full.
+add_test(NAME platform-soak-full COMMAND
+  python3 ${PROJECT_SOURCE_DIR}/platform/tests/soak.py
+  --build ${PROJECT_BINARY_DIR} --seeds 5 --seconds 15)
+set_tests_properties(platform-soak-full PROPERTIES TIMEOUT 300 RUN_SERIAL ON)
+
 file(GLOB_RECURSE BENCHMARK_SOURCES CONFIGURE_DEPENDS
   ${PROJECT_SOURCE_DIR}/benchmarks/*.cpp)
 foreach(source IN LISTS BENCHMARK_SOURCES)
