--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -347,8 +347,10 @@
   }
   const Milliseconds turn = std::max(room, Options.Admission.MinRetryAfter);
   const Milliseconds returns = std::chrono::ceil<std::chrono::seconds>(turn);
-  const bool inTime = turn <= Options.Admission.MaxRetryAfter &&
-                      (timeout.count() == 0 || returns <= timeout);
+  // A turn at which the submission is late would take the room of one that
+  // comes then and is on time.
+  const bool inTime =
+      returns <= input.Slack && (timeout.count() == 0 || returns <= timeout);
   if (inTime && Refused.add(request, at.Now + turn)) {
     return LateRefusal{turn, "given"};
   }
