--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -390,8 +390,6 @@
   OverdueShare Overdue;
   /// By pool.
   std::map<std::string, Drain> Drains;
-  /// When runners may be drained again, by pool.
-  std::map<std::string, SteadyTime> NextDrain;
   const SteadyTime LedSince;
   /// When lost runners were reported, by id.
   std::map<std::string, SteadyTime> LostSince;
--- a/src/masticwinch/coordination/workflow/workflow_leader_options.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_options.hpp
@@ -30,10 +30,6 @@
   /// Longest time for which runners are drained for one overdue step, which has
   /// to be expected to find its room within it.
   Milliseconds MaxDrainTime{4000};
-  /// No runners of a pool are drained for this long after a drain whose step
-  /// didn't start, so that steps that can't start leave them idle for a quarter
-  /// of the time at most.
-  Milliseconds PauseAfterFailedDrain{12'000};
   CallDelayOptions CallDelay;
   RefusedSubmissionsOptions Refused;
   /// Minimum interval between two scheduling passes; events in between are
--- a/src/masticwinch/coordination/workflow/workflow_leader_overdue.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_overdue.cpp
@@ -106,7 +106,6 @@
   const auto drain = Drains.extract(pool);
   const auto open =
       drain.empty() ? OpenSteps.end() : OpenSteps.find(drain.mapped().Step);
-  NextDrain[pool] = now + Options.PauseAfterFailedDrain;
   if (open != OpenSteps.end()) {
     open->second.DrainFailedAt = now;
     ++open->second.FailedDrains;
@@ -184,8 +183,7 @@
                                   bool advised, Fleet &fleet,
                                   const std::string &poolName, Moment at) {
   OpenStep &open = OpenSteps.at(key);
-  if (!Drains.contains(poolName) && at.Now >= NextDrain[poolName] &&
-      mayDrain(open, at.Now)) {
+  if (!Drains.contains(poolName) && mayDrain(open, at.Now)) {
     Drains[poolName] = {key, at.Now, {}};
   }
   const auto drain = Drains.find(poolName);
@@ -201,8 +199,6 @@
   }
   if (drain->second.Places.empty()) {
     endDrain(poolName, at.Now);
-    // Nothing was drained.
-    NextDrain.erase(poolName);
     return false;
   }
   const ResourceAmounts needs = needsOf(*State.findSpec(key));
