Move a handler only after the buffers that it owns are copied

Callers saw no byte of any response on x86-64: entry and control VMs read and handled every request, and wrote none of the answers.

RefusingSocket::async_write_some took its handler by value. Asio's composed write calls it with buffers that are a part of the handler, and with the handler as an rvalue. A by-value parameter moves the handler while the arguments are made, and GCC makes them from right to left on x86-64: the buffers came from a handler that had been moved from, and were empty, so that the write ended with 0 bytes. On arm64 GCC goes from left to right. async_read_some had the same fault; RESTinio passes it a buffer that the handler doesn't own.

Both take a forwarding reference, as Asio's own functions do, and copy the buffers before they move the handler into the operation. awaitReset, whose arguments don't share an object, is changed alike.

--- a/src/masticwinch/http/internal/refusing_socket.hpp
+++ b/src/masticwinch/http/internal/refusing_socket.hpp
@@ -54,52 +54,58 @@
   void shutdown(shutdown_type what, asio::error_code &ec);
   void close();
 
+  // Asio's composed operations pass buffers that are a part of the handler, and
+  // the handler as an rvalue. It is therefore taken by reference, and moved
+  // only after the buffers are copied.
+
   // The names are Asio's.
   // NOLINTBEGIN(readability-identifier-naming)
   template <class Buffer, class Handler>
-  void async_read_some(const Buffer &buffer, Handler handler) {
+  void async_read_some(const Buffer &handlerBuffer, Handler &&handler) {
+    const asio::mutable_buffer buffer = handlerBuffer;
     const auto executor =
         asio::get_associated_executor(handler, get_executor());
     if (!Link) {
       join(executor);
     }
     if (Closes) {
-      asio::post(executor, [handler = std::move(handler)]() mutable {
-        handler(asio::error::connection_aborted, 0);
-      });
+      asio::post(executor,
+                 [handler = std::forward<Handler>(handler)]() mutable {
+                   handler(asio::error::connection_aborted, 0);
+                 });
       return;
     }
     asio::ip::tcp::socket::async_read_some(
-        buffer, asio::bind_executor(executor, [this, buffer, executor,
-                                               handler = std::move(handler)](
-                                                  const asio::error_code &ec,
-                                                  std::size_t bytes) mutable {
-          if (!ec) {
-            received(
-                {static_cast<const char *>(asio::mutable_buffer(buffer).data()),
-                 bytes});
-          }
-          if (ec == asio::error::eof && holdsEnd()) {
-            awaitReset(executor, std::move(handler));
-            return;
-          }
-          handler(resultOfRead(ec), bytes);
-        }));
+        buffer,
+        asio::bind_executor(
+            executor,
+            [this, buffer, executor, handler = std::forward<Handler>(handler)](
+                const asio::error_code &ec, std::size_t bytes) mutable {
+              if (!ec) {
+                received({static_cast<const char *>(buffer.data()), bytes});
+              }
+              if (ec == asio::error::eof && holdsEnd()) {
+                awaitReset(executor, std::move(handler));
+                return;
+              }
+              handler(resultOfRead(ec), bytes);
+            }));
   }
 
   template <class Buffers, class Handler>
-  void async_write_some(const Buffers &buffers, Handler handler) {
+  void async_write_some(const Buffers &handlerBuffers, Handler &&handler) {
+    const Buffers buffers = handlerBuffers;
     const auto executor =
         asio::get_associated_executor(handler, get_executor());
     Writes = true;
     asio::ip::tcp::socket::async_write_some(
-        buffers,
-        asio::bind_executor(executor, [this, handler = std::move(handler)](
-                                          const asio::error_code &ec,
-                                          std::size_t bytes) mutable {
-          Writes = false;
-          handler(ec, bytes);
-        }));
+        buffers, asio::bind_executor(
+                     executor, [this, handler = std::forward<Handler>(handler)](
+                                   const asio::error_code &ec,
+                                   std::size_t bytes) mutable {
+                       Writes = false;
+                       handler(ec, bytes);
+                     }));
   }
   // NOLINTEND(readability-identifier-naming)
 
@@ -109,13 +115,13 @@
   /// Waits until the connection is reset or `endHeld` is called. The operation
   /// keeps the handler, so that it is dropped with the event loop.
   template <class Executor, class Handler>
-  void awaitReset(const Executor &executor, Handler handler) {
-    async_wait(
-        wait_error,
-        asio::bind_executor(executor, [this, handler = std::move(handler)](
-                                          const asio::error_code &ec) mutable {
-          handler(resultOfHeldEnd(ec), 0);
-        }));
+  void awaitReset(const Executor &executor, Handler &&handler) {
+    async_wait(wait_error,
+               asio::bind_executor(
+                   executor, [this, handler = std::forward<Handler>(handler)](
+                                 const asio::error_code &ec) mutable {
+                     handler(resultOfHeldEnd(ec), 0);
+                   }));
   }
 
   void join(const asio::any_io_executor &executor);
