--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -105,6 +105,13 @@
   add_test(NAME known-red COMMAND
     ${PROJECT_SOURCE_DIR}/tools/known-red $<TARGET_FILE:masticwinch-tests>)
 endif()
+file(GLOB TOOL_TESTS CONFIGURE_DEPENDS
+  ${PROJECT_SOURCE_DIR}/tests/tools/test_*.py)
+foreach(script IN LISTS TOOL_TESTS)
+  get_filename_component(name ${script} NAME_WE)
+  string(REGEX REPLACE "^test_" "tools-" name ${name})
+  add_test(NAME ${name} COMMAND python3 ${script})
+endforeach()
 file(GLOB PROCESS_TESTS CONFIGURE_DEPENDS
   ${PROJECT_SOURCE_DIR}/tests/processes/test_*.py
   ${PROJECT_SOURCE_DIR}/platform/tests/test_*.py)
--- a/fuzzing/long_run.hpp
+++ b/fuzzing/long_run.hpp
@@ -9,7 +9,7 @@
 /// Checks a property in the given number of sessions, overriding the number in
 /// RC_PARAMS, and prints the session that violates it.
 template <class Property>
-bool holdsInSessions(int sessions, Property property) {
+bool holdsInSessions(int sessions, const Property &property) {
   rc::detail::TestParams params = rc::detail::configuration().testParams;
   params.maxSuccess = sessions;
   const auto result =
--- a/src/masticwinch/coordination/requests/request_rules.cpp
+++ b/src/masticwinch/coordination/requests/request_rules.cpp
@@ -11,7 +11,8 @@
 constexpr unsigned DefaultMaxAttempts = 3;
 constexpr std::size_t UnlimitedConcurrency = 1'000'000;
 
-template <class Value> Value valueOr(Value value, Value fallback) {
+template <class Value>
+Value valueOr(const Value &value, const Value &fallback) {
   return value == Value{} ? fallback : value;
 }
 
--- a/src/masticwinch/operators/operators_api.cpp
+++ b/src/masticwinch/operators/operators_api.cpp
@@ -147,34 +147,35 @@
 }
 
 void OperatorsApi::addDaemonRoutes() {
-  addRoute("GET", "/health", [this](auto exchange, const RouteMatch &) {
+  addRoute("GET", "/health", [this](const auto &exchange, const RouteMatch &) {
     const bool healthy = Endpoints.Healthy();
     exchange->respond(
         jsonResponse(healthy ? 200 : 503,
                      healthy ? R"({"healthy":true})" : R"({"healthy":false})"));
   });
-  addRoute("GET", "/metrics", [this](auto exchange, const RouteMatch &) {
+  addRoute("GET", "/metrics", [this](const auto &exchange, const RouteMatch &) {
     exchange->respond({200,
                        {{"Content-Type", "text/plain; version=0.0.4"}},
                        Endpoints.Metrics()});
   });
-  addRoute("GET", "/v1/in-force", [this](auto exchange, const RouteMatch &) {
-    protocol::QueryRequest request;
-    request.mutable_in_force();
-    query(exchange, std::move(request));
-  });
+  addRoute("GET", "/v1/in-force",
+           [this](const auto &exchange, const RouteMatch &) {
+             protocol::QueryRequest request;
+             request.mutable_in_force();
+             query(exchange, std::move(request));
+           });
 }
 
 void OperatorsApi::addProfiles() {
   addListing("/v1/profiles", "profile");
   addRoute("GET", "/v1/profiles/{}/history",
-           [this](auto exchange, const RouteMatch &match) {
+           [this](const auto &exchange, const RouteMatch &match) {
              protocol::QueryRequest request;
              request.mutable_profile_history()->set_name(match[0]);
              query(exchange, std::move(request));
            });
   addRoute("PUT", "/v1/profiles/{}",
-           [this](auto exchange, const RouteMatch &match) {
+           [this](const auto &exchange, const RouteMatch &match) {
              const auto expected = expectedVersion(exchange->request());
              if (!expected) {
                respondInvalidVersion(*exchange);
@@ -190,7 +191,7 @@
              }
            });
   addRoute("DELETE", "/v1/profiles/{}",
-           [this](auto exchange, const RouteMatch &match) {
+           [this](const auto &exchange, const RouteMatch &match) {
              const auto expected = expectedVersion(exchange->request());
              if (!expected) {
                respondInvalidVersion(*exchange);
@@ -211,7 +212,7 @@
   addListing("/v1/entries", "entry");
   for (const bool draining : {true, false}) {
     addRoute("PUT", draining ? "/v1/vms/{}/drain" : "/v1/vms/{}/undrain",
-             [this, draining](auto exchange, const RouteMatch &match) {
+             [this, draining](const auto &exchange, const RouteMatch &match) {
                protocol::Command command;
                protocol::VmPolicy *vm =
                    command.mutable_set_vm_policy()->mutable_vm();
@@ -221,7 +222,7 @@
              });
   }
   addRoute("PUT", "/v1/teams/{}",
-           [this](auto exchange, const RouteMatch &match) {
+           [this](const auto &exchange, const RouteMatch &match) {
              protocol::Command command;
              protocol::Team *team = command.mutable_put_team()->mutable_team();
              if (readBody(*exchange, *team)) {
@@ -232,14 +233,16 @@
 }
 
 void OperatorsApi::addJobs() {
-  addRoute("POST", "/v1/jobs", [this](auto exchange, const RouteMatch &) {
-    protocol::Command command;
-    if (readBody(*exchange, *command.mutable_submit_job()->mutable_spec())) {
-      submit(exchange, std::move(command));
-    }
-  });
+  addRoute("POST", "/v1/jobs",
+           [this](const auto &exchange, const RouteMatch &) {
+             protocol::Command command;
+             if (readBody(*exchange,
+                          *command.mutable_submit_job()->mutable_spec())) {
+               submit(exchange, std::move(command));
+             }
+           });
   addRoute("DELETE", "/v1/jobs/{}",
-           [this](auto exchange, const RouteMatch &match) {
+           [this](const auto &exchange, const RouteMatch &match) {
              protocol::Command command;
              command.mutable_cancel_job()->set_job(match[0]);
              submit(exchange, std::move(command));
@@ -247,45 +250,49 @@
 }
 
 void OperatorsApi::addPlacement() {
-  const auto queryJob = [this](auto exchange, const std::string &job) {
+  const auto queryJob = [this](const auto &exchange, const std::string &job) {
     protocol::QueryRequest request;
     request.mutable_jobs()->set_job(job);
     query(exchange, std::move(request));
   };
-  const auto queryVm = [this](auto exchange, const std::string &vm) {
+  const auto queryVm = [this](const auto &exchange, const std::string &vm) {
     protocol::QueryRequest request;
     request.mutable_vms()->set_vm(vm);
     query(exchange, std::move(request));
   };
-  addRoute("GET", "/v1/jobs", [queryJob](auto exchange, const RouteMatch &) {
-    queryJob(exchange, "");
-  });
+  addRoute("GET", "/v1/jobs",
+           [queryJob](const auto &exchange, const RouteMatch &) {
+             queryJob(exchange, "");
+           });
   addRoute("GET", "/v1/jobs/{}",
-           [queryJob](auto exchange, const RouteMatch &it) {
+           [queryJob](const auto &exchange, const RouteMatch &it) {
              queryJob(exchange, it[0]);
            });
-  addRoute("GET", "/v1/vms", [queryVm](auto exchange, const RouteMatch &) {
-    queryVm(exchange, "");
-  });
-  addRoute("GET", "/v1/vms/{}", [queryVm](auto exchange, const RouteMatch &it) {
-    queryVm(exchange, it[0]);
-  });
+  addRoute("GET", "/v1/vms",
+           [queryVm](const auto &exchange, const RouteMatch &) {
+             queryVm(exchange, "");
+           });
+  addRoute("GET", "/v1/vms/{}",
+           [queryVm](const auto &exchange, const RouteMatch &it) {
+             queryVm(exchange, it[0]);
+           });
 }
 
 void OperatorsApi::addMembers() {
-  addRoute("GET", "/v1/members", [this](auto exchange, const RouteMatch &) {
-    protocol::QueryRequest request;
-    request.mutable_membership();
-    query(exchange, std::move(request));
-  });
+  addRoute("GET", "/v1/members",
+           [this](const auto &exchange, const RouteMatch &) {
+             protocol::QueryRequest request;
+             request.mutable_membership();
+             query(exchange, std::move(request));
+           });
   addRoute("PUT", "/v1/members/{}",
-           [this](auto exchange, const RouteMatch &match) {
+           [this](const auto &exchange, const RouteMatch &match) {
              protocol::QueryRequest request;
              request.mutable_membership_change()->set_add(match[0]);
              query(exchange, std::move(request));
            });
   addRoute("DELETE", "/v1/members/{}",
-           [this](auto exchange, const RouteMatch &match) {
+           [this](const auto &exchange, const RouteMatch &match) {
              protocol::QueryRequest request;
              request.mutable_membership_change()->set_remove(match[0]);
              query(exchange, std::move(request));
@@ -294,13 +301,13 @@
 
 void OperatorsApi::addListing(const std::string &path,
                               const std::string &kind) {
-  addRoute("GET", path, [this, kind](auto exchange, const RouteMatch &) {
+  addRoute("GET", path, [this, kind](const auto &exchange, const RouteMatch &) {
     protocol::QueryRequest request;
     request.mutable_configuration()->set_kind(kind);
     query(exchange, std::move(request));
   });
   addRoute("GET", path + "/{}",
-           [this, kind](auto exchange, const RouteMatch &match) {
+           [this, kind](const auto &exchange, const RouteMatch &match) {
              protocol::QueryRequest request;
              request.mutable_configuration()->set_kind(kind);
              request.mutable_configuration()->set_name(match[0]);
--- a/src/masticwinch/peers/internal/outbound_connection.cpp
+++ b/src/masticwinch/peers/internal/outbound_connection.cpp
@@ -169,8 +169,8 @@
   }
   Writing = true;
   asio::async_write(Socket, asio::buffer(Outgoing),
-                    [self = shared_from_this(),
-                     attempt = Attempt](const std::error_code &error, auto) {
+                    [self = shared_from_this(), attempt = Attempt](
+                        const std::error_code &error, std::size_t) {
                       if (attempt != self->Attempt) {
                         return;
                       }
--- a/src/masticwinch/programs/command_line.hpp
+++ b/src/masticwinch/programs/command_line.hpp
@@ -35,8 +35,8 @@
 /// runs the daemon unless `--check_settings` was given. `read` takes a file
 /// name and returns the settings; `run` takes them and returns the exit code.
 template <class Read, class Run>
-int runDaemon(int argc, char **argv, const std::string &usage, Read read,
-              Run run) {
+int runDaemon(int argc, char **argv, const std::string &usage, const Read &read,
+              const Run &run) {
   programs::prepareProcess();
   DaemonCommandLine commandLine;
   if (const auto code = readCommandLine(argc, argv, usage, commandLine)) {
--- a/src/masticwinch/settings/settings_reader.hpp
+++ b/src/masticwinch/settings/settings_reader.hpp
@@ -89,7 +89,7 @@
 /// Loads a settings file and fills a settings object through `read`, which
 /// takes the reader and the object. Errors: `SettingsError`.
 template <class Settings, class Read>
-Result<Settings> readSettings(const std::string &file, Read read) {
+Result<Settings> readSettings(const std::string &file, const Read &read) {
   Result<nlohmann::json> json = loadSettingsFile(file);
   if (!json) {
     return json.error();
--- a/src/masticwinch/workflow/control_loop.hpp
+++ b/src/masticwinch/workflow/control_loop.hpp
@@ -36,7 +36,7 @@
 /// the handler.
 template <class Start>
 ExitCode runControlLoop(asio::io_context &context, EventLog &events,
-                        const Activity &activity, Start start) {
+                        const Activity &activity, const Start &start) {
   try {
     start();
     context.run();
--- a/src/masticwinch/workflow/workflow_driver.hpp
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -236,7 +236,7 @@
   /// the last stored batch are dropped, and the next leader starts from the
   /// replicated state.
   template <class Function>
-  void decide(std::string_view handler, Function function) {
+  void decide(std::string_view handler, const Function &function) {
     if (guard(handler, function)) {
       scheduleEffects();
     }
@@ -244,7 +244,7 @@
 
   /// Returns whether the function ended without an exception.
   template <class Function>
-  bool guard(std::string_view handler, Function function) {
+  bool guard(std::string_view handler, const Function &function) {
     const SteadyTime began = Time.now();
     try {
       function();
--- a/tests/coordination/workflow/crashing_cell.hpp
+++ b/tests/coordination/workflow/crashing_cell.hpp
@@ -77,7 +77,7 @@
 
   /// Runs until the condition holds; returns whether it does in time.
   template <class Condition>
-  bool runUntil(Condition condition, Milliseconds limit) {
+  bool runUntil(const Condition &condition, Milliseconds limit) {
     const SteadyTime end = Now.Now + limit;
     while (Now.Now < end && !condition()) {
       run(Step);
--- a/tests/coordination/workflow/test_changed_queues.cpp
+++ b/tests/coordination/workflow/test_changed_queues.cpp
@@ -37,7 +37,7 @@
   /// verdict. `decide` runs between the call and the storing of its effects.
   template <class Function>
   protocol::WorkflowVerdict submitAnd(const std::string &path,
-                                      Function decide) {
+                                      const Function &decide) {
     protocol::WorkflowCall call;
     call.set_host("host");
     call.set_path(path);
--- a/tests/http/raw_caller.hpp
+++ b/tests/http/raw_caller.hpp
@@ -66,7 +66,7 @@
 
 private:
   template <class Condition>
-  bool waitFor(Condition condition, std::chrono::milliseconds limit) {
+  bool waitFor(const Condition &condition, std::chrono::milliseconds limit) {
     const auto end = std::chrono::steady_clock::now() + limit;
     while (!condition()) {
       const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/tests/placement/test_golden_sessions.cpp
+++ b/tests/placement/test_golden_sessions.cpp
@@ -44,7 +44,7 @@
   }
 
   /// Ends the running tasks that the predicate selects by VM and job.
-  template <class Chosen> void end(bool succeeds, Chosen chosen) {
+  template <class Chosen> void end(bool succeeds, const Chosen &chosen) {
     for (std::size_t vm = 0; vm < Cell.workerCount(); ++vm) {
       const auto tasks = Cell.worker(vm).tasks();
       for (std::size_t it = 0; it < tasks.size(); ++it) {
