Read the integers of workers' messages only if they are integers in range

The JSON library converts any number to the type that is asked for, also a double that the type can't hold: undefined, and different on arm64, which saturates, and x86-64. A worker's agent that sent "attempt":-1e30 or "milli_processors":1e30 was believed, with values that depend on the leader's machine.

integerAt and integerOr throw for anything but an integer that fits, so that an answer can't be decoded and an announcement is refused with the key's name. The new cases of test_lease_codec.cpp were accepted by the former code on arm64 (by reading; run on the new code only).

--- a/src/masticwinch/workers/lease_codec.cpp
+++ b/src/masticwinch/workers/lease_codec.cpp
@@ -1,5 +1,7 @@
 #include "masticwinch/workers/lease_codec.hpp"
 
+#include "masticwinch/workers/json_integers.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -60,7 +62,7 @@
   if (!parseTaskName(json.at("task").get<std::string>(), report.Id)) {
     throw std::invalid_argument("task name");
   }
-  report.Id.Number = json.at("attempt").get<std::uint64_t>();
+  report.Id.Number = integerAt<std::uint64_t>(json, "attempt");
   const auto state =
       parseEnum<placement::ReportedState>(json.at("state").get<std::string>());
   if (!state) {
@@ -69,13 +71,13 @@
   const bool refused = *state == placement::ReportedState::Failed &&
                        isRefusal(json.value("reason", ""));
   report.State = refused ? placement::ReportedState::Refused : *state;
-  report.ExitCode = json.value("exit_code", 0);
+  report.ExitCode = integerOr(json, "exit_code", 0);
   report.Checkpoint = json.value("checkpoint", "");
-  report.Given = {json.value("milli_processors", std::int64_t{0}),
-                  json.value("memory_mib", std::int64_t{0}),
-                  json.value("accelerators", std::int64_t{0})};
-  report.Used = {json.value("used_milli_processors", std::int64_t{0}),
-                 json.value("used_memory_mib", std::int64_t{0}), 0};
+  report.Given = {integerOr<std::int64_t>(json, "milli_processors", 0),
+                  integerOr<std::int64_t>(json, "memory_mib", 0),
+                  integerOr<std::int64_t>(json, "accelerators", 0)};
+  report.Used = {integerOr<std::int64_t>(json, "used_milli_processors", 0),
+                 integerOr<std::int64_t>(json, "used_memory_mib", 0), 0};
   return report;
 }
 
@@ -107,8 +109,8 @@
   try {
     const Json json = Json::parse(body);
     placement::WorkerAnswer answer;
-    answer.Reading.Incarnation = json.at("incarnation").get<std::uint64_t>();
-    answer.Reading.ClockMs = json.at("clock_ms").get<std::uint64_t>();
+    answer.Reading.Incarnation = integerAt<std::uint64_t>(json, "incarnation");
+    answer.Reading.ClockMs = integerAt<std::uint64_t>(json, "clock_ms");
     for (const Json &it : json.at("tasks")) {
       answer.Tasks.push_back(parseReport(it));
     }
--- a/src/masticwinch/workers/worker_announcement.cpp
+++ b/src/masticwinch/workers/worker_announcement.cpp
@@ -1,6 +1,7 @@
 #include "masticwinch/workers/worker_announcement.hpp"
 
 #include "masticwinch/protocol/placement.pb.h"
+#include "masticwinch/workers/json_integers.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -12,16 +13,16 @@
 using cell::FieldError;
 
 void fill(const Json &json, protocol::WorkerAnnouncement &announcement) {
-  announcement.set_incarnation(json.at("incarnation").get<std::uint64_t>());
+  announcement.set_incarnation(integerAt<std::uint64_t>(json, "incarnation"));
   announcement.set_address(json.at("address").get<std::string>());
   announcement.set_data_center(json.value("data_center", ""));
   announcement.set_rack(json.value("rack", ""));
-  announcement.set_news(json.value("news", std::uint64_t{0}));
+  announcement.set_news(integerOr<std::uint64_t>(json, "news", 0));
   protocol::Resources &capacity = *announcement.mutable_capacity();
   capacity.set_milli_processors(
-      json.at("milli_processors").get<std::int64_t>());
-  capacity.set_memory_mib(json.at("memory_mib").get<std::int64_t>());
-  capacity.set_accelerators(json.value("accelerators", std::int64_t{0}));
+      integerAt<std::int64_t>(json, "milli_processors"));
+  capacity.set_memory_mib(integerAt<std::int64_t>(json, "memory_mib"));
+  capacity.set_accelerators(integerOr<std::int64_t>(json, "accelerators", 0));
 }
 
 } // namespace
@@ -39,7 +40,7 @@
   }
   try {
     fill(json, announcement);
-  } catch (const Json::exception &error) {
+  } catch (const std::exception &error) {
     return FieldError{"body", error.what()};
   }
   if (announcement.incarnation() == 0) {
--- a/tests/workers/test_lease_codec.cpp
+++ b/tests/workers/test_lease_codec.cpp
@@ -83,7 +83,12 @@
       as<std::string>{}, "", "{}", "[]", R"({"incarnation":1,"clock_ms":2})",
       R"({"incarnation":1,"clock_ms":2,"tasks":[{"task":"job-1","attempt":1,"state":"running"}]})",
       R"({"incarnation":1,"clock_ms":2,"tasks":[{"task":"job-1/x","attempt":1,"state":"running"}]})",
-      R"({"incarnation":1,"clock_ms":2,"tasks":[{"task":"job-1/1","attempt":1,"state":"odd"}]})");
+      R"({"incarnation":1,"clock_ms":2,"tasks":[{"task":"job-1/1","attempt":1,"state":"odd"}]})",
+      R"({"incarnation":1e300,"clock_ms":2,"tasks":[]})",
+      R"({"incarnation":1,"clock_ms":-1,"tasks":[]})",
+      R"({"incarnation":1,"clock_ms":2,"tasks":[{"task":"job-1/1","attempt":-1e30,"state":"running"}]})",
+      R"({"incarnation":1,"clock_ms":2,"tasks":[{"task":"job-1/1","attempt":1,"state":"failed","exit_code":4294967296}]})",
+      R"({"incarnation":1,"clock_ms":2,"tasks":[{"task":"job-1/1","attempt":1,"state":"running","used_memory_mib":1e19}]})");
   CHECK_FALSE(parseLeaseAnswer(body));
 }
 
@@ -117,5 +122,9 @@
   CHECK(fieldOf(R"({"incarnation":1,"address":"10.0.0.1:80",
                     "milli_processors":-1,"memory_mib":512})") ==
         "capacity.milli_processors");
+  CHECK(fieldOf(R"({"incarnation":1e300,"address":"10.0.0.1:80",
+                    "milli_processors":1000,"memory_mib":512})") == "body");
+  CHECK(fieldOf(R"({"incarnation":1,"address":"10.0.0.1:80",
+                    "milli_processors":1e30,"memory_mib":512})") == "body");
   CHECK(fieldOf("[") == "body");
 }
