Refuse a gang that is wider than its pool at once

Callers whose gang has more tasks than the pool's runners could hold at the same time, idle, had it accepted; it never started, and its caller asked for it until it gave up. Only the size of a single task was compared with the runners.

A pool without known runners fits everything, as before. The places of a step on a runner were counted in three ways; placesOf serves all.

--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -1,6 +1,7 @@
 #include "masticwinch/coordination/workflow/workflow_leader.hpp"
 
 #include "masticwinch/coordination/workflow/critical_path.hpp"
+#include "masticwinch/coordination/workflow/pool_fit.hpp"
 #include "masticwinch/coordination/workflow/queue_routes.hpp"
 #include "masticwinch/coordination/workflow/record_limits.hpp"
 
@@ -240,25 +241,6 @@
           [answer] { answer(answerOf(protocol::VERDICT_OK)); });
 }
 
-bool WorkflowLeader::fitsSomeRunner(const protocol::WorkflowSpec &spec,
-                                    const std::string &pool) const {
-  bool any = false;
-  std::vector<bool> fits(static_cast<std::size_t>(spec.steps_size()), false);
-  for (const auto &[id, runner] : Registry.runners()) {
-    if (runner.Gone || runner.Info.pool() != pool) {
-      continue;
-    }
-    any = true;
-    const ResourceAmounts whole = amountsOf(runner.Info.capacity());
-    for (int i = 0; i < spec.steps_size(); ++i) {
-      fits[std::size_t(i)] =
-          fits[std::size_t(i)] || whole.canFit(needsOf(spec.steps(i)));
-    }
-  }
-  return !any ||
-         std::all_of(fits.begin(), fits.end(), [](bool it) { return it; });
-}
-
 /// Processors of the pool's usable runners. If there is none, as before the
 /// first polls of a new leader are answered, those of all known runners: they
 /// are expected to be usable before a refused caller would retry.
@@ -413,15 +395,15 @@
     answer(refused);
     return;
   }
-  if (!fitsSomeRunner(spec, route.Queue->pool())) {
+  if (const PoolFit fit = fitOf(spec, Registry, route.Queue->pool());
+      fit != PoolFit::Fits) {
+    const std::string reason(nameOf(fit));
     logEvent(WorkflowEventKind::WorkflowRefused,
              {{"workflow", spec.id()},
-              {"reason", "larger than every runner"},
+              {"reason", reason},
               {"queue", spec.queue()},
               {"runners", std::to_string(Registry.runners().size())}});
-    protocol::WorkflowAnswer refused =
-        answerOf(protocol::VERDICT_REFUSED, "larger than every runner");
-    answer(refused);
+    answer(answerOf(protocol::VERDICT_REFUSED, reason));
     return;
   }
   if (const auto late =
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -217,8 +217,6 @@
   void answerOverdueQueries(SteadyTime now);
   std::uint64_t queuedCount(const std::string &queue, Moment at);
   void cancel(const std::string &id, const AnswerCallback &answer);
-  bool fitsSomeRunner(const protocol::WorkflowSpec &spec,
-                      const std::string &pool) const;
   std::uint64_t expectedProcessors(const std::string &pool) const;
   /// A submission that would end late, and its turn to return.
   struct LateRefusal {
--- a/src/masticwinch/coordination/workflow/workflow_leader_overdue.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_overdue.cpp
@@ -1,4 +1,5 @@
 #include "masticwinch/coordination/workflow/critical_path.hpp"
+#include "masticwinch/coordination/workflow/pool_fit.hpp"
 #include "masticwinch/coordination/workflow/workflow_leader.hpp"
 
 #include <algorithm>
@@ -162,11 +163,8 @@
     return places;
   }
   for (const RunnerEntry *it : forecast->Runners) {
-    std::size_t fit = countFitting(amountsOf(it->Info.capacity()), needs);
-    if (spec.max_per_runner() > 0) {
-      fit = std::min<std::size_t>(fit, spec.max_per_runner());
-    }
-    fit = std::min(fit, wanted);
+    const std::size_t fit =
+        std::min(placesOf(spec, amountsOf(it->Info.capacity())), wanted);
     if (fit > 0) {
       places[it->Info.id()] = fit;
       wanted -= fit;
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -1,4 +1,5 @@
 #include "masticwinch/coordination/workflow/critical_path.hpp"
+#include "masticwinch/coordination/workflow/pool_fit.hpp"
 #include "masticwinch/coordination/workflow/queue_routes.hpp"
 #include "masticwinch/coordination/workflow/workflow_leader.hpp"
 
@@ -298,11 +299,7 @@
     if (refused || !mayRun(open, spec, *it)) {
       continue;
     }
-    const std::size_t fit =
-        countFitting(amountsOf(it->Info.capacity()), needsOf(spec));
-    fitting += spec.max_per_runner() > 0
-                   ? std::min<std::size_t>(fit, spec.max_per_runner())
-                   : fit;
+    fitting += placesOf(spec, amountsOf(it->Info.capacity()));
     if (fitting >= needed) {
       return true;
     }
