Tell the linter that a write's buffers have to be copied

clang-tidy takes the copy of the buffers for unnecessary, since it doesn't see that they are a part of the handler that is moved next. check-lint on the two files that include the header: passes.

--- a/src/masticwinch/http/internal/refusing_socket.hpp
+++ b/src/masticwinch/http/internal/refusing_socket.hpp
@@ -94,6 +94,7 @@
 
   template <class Buffers, class Handler>
   void async_write_some(const Buffers &handlerBuffers, Handler &&handler) {
+    // NOLINTNEXTLINE(performance-unnecessary-copy-initialization)
     const Buffers buffers = handlerBuffers;
     const auto executor =
         asio::get_associated_executor(handler, get_executor());
