Link the tests with RapidCheck by its path, like the other libraries

A cross build finds the libraries in a folder of their own; the bare name was looked for in the cross compiler's folders only, so that the unit tests could not be linked for x86-64. With the path they link for both kinds. The library isn't required, since the build of the deploy file needs no tests.

--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -98,7 +98,11 @@
   target_include_directories(masticwinch-tests PRIVATE ${PROJECT_SOURCE_DIR})
   target_compile_definitions(masticwinch-tests PRIVATE
     MASTICWINCH_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
-  target_link_libraries(masticwinch-tests PRIVATE masticwinch_platform rapidcheck)
+  # Not required: a build of the programs alone needs no test library. The full
+  # path lets a cross build find it.
+  find_library(RAPIDCHECK_LIBRARY rapidcheck)
+  target_link_libraries(masticwinch-tests PRIVATE masticwinch_platform
+    $<IF:$<BOOL:${RAPIDCHECK_LIBRARY}>,${RAPIDCHECK_LIBRARY},rapidcheck>)
   # A fixed RapidCheck seed makes the property tests reproducible.
   add_test(NAME unit COMMAND masticwinch-tests "~[.]" "~[processes]")
   set_tests_properties(unit PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261203")
