Report functions with parameters of the type auto as well

The check saw generic lambdas, but not abbreviated function templates, which are the same. Tests for both, and for loops and conditions that declare with auto.

--- a/tests/tools/test_by_value_parameters.py
+++ b/tests/tools/test_by_value_parameters.py
@@ -68,6 +68,18 @@
             self.reported("g([this](auto x, const RouteMatch &match) {});"),
             ["auto x"])
 
+    def test_an_abbreviated_function_template_is_reported(self):
+        self.assertEqual(
+            self.reported("void f(const auto &x, auto y, const auto z);"),
+            ["auto y", "const auto z"])
+
+    def test_loops_and_declarations_with_auto_are_allowed(self):
+        self.assertEqual(self.reported("""
+            for (auto it = begin(x), last = end(x); it != last; ++it) { g(a, b); }
+            for (const auto &[key, value] : map) { const auto c = f(a, b); }
+            if (auto it = m.find(k, l); it != m.end()) {}
+            if (const auto problem = read(exchange->body(), name)) {}"""), [])
+
     def test_constructors_and_members_with_default_arguments_are_reported(self):
         self.assertEqual(self.reported("""
             struct S {
