Compile all sources with the same definition of Asio's aligned allocation

Seen: under memcheck, a cell of the release build reports 253 "Mismatched free() / delete / delete []" in test_serving.py, nothing else. Blocks that Asio's aligned_new took from aligned_alloc are given back by operator delete.

Change: ASIO_HAS_STD_ALIGNED_ALLOC is a definition of all targets.

--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -4,8 +4,10 @@
 add_library(masticwinch_options INTERFACE)
 target_compile_options(masticwinch_options INTERFACE
   -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Werror)
+# Asio looks for aligned_alloc by a macro that only headers of the standard library
+# define, so without the definition it would depend on each source's first include.
 target_compile_definitions(masticwinch_options INTERFACE ASIO_STANDALONE
-  SPDLOG_FMT_EXTERNAL SPDLOG_COMPILED_LIB
+  ASIO_HAS_STD_ALIGNED_ALLOC=1 SPDLOG_FMT_EXTERNAL SPDLOG_COMPILED_LIB
   MASTICWINCH_VERSION="${PROJECT_VERSION}")
 if(MASTICWINCH_SANITIZE)
   if(MASTICWINCH_SANITIZE MATCHES thread)
