--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -28,6 +28,8 @@
 LOOKUP_PROFILE = {"requests": {"work_class": "URGENT", "deadline_ms": 5000}}
 
 BUILD = ""
+# The same programs, built for another kind of machine.
+OTHER_BUILD = ""
 
 
 class Answer:
@@ -231,10 +233,13 @@
 
 def main():
     """Parses the command line and runs the tests of the main module."""
-    global BUILD
+    global BUILD, OTHER_BUILD
     parser = argparse.ArgumentParser()
     parser.add_argument("--build", required=True, help="folder of the programs")
+    parser.add_argument("--other-build", help="folder of the programs of another kind "
+                        "of machine, for tests that use both; default: --build")
     arguments, rest = parser.parse_known_args()
     BUILD = arguments.build
+    OTHER_BUILD = arguments.other_build or BUILD
     unittest.main(module="__main__", argv=[sys.argv[0], *rest],
                   testRunner=known_red.runner(pathlib.Path(sys.argv[0]).name))
