Find the processes of a cell that runs under an emulator

The cell of scripts/lib compares the whole command line of a process with the one that it started, and a wrapper's process has the emulator's in front: "control-1 ended", so neither tests/processes nor scripts/demo could be used with the programs of the other kind of machine.

--- a/scripts/lib/masticwinch/process.py
+++ b/scripts/lib/masticwinch/process.py
@@ -92,14 +92,18 @@
 
 
 def _runs(pid, command):
-    """Whether the pid is a running process with the command line."""
+    """Whether the pid is a running process with the command line. An emulator's
+    command line has the program, in a folder of its own, and its arguments last."""
     if not pid or not _is_alive(pid):
         return False
     try:
         line = pathlib.Path(f"/proc/{pid}/cmdline").read_bytes()
     except OSError:
         return False
-    return line.rstrip(b"\0").split(b"\0") == [os.fsencode(it) for it in command]
+    program, *arguments = [os.fsencode(it) for it in command]
+    words = line.rstrip(b"\0").split(b"\0")[-len(command):]
+    return (os.path.basename(words[0]) == os.path.basename(program) and
+            words[1:] == arguments)
 
 
 def _is_alive(pid):
