Don't let sums of large amounts of work wrap around

What callers get: estimates go up to 2^32 - 1 ms and processors to 2^32 - 1 thousandths of a core. Sums of such work, and a thousand times such a sum, wrapped around 64 bits: 1,001 tasks counted as less work than one, a submission behind 2^61 core-milliseconds was let in as if nothing were ahead, and overdue work of that size counted as worked off.

Change: sums and products saturate, a workflow counts as at most 2^50 core-milliseconds so that the sums of turns fit, and processingTime, the one place that turns work into time now, says at most 100 years, which can be added to a time point.

--- a/src/masticwinch/coordination/workflow/admission.cpp
+++ b/src/masticwinch/coordination/workflow/admission.cpp
@@ -1,9 +1,23 @@
 #include "masticwinch/coordination/workflow/admission.hpp"
 
+#include "masticwinch/common/saturating.hpp"
+
 #include <algorithm>
 
 namespace masticwinch::workflow {
 
+namespace {
+
+constexpr std::uint64_t MilliPerCore = 1000;
+
+} // namespace
+
+Milliseconds processingTime(std::uint64_t work, std::uint64_t milliProcessors) {
+  return Milliseconds(
+      std::min(saturatingMultiply(work, MilliPerCore) / milliProcessors,
+               static_cast<std::uint64_t>(LongestWait.count())));
+}
+
 std::uint64_t usableProcessors(const AdmissionOptions &options,
                                const AdmissionInput &input) {
   return input.MilliProcessors * options.UsablePermille / 1000;
@@ -24,7 +38,7 @@
   if (usable == 0) {
     return options.MaxRetryAfter / 2;
   }
-  const Milliseconds wait(input.WorkAhead * 1000 / usable);
+  const Milliseconds wait = processingTime(input.WorkAhead, usable);
   const Milliseconds excess = std::max(
       wait - input.Slack, input.OverdueDrain - options.MaxOverdueDrain);
   if (excess <= Milliseconds(0)) {
--- a/src/masticwinch/coordination/workflow/admission.hpp
+++ b/src/masticwinch/coordination/workflow/admission.hpp
@@ -39,6 +39,13 @@
   std::uint64_t Salt = 0;
 };
 
+/// Longest time that work is said to take. Short enough to be added to a time
+/// point.
+inline constexpr Milliseconds LongestWait = std::chrono::hours(24) * 365 * 100;
+
+/// How long processors need for work, in core-milliseconds.
+Milliseconds processingTime(std::uint64_t work, std::uint64_t milliProcessors);
+
 /// Thousandths of a core that work can use.
 std::uint64_t usableProcessors(const AdmissionOptions &options,
                                const AdmissionInput &input);
--- a/src/masticwinch/coordination/workflow/critical_path.cpp
+++ b/src/masticwinch/coordination/workflow/critical_path.cpp
@@ -1,5 +1,7 @@
 #include "masticwinch/coordination/workflow/critical_path.hpp"
 
+#include "masticwinch/common/saturating.hpp"
+
 #include <algorithm>
 
 namespace masticwinch::workflow {
@@ -56,9 +58,9 @@
 std::uint64_t estimatedWork(const protocol::WorkflowSpec &spec) {
   std::uint64_t work = 0;
   for (const protocol::StepSpec &it : spec.steps()) {
-    work += it.count() * taskWork(it);
+    work = saturatingAdd(work, saturatingMultiply(it.count(), taskWork(it)));
   }
-  return work;
+  return std::min(work, MaxEstimatedWork);
 }
 
 } // namespace masticwinch::workflow
--- a/src/masticwinch/coordination/workflow/critical_path.hpp
+++ b/src/masticwinch/coordination/workflow/critical_path.hpp
@@ -20,6 +20,10 @@
 /// Estimated core-milliseconds of one task.
 std::uint64_t taskWork(const protocol::StepSpec &step);
 
+/// A workflow with more work than this, in core-milliseconds, counts as if it
+/// had this much, so that sums over some thousand of them fit.
+inline constexpr std::uint64_t MaxEstimatedWork = std::uint64_t(1) << 50;
+
 /// Estimated core-milliseconds of all steps.
 std::uint64_t estimatedWork(const protocol::WorkflowSpec &spec);
 
--- a/src/masticwinch/coordination/workflow/overdue_share.cpp
+++ b/src/masticwinch/coordination/workflow/overdue_share.cpp
@@ -1,5 +1,7 @@
 #include "masticwinch/coordination/workflow/overdue_share.hpp"
 
+#include "masticwinch/coordination/workflow/admission.hpp"
+
 #include <algorithm>
 
 namespace masticwinch::workflow {
@@ -98,8 +100,8 @@
   const auto &queues = entry->second.Queues;
   const auto sharePerSecond =
       std::uint64_t(entry->second.LeftPerMs * 1000 / MillionthsPerCoreMs);
-  return Milliseconds(
-      queues.at(queue).CoreMs * 1000 /
+  return processingTime(
+      queues.at(queue).CoreMs,
       std::max<std::uint64_t>({perSecond, sharePerSecond / queues.size(), 1}));
 }
 
--- a/src/masticwinch/coordination/workflow/refused_submissions.cpp
+++ b/src/masticwinch/coordination/workflow/refused_submissions.cpp
@@ -1,5 +1,8 @@
 #include "masticwinch/coordination/workflow/refused_submissions.hpp"
 
+#include "masticwinch/common/saturating.hpp"
+#include "masticwinch/coordination/workflow/admission.hpp"
+
 #include <algorithm>
 
 namespace masticwinch::workflow {
@@ -50,9 +53,9 @@
                                            SteadyTime now) const {
   std::uint64_t turns = 0;
   const auto wait = [&] {
-    const std::uint64_t ahead = load.Work + turns * TakenPermille / 1000;
-    return std::max(Milliseconds(ahead * 1000 / load.MilliProcessors) -
-                        load.Slack,
+    const std::uint64_t ahead = saturatingAdd(
+        load.Work, saturatingMultiply(turns, TakenPermille) / 1000);
+    return std::max(processingTime(ahead, load.MilliProcessors) - load.Slack,
                     Milliseconds(0));
   };
   Milliseconds room = wait();
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -1,5 +1,6 @@
 #include "masticwinch/coordination/workflow/workflow_leader.hpp"
 
+#include "masticwinch/common/saturating.hpp"
 #include "masticwinch/coordination/workflow/critical_path.hpp"
 #include "masticwinch/coordination/workflow/pool_fit.hpp"
 #include "masticwinch/coordination/workflow/queue_routes.hpp"
@@ -281,7 +282,9 @@
   } else {
     input.MilliProcessors = expectedProcessors(queue.pool());
     for (const auto &[priority, waiting] : WaitingWork) {
-      input.WorkAhead += priority <= queue.priority() ? waiting : 0;
+      if (priority <= queue.priority()) {
+        input.WorkAhead = saturatingAdd(input.WorkAhead, waiting);
+      }
     }
   }
   input.OverdueDrain = Overdue.drainTime(
@@ -315,7 +318,7 @@
     // What it was told holds unless it would have no value by then.
     const Milliseconds criticalPath =
         longestCriticalPath(remainingCriticalPaths(spec, queue));
-    const Milliseconds wait(input.WorkAhead * 1000 / usable);
+    const Milliseconds wait = processingTime(input.WorkAhead, usable);
     if (wait + criticalPath <= LateFactor * (input.Slack + criticalPath)) {
       return std::nullopt;
     }
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -1,3 +1,4 @@
+#include "masticwinch/common/saturating.hpp"
 #include "masticwinch/coordination/workflow/critical_path.hpp"
 #include "masticwinch/coordination/workflow/pool_fit.hpp"
 #include "masticwinch/coordination/workflow/queue_routes.hpp"
@@ -64,14 +65,15 @@
     const Milliseconds remaining = open.Info->CriticalPaths[key.Step];
     const StepRank rank =
         rankOf(open.Info->Ranking, remaining, at.Now, Options.Ranking);
-    const std::uint64_t work = tasks * taskWork(spec);
+    const std::uint64_t work = saturatingMultiply(tasks, taskWork(spec));
     const std::string &queue = open.Parent->Spec.queue();
     if (!spec.gang() && Containment.isOnProbation(queue, at.Now)) {
-      ProbationWork[queue] += work;
+      ProbationWork[queue] = saturatingAdd(ProbationWork[queue], work);
     } else if (rank.Forecast != CompletionForecast::Missed) {
       // Late steps rank behind a submission but hold some of the room that it
       // needs.
-      WaitingWork[rank.Priority] += work;
+      WaitingWork[rank.Priority] =
+          saturatingAdd(WaitingWork[rank.Priority], work);
     }
     ranked.push_back({rank, &key, std::nullopt});
     if (isOverdue(key, open, at)) {
@@ -80,7 +82,8 @@
       // work will wait.
       const protocol::QueueConfig *config = State.findQueue(queue);
       if (config && open.FailedDrains == 0) {
-        overdueWork[config->pool()][queue] += work;
+        std::uint64_t &backlog = overdueWork[config->pool()][queue];
+        backlog = saturatingAdd(backlog, work);
       }
     }
   }
--- /dev/null
+++ b/tests/coordination/workflow/test_large_numbers.cpp
@@ -0,0 +1,63 @@
+#include "masticwinch/coordination/workflow/admission.hpp"
+#include "masticwinch/coordination/workflow/critical_path.hpp"
+#include "masticwinch/coordination/workflow/overdue_share.hpp"
+#include "masticwinch/coordination/workflow/refused_submissions.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "tests/coordination/workflow/led_cell.hpp"
+#include <limits>
+
+using namespace masticwinch;
+using namespace masticwinch::tests;
+using namespace masticwinch::workflow;
+
+namespace {
+
+constexpr SteadyTime Start{std::chrono::seconds(100)};
+constexpr std::uint32_t Largest32 = std::numeric_limits<std::uint32_t>::max();
+/// A thousand of it, or two, don't fit into 64 bits.
+constexpr std::uint64_t LargeWork = std::uint64_t(1) << 61;
+
+/// A step whose duration and processors are the largest that can be stated.
+protocol::StepSpec largestStep(std::uint32_t count) {
+  protocol::StepSpec step = stepOf(count);
+  step.set_estimate_ms(Largest32);
+  step.mutable_needs()->set_milli_processors(Largest32);
+  return step;
+}
+
+} // namespace
+
+TEST_CASE("The work of more tasks is not less, however large they are",
+          "[workflow]") {
+  const std::uint64_t one = estimatedWork(specOf("a", {largestStep(1)}));
+  for (std::uint32_t count : {2U, 1001U, 20'000U}) {
+    CHECK(estimatedWork(specOf("a", {largestStep(count)})) >= one);
+  }
+}
+
+TEST_CASE("A submission behind work that takes for ever is refused",
+          "[workflow]") {
+  AdmissionInput input;
+  input.MilliProcessors = 100'000;
+  input.Slack = Milliseconds(1000);
+  input.WorkAhead = LargeWork;
+  CHECK(retryAfter({}, input));
+}
+
+TEST_CASE("There is no room soon behind work that takes for ever",
+          "[workflow]") {
+  RefusedSubmissions turns{{}};
+  turns.add({"a", 0, MaxEstimatedWork}, Start);
+  CHECK(turns.untilRoom(0, {LargeWork, 1000, Milliseconds(0)}, Start) ==
+        LongestWait);
+}
+
+TEST_CASE("Overdue work that takes for ever is not worked off soon",
+          "[workflow]") {
+  OverdueShare share{{}};
+  share.accrue("prices", 1000, Start);
+  share.setBacklogs("prices", {{"sheets", LargeWork}});
+  CHECK(share.drainTime("prices", "sheets", 0) == LongestWait);
+}
