Don't let a long path times a large stretch become a negative objective

What callers get: a valid queue with a stretch of 1,000,000 refused a job of four steps with the longest estimate in an idle pool. The product of critical path and stretch overflowed a signed number, which is undefined, and came out negative: the job counted as late when it came.

Change: objectiveOf is the one calculation for the ranking and for admission; it saturates at 1,000 years, of which the multiples for late work still fit.

No difference below the bound but that a negative slack is rounded down.

--- a/src/masticwinch/coordination/workflow/critical_path.cpp
+++ b/src/masticwinch/coordination/workflow/critical_path.cpp
@@ -50,6 +50,18 @@
   return longest == remaining.end() ? Milliseconds(0) : *longest;
 }
 
+Milliseconds objectiveOf(Milliseconds criticalPath,
+                         const protocol::QueueConfig &queue) {
+  const std::uint64_t stretched =
+      saturatingMultiply(static_cast<std::uint64_t>(criticalPath.count()),
+                         queue.stretch_permille()) /
+      1000;
+  const std::uint64_t objective =
+      saturatingAdd(stretched, queue.latency_target_ms());
+  return Milliseconds(std::min(
+      objective, static_cast<std::uint64_t>(LongestObjective.count())));
+}
+
 std::uint64_t taskWork(const protocol::StepSpec &step) {
   return std::uint64_t(step.estimate_ms()) * step.needs().milli_processors() /
          MilliPerCore;
--- a/src/masticwinch/coordination/workflow/critical_path.hpp
+++ b/src/masticwinch/coordination/workflow/critical_path.hpp
@@ -17,6 +17,16 @@
 /// The critical path of the whole workflow: the longest of the remaining ones.
 Milliseconds longestCriticalPath(const std::vector<Milliseconds> &remaining);
 
+/// In which time a workflow with this critical path is to complete: the path's
+/// time multiplied by the queue's stretch, plus its latency target. At most
+/// `LongestObjective`.
+Milliseconds objectiveOf(Milliseconds criticalPath,
+                         const protocol::QueueConfig &queue);
+
+/// Short enough that multiples of it for late work fit.
+inline constexpr Milliseconds LongestObjective =
+    std::chrono::hours(24) * 365 * 1000;
+
 /// Estimated core-milliseconds of one task.
 std::uint64_t taskWork(const protocol::StepSpec &step);
 
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -102,9 +102,7 @@
   info.Ranking.Accepted = at.Now - Milliseconds(age);
   info.Ranking.Priority = queue.priority();
   info.Ranking.Objective =
-      Milliseconds(longestCriticalPath(info.CriticalPaths).count() *
-                   std::int64_t(queue.stretch_permille()) / 1000) +
-      Milliseconds(queue.latency_target_ms());
+      objectiveOf(longestCriticalPath(info.CriticalPaths), queue);
   if (workflow.Spec.repeats() > 0) {
     Recurring.insert(id);
   }
@@ -268,10 +266,7 @@
   AdmissionInput input;
   const Milliseconds criticalPath =
       longestCriticalPath(remainingCriticalPaths(spec, queue));
-  input.Slack =
-      Milliseconds(criticalPath.count() *
-                   (std::int64_t(queue.stretch_permille()) - 1000) / 1000) +
-      Milliseconds(queue.latency_target_ms());
+  input.Slack = objectiveOf(criticalPath, queue) - criticalPath;
   if (const auto work = ProbationWork.find(queueId(queue));
       work != ProbationWork.end()) {
     const auto kept = ProbationProcessors.find(queue.pool());
--- a/tests/coordination/workflow/test_large_numbers.cpp
+++ b/tests/coordination/workflow/test_large_numbers.cpp
@@ -61,3 +61,40 @@
   share.setBacklogs("prices", {{"sheets", LargeWork}});
   CHECK(share.drainTime("prices", "sheets", 0) == LongestWait);
 }
+
+TEST_CASE("An objective is not less with a longer path or a larger stretch",
+          "[workflow]") {
+  protocol::QueueConfig queue;
+  queue.set_latency_target_ms(1000);
+  const Milliseconds path = Milliseconds(4 * std::int64_t(Largest32));
+  Milliseconds last(0);
+  for (std::uint32_t stretch : {2000U, 1'000'000U, 1'000'000'000U}) {
+    queue.set_stretch_permille(stretch);
+    CHECK(objectiveOf(path, queue) > last);
+    last = objectiveOf(path, queue);
+  }
+  CHECK(last == LongestObjective);
+}
+
+TEST_CASE("A workflow with a long path is let into an idle pool however large "
+          "the queue's stretch is",
+          "[workflow]") {
+  WorkflowState state;
+  protocol::WorkflowChange configured;
+  *configured.mutable_configure() = configOf(1);
+  configured.mutable_configure()->mutable_queues(0)->set_stretch_permille(
+      1'000'000'000);
+  state.apply(configured);
+  LedCell cell(std::move(state));
+  cell.heartbeat(runnerOf("r"), 1, 1);
+  std::vector<protocol::StepSpec> chain;
+  for (std::uint32_t i = 0; i < 4; ++i) {
+    chain.push_back(stepOf(1));
+    chain.back().set_estimate_ms(Largest32);
+    if (i > 0) {
+      chain.back().add_after(i - 1);
+    }
+  }
+  cell.submit("00000000000000a1", chain);
+  CHECK(cell.State.find("00000000000000a1"));
+}
