Never begin an occurrence whose time doesn't fit

What callers get: a recurring job's occurrence K is due at start_time_ms + K x interval_ms. Both numbers are the caller's, alike on both kinds of machine.

Change: dueUnixMs saturates and is the one calculation for beginning occurrences and for their age.

--- a/src/masticwinch/coordination/workflow/workflow_leader_overdue.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_overdue.cpp
@@ -14,8 +14,7 @@
   if (spec.repeats() == 0) {
     return open.Info->Ranking.Accepted;
   }
-  const std::uint64_t due =
-      spec.first_at_unix_ms() + key.Occurrence * spec.interval_ms();
+  const std::uint64_t due = dueUnixMs(spec, key.Occurrence);
   const std::uint64_t age = at.UnixMs > due ? at.UnixMs - due : 0;
   return std::max(open.Info->Ranking.Accepted, at.Now - Milliseconds(age));
 }
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -338,7 +338,7 @@
     if (next >= spec.repeats()) {
       continue;
     }
-    if (at.UnixMs < spec.first_at_unix_ms() + next * spec.interval_ms()) {
+    if (at.UnixMs < dueUnixMs(spec, next)) {
       continue;
     }
     ProposedOccurrences[id] = next;
--- a/src/masticwinch/coordination/workflow/workflow_types.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_types.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "masticwinch/common/enum_names.hpp"
+#include "masticwinch/common/saturating.hpp"
 #include "masticwinch/protocol/workflow.pb.h"
 
 #include <cstdint>
@@ -24,6 +25,14 @@
 /// Whether no task of the workflow will be started any more.
 constexpr bool isFinal(Phase phase) { return phase >= Phase::Completed; }
 
+/// When an occurrence of a recurring workflow is due, in Unix milliseconds. One
+/// whose time doesn't fit is never due.
+inline std::uint64_t dueUnixMs(const protocol::WorkflowSpec &spec,
+                               std::uint32_t occurrence) {
+  return saturatingAdd(spec.first_at_unix_ms(),
+                       saturatingMultiply(occurrence, spec.interval_ms()));
+}
+
 /// Resources of a runner or a task, in the smallest units. Signed, so that
 /// overcommitted resources show as negative.
 struct ResourceAmounts {
--- a/tests/coordination/workflow/test_large_numbers.cpp
+++ b/tests/coordination/workflow/test_large_numbers.cpp
@@ -98,3 +98,24 @@
   cell.submit("00000000000000a1", chain);
   CHECK(cell.State.find("00000000000000a1"));
 }
+
+TEST_CASE("An occurrence whose time doesn't fit is never due", "[workflow]") {
+  const std::string id = "00000000000000a1";
+  LedCell cell;
+  cell.heartbeat(runnerOf("r"), 1, 1);
+  protocol::WorkflowCall call;
+  call.set_host("host");
+  call.set_path("/sheets/" + id);
+  *call.mutable_submit() = specOf(id, {stepOf(1)});
+  call.mutable_submit()->set_repeats(3);
+  call.mutable_submit()->set_first_at_unix_ms(cell.Now.UnixMs);
+  call.mutable_submit()->set_interval_ms(
+      std::numeric_limits<std::uint64_t>::max());
+  cell.Leader.call(
+      call, [](const protocol::WorkflowAnswer &) {}, cell.Now);
+  for (int i = 0; i < 5; ++i) {
+    cell.pass(LedCell::SchedulingTime);
+  }
+  REQUIRE(cell.State.find(id));
+  CHECK(cell.State.find(id)->OccurrencesBegun == 1);
+}
