Start no task whose memory doesn't fit into a signed number

What runners got: `memory_limit_mb` is read as an unsigned 64-bit number and was converted to a signed one. A job that asks for 2^63 MB or more needed a negative amount: it fitted every runner, was started, and its runner's free memory grew by it, so that other tasks could be started over its capacity (LIMIT). Class: size and sign of types; alike on both kinds of machine.

Change: amountsOf, which all decisions use, takes more than 2^40 MB as 2^40, which no runner has; the job is refused like every other that is larger than every runner. What was stored before is read the same way.

Measured: in the new test the former sources accept and start the job (4 checks fail); it is refused now and the job after it starts.

--- a/src/masticwinch/coordination/workflow/workflow_types.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_types.hpp
@@ -4,6 +4,7 @@
 #include "masticwinch/common/saturating.hpp"
 #include "masticwinch/protocol/workflow.pb.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -33,6 +34,10 @@
                        saturatingMultiply(occurrence, spec.interval_ms()));
 }
 
+/// More memory than this, in MB, counts as this much, so that it and sums of it
+/// fit. No runner has it.
+inline constexpr std::uint64_t MaxMemoryMb = std::uint64_t(1) << 40;
+
 /// Resources of a runner or a task, in the smallest units. Signed, so that
 /// overcommitted resources show as negative.
 struct ResourceAmounts {
@@ -65,7 +70,7 @@
 
 inline ResourceAmounts amountsOf(const protocol::Amounts &amounts) {
   return {std::int64_t(amounts.milli_processors()),
-          std::int64_t(amounts.memory_mb()),
+          std::int64_t(std::min(amounts.memory_mb(), MaxMemoryMb)),
           std::int64_t(amounts.accelerators())};
 }
 
--- a/tests/coordination/workflow/test_large_numbers.cpp
+++ b/tests/coordination/workflow/test_large_numbers.cpp
@@ -119,3 +119,24 @@
   REQUIRE(cell.State.find(id));
   CHECK(cell.State.find(id)->OccurrencesBegun == 1);
 }
+
+TEST_CASE("A task that needs more memory than a signed number holds starts "
+          "nowhere",
+          "[workflow]") {
+  LedCell cell;
+  cell.heartbeat(runnerOf("r"), 1, 1);
+  cell.pass(LedCell::SchedulingTime);
+  cell.answerPoll({});
+  protocol::StepSpec step = stepOf(1);
+  for (std::uint64_t memory :
+       {std::numeric_limits<std::uint64_t>::max(), std::uint64_t(1) << 63}) {
+    step.mutable_needs()->set_memory_mb(memory);
+    cell.submit("00000000000000a1", {step});
+    cell.pass(LedCell::SchedulingTime);
+    CHECK_FALSE(cell.State.find("00000000000000a1"));
+  }
+  CHECK(cell.Starts.empty());
+  cell.submit("00000000000000a2");
+  cell.pass(LedCell::SchedulingTime);
+  CHECK(cell.Starts.size() == 1);
+}
