Join the names of suspected runs without a sum of strings

GCC 12 warns (-Wrestrict) about "," + std::string in workflow_leader_crashes.cpp, a known false report of that version, and warnings are errors.

--- a/src/masticwinch/coordination/workflow/workflow_leader_crashes.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_crashes.cpp
@@ -23,8 +23,8 @@
           run.suspected() ? State.find(run.task().workflow()) : nullptr;
       if (workflow) {
         queues.insert(workflow->Spec.queue());
-        suspects +=
-            (suspects.empty() ? "" : ",") + textOf(taskKeyOf(run.task()));
+        suspects += suspects.empty() ? "" : ",";
+        suspects += textOf(taskKeyOf(run.task()));
       }
     }
     // A call that timed out is no reason to put queues on probation.
