Don't take a process for ended while it executes its program

Seen: test_runners.py with programs for arm64 under the emulator: an error in the first test's start, every event file cut off in the same tenth of a second and entry-1's empty. The cell had given up the start as "entry-1 ended" and killed all. KNOWN-RED.txt lists the same of test_placement.py with native programs, "entry-2 ended during the start", once and untraced.

Cause: the cell compares /proc/PID/cmdline, which is empty for a moment while a process executes a program, in execve after the descriptors are closed. A wrapper executes the emulator some milliseconds after its own start; a native program's window is between the closing of Popen's pipe and the end of the same execve.

Change: a child that hasn't been waited for counts as running whatever its command line is, since its pid can't be another's. Processes of other runs are still compared.

--- a/scripts/lib/masticwinch/process.py
+++ b/scripts/lib/masticwinch/process.py
@@ -96,6 +96,10 @@
     command line has the program, in a folder of its own, and its arguments last."""
     if not pid or not _is_alive(pid):
         return False
+    if pid in _CHILDREN:
+        # Nobody else gets the pid of a child, and its command line is empty for a
+        # moment whenever it executes a program.
+        return True
     try:
         line = pathlib.Path(f"/proc/{pid}/cmdline").read_bytes()
     except OSError:
