Calculate ranks with the same digits on every kind of machine

By default GCC fuses a multiplication and an addition where the processor can, on arm64 but not on x86-64, so that the last digits of estimates differ. In masticwinch-entry for arm64 the objects show fused instructions in ServiceTimes::record, UpstreamHealth::expectedCost, recordSuccess and recordFailure, which rank upstreams, and in TokenBucket::untilNext; the two programs of the deploy file have them in Histogram::buckets only. No fault was seen from it. -ffp-contract=off takes the difference away: a probe of ServiceTimes' formula has one fused instruction for arm64 before and none after, and the same object code for x86-64.

--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -3,7 +3,10 @@
 # installed libraries.
 add_library(masticwinch_options INTERFACE)
 target_compile_options(masticwinch_options INTERFACE
-  -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Werror)
+  -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Werror
+  # GCC fuses multiplications and additions on arm64, where the last digits of
+  # estimates and so of ranks would differ from x86-64.
+  -ffp-contract=off)
 # Asio looks for aligned_alloc by a macro that only headers of the standard library
 # define, so without the definition it would depend on each source's first include.
 target_compile_definitions(masticwinch_options INTERFACE ASIO_STANDALONE
