Don't take another child for a process that has ended

The control VM got its signal together with the workers, so that entry VMs and runners waited for it for 30 s.

The search through /proc for a process that has ended, as a worker that was killed or a runner that left, took every child of the test for it, since it counted children as running without comparing their command lines.

Change: only the pid that was started is taken without a comparison; the search compares. test_process.py starts another child beside the one that has ended: with the former code 1 of 3 fails ("521 is not None"), 3 of 3 pass now.

--- a/scripts/lib/masticwinch/process.py
+++ b/scripts/lib/masticwinch/process.py
@@ -41,6 +41,10 @@
     def find(self):
         """Returns the pid of the running process, or None. A process that was
         restarted manually is found by its command line."""
+        # Nobody else gets the pid of a child, and its command line is empty for a
+        # moment whenever it executes a program.
+        if self.pid in _CHILDREN and _is_alive(self.pid):
+            return self.pid
         if _runs(self.pid, self.command):
             return self.pid
         for folder in pathlib.Path("/proc").glob("[0-9]*"):
@@ -96,10 +100,6 @@
     command line has the program, in a folder of its own, and its arguments last."""
     if not pid or not _is_alive(pid):
         return False
-    if pid in _CHILDREN:
-        # Nobody else gets the pid of a child, and its command line is empty for a
-        # moment whenever it executes a program.
-        return True
     try:
         line = pathlib.Path(f"/proc/{pid}/cmdline").read_bytes()
     except OSError:
--- a/tests/tools/test_process.py
+++ b/tests/tools/test_process.py
@@ -16,6 +16,8 @@
 WATCH_SECONDS = 1
 # Executes itself again and again, as a wrapper of an emulator does once.
 RESTLESS = '#!/bin/sh\nexec "$0" "$@"\n'
+# Runs until it is killed.
+LASTING = '#!/bin/sh\nexec sleep 60\n'
 # Executes another program whose command line ends with the same words.
 EMULATED = '#!/bin/sh\nexec sh -c "sleep 60; :" emulator /another/program "$@"\n'
 
@@ -28,9 +30,9 @@
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
 
-    def start(self, text):
+    def start(self, text, name="program"):
         """Starts a script."""
-        file = self.folder / "program"
+        file = self.folder / name
         file.write_text(text)
         file.chmod(0o755)
         started = process.Process("role", "name", "dc", [str(file), "--settings", "x"],
@@ -58,8 +60,10 @@
 
     def test_a_child_that_has_ended_is_not_found(self):
         ended = self.start("#!/bin/sh\n")
+        other = self.start(LASTING, "other")
         self.assertTrue(ended.wait_for_end(10))
         self.assertIsNone(ended.find())
+        self.assertEqual(other.pid, other.find())
 
 
 if __name__ == "__main__":
