Count the share for overdue work as work ahead of a submission

Cause: overdue work takes a tenth of the pool before everything else, but admission went on to compare the waiting work with all of the pool. While anything was overdue it let in about a tenth too much, which missed its objective, waited for 10 s and became overdue in turn. Change: a submission is judged with the overdue work that the share is for within its slack. The share is a tenth of what the pool's work can use, as admission counts it, not of all processors.

--- a/src/masticwinch/coordination/workflow/overdue_share.cpp
+++ b/src/masticwinch/coordination/workflow/overdue_share.cpp
@@ -1,5 +1,6 @@
 #include "masticwinch/coordination/workflow/overdue_share.hpp"
 
+#include "masticwinch/common/saturating.hpp"
 #include "masticwinch/coordination/workflow/admission.hpp"
 
 #include <algorithm>
@@ -105,4 +106,20 @@
       std::max<std::uint64_t>({perSecond, sharePerSecond / queues.size(), 1}));
 }
 
+std::uint64_t OverdueShare::workWithin(const std::string &pool,
+                                       Milliseconds time) const {
+  const auto entry = Pools.find(pool);
+  if (entry == Pools.end()) {
+    return 0;
+  }
+  std::uint64_t backlog = 0;
+  for (const auto &[name, queue] : entry->second.Queues) {
+    backlog = saturatingAdd(backlog, queue.CoreMs);
+  }
+  const auto share = saturatingMultiply(
+      std::uint64_t(std::max<std::int64_t>(entry->second.LeftPerMs, 0)),
+      std::uint64_t(std::max<std::int64_t>(time.count(), 0)));
+  return std::min(backlog, share / std::uint64_t(MillionthsPerCoreMs));
+}
+
 } // namespace masticwinch::workflow
--- a/src/masticwinch/coordination/workflow/overdue_share.hpp
+++ b/src/masticwinch/coordination/workflow/overdue_share.hpp
@@ -17,7 +17,8 @@
   /// has missed its objective in a brief surge is behind what still can meet
   /// its own.
   Milliseconds MinWait{10'000};
-  /// Share of a pool's processors for overdue steps, in thousandths.
+  /// Share of the processors that a pool's work can use at best, for overdue
+  /// steps, in thousandths.
   std::uint64_t SharePermille = 100;
   /// For how long an unused share accumulates.
   Milliseconds MaxUnused{2000};
@@ -70,6 +71,10 @@
   Milliseconds drainTime(const std::string &pool, const std::string &queue,
                          std::uint64_t perSecond) const;
 
+  /// Overdue work that the pool's share is for in this time, in
+  /// core-milliseconds.
+  std::uint64_t workWithin(const std::string &pool, Milliseconds time) const;
+
 private:
   struct QueueBacklog {
     std::uint64_t CoreMs = 0;
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -281,6 +281,8 @@
         input.WorkAhead = saturatingAdd(input.WorkAhead, waiting);
       }
     }
+    input.WorkAhead = saturatingAdd(
+        input.WorkAhead, Overdue.workWithin(queue.pool(), input.Slack));
   }
   input.OverdueDrain = Overdue.drainTime(
       queue.pool(), queueId(queue), ServiceRate.perSecond(queueId(queue), now));
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -252,7 +252,9 @@
   UsableProcessors.clear();
   for (const auto &[name, pool] : fleet.Pools) {
     UsableProcessors[name] = pool.MilliProcessors;
-    Overdue.accrue(name, pool.MilliProcessors, at.Now);
+    AdmissionInput input;
+    input.MilliProcessors = pool.MilliProcessors;
+    Overdue.accrue(name, usableProcessors(Options.Admission, input), at.Now);
   }
   forgetDrains(at.Now);
   keepApart(fleet, at.Now);
--- a/tests/coordination/workflow/test_overdue_share.cpp
+++ b/tests/coordination/workflow/test_overdue_share.cpp
@@ -107,3 +107,15 @@
   CHECK_FALSE(
       share.isOverdue(Milliseconds(10), Milliseconds(999), Milliseconds(0)));
 }
+
+TEST_CASE("Overdue work takes no more of a time than its share of it",
+          "[workflow]") {
+  OverdueShare share(Tenth);
+  CHECK(share.workWithin("pool", Milliseconds(2000)) == 0);
+  share.accrue("pool", TenCores, Start);
+  CHECK(share.workWithin("pool", Milliseconds(2000)) == 0);
+  share.setBacklogs("pool", {{"first", 700}, {"second", 500}});
+  CHECK(share.workWithin("pool", Milliseconds(500)) == 500);
+  CHECK(share.workWithin("pool", Milliseconds(2000)) == 1200);
+  CHECK(share.workWithin("pool", Milliseconds(-100)) == 0);
+}
