Count submissions as waiting work from when they are let in

Callers saw: work that was accepted in a burst missed its objective and then waited for 10 s and more behind what still could be on time. Cause: a submission was judged by the work that had waited at the last scheduling pass. Until the next pass, which on a large cell under load is tens to hundreds of milliseconds later, any number was let in; so were those that arrived while others were being stored. Change: WaitingWork counts a submission from when it is let in until its steps are open and counted, and discounts tasks that a pass has assigned.

--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -267,22 +267,17 @@
   const Milliseconds criticalPath =
       longestCriticalPath(remainingCriticalPaths(spec, queue));
   input.Slack = objectiveOf(criticalPath, queue) - criticalPath;
-  if (const auto work = ProbationWork.find(queueId(queue));
-      work != ProbationWork.end()) {
+  if (const auto work = Waiting.onProbation(queueId(queue))) {
     const auto kept = ProbationProcessors.find(queue.pool());
     input.MilliProcessors = kept == ProbationProcessors.end()
                                 ? expectedProcessors(queue.pool())
                                 : kept->second;
-    input.WorkAhead = work->second;
+    input.WorkAhead = *work;
   } else {
     input.MilliProcessors = expectedProcessors(queue.pool());
-    for (const auto &[priority, waiting] : WaitingWork) {
-      if (priority <= queue.priority()) {
-        input.WorkAhead = saturatingAdd(input.WorkAhead, waiting);
-      }
-    }
-    input.WorkAhead = saturatingAdd(
-        input.WorkAhead, Overdue.workWithin(queue.pool(), input.Slack));
+    input.WorkAhead =
+        saturatingAdd(Waiting.aheadOf(queue.priority()),
+                      Overdue.workWithin(queue.pool(), input.Slack));
   }
   input.OverdueDrain = Overdue.drainTime(
       queue.pool(), queueId(queue), ServiceRate.perSecond(queueId(queue), now));
@@ -301,7 +296,7 @@
   }
   const AdmissionInput input = admissionInput(spec, queue, at.Now);
   const std::uint64_t usable = usableProcessors(Options.Admission, input);
-  if (usable == 0 || ProbationWork.contains(queueId(queue))) {
+  if (usable == 0 || Waiting.onProbation(queueId(queue))) {
     const auto after = retryAfter(Options.Admission, input);
     return after ? std::optional(LateRefusal{*after}) : std::nullopt;
   }
@@ -427,6 +422,7 @@
   accepted.mutable_accept()->set_at_unix_ms(at.UnixMs);
   accepted.mutable_accept()->set_max_attempts(route.Queue->max_attempts());
   PendingSubmissions[spec.id()].push_back(std::move(answer));
+  Waiting.letIn(spec, route.Queue->priority());
   Tally.accepted(spec.queue());
   logEvent(WorkflowEventKind::WorkflowAccepted,
            {{"workflow", spec.id()}, {"queue", spec.queue()}});
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -15,6 +15,7 @@
 #include "masticwinch/coordination/workflow/runner_registry.hpp"
 #include "masticwinch/coordination/workflow/step_planner.hpp"
 #include "masticwinch/coordination/workflow/step_ranking.hpp"
+#include "masticwinch/coordination/workflow/waiting_work.hpp"
 #include "masticwinch/coordination/workflow/workflow_event.hpp"
 #include "masticwinch/coordination/workflow/workflow_leader_options.hpp"
 #include "masticwinch/coordination/workflow/workflow_state.hpp"
@@ -268,6 +269,8 @@
   std::vector<RankedStep> tryable(std::vector<RankedStep> ranked, Moment at);
   static void limit(std::vector<RankedStep> &steps, std::size_t first,
                     std::size_t inTurn, StepKey &last);
+  bool countsAsWaiting(const StepRank &rank, const std::string &queue,
+                       bool gang) const;
   void scheduleStep(const RankedStep &ranked, Fleet &fleet, Moment at);
   Fleet usableFleet(Moment at) const;
   std::vector<std::uint32_t> startableTasks(const StepKey &key,
@@ -450,8 +453,8 @@
   QueueTally Tally;
   QueueServiceRate ServiceRate;
   RefusedSubmissions Refused;
-  /// Core-milliseconds of waiting work that can be on time, by priority.
-  std::map<std::uint32_t, std::uint64_t> WaitingWork;
+  /// Without the steps that can't complete in time.
+  WaitingWork Waiting;
   /// Mean processors of a task of the waiting gangs, in thousandths of a core;
   /// 0 before the first gang.
   std::int64_t GangTaskProcessors = 0;
@@ -461,8 +464,6 @@
   std::map<std::string, std::uint64_t> ProbationProcessors;
   /// Queues that were on probation in the last pass.
   std::set<std::string> ProbationQueues;
-  /// Core-milliseconds of waiting work of queues on probation, by queue.
-  std::map<std::string, std::uint64_t> ProbationWork;
   std::uint64_t NextBatch = 1;
   protocol::WorkflowRecord PendingRecord;
   std::vector<StoredCallback> PendingCallbacks;
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -102,6 +102,7 @@
   if (const Workflow *workflow = State.find(id)) {
     registerWorkflow(*workflow, at);
   }
+  Waiting.stored(id);
   const auto waiting = PendingSubmissions.extract(id);
   if (waiting.empty()) {
     return;
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -44,8 +44,7 @@
 std::vector<WorkflowLeader::RankedStep>
 WorkflowLeader::rankedSteps(const Fleet &fleet, Moment at) {
   std::vector<RankedStep> ranked;
-  WaitingWork.clear();
-  ProbationWork.clear();
+  Waiting.beginCount(Containment.queuesOnProbation(at.Now));
   std::map<std::string, OverdueShare::Backlogs> overdueWork;
   std::int64_t gangTasks = 0;
   std::int64_t gangProcessors = 0;
@@ -67,13 +66,8 @@
         rankOf(open.Info->Ranking, remaining, at.Now, Options.Ranking);
     const std::uint64_t work = saturatingMultiply(tasks, taskWork(spec));
     const std::string &queue = open.Parent->Spec.queue();
-    if (!spec.gang() && Containment.isOnProbation(queue, at.Now)) {
-      ProbationWork[queue] = saturatingAdd(ProbationWork[queue], work);
-    } else if (rank.Forecast != CompletionForecast::Missed) {
-      // Late steps rank behind a submission but hold some of the room that it
-      // needs.
-      WaitingWork[rank.Priority] =
-          saturatingAdd(WaitingWork[rank.Priority], work);
+    if (countsAsWaiting(rank, queue, spec.gang())) {
+      Waiting.addStep(queue, rank.Priority, spec.gang(), work);
     }
     ranked.push_back({rank, &key, std::nullopt});
     if (isOverdue(key, open, at)) {
@@ -96,6 +90,15 @@
   return tryable(std::move(ranked), at);
 }
 
+/// Whether the step counts as work ahead of a submission. Late steps rank
+/// behind one but hold some of the room that it needs.
+bool WorkflowLeader::countsAsWaiting(const StepRank &rank,
+                                     const std::string &queue,
+                                     bool gang) const {
+  return rank.Forecast != CompletionForecast::Missed ||
+         Waiting.isOnProbation(queue, gang);
+}
+
 /// Selects the steps that a pass tries to place, in rank order, from all
 /// waiting steps in the order of their keys.
 std::vector<WorkflowLeader::RankedStep>
@@ -395,6 +398,7 @@
     return;
   }
   OpenStep &open = OpenSteps.at(key);
+  const std::string &queueName = workflow->Spec.queue();
   const protocol::StepSpec &spec = *State.findSpec(key);
   const std::vector<std::uint32_t> tasks = startableTasks(key, open, at.Now);
   const bool avoidedLongEnough =
@@ -417,13 +421,18 @@
       GangTaskProcessors);
   const bool foundRoom = planned.size() == tasks.size();
   if (overdue) {
-    limitToShare(planned, spec, pool->first, workflow->Spec.queue());
+    limitToShare(planned, spec, pool->first, queueName);
   }
   const Step &step = *State.findStep(key);
   for (const PlannedRun &it : planned) {
     assign(key, open, it, nextRun(step, spec, it.Index),
            checkpointOf(step, spec, it.Index), at);
   }
+  if (!planned.empty() &&
+      countsAsWaiting(ranked.Rank, queueName, spec.gang())) {
+    Waiting.removeStarted(queueName, ranked.Rank.Priority, spec.gang(),
+                          saturatingMultiply(planned.size(), taskWork(spec)));
+  }
   if (!planned.empty() && isDrainedFor(key)) {
     Drains.erase(pool->first);
   }
