Let in no submission that would start at the last moment

Callers saw: of 60 callers of one full queue some got 6 to 7 jobs and others 16 to 17. 7 jobs of 100 ended after 10 s and more, none between 3 and 10 s. Cause: admission fills the queue up to the wait at which a submission can just be on time. What a start takes beside it (the log, the order, a poll) makes some of them miss their objective, from where on they rank behind everything that still arrives, until they count as overdue. Change: a submission may be expected to wait for nine tenths of its slack. A turn is given as before for as long as it is on time.

--- a/src/masticwinch/coordination/workflow/admission.cpp
+++ b/src/masticwinch/coordination/workflow/admission.cpp
@@ -23,6 +23,11 @@
   return input.MilliProcessors * options.UsablePermille / 1000;
 }
 
+Milliseconds waitLimit(const AdmissionOptions &options,
+                       const AdmissionInput &input) {
+  return input.Slack * options.SlackPermille / 1000;
+}
+
 Milliseconds retryDelay(const AdmissionOptions &options, Milliseconds wait,
                         std::uint64_t salt) {
   const Milliseconds base =
--- a/src/masticwinch/coordination/workflow/admission.hpp
+++ b/src/masticwinch/coordination/workflow/admission.hpp
@@ -11,6 +11,10 @@
   /// Share of the fleet's cores that work can use at best, in thousandths;
   /// fragmentation by tasks of different sizes leaves the rest idle.
   std::uint64_t UsablePermille = 900;
+  /// Share of its slack that a submission may be expected to wait, in
+  /// thousandths. The rest is for starts that take longer than estimated: a
+  /// step that misses its objective ranks behind all that don't.
+  std::uint32_t SlackPermille = 900;
   /// A queue is refused while its overdue work takes longer than this on the
   /// share of the pool that is kept for it.
   Milliseconds MaxOverdueDrain{8000};
@@ -50,6 +54,10 @@
 std::uint64_t usableProcessors(const AdmissionOptions &options,
                                const AdmissionInput &input);
 
+/// How long a submission may be expected to wait for its start.
+Milliseconds waitLimit(const AdmissionOptions &options,
+                       const AdmissionInput &input);
+
 /// The delay returned to a caller that may retry after `wait`.
 Milliseconds retryDelay(const AdmissionOptions &options, Milliseconds wait,
                         std::uint64_t salt);
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -315,10 +315,12 @@
       return std::nullopt;
     }
   }
-  const Milliseconds room = std::max(
-      Refused.untilRoom(queue.priority(),
-                        {input.WorkAhead, usable, input.Slack}, at.Now),
-      input.OverdueDrain - Options.Admission.MaxOverdueDrain);
+  const Milliseconds room =
+      std::max(Refused.untilRoom(queue.priority(),
+                                 {input.WorkAhead, usable,
+                                  waitLimit(Options.Admission, input)},
+                                 at.Now),
+               input.OverdueDrain - Options.Admission.MaxOverdueDrain);
   if (room <= Milliseconds(0)) {
     return std::nullopt;
   }
