Give overdue suspects a part of the share for overdue work

Cause: a step whose run was lost with its runner right after its start is a suspect from the runner's return on, and a suspect had no part of the share that is kept for overdue work. It is kept apart for six seconds, in a small cell on no runner at all; from then on it may run anywhere, but waited behind all work on time until the load ended. Change: only while it is kept apart is a suspect left out of the share. Evidence: "A step that is suspected of a crash starts in time on a full cell" failed for 3 and 10 runners, with and without new ids. Tried and not taken: the share for queues on probation in cells too small to keep runners for them broke "The next occurrences of a workflow that is given up don't begin".

--- a/src/masticwinch/coordination/workflow/workflow_leader_overdue.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_overdue.cpp
@@ -20,14 +20,16 @@
 }
 
 /// Whether the step has waited so long that the pool's share is for it. One
-/// that is kept apart after crashes waits for another reason.
+/// that is kept apart after crashes waits for another reason; a suspect is only
+/// until its patience ends.
 bool WorkflowLeader::isOverdue(const StepKey &key, const OpenStep &open,
                                Moment at) const {
+  const protocol::StepSpec &spec = open.Parent->Spec.steps(int(key.Step));
   const auto age =
       std::chrono::duration_cast<Milliseconds>(at.Now - dueAt(key, open, at));
   return Overdue.isOverdue(open.Info->Ranking.Objective, age,
                            open.Info->CriticalPaths[key.Step]) &&
-         !open.SuspectSince &&
+         !isIsolated(open, spec, at.Now) &&
          !Containment.isOnProbation(open.Parent->Spec.queue(), at.Now);
 }
 
