--- a/src/masticwinch/coordination/workflow/workflow_leader_overdue.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_overdue.cpp
@@ -19,9 +19,9 @@
   return std::max(open.Info->Ranking.Accepted, at.Now - Milliseconds(age));
 }
 
-/// Whether the step has waited so long that the pool's share is for it. One
-/// that is kept apart after crashes waits for another reason; a suspect is only
-/// until its patience ends.
+/// Whether the step has waited so long that the pool's share is for it. A step
+/// that is kept apart after crashes has none of it; a suspect is kept apart for
+/// `IsolationPatience`.
 bool WorkflowLeader::isOverdue(const StepKey &key, const OpenStep &open,
                                Moment at) const {
   const protocol::StepSpec &spec = open.Parent->Spec.steps(int(key.Step));
