Report what is served by size, and how claims and drains end

Cause: whether the largest submissions of a queue are served as often as the rest couldn't be told from logs or metrics; nothing said how long a gang or a drain held room and whether its gang started. No decision changes.

--- a/src/masticwinch/coordination/workflow/gang_claims.cpp
+++ b/src/masticwinch/coordination/workflow/gang_claims.cpp
@@ -23,7 +23,7 @@
                         std::map<std::string, std::size_t> places,
                         SteadyTime now) {
   if (places.empty()) {
-    remove(step);
+    remove(step, ClaimEnd::Empty);
     return;
   }
   const auto [it, added] = Claims.try_emplace(step);
@@ -35,10 +35,23 @@
   Updated.insert(step);
 }
 
+void GangClaims::remove(const StepKey &step, ClaimEnd end) {
+  auto claim = Claims.extract(step);
+  if (!claim.empty()) {
+    Ended.push_back({step, std::move(claim.mapped()), end});
+  }
+}
+
 void GangClaims::beginPass(const std::function<bool(const StepKey &)> &waits) {
-  std::erase_if(Claims, [&](const auto &it) {
-    return !Updated.contains(it.first) || !waits(it.first);
-  });
+  std::vector<StepKey> ended;
+  for (const auto &[step, claim] : Claims) {
+    if (!Updated.contains(step) || !waits(step)) {
+      ended.push_back(step);
+    }
+  }
+  for (const StepKey &it : ended) {
+    remove(it, ClaimEnd::NotTried);
+  }
   Updated.clear();
 }
 
--- a/src/masticwinch/coordination/workflow/gang_claims.hpp
+++ b/src/masticwinch/coordination/workflow/gang_claims.hpp
@@ -1,11 +1,15 @@
 #pragma once
 
+#include "masticwinch/common/enum_names.hpp"
 #include "masticwinch/coordination/workflow/runner_registry.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace masticwinch::workflow {
 
@@ -20,6 +24,27 @@
   std::int64_t milliProcessors() const;
 };
 
+/// Why a claim ended.
+enum class ClaimEnd : std::uint8_t {
+  /// The gang started.
+  Started,
+  /// Its room is no longer expected soon enough.
+  Receded,
+  /// Runners are drained for the gang instead.
+  Drained,
+  /// The step was not tried in the last pass, or waits no longer.
+  NotTried,
+  /// None of the room was left.
+  Empty,
+};
+
+/// A claim that has ended, as it was last updated.
+struct EndedClaim {
+  StepKey Step;
+  GangClaim Claim;
+  ClaimEnd End = ClaimEnd::Started;
+};
+
 /// The room that waiting gangs hold, kept from one scheduling pass to the next.
 /// Answers the load of wide gangs on a full fleet: the room for all members
 /// frees up piece by piece, and without a claim smaller tasks take each piece.
@@ -31,7 +56,7 @@
   /// Replaces the claim of a step; removes it if it holds no places.
   void update(const StepKey &step, const ResourceAmounts &needs,
               std::map<std::string, std::size_t> places, SteadyTime now);
-  void remove(const StepKey &step) { Claims.erase(step); }
+  void remove(const StepKey &step, ClaimEnd end);
 
   /// Reduces each claim to the places that `keep` returns for a runner.
   void reduce(const std::function<std::size_t(const std::string &runner,
@@ -44,10 +69,27 @@
 
   std::size_t size() const { return Claims.size(); }
 
+  /// Returns the claims that have ended since the last call.
+  std::vector<EndedClaim> takeEnded() { return std::exchange(Ended, {}); }
+
 private:
   std::map<StepKey, GangClaim> Claims;
   /// Steps whose claims the current pass has updated.
   std::set<StepKey> Updated;
+  std::vector<EndedClaim> Ended;
 };
 
 } // namespace masticwinch::workflow
+
+namespace masticwinch {
+
+template <> struct EnumNames<workflow::ClaimEnd> {
+  using End = workflow::ClaimEnd;
+  static constexpr std::array Table{EnumName<End>{End::Started, "started"},
+                                    EnumName<End>{End::Receded, "receded"},
+                                    EnumName<End>{End::Drained, "drained"},
+                                    EnumName<End>{End::NotTried, "not_tried"},
+                                    EnumName<End>{End::Empty, "empty"}};
+};
+
+} // namespace masticwinch
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -20,6 +20,14 @@
   return answer;
 }
 
+std::size_t taskCount(const protocol::WorkflowSpec &spec) {
+  std::size_t count = 0;
+  for (const protocol::StepSpec &it : spec.steps()) {
+    count += it.count();
+  }
+  return count;
+}
+
 protocol::RouteTerms termsOf(const protocol::QueueConfig &queue) {
   protocol::RouteTerms terms;
   terms.set_host(queue.host());
@@ -96,6 +104,7 @@
   SchedulingInfo &info = Scheduling[id];
   info.CriticalPaths = remainingCriticalPaths(workflow.Spec, queue);
   info.Work = estimatedWork(workflow.Spec);
+  info.Size = Sizes.add(workflow.Spec.queue(), info.Work);
   const std::uint64_t age = at.UnixMs > workflow.AcceptedAtUnixMs
                                 ? at.UnixMs - workflow.AcceptedAtUnixMs
                                 : 0;
@@ -406,9 +415,12 @@
   if (const auto late =
           judge(spec, *route.Queue, Milliseconds(call.timeout_ms()), at)) {
     Tally.refused(spec.queue());
+    const SizeClass size = Sizes.rank(spec.queue(), estimatedWork(spec));
+    countOutcome({spec.queue(), size, OutcomeKind::Refused});
     logEvent(WorkflowEventKind::WorkflowRefused,
              {{"workflow", spec.id()},
               {"reason", "would end late"},
+              {"size", std::string(nameOf(size))},
               {"queue", spec.queue()},
               {"configuration", std::to_string(State.config().version())},
               {"steps_waiting", std::to_string(OpenSteps.size())},
@@ -427,7 +439,10 @@
   Waiting.letIn(spec, route.Queue->priority());
   Tally.accepted(spec.queue());
   logEvent(WorkflowEventKind::WorkflowAccepted,
-           {{"workflow", spec.id()}, {"queue", spec.queue()}});
+           {{"workflow", spec.id()},
+            {"queue", spec.queue()},
+            {"tasks", std::to_string(taskCount(spec))},
+            {"core_ms", std::to_string(estimatedWork(spec))}});
   propose(std::move(accepted));
 }
 
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -6,13 +6,16 @@
 #include "masticwinch/coordination/workflow/crash_containment.hpp"
 #include "masticwinch/coordination/workflow/gang_claims.hpp"
 #include "masticwinch/coordination/workflow/gang_forecast.hpp"
+#include "masticwinch/coordination/workflow/outcome_totals.hpp"
 #include "masticwinch/coordination/workflow/overdue_share.hpp"
 #include "masticwinch/coordination/workflow/queue_routes.hpp"
 #include "masticwinch/coordination/workflow/queue_service_rate.hpp"
 #include "masticwinch/coordination/workflow/queue_tally.hpp"
 #include "masticwinch/coordination/workflow/refused_submissions.hpp"
+#include "masticwinch/coordination/workflow/runner_drain.hpp"
 #include "masticwinch/coordination/workflow/runner_health.hpp"
 #include "masticwinch/coordination/workflow/runner_registry.hpp"
+#include "masticwinch/coordination/workflow/size_ranks.hpp"
 #include "masticwinch/coordination/workflow/step_planner.hpp"
 #include "masticwinch/coordination/workflow/step_ranking.hpp"
 #include "masticwinch/coordination/workflow/waiting_work.hpp"
@@ -57,6 +60,7 @@
   std::vector<PollOrder> Polls;
   std::vector<AdviceCall> Advice;
   std::vector<WorkflowEvent> Events;
+  std::vector<WorkflowOutcome> Outcomes;
 };
 
 /// Makes the decisions of one leader: which submissions to accept, where and
@@ -123,6 +127,7 @@
     RankingInput Ranking;
     std::vector<Milliseconds> CriticalPaths;
     std::uint64_t Work = 0;
+    SizeClass Size = SizeClass::Rest;
   };
   /// A step that is ready and has tasks left.
   struct OpenStep {
@@ -254,6 +259,8 @@
   void stopStepRuns(const StepKey &key, Moment at);
   void refreshSteps(const Workflow &workflow);
   void closeWorkflow(const std::string &id, Moment at);
+  void reportOutcome(const Workflow &workflow, Moment at);
+  void countOutcome(WorkflowOutcome outcome);
   void closeSteps(const std::string &id);
   void logUntrackedEnd(const ObservedEnd &end);
   void proposeLateEnd(const ObservedEnd &end);
@@ -293,20 +300,13 @@
               std::uint32_t run, const std::string &checkpoint, Moment at);
 
   // workflow_leader_overdue.cpp
-  /// Runners that get no other work until a step that found no room starts.
-  struct Drain {
-    StepKey Step;
-    SteadyTime Since{};
-    /// Number of the step's tasks that each runner is drained for, by its id.
-    std::map<std::string, std::size_t> Places;
-  };
   std::vector<RankedStep> takeOverdue(std::vector<RankedStep> &late, Moment at);
   bool isOverdue(const StepKey &key, const OpenStep &open, Moment at) const;
   SteadyTime dueAt(const StepKey &key, const OpenStep &open, Moment at) const;
   bool mayTakeShare(const StepKey &key, const std::string &pool) const;
   bool isDrainedFor(const StepKey &key) const;
   bool mayDrain(const OpenStep &open, SteadyTime now) const;
-  void endDrain(const std::string &pool, SteadyTime now);
+  void endDrain(const std::string &pool, DrainEnd end, SteadyTime now);
   void limitToShare(std::vector<PlannedRun> &planned,
                     const protocol::StepSpec &spec, const std::string &pool,
                     const std::string &queue);
@@ -375,6 +375,8 @@
                    Moment at);
   void logPoolLoads(const Fleet &fleet, const std::vector<RankedStep> &tried);
   void logQueueLoads(Moment at);
+  void logEndedClaims(SteadyTime now);
+  void reportOutcomes(SteadyTime now);
   void logWait(const StepKey &key, const Fleet &fleet,
                const std::vector<RankedStep> &tried, Moment at);
   std::size_t fittingTasks(const StepKey &key,
@@ -390,7 +392,7 @@
   GangClaims Claims;
   OverdueShare Overdue;
   /// By pool.
-  std::map<std::string, Drain> Drains;
+  std::map<std::string, RunnerDrain> Drains;
   const SteadyTime LedSince;
   /// When lost runners were reported, by id.
   std::map<std::string, SteadyTime> LostSince;
@@ -451,6 +453,9 @@
   StepKey LastOverdueInTurn;
   SteadyTime NextWaitReport{};
   QueueTally Tally;
+  SizeRanks Sizes;
+  OutcomeTotals Outcomes;
+  SteadyTime NextOutcomeReport{};
   QueueServiceRate ServiceRate;
   RefusedSubmissions Refused;
   /// Without the steps that can't complete in time.
--- a/src/masticwinch/coordination/workflow/workflow_leader_gangs.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_gangs.cpp
@@ -138,7 +138,7 @@
         key, advised, tasks.size(),
         std::int64_t(planned.size()) * needs.MilliProcessors, fleet, pool, at);
     if (!forecast) {
-      Claims.remove(key);
+      Claims.remove(key, ClaimEnd::Receded);
       return false;
     }
     horizon = forecast->Horizon;
--- a/src/masticwinch/coordination/workflow/workflow_leader_options.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_options.hpp
@@ -82,6 +82,8 @@
   Milliseconds CleanupInterval{1000};
   /// Interval between two reports of the steps that wait longest.
   Milliseconds WaitReportInterval{1000};
+  /// Interval between two reports of what became of submissions by size.
+  Milliseconds OutcomeReportInterval{5000};
   /// Maximum number of steps in a report, and the minimum time since their
   /// workflow was accepted.
   std::size_t WaitsPerReport = 4;
--- a/src/masticwinch/coordination/workflow/workflow_leader_overdue.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_overdue.cpp
@@ -103,12 +103,25 @@
                  (1 << std::min(open.FailedDrains, MaxDoublings));
 }
 
-/// Ends the drain of a pool whose step has not started.
-void WorkflowLeader::endDrain(const std::string &pool, SteadyTime now) {
+/// Ends the drain of a pool. Unless its step has started, the next one for this
+/// step waits.
+void WorkflowLeader::endDrain(const std::string &pool, DrainEnd end,
+                              SteadyTime now) {
   const auto drain = Drains.extract(pool);
-  const auto open =
-      drain.empty() ? OpenSteps.end() : OpenSteps.find(drain.mapped().Step);
-  if (open != OpenSteps.end()) {
+  if (drain.empty()) {
+    return;
+  }
+  const StepKey &key = drain.mapped().Step;
+  const auto lasted =
+      std::chrono::duration_cast<Milliseconds>(now - drain.mapped().Since);
+  logEvent(WorkflowEventKind::DrainEnded,
+           {{"step", textOf(key)},
+            {"pool", pool},
+            {"end", std::string(nameOf(end))},
+            {"runners", std::to_string(drain.mapped().Places.size())},
+            {"lasted_ms", std::to_string(lasted.count())}});
+  const auto open = OpenSteps.find(key);
+  if (end != DrainEnd::Started && open != OpenSteps.end()) {
     open->second.DrainFailedAt = now;
     ++open->second.FailedDrains;
   }
@@ -125,7 +138,7 @@
     }
   }
   for (const std::string &it : ended) {
-    endDrain(it, now);
+    endDrain(it, DrainEnd::Expired, now);
   }
 }
 
@@ -184,6 +197,11 @@
   OpenStep &open = OpenSteps.at(key);
   if (!Drains.contains(poolName) && mayDrain(open, at.Now)) {
     Drains[poolName] = {key, at.Now, {}};
+    logEvent(WorkflowEventKind::DrainBegan,
+             {{"step", textOf(key)},
+              {"pool", poolName},
+              {"tasks", std::to_string(tasks)},
+              {"failed_before", std::to_string(open.FailedDrains)}});
   }
   const auto drain = Drains.find(poolName);
   if (drain == Drains.end() || drain->second.Step != key) {
@@ -197,7 +215,7 @@
     drain->second.Places = drainPlaces(key, tasks, advised, fleet, pool, at);
   }
   if (drain->second.Places.empty()) {
-    endDrain(poolName, at.Now);
+    endDrain(poolName, DrainEnd::NoRoom, at.Now);
     return false;
   }
   const ResourceAmounts needs = needsOf(*State.findSpec(key));
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -161,15 +161,45 @@
   if (!EndedAt.try_emplace(id, at.Now).second) {
     return;
   }
-  logEvent(WorkflowEventKind::WorkflowEnded,
-           {{"workflow", id},
-            {"phase", std::string(nameOf(workflow->CurrentPhase))}});
+  reportOutcome(*workflow, at);
   Recurring.erase(id);
   ConfirmedRunning.erase(id);
   closeSteps(id);
   Scheduling.erase(id);
 }
 
+/// Logs the end of a workflow, with its time and size, and counts its outcome;
+/// of one that recurs, only its occurrences have an objective.
+void WorkflowLeader::reportOutcome(const Workflow &workflow, Moment at) {
+  const std::string &id = workflow.Spec.id();
+  const auto known = Scheduling.find(id);
+  if (known == Scheduling.end() || workflow.Spec.repeats() > 0) {
+    logEvent(WorkflowEventKind::WorkflowEnded,
+             {{"workflow", id},
+              {"phase", std::string(nameOf(workflow.CurrentPhase))}});
+    return;
+  }
+  const SchedulingInfo &info = known->second;
+  const auto took =
+      std::chrono::duration_cast<Milliseconds>(at.Now - info.Ranking.Accepted);
+  const OutcomeKind outcome =
+      outcomeOf(workflow.CurrentPhase, took, info.Ranking.Objective);
+  countOutcome({workflow.Spec.queue(), info.Size, outcome});
+  logEvent(WorkflowEventKind::WorkflowEnded,
+           {{"workflow", id},
+            {"phase", std::string(nameOf(workflow.CurrentPhase))},
+            {"queue", workflow.Spec.queue()},
+            {"outcome", std::string(nameOf(outcome))},
+            {"took_ms", std::to_string(took.count())},
+            {"objective_ms", std::to_string(info.Ranking.Objective.count())},
+            {"size", std::string(nameOf(info.Size))}});
+}
+
+void WorkflowLeader::countOutcome(WorkflowOutcome outcome) {
+  Outcomes.add(outcome);
+  Effects.Outcomes.push_back(std::move(outcome));
+}
+
 void WorkflowLeader::closeSteps(const std::string &id) {
   const auto first = OpenSteps.lower_bound({id, 0, 0});
   auto last = first;
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -268,6 +268,7 @@
   for (const RankedStep &it : ranked) {
     scheduleStep(it, fleet, at);
   }
+  logEndedClaims(at.Now);
   reportWaits(fleet, ranked, at);
   for (AdviceCall &it : Advice.takeCalls()) {
     logEvent(WorkflowEventKind::AdviceAsked,
@@ -434,10 +435,10 @@
                           saturatingMultiply(planned.size(), taskWork(spec)));
   }
   if (!planned.empty() && isDrainedFor(key)) {
-    Drains.erase(pool->first);
+    endDrain(pool->first, DrainEnd::Started, at.Now);
   }
   if (foundRoom) {
-    Claims.remove(key);
+    Claims.remove(key, ClaimEnd::Started);
     return;
   }
   if (advised) {
@@ -445,7 +446,7 @@
   }
   if (overdue && planned.empty() && !tasks.empty() &&
       drainRunners(key, tasks.size(), advised, fleet, pool->first, at)) {
-    Claims.remove(key);
+    Claims.remove(key, ClaimEnd::Drained);
     return;
   }
   const bool waitsForTickets =
--- a/src/masticwinch/coordination/workflow/workflow_leader_waits.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_waits.cpp
@@ -13,6 +13,7 @@
     return;
   }
   NextWaitReport = at.Now + Options.WaitReportInterval;
+  reportOutcomes(at.Now);
   logPoolLoads(fleet, tried);
   logQueueLoads(at);
   std::vector<std::pair<SteadyTime, StepKey>> waiting;
@@ -60,6 +61,10 @@
     for (const auto &[runner, amounts] : fleet.Claimed) {
       claimed += amounts.MilliProcessors;
     }
+    std::size_t drained = 0;
+    if (const auto drain = Drains.find(name); drain != Drains.end()) {
+      drained = drain->second.Places.size();
+    }
     logEvent(WorkflowEventKind::PoolLoad,
              {{"pool", name},
               {"runners", std::to_string(pool.Runners.size())},
@@ -67,6 +72,7 @@
               {"free", std::to_string(free)},
               {"claims", std::to_string(Claims.size())},
               {"claimed", std::to_string(claimed)},
+              {"drained_runners", std::to_string(drained)},
               {"gangs_waiting", std::to_string(gangs)},
               {"others_waiting", std::to_string(others)},
               {"late_waiting", std::to_string(late)},
@@ -74,6 +80,37 @@
   }
 }
 
+/// Logs what became of the submissions of each queue by their size, in sums
+/// since this leader took over, so that a line that is dropped loses nothing.
+void WorkflowLeader::reportOutcomes(SteadyTime now) {
+  if (now < NextOutcomeReport) {
+    return;
+  }
+  NextOutcomeReport = now + Options.OutcomeReportInterval;
+  for (const auto &[key, counts] : Outcomes.counts()) {
+    std::vector<std::pair<std::string, std::string>> fields{
+        {"queue", key.first}, {"size", std::string(nameOf(key.second))}};
+    for (const auto &it : EnumNames<OutcomeKind>::Table) {
+      fields.emplace_back(
+          it.Name, std::to_string(counts[static_cast<std::size_t>(it.Value)]));
+    }
+    logEvent(WorkflowEventKind::SizeLoad, std::move(fields));
+  }
+}
+
+/// Logs the claims that have ended, with what became of their gangs.
+void WorkflowLeader::logEndedClaims(SteadyTime now) {
+  for (const EndedClaim &it : Claims.takeEnded()) {
+    const auto held =
+        std::chrono::duration_cast<Milliseconds>(now - it.Claim.Since);
+    logEvent(WorkflowEventKind::ClaimEnded,
+             {{"step", textOf(it.Step)},
+              {"end", std::string(nameOf(it.End))},
+              {"places", std::to_string(it.Claim.placeCount())},
+              {"held_ms", std::to_string(held.count())}});
+  }
+}
+
 /// Logs what the queues got since the last report and how long their work
 /// waits, of the queues whose work waits longest.
 void WorkflowLeader::logQueueLoads(Moment at) {
--- a/src/masticwinch/workflow/workflow_driver.hpp
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -9,6 +9,7 @@
 #include "masticwinch/protocol/envelope.pb.h"
 #include "masticwinch/workflow/handler_load.hpp"
 #include "masticwinch/workflow/order_number.hpp"
+#include "masticwinch/workflow/outcome_counters.hpp"
 #include "masticwinch/workflow/runner_calls.hpp"
 
 #include <asio/io_context.hpp>
@@ -42,7 +43,8 @@
         StoreSeconds(
             metrics.histogram({"masticwinch_workflow_store_seconds",
                                "From proposing decisions to their storage by "
-                               "a quorum."})) {}
+                               "a quorum."})),
+        Outcomes(metrics) {}
 
   const WorkflowState &state() const { return State; }
   const WorkflowLeader *leader() const { return Leader.get(); }
@@ -414,6 +416,9 @@
       Events.writeFields(nameOf(it.Kind), it.Fields);
       counterOf(it.Kind).add(1);
     }
+    for (const WorkflowOutcome &it : effects.Outcomes) {
+      Outcomes.add(it);
+    }
   }
 
   Counter &counterOf(WorkflowEventKind kind) {
@@ -443,6 +448,7 @@
   /// How long the message that is handled, or is next, has waited.
   SteadyTime::duration MessageDelay{};
   std::map<WorkflowEventKind, Counter *> DecisionCounters;
+  OutcomeCounters Outcomes;
   bool EffectsScheduled = false;
   SteadyTime LastEffectsAt{};
   /// Batches that the log has not accepted yet, oldest first.
--- a/tests/coordination/workflow/led_cell.hpp
+++ b/tests/coordination/workflow/led_cell.hpp
@@ -50,6 +50,16 @@
     collect();
   }
 
+  void cancel(const std::string &id) {
+    protocol::WorkflowCall call;
+    call.set_host("host");
+    call.set_path("/sheets/" + id);
+    call.mutable_cancel();
+    Leader.call(
+        call, [](const protocol::WorkflowAnswer &) {}, Now);
+    collect();
+  }
+
   /// Answers the latest poll, and lets the leader act on the answer.
   void answerPoll(workflow::PollAnswer answer) {
     answer.Answer = workflow::OrderAnswer::Done;
@@ -88,6 +98,7 @@
   std::vector<workflow::StopOrder> Stops;
   std::vector<workflow::PollOrder> Polls;
   std::vector<workflow::AdviceCall> Advice;
+  std::vector<workflow::WorkflowOutcome> Outcomes;
 
 private:
   template <class Order>
@@ -102,6 +113,7 @@
       append(Stops, effects.Stops);
       append(Polls, effects.Polls);
       append(Advice, effects.Advice);
+      append(Outcomes, effects.Outcomes);
       for (const workflow::ProposedBatch &it : effects.Batches) {
         State.apply(it.Record);
         Leader.stored(it, Now);
--- a/tests/coordination/workflow/test_gang_claims.cpp
+++ b/tests/coordination/workflow/test_gang_claims.cpp
@@ -105,6 +105,22 @@
   CHECK_FALSE(claims.find(Wide));
 }
 
+TEST_CASE("Claims that have ended are returned once, with how they ended",
+          "[workflow]") {
+  GangClaims claims;
+  claims.update(Wide, Needs, {{"i-0", 2}}, Now);
+  claims.update(Other, Needs, {{"i-0", 1}}, Now);
+  claims.remove(Wide, ClaimEnd::Started);
+  claims.remove(Wide, ClaimEnd::Started);
+  claims.beginPass([](const StepKey &) { return false; });
+  const std::vector<EndedClaim> ended = claims.takeEnded();
+  REQUIRE(ended.size() == 2);
+  CHECK(ended[0].End == ClaimEnd::Started);
+  CHECK(ended[0].Claim.placeCount() == 2);
+  CHECK(ended[1].End == ClaimEnd::NotTried);
+  CHECK(claims.takeEnded().empty());
+}
+
 TEST_CASE("A claim is reduced to the room that is left", "[workflow]") {
   GangClaims claims;
   claims.update(Wide, Needs, {{"i-0", 2}, {"i-1", 3}}, Now);
