Let the workflow model lose its leader and runners

Cause: the model had no faults, so what a change of leader or a loss of runners costs wide gangs couldn't be played. Change: LeaderLostAt, LeaderlessSeconds, LeavingShare and RunnersLeaveAt. Without them the model makes the decisions that it made.

--- a/benchmarks/model_workload.hpp
+++ b/benchmarks/model_workload.hpp
@@ -51,6 +51,14 @@
   double Seconds = 30;
   std::uint64_t Seed = 1;
   workflow::WorkflowLeaderOptions Leader;
+  /// Seconds at which the leader is lost; another one takes over after
+  /// `LeaderlessSeconds`, with what is stored.
+  std::vector<double> LeaderLostAt;
+  double LeaderlessSeconds = 1.5;
+  /// Share of the runners that leave at second `RunnersLeaveAt`, with what they
+  /// run.
+  double LeavingShare = 0;
+  double RunnersLeaveAt = 0;
 };
 
 /// Work of a submission in core-milliseconds, and whether it was served: on
--- a/benchmarks/workflow_model.hpp
+++ b/benchmarks/workflow_model.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,15 @@
         std::make_unique<workflow::WorkflowLeader>(Options.Leader, State, at());
     schedule(Milliseconds(0), [this] { tick(); });
     schedule(Milliseconds(0), [this] { sendAgentHello(); });
+    for (const double second : Options.LeaderLostAt) {
+      schedule(WarmUpTime + duration(second), [this] { Leader.reset(); });
+      schedule(WarmUpTime + duration(second + Options.LeaderlessSeconds),
+               [this] { takeOver(); });
+    }
+    if (Options.LeavingShare > 0) {
+      schedule(WarmUpTime + duration(Options.RunnersLeaveAt),
+               [this] { removeRunners(); });
+    }
     for (std::size_t i = 0; i < Options.Queues.size(); ++i) {
       if (Options.Queues[i].Callers == 0) {
         schedule(WarmUpTime, [this, i] { arrive(i); });
@@ -140,6 +150,9 @@
 
   /// Runs a decision and adds to the processor time.
   template <class Function> void decide(Function function) {
+    if (!Leader) {
+      return;
+    }
     const auto begin = std::chrono::steady_clock::now();
     function();
     workflow::WorkflowEffects effects = Leader->takeEffects(at());
@@ -149,26 +162,79 @@
     applyEffects(std::move(effects));
   }
 
+  /// Passes the answer to an order on to the leader that gave it.
+  template <class Function> void answer(std::uint64_t term, Function function) {
+    if (term == Term) {
+      decide(function);
+    }
+  }
+
+  void takeOver() {
+    ++Term;
+    Leader =
+        std::make_unique<workflow::WorkflowLeader>(Options.Leader, State, at());
+    for (auto &[id, runner] : Runners) {
+      runner.Poll.reset();
+    }
+    decide([&] { Leader->tick(at()); });
+  }
+
+  /// Ends the runs of the leaving runners, with the gangs that they belong to,
+  /// and deregisters them.
+  void removeRunners() {
+    const auto every = std::size_t(1 / Options.LeavingShare);
+    std::size_t i = 0;
+    std::vector<std::string> leaving;
+    for (const auto &[id, runner] : Runners) {
+      if (i++ % every == 0) {
+        leaving.push_back(id);
+      }
+    }
+    for (const std::string &id : leaving) {
+      std::set<std::pair<workflow::StepKey, std::uint32_t>> broken;
+      for (const auto &[run, it] : Runners[id].Runs) {
+        broken.insert({run.Task.Step, run.Run});
+      }
+      for (auto &[member, runner] : Runners) {
+        std::vector<workflow::RunKey> ended;
+        for (const auto &[run, it] : runner.Runs) {
+          const bool ofGang =
+              it.WaitsForMembers && broken.contains({run.Task.Step, run.Run});
+          if (member == id || ofGang) {
+            ended.push_back(run);
+          }
+        }
+        for (const workflow::RunKey &run : ended) {
+          finish(member, run, protocol::RUN_BROKEN);
+        }
+      }
+      decide([&] {
+        Leader->deregister(
+            {id, 0}, [] {}, at());
+      });
+    }
+  }
+
   void applyEffects(workflow::WorkflowEffects effects) {
     for (workflow::ProposedBatch &it : effects.Batches) {
-      schedule(CommitDelay, [this, batch = std::move(it)] {
+      schedule(CommitDelay, [this, term = Term, batch = std::move(it)] {
         const auto begin = std::chrono::steady_clock::now();
         State.apply(batch.Record);
         DecisionSeconds += std::chrono::duration<double>(
                                std::chrono::steady_clock::now() - begin)
                                .count();
-        decide([&] { Leader->stored(batch, at()); });
+        answer(term, [&] { Leader->stored(batch, at()); });
         countCompleted(batch);
       });
     }
     for (const workflow::StartOrder &it : effects.Starts) {
-      schedule(OneWayDelay, [this, it] { startRun(it); });
+      schedule(OneWayDelay, [this, term = Term, it] { startRun(it, term); });
     }
     for (const workflow::StopOrder &it : effects.Stops) {
-      schedule(OneWayDelay, [this, it] { stop(it); });
+      schedule(OneWayDelay, [this, term = Term, it] { stop(it, term); });
     }
     for (const workflow::PollOrder &it : effects.Polls) {
-      schedule(OneWayDelay, [this, it] { poll(it); });
+      schedule(OneWayDelay, [this, term = Term, it] { poll(it, term); });
     }
     for (const workflow::AdviceCall &it : effects.Advice) {
       advise(it);
@@ -182,7 +248,9 @@
 
   void sendAgentHello() {
     for (std::size_t i = 0; i < Options.Agents; ++i) {
-      Leader->agentSeen("agent-" + std::to_string(i), at());
+      if (Leader) {
+        Leader->agentSeen("agent-" + std::to_string(i), at());
+      }
     }
     schedule(HelloInterval, [this] { sendAgentHello(); });
   }
@@ -305,8 +373,17 @@
     submission.At = Now;
     submission.Work = work;
     submission.ObjectiveMs = queue.Stretch * criticalPathMs + queue.TargetMs;
-    ModelOutcome &outcome = Outcomes[queue.Name];
-    outcome.Arrived += 1;
+    Outcomes[queue.Name].Arrived += 1;
+    send(i, call);
+  }
+
+  /// Sends a call to the leader, again after a while if there is none.
+  void send(std::size_t i, const protocol::WorkflowCall &call) {
+    if (!Leader) {
+      schedule(ResubmitInterval, [this, i, call] { send(i, call); });
+      return;
+    }
+    ModelOutcome &outcome = Outcomes[Options.Queues[i].Name];
     decide([&] {
       Leader->call(
           call,
@@ -320,7 +397,7 @@
     });
   }
 
-  void startRun(const workflow::StartOrder &order) {
+  void startRun(const workflow::StartOrder &order, std::uint64_t term) {
     const workflow::StepKey &step = order.Run.Task.Step;
     const protocol::StepSpec &spec = *State.findSpec(step);
     Submission &submission = Submitted[step.Workflow];
@@ -339,8 +416,8 @@
     } else if (++PresentMembers[{step, order.Run.Run}] == spec.count()) {
       beginGang(step, order.Run.Run, spec, queue);
     }
-    schedule(OneWayDelay, [this, order] {
-      decide([&] {
+    schedule(OneWayDelay, [this, term, order] {
+      answer(term, [&] {
         Leader->startAnswered(order, workflow::OrderAnswer::Done, at());
       });
     });
@@ -423,16 +500,19 @@
     }
   }
 
-  void stop(const workflow::StopOrder &order) {
+  void stop(const workflow::StopOrder &order, std::uint64_t term) {
     finish(order.Runner, order.Run, protocol::RUN_STOPPED);
-    schedule(OneWayDelay, [this, order] {
-      decide([&] {
+    schedule(OneWayDelay, [this, term, order] {
+      answer(term, [&] {
         Leader->stopAnswered(order, workflow::OrderAnswer::Done, at());
       });
     });
   }
 
-  void poll(const workflow::PollOrder &order) {
+  void poll(const workflow::PollOrder &order, std::uint64_t term) {
+    if (term != Term) {
+      return;
+    }
     SimRunner &runner = Runners[order.Runner];
     std::erase_if(runner.Ended, [&](const workflow::EndedRun &it) {
       return it.Number <= order.EndsStored;
@@ -443,9 +523,9 @@
       return;
     }
     schedule(Milliseconds(order.WaitMs),
-             [this, id = order.Runner, sequence = order.Sequence] {
+             [this, term, id = order.Runner, sequence = order.Sequence] {
                const auto &held = Runners[id].Poll;
-               if (held && held->Sequence == sequence) {
+               if (held && term == Term && held->Sequence == sequence) {
                  answerPoll(id);
                }
              });
@@ -455,17 +535,17 @@
     SimRunner &runner = Runners[id];
     const workflow::PollOrder order = *runner.Poll;
     runner.Poll.reset();
-    workflow::PollAnswer answer;
-    answer.Answer = workflow::OrderAnswer::Done;
-    answer.ClockMs =
+    workflow::PollAnswer polled;
+    polled.Answer = workflow::OrderAnswer::Done;
+    polled.ClockMs =
         std::chrono::duration_cast<Milliseconds>(Now.time_since_epoch())
             .count();
     for (const auto &[run, it] : runner.Runs) {
-      answer.Running.push_back({run, ""});
+      polled.Running.push_back({run, ""});
     }
-    answer.Ended = runner.Ended;
-    schedule(OneWayDelay, [this, order, answer] {
-      decide([&] { Leader->pollAnswered(order, answer, at()); });
+    polled.Ended = runner.Ended;
+    schedule(OneWayDelay, [this, term = Term, order, polled] {
+      answer(term, [&] { Leader->pollAnswered(order, polled, at()); });
     });
   }
 
@@ -491,8 +571,8 @@
         row->set_ticket("t");
       }
     }
-    schedule(busy - Now + OneWayDelay, [this, result] {
-      decide([&] { Leader->adviceAnswered(result, at()); });
+    schedule(busy - Now + OneWayDelay, [this, term = Term, result] {
+      answer(term, [&] { Leader->adviceAnswered(result, at()); });
     });
   }
 
@@ -537,6 +617,8 @@
   std::multimap<SteadyTime, std::function<void()>> Events;
   workflow::WorkflowState State;
   std::unique_ptr<workflow::WorkflowLeader> Leader;
+  /// Number of the current leader or, while there is none, of the last one.
+  std::uint64_t Term = 1;
   std::map<std::string, SimRunner> Runners;
   std::map<std::string, Submission> Submitted;
   std::map<std::pair<workflow::StepKey, std::uint32_t>, std::uint32_t>
