--- a/benchmarks/workflow_model.hpp
+++ b/benchmarks/workflow_model.hpp
@@ -163,7 +163,8 @@
   }
 
   /// Passes the answer to an order on to the leader that gave it.
-  template <class Function> void answer(std::uint64_t term, Function function) {
+  template <class Function>
+  void answer(std::uint64_t term, const Function &function) {
     if (term == Term) {
       decide(function);
     }
