Let a step that runners are drained for start where it fits first

Cause: while runners were drained for an overdue step, only their tickets were renewed, and those of its other approved runners expired. So it waited for just these runners although it fitted, for up to four seconds, and kept others off. The test: none of 45 tasks started before. Change: the tickets of all its approved runners are renewed, as those of a gang that gathers room are. There is one such step in a pool.

--- a/src/masticwinch/coordination/workflow/workflow_leader_overdue.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_overdue.cpp
@@ -219,16 +219,15 @@
     return false;
   }
   const ResourceAmounts needs = needsOf(*State.findSpec(key));
-  std::vector<std::string> runners;
   for (const auto &[id, places] : drain->second.Places) {
     ResourceAmounts &claimed = fleet.Claimed[pool.find(id)];
     for (std::size_t i = 0; i < places; ++i) {
       claimed += needs;
     }
-    runners.push_back(id);
   }
   if (advised) {
-    Advice.renew(key, runners, at.Now);
+    // Other approved runners may have room before the drained ones.
+    renewForGang(key, nullptr, pool, at.Now);
   }
   return true;
 }
--- a/tests/coordination/workflow/test_renewed_tickets.cpp
+++ b/tests/coordination/workflow/test_renewed_tickets.cpp
@@ -140,3 +140,31 @@
   cell.advance(Milliseconds(300), false);
   CHECK(cell.startsOf(gang) == 45);
 }
+
+// While runners were drained for a step, only their tickets were renewed.
+TEST_CASE("A gang that runners are drained for starts where it fits first",
+          "[workflow]") {
+  ApprovingCell cell;
+  const std::string full = "000000000000000a";
+  const std::string half = "000000000000000b";
+  const std::string gang = "000000000000000c";
+  protocol::StepSpec low = stepOn("low", LowRunners, 32);
+  low.set_estimate_ms(15'000);
+  protocol::StepSpec high = stepOn("high", HighRunners, 20);
+  high.set_estimate_ms(15'000);
+  cell.submit(full, {low});
+  cell.submit(half, {high});
+  cell.advance(Milliseconds(1000));
+  REQUIRE(cell.Starts.size() == LowRunners + HighRunners);
+  protocol::StepSpec wide = stepOf(45, true);
+  wide.mutable_needs()->set_milli_processors(12'000);
+  cell.submit(gang, {wide});
+  // The gang is overdue; the drained runners are among the first ones, which
+  // have the most room once they are empty.
+  cell.advance(Milliseconds(14'000));
+  REQUIRE(cell.startsOf(gang) == 0);
+
+  cell.endRunsOf(half);
+  cell.advance(Milliseconds(300), false);
+  CHECK(cell.startsOf(gang) == 45);
+}
