--- a/src/masticwinch/coordination/workflow/workflow_leader_gangs.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_gangs.cpp
@@ -153,9 +153,11 @@
   return horizon <= Options.AskMoreHorizon;
 }
 
-/// Renews the tickets of the runners on which the gang fits, or, as long as it
-/// gathers room, of all its approved runners: any of them may be the next to
-/// have some, and the gang starts only while all its tickets are valid.
+/// Renews the tickets of the runners on which the step fits or, if `places` is
+/// null, of all its approved runners. The latter is for a gang that gathers
+/// room and for a step that runners are drained for: any approved runner may be
+/// the next to have room, and a gang starts only while all its tickets are
+/// valid.
 void WorkflowLeader::renewForGang(
     const StepKey &key, const std::map<std::string, std::size_t> *places,
     const Fleet::Pool &pool, SteadyTime now) {
--- a/tests/coordination/workflow/test_served_sizes.cpp
+++ b/tests/coordination/workflow/test_served_sizes.cpp
@@ -30,3 +30,21 @@
   CHECK(servedShare(sheets, 0, 0.1) >= 0.8 * all);
   CHECK(servedShare(sheets, 0.1, 0.3) >= 0.8 * all);
 }
+
+TEST_CASE("Accepted workflows complete although the leader and runners are "
+          "lost",
+          "[workflow]") {
+  ModelOptions options;
+  options.Queues = priceQueues(0.3, 1);
+  options.Seconds = 12;
+  options.LeaderLostAt = {3, 7};
+  options.LeavingShare = 0.2;
+  options.RunnersLeaveAt = 5;
+  WorkflowModel model(options);
+  model.run();
+  for (const auto &[queue, it] : model.outcomes()) {
+    CAPTURE(queue);
+    REQUIRE(it.Arrived > 0);
+    CHECK(it.OnTime + it.Late + it.TooLate + it.Refused == it.Arrived);
+  }
+}
