--- a/src/masticwinch/coordination/workflow/workflow_event.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_event.hpp
@@ -52,6 +52,15 @@
   Deposed,
 };
 
+/// Whether events of this kind are regular reports, whose number doesn't grow
+/// with the load.
+constexpr bool isReport(WorkflowEventKind kind) {
+  return kind == WorkflowEventKind::StepWaits ||
+         kind == WorkflowEventKind::PoolLoad ||
+         kind == WorkflowEventKind::QueueLoad ||
+         kind == WorkflowEventKind::SizeLoad;
+}
+
 /// An entry of the event log: what it concerns and what the decision was based
 /// on.
 struct WorkflowEvent {
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -6,6 +6,7 @@
 #include "masticwinch/coordination/workflow/crash_containment.hpp"
 #include "masticwinch/coordination/workflow/gang_claims.hpp"
 #include "masticwinch/coordination/workflow/gang_forecast.hpp"
+#include "masticwinch/coordination/workflow/gathering.hpp"
 #include "masticwinch/coordination/workflow/outcome_totals.hpp"
 #include "masticwinch/coordination/workflow/overdue_share.hpp"
 #include "masticwinch/coordination/workflow/queue_routes.hpp"
@@ -148,6 +149,8 @@
     std::optional<std::size_t> Startable;
     /// Since when a task of the step has been suspected of crashing runners.
     std::optional<SteadyTime> SuspectSince;
+    /// Of a gang that the last pass tried: whether it holds room.
+    Gathering Room = Gathering::NotTried;
   };
   /// Rank among overdue steps; the smallest is tried first.
   struct OverdueRank {
@@ -334,7 +337,7 @@
   std::optional<GangForecast>
   beginGathering(const StepKey &key, bool advised, std::size_t tasks,
                  std::int64_t milliProcessors, Fleet &fleet,
-                 const Fleet::Pool &pool, Moment at) const;
+                 const Fleet::Pool &pool, Moment at);
   void renewForGang(const StepKey &key,
                     const std::map<std::string, std::size_t> *places,
                     const Fleet::Pool &pool, SteadyTime now);
--- a/src/masticwinch/coordination/workflow/workflow_leader_gangs.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_gangs.cpp
@@ -92,8 +92,10 @@
 WorkflowLeader::beginGathering(const StepKey &key, bool advised,
                                std::size_t tasks, std::int64_t milliProcessors,
                                Fleet &fleet, const Fleet::Pool &pool,
-                               Moment at) const {
+                               Moment at) {
+  Gathering &room = OpenSteps.at(key).Room;
   if (!Options.GatherForGangs) {
+    room = Gathering::Disabled;
     return std::nullopt;
   }
   const bool holds = Claims.find(key) != nullptr;
@@ -102,13 +104,16 @@
   const bool exceedsShare =
       fleet.AnyGathers && whole > fleet.GatherableProcessors;
   if (!holds && (fleet.GatheringGangs == 0 || exceedsShare)) {
+    room = exceedsShare ? Gathering::ShareUsed : Gathering::NoSlot;
     return std::nullopt;
   }
   std::optional<GangForecast> forecast =
       expectedRoom(key, advised, tasks, fleet, pool, at);
   if (!forecast || (!holds && forecast->Horizon > Options.GatherHorizon)) {
+    room = forecast ? Gathering::TooFar : Gathering::NoForecast;
     return std::nullopt;
   }
+  room = Gathering::Gathers;
   fleet.GatheringGangs -= std::min<std::size_t>(fleet.GatheringGangs, 1);
   fleet.AnyGathers = true;
   fleet.GatherableProcessors -= milliProcessors;
@@ -133,6 +138,7 @@
   }
   const bool complete = planned.size() == tasks.size() && !tasks.empty();
   Milliseconds horizon{0};
+  OpenSteps.at(key).Room = Gathering::Complete;
   if (!complete) {
     const auto forecast = beginGathering(
         key, advised, tasks.size(),
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -399,6 +399,7 @@
     return;
   }
   OpenStep &open = OpenSteps.at(key);
+  open.Room = Gathering::NotTried;
   const std::string &queueName = workflow->Spec.queue();
   const protocol::StepSpec &spec = *State.findSpec(key);
   const std::vector<std::uint32_t> tasks = startableTasks(key, open, at.Now);
--- a/src/masticwinch/coordination/workflow/workflow_leader_waits.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_waits.cpp
@@ -39,11 +39,13 @@
   std::size_t gangs = 0;
   std::size_t others = 0;
   std::size_t late = 0;
+  std::size_t shareUsed = 0;
   for (const RankedStep &it : tried) {
     const OpenStep &open = OpenSteps.at(*it.Key);
     if (startableCount(*it.Key, open) == 0) {
       continue;
     }
+    shareUsed += open.Room == Gathering::ShareUsed ? 1 : 0;
     if (it.Rank.Forecast != CompletionForecast::OnTime) {
       ++late;
     } else if (open.Parent->Spec.steps(int(it.Key->Step)).gang()) {
@@ -76,6 +78,7 @@
               {"gangs_waiting", std::to_string(gangs)},
               {"others_waiting", std::to_string(others)},
               {"late_waiting", std::to_string(late)},
+              {"share_used", std::to_string(shareUsed)},
               {"agents", std::to_string(Advice.agentCount())}});
   }
 }
@@ -189,6 +192,7 @@
                    [&](const RankedStep &it) { return *it.Key == key; });
   const auto waited = std::chrono::duration_cast<Milliseconds>(
       at.Now - open.Info->Ranking.Accepted);
+  const Gathering room = place == tried.end() ? Gathering::NotTried : open.Room;
   logEvent(
       WorkflowEventKind::StepWaits,
       {{"step", textOf(key)},
@@ -200,6 +204,7 @@
        {"asked", std::to_string(asked ? asked->size() : 0)},
        {"approved", std::to_string(approved)},
        {"fresh", std::to_string(fresh)},
+       {"room", std::string(nameOf(room))},
        {"avoided", std::to_string(open.FailedRunners.size())},
        {"fit",
         std::to_string(queue ? fittingTasks(key, *queue, fleet, at) : 0)},
--- a/src/masticwinch/events/event_log.cpp
+++ b/src/masticwinch/events/event_log.cpp
@@ -90,8 +90,12 @@
 
 void EventLog::writeFields(
     std::string_view name,
-    const std::vector<std::pair<std::string, std::string>> &fields) {
-  if (Bounded && !Bounded->admit(internal::LineClass::Routine)) {
+    const std::vector<std::pair<std::string, std::string>> &fields,
+    Frequency frequency) {
+  const auto lineClass = frequency == Frequency::Frequent
+                             ? internal::LineClass::Routine
+                             : internal::LineClass::Process;
+  if (Bounded && !Bounded->admit(lineClass)) {
     return;
   }
   std::string line = linePrefix(name);
--- a/src/masticwinch/events/event_log.hpp
+++ b/src/masticwinch/events/event_log.hpp
@@ -77,11 +77,20 @@
   void writeNamed(std::string_view name,
                   std::initializer_list<EventField> fields = {});
 
-  /// Writes an event with a list of key and value pairs. On standard output it
-  /// counts as a routine line, which is dropped at a lower rate.
+  /// How often an event occurs that is written with its fields in a list.
+  enum class Frequency : std::uint8_t {
+    /// With the load. On standard output, its lines are dropped at a lower
+    /// rate.
+    Frequent,
+    /// A few times a second at most, whatever the load.
+    Bounded,
+  };
+
+  /// Writes an event with a list of key and value pairs.
   void
   writeFields(std::string_view name,
-              const std::vector<std::pair<std::string, std::string>> &fields);
+              const std::vector<std::pair<std::string, std::string>> &fields,
+              Frequency frequency = Frequency::Frequent);
 
   /// Number of lines dropped since the start.
   std::uint64_t droppedLines() const;
--- a/src/masticwinch/events/internal/bounded_output_sink.hpp
+++ b/src/masticwinch/events/internal/bounded_output_sink.hpp
@@ -14,7 +14,8 @@
 enum class LineClass : std::uint8_t {
   /// Frequent event, such as a decision on one task.
   Routine,
-  /// Event of the process itself, such as its start or a lost dependency.
+  /// Event of the process itself, such as its start or a lost dependency, and
+  /// regular reports.
   Process,
 };
 
--- a/src/masticwinch/workflow/workflow_driver.hpp
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -413,7 +413,9 @@
 
   void writeEvents(const WorkflowEffects &effects) {
     for (const WorkflowEvent &it : effects.Events) {
-      Events.writeFields(nameOf(it.Kind), it.Fields);
+      Events.writeFields(nameOf(it.Kind), it.Fields,
+                         isReport(it.Kind) ? EventLog::Frequency::Bounded
+                                           : EventLog::Frequency::Frequent);
       counterOf(it.Kind).add(1);
     }
     for (const WorkflowOutcome &it : effects.Outcomes) {
--- a/tests/coordination/workflow/led_cell.hpp
+++ b/tests/coordination/workflow/led_cell.hpp
@@ -99,6 +99,7 @@
   std::vector<workflow::PollOrder> Polls;
   std::vector<workflow::AdviceCall> Advice;
   std::vector<workflow::WorkflowOutcome> Outcomes;
+  std::vector<workflow::WorkflowEvent> Events;
 
 private:
   template <class Order>
@@ -114,6 +115,7 @@
       append(Polls, effects.Polls);
       append(Advice, effects.Advice);
       append(Outcomes, effects.Outcomes);
+      append(Events, effects.Events);
       for (const workflow::ProposedBatch &it : effects.Batches) {
         State.apply(it.Record);
         Leader.stored(it, Now);
--- a/tests/coordination/workflow/test_gang_claims.cpp
+++ b/tests/coordination/workflow/test_gang_claims.cpp
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "tests/coordination/workflow/led_cell.hpp"
+#include "tests/coordination/workflow/answered_cell.hpp"
 #include <set>
 
 using namespace masticwinch;
@@ -25,59 +25,6 @@
   return step;
 }
 
-/// Two runners with 32 cores each, which are answered for.
-struct TwoRunners : LedCell {
-  TwoRunners() : LedCell(stateWithRunners()) { advance(Milliseconds(100)); }
-
-  static WorkflowState stateWithRunners() {
-    WorkflowState state = configuredState();
-    for (const char *id : {"i-0", "i-1"}) {
-      protocol::WorkflowChange change;
-      *change.mutable_runner()->mutable_runner() = runnerOf(id);
-      state.apply(change);
-    }
-    return state;
-  }
-
-  void advance(Milliseconds time) {
-    for (Milliseconds passed{0}; passed < time; passed += SchedulingTime) {
-      pass(SchedulingTime);
-      for (; AnsweredStarts < Starts.size(); ++AnsweredStarts) {
-        const StartOrder &it = Starts[AnsweredStarts];
-        Running[it.Runner].push_back({it.Run, ""});
-        Leader.startAnswered(it, OrderAnswer::Done, Now);
-      }
-      for (const PollOrder &it : std::exchange(Polls, {})) {
-        PollAnswer answer;
-        answer.Answer = OrderAnswer::Done;
-        answer.ClockMs = std::int64_t(Now.UnixMs);
-        answer.Running = Running[it.Runner];
-        answer.Ended = Ended[it.Runner];
-        Leader.pollAnswered(it, answer, Now);
-      }
-    }
-  }
-
-  /// Ends all runs on a runner as done.
-  void endRunsOn(const std::string &runner) {
-    for (const RunningRun &it : std::exchange(Running[runner], {})) {
-      Ended[runner].push_back(
-          {Ended[runner].size() + 1, it.Run, protocol::RUN_DONE, ""});
-    }
-  }
-
-  std::size_t startsOf(const std::string &id) const {
-    return std::size_t(
-        std::count_if(Starts.begin(), Starts.end(), [&](const StartOrder &it) {
-          return it.Run.Task.Step.Workflow == id;
-        }));
-  }
-
-  std::size_t AnsweredStarts = 0;
-  std::map<std::string, std::vector<RunningRun>> Running;
-  std::map<std::string, std::vector<EndedRun>> Ended;
-};
-
 } // namespace
 
 TEST_CASE("A claim that is updated in each pass is kept", "[workflow]") {
@@ -133,7 +80,7 @@
 
 TEST_CASE("A gang keeps the room that it has gathered when it becomes late",
           "[workflow]") {
-  TwoRunners cell;
+  AnsweredCell cell(2);
   const std::string gang = "000000000000000b";
   cell.submit("000000000000000a", {heavyStep(2, false, 32)});
   cell.advance(Milliseconds(100));
@@ -154,7 +101,7 @@
 
 TEST_CASE("A gang whose room frees up runner by runner is not passed over",
           "[workflow]") {
-  TwoRunners cell;
+  AnsweredCell cell(2);
   const std::string gang = "000000000000000b";
   cell.submit("000000000000000a", {heavyStep(2, false, 32)});
   cell.advance(Milliseconds(100));
--- /dev/null
+++ b/tests/coordination/workflow/test_late_gangs.cpp
@@ -0,0 +1,57 @@
+#include <catch2/catch.hpp>
+
+#include "tests/coordination/workflow/answered_cell.hpp"
+#include <map>
+#include <string>
+
+using namespace masticwinch;
+using namespace masticwinch::tests;
+using namespace masticwinch::workflow;
+
+namespace {
+
+protocol::StepSpec stepWith(std::uint32_t tasks, bool gang,
+                            std::uint32_t cores) {
+  protocol::StepSpec step = stepOf(tasks, gang);
+  step.mutable_needs()->set_milli_processors(cores * 1000);
+  return step;
+}
+
+/// A field of the last report that a step waits; empty if there is none.
+std::string lastWait(const LedCell &cell, const std::string &step,
+                     const std::string &field) {
+  std::string value;
+  for (const WorkflowEvent &it : cell.Events) {
+    const std::map<std::string, std::string> fields(it.Fields.begin(),
+                                                    it.Fields.end());
+    if (it.Kind == WorkflowEventKind::StepWaits && fields.at("step") == step) {
+      value = fields.at(field);
+    }
+  }
+  return value;
+}
+
+/// Five runners. Room on the first one is held by a gang that waits for the
+/// second one.
+struct GatheredCell : AnsweredCell {
+  GatheredCell() : AnsweredCell(5, 2) {
+    submit("000000000000000a", {stepWith(5, false, 32)});
+    advance(Milliseconds(100));
+    protocol::StepSpec others = stepWith(2, true, 20);
+    others.set_required_label("left");
+    submit("000000000000000b", {others});
+    endRunsOn("i-0");
+    advance(Milliseconds(100));
+  }
+};
+
+} // namespace
+
+TEST_CASE("The report of a waiting gang says why it holds no room",
+          "[workflow]") {
+  GatheredCell cell;
+  cell.submit("000000000000000c", {stepWith(3, true, 20)});
+  cell.advance(Milliseconds(5000));
+  CHECK(lastWait(cell, "000000000000000b.0.0", "room") == "gathers");
+  CHECK(lastWait(cell, "000000000000000c.0.0", "room") == "share_used");
+}
