--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -323,6 +323,7 @@
   // workflow_leader_gangs.cpp
   void restoreClaims(Fleet &fleet);
   std::optional<GangClaim> releaseClaim(const StepKey &key, Fleet &fleet) const;
+  bool mayExceedShare(const StepKey &key, SteadyTime now) const;
   bool gatherRoom(const StepKey &key, const std::vector<std::uint32_t> &tasks,
                   const std::optional<GangClaim> &held, bool advised,
                   Fleet &fleet, const Fleet::Pool &pool, Moment at);
@@ -396,6 +397,8 @@
   RunnerHealth Health;
   CrashContainment Containment;
   GangClaims Claims;
+  /// Gangs that hold claims beyond the bounds on all gangs.
+  std::set<StepKey> LateGatherers;
   OverdueShare Overdue;
   /// By pool.
   std::map<std::string, RunnerDrain> Drains;
--- a/src/masticwinch/coordination/workflow/workflow_leader_gangs.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_gangs.cpp
@@ -11,6 +11,8 @@
     const auto open = OpenSteps.find(key);
     return open != OpenSteps.end() && startableCount(key, open->second) > 0;
   });
+  std::erase_if(LateGatherers,
+                [&](const StepKey &it) { return !Claims.find(it); });
   Claims.reduce([&](const std::string &id, const ResourceAmounts &needs,
                     std::size_t places) -> std::size_t {
     const RunnerEntry *runner = Registry.find(id);
@@ -85,6 +87,18 @@
                           spec.max_per_runner());
 }
 
+/// Whether a gang that can't begin to gather within the bounds on all gangs may
+/// do so beyond them. One late gang at a time may: what is left of the bounds
+/// is always enough for narrow gangs first, so that a wide one would wait until
+/// the load falls.
+bool WorkflowLeader::mayExceedShare(const StepKey &key, SteadyTime now) const {
+  const OpenStep &open = OpenSteps.at(key);
+  const Milliseconds remaining = open.Info->CriticalPaths[key.Step];
+  return LateGatherers.size() < Options.LateGatherers &&
+         rankOf(open.Info->Ranking, remaining, now).Forecast ==
+             CompletionForecast::Late;
+}
+
 /// Lets a gang hold processors while it gathers room, if it is expected to have
 /// all its room soon and gangs before it in rank order leave as much to it. One
 /// that holds some already goes on unless its room has receded.
@@ -103,7 +117,8 @@
       std::int64_t(tasks) * needsOf(*State.findSpec(key)).MilliProcessors;
   const bool exceedsShare =
       fleet.AnyGathers && whole > fleet.GatherableProcessors;
-  if (!holds && (fleet.GatheringGangs == 0 || exceedsShare)) {
+  const bool exceeds = !holds && (fleet.GatheringGangs == 0 || exceedsShare);
+  if (exceeds && !mayExceedShare(key, at.Now)) {
     room = exceedsShare ? Gathering::ShareUsed : Gathering::NoSlot;
     return std::nullopt;
   }
@@ -114,9 +129,14 @@
     return std::nullopt;
   }
   room = Gathering::Gathers;
-  fleet.GatheringGangs -= std::min<std::size_t>(fleet.GatheringGangs, 1);
-  fleet.AnyGathers = true;
-  fleet.GatherableProcessors -= milliProcessors;
+  if (exceeds) {
+    LateGatherers.insert(key);
+  }
+  if (!LateGatherers.contains(key)) {
+    fleet.GatheringGangs -= std::min<std::size_t>(fleet.GatheringGangs, 1);
+    fleet.AnyGathers = true;
+    fleet.GatherableProcessors -= milliProcessors;
+  }
   return forecast;
 }
 
--- a/src/masticwinch/coordination/workflow/workflow_leader_options.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_options.hpp
@@ -60,6 +60,8 @@
   /// Share of a pool's processors that gangs may hold while they gather room,
   /// in thousandths. These stand idle.
   std::int64_t GatheredPermille = 30;
+  /// Number of late gangs that may gather beyond these bounds at the same time.
+  std::size_t LateGatherers = 1;
   /// A gang begins to gather room if all of it is expected to be free within
   /// this time.
   Milliseconds GatherHorizon{2000};
