--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -149,6 +149,8 @@
     std::optional<std::size_t> Startable;
     /// Since when a task of the step has been suspected of crashing runners.
     std::optional<SteadyTime> SuspectSince;
+    /// When the gang last gave up what it had gathered beyond the bounds.
+    std::optional<SteadyTime> GaveUpRoomAt;
     /// Of a gang that the last pass tried: whether it holds room.
     Gathering Room = Gathering::NotTried;
   };
@@ -397,8 +399,8 @@
   RunnerHealth Health;
   CrashContainment Containment;
   GangClaims Claims;
-  /// Gangs that hold claims beyond the bounds on all gangs.
-  std::set<StepKey> LateGatherers;
+  /// Gangs that hold claims beyond the bounds on all gangs, and since when.
+  std::map<StepKey, SteadyTime> LateGatherers;
   OverdueShare Overdue;
   /// By pool.
   std::map<std::string, RunnerDrain> Drains;
--- a/src/masticwinch/coordination/workflow/workflow_leader_gangs.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_gangs.cpp
@@ -12,7 +12,7 @@
     return open != OpenSteps.end() && startableCount(key, open->second) > 0;
   });
   std::erase_if(LateGatherers,
-                [&](const StepKey &it) { return !Claims.find(it); });
+                [&](const auto &it) { return !Claims.find(it.first); });
   Claims.reduce([&](const std::string &id, const ResourceAmounts &needs,
                     std::size_t places) -> std::size_t {
     const RunnerEntry *runner = Registry.find(id);
@@ -94,7 +94,9 @@
 bool WorkflowLeader::mayExceedShare(const StepKey &key, SteadyTime now) const {
   const OpenStep &open = OpenSteps.at(key);
   const Milliseconds remaining = open.Info->CriticalPaths[key.Step];
-  return LateGatherers.size() < Options.LateGatherers &&
+  const bool rests =
+      open.GaveUpRoomAt && now - *open.GaveUpRoomAt < Options.LateGatherPause;
+  return !rests && LateGatherers.size() < Options.LateGatherers &&
          rankOf(open.Info->Ranking, remaining, now).Forecast ==
              CompletionForecast::Late;
 }
@@ -118,10 +120,20 @@
   const bool exceedsShare =
       fleet.AnyGathers && whole > fleet.GatherableProcessors;
   const bool exceeds = !holds && (fleet.GatheringGangs == 0 || exceedsShare);
-  if (exceeds && !mayExceedShare(key, at.Now)) {
+  if (exceeds && (milliProcessors == 0 || !mayExceedShare(key, at.Now))) {
     room = exceedsShare ? Gathering::ShareUsed : Gathering::NoSlot;
     return std::nullopt;
   }
+  const auto late = LateGatherers.find(key);
+  if (late != LateGatherers.end() &&
+      at.Now - late->second >= Options.MaxLateGather) {
+    // Another gang may hold the room that this one waits for, and wait for that
+    // of this one.
+    LateGatherers.erase(late);
+    OpenSteps.at(key).GaveUpRoomAt = at.Now;
+    room = Gathering::GaveUp;
+    return std::nullopt;
+  }
   std::optional<GangForecast> forecast =
       expectedRoom(key, advised, tasks, fleet, pool, at);
   if (!forecast || (!holds && forecast->Horizon > Options.GatherHorizon)) {
@@ -130,7 +142,7 @@
   }
   room = Gathering::Gathers;
   if (exceeds) {
-    LateGatherers.insert(key);
+    LateGatherers.emplace(key, at.Now);
   }
   if (!LateGatherers.contains(key)) {
     fleet.GatheringGangs -= std::min<std::size_t>(fleet.GatheringGangs, 1);
