--- a/src/masticwinch/coordination/workflow/gathering.hpp
+++ b/src/masticwinch/coordination/workflow/gathering.hpp
@@ -20,8 +20,6 @@
   NoSlot,
   /// It needs more than the others leave of the share for gathering.
   ShareUsed,
-  /// It has gathered beyond the bounds for as long as it may.
-  GaveUp,
   /// Its room is not expected within any horizon.
   NoForecast,
   /// Its room is expected, but not soon enough.
@@ -41,7 +39,6 @@
       EnumName<Gathering>{Gathering::Disabled, "disabled"},
       EnumName<Gathering>{Gathering::NoSlot, "no_slot"},
       EnumName<Gathering>{Gathering::ShareUsed, "share_used"},
-      EnumName<Gathering>{Gathering::GaveUp, "gave_up"},
       EnumName<Gathering>{Gathering::NoForecast, "no_forecast"},
       EnumName<Gathering>{Gathering::TooFar, "too_far"}};
 };
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -149,8 +149,6 @@
     std::optional<std::size_t> Startable;
     /// Since when a task of the step has been suspected of crashing runners.
     std::optional<SteadyTime> SuspectSince;
-    /// When the gang last gave up what it had gathered beyond the bounds.
-    std::optional<SteadyTime> GaveUpRoomAt;
     /// Of a gang that the last pass tried: whether it holds room.
     Gathering Room = Gathering::NotTried;
   };
@@ -325,7 +323,6 @@
   // workflow_leader_gangs.cpp
   void restoreClaims(Fleet &fleet);
   std::optional<GangClaim> releaseClaim(const StepKey &key, Fleet &fleet) const;
-  bool mayExceedShare(const StepKey &key, SteadyTime now) const;
   bool gatherRoom(const StepKey &key, const std::vector<std::uint32_t> &tasks,
                   const std::optional<GangClaim> &held, bool advised,
                   Fleet &fleet, const Fleet::Pool &pool, Moment at);
@@ -399,8 +396,6 @@
   RunnerHealth Health;
   CrashContainment Containment;
   GangClaims Claims;
-  /// Gangs that hold claims beyond the bounds on all gangs, and since when.
-  std::map<StepKey, SteadyTime> LateGatherers;
   OverdueShare Overdue;
   /// By pool.
   std::map<std::string, RunnerDrain> Drains;
--- a/src/masticwinch/coordination/workflow/workflow_leader_gangs.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_gangs.cpp
@@ -11,8 +11,6 @@
     const auto open = OpenSteps.find(key);
     return open != OpenSteps.end() && startableCount(key, open->second) > 0;
   });
-  std::erase_if(LateGatherers,
-                [&](const auto &it) { return !Claims.find(it.first); });
   Claims.reduce([&](const std::string &id, const ResourceAmounts &needs,
                     std::size_t places) -> std::size_t {
     const RunnerEntry *runner = Registry.find(id);
@@ -87,20 +85,6 @@
                           spec.max_per_runner());
 }
 
-/// Whether a gang that can't begin to gather within the bounds on all gangs may
-/// do so beyond them. One late gang at a time may: what is left of the bounds
-/// is always enough for narrow gangs first, so that a wide one would wait until
-/// the load falls.
-bool WorkflowLeader::mayExceedShare(const StepKey &key, SteadyTime now) const {
-  const OpenStep &open = OpenSteps.at(key);
-  const Milliseconds remaining = open.Info->CriticalPaths[key.Step];
-  const bool rests =
-      open.GaveUpRoomAt && now - *open.GaveUpRoomAt < Options.LateGatherPause;
-  return !rests && LateGatherers.size() < Options.LateGatherers &&
-         rankOf(open.Info->Ranking, remaining, now).Forecast ==
-             CompletionForecast::Late;
-}
-
 /// Lets a gang hold processors while it gathers room, if it is expected to have
 /// all its room soon and gangs before it in rank order leave as much to it. One
 /// that holds some already goes on unless its room has receded.
@@ -119,21 +103,10 @@
       std::int64_t(tasks) * needsOf(*State.findSpec(key)).MilliProcessors;
   const bool exceedsShare =
       fleet.AnyGathers && whole > fleet.GatherableProcessors;
-  const bool exceeds = !holds && (fleet.GatheringGangs == 0 || exceedsShare);
-  if (exceeds && (milliProcessors == 0 || !mayExceedShare(key, at.Now))) {
+  if (!holds && (fleet.GatheringGangs == 0 || exceedsShare)) {
     room = exceedsShare ? Gathering::ShareUsed : Gathering::NoSlot;
     return std::nullopt;
   }
-  const auto late = LateGatherers.find(key);
-  if (late != LateGatherers.end() &&
-      at.Now - late->second >= Options.MaxLateGather) {
-    // Another gang may hold the room that this one waits for, and wait for that
-    // of this one.
-    LateGatherers.erase(late);
-    OpenSteps.at(key).GaveUpRoomAt = at.Now;
-    room = Gathering::GaveUp;
-    return std::nullopt;
-  }
   std::optional<GangForecast> forecast =
       expectedRoom(key, advised, tasks, fleet, pool, at);
   if (!forecast || (!holds && forecast->Horizon > Options.GatherHorizon)) {
@@ -141,14 +114,9 @@
     return std::nullopt;
   }
   room = Gathering::Gathers;
-  if (exceeds) {
-    LateGatherers.emplace(key, at.Now);
-  }
-  if (!LateGatherers.contains(key)) {
-    fleet.GatheringGangs -= std::min<std::size_t>(fleet.GatheringGangs, 1);
-    fleet.AnyGathers = true;
-    fleet.GatherableProcessors -= milliProcessors;
-  }
+  fleet.GatheringGangs -= std::min<std::size_t>(fleet.GatheringGangs, 1);
+  fleet.AnyGathers = true;
+  fleet.GatherableProcessors -= milliProcessors;
   return forecast;
 }
 
--- a/src/masticwinch/coordination/workflow/workflow_leader_options.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_options.hpp
@@ -60,12 +60,6 @@
   /// Share of a pool's processors that gangs may hold while they gather room,
   /// in thousandths. These stand idle.
   std::int64_t GatheredPermille = 30;
-  /// Number of late gangs that may gather beyond these bounds at the same time.
-  std::size_t LateGatherers = 1;
-  /// How long such a gang may gather, and how long it pauses after that, so
-  /// that another one gets a turn.
-  Milliseconds MaxLateGather{4000};
-  Milliseconds LateGatherPause{4000};
   /// A gang begins to gather room if all of it is expected to be free within
   /// this time.
   Milliseconds GatherHorizon{2000};
