Add client accounts to the configuration and the replicated state

Cause: two deployments declare client accounts with API keys, weights and caps, and the system had no notion of them: it ran calls without a key. Nothing uses the accounts yet.

--- a/src/masticwinch/coordination/workflow/queue_routes.cpp
+++ b/src/masticwinch/coordination/workflow/queue_routes.cpp
@@ -1,6 +1,7 @@
 #include "masticwinch/coordination/workflow/queue_routes.hpp"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -33,6 +34,31 @@
          (c >= 'A' && c <= 'F');
 }
 
+/// Why the client accounts are invalid. Names accounts and never keys.
+std::optional<std::string> accountsError(const protocol::CellConfig &config) {
+  std::set<std::string_view> names;
+  std::map<std::string_view, std::string_view> owners;
+  for (const protocol::ClientAccount &it : config.accounts()) {
+    if (it.name().empty()) {
+      return "a client account has no name";
+    }
+    if (!names.insert(it.name()).second) {
+      return "there are two client accounts " + it.name();
+    }
+    for (const std::string &key : it.keys()) {
+      if (key.empty()) {
+        return "client account " + it.name() + " has an empty key";
+      }
+      const auto [owner, added] = owners.emplace(key, it.name());
+      if (!added && owner->second != it.name()) {
+        return "client accounts " + std::string(owner->second) + " and " +
+               it.name() + " share a key";
+      }
+    }
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 std::string canonicalHost(std::string_view host) {
@@ -83,6 +109,9 @@
   if (config.version() == 0) {
     return "versions begin with 1";
   }
+  if (auto problem = accountsError(config)) {
+    return problem;
+  }
   std::set<std::string> pools;
   for (const protocol::PoolConfig &it : config.pools()) {
     if (!pools.insert(it.name()).second) {
--- a/src/masticwinch/coordination/workflow/workflow_state.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_state.cpp
@@ -70,6 +70,7 @@
 
 void fillRecord(protocol::WorkflowEntry &entry, const Workflow &workflow) {
   *entry.mutable_spec() = workflow.Spec;
+  entry.set_account(workflow.Account);
   entry.set_accepted_at_unix_ms(workflow.AcceptedAtUnixMs);
   entry.set_max_attempts(workflow.MaxAttempts);
   entry.set_phase(static_cast<std::uint32_t>(workflow.CurrentPhase));
@@ -88,6 +89,7 @@
 Workflow workflowOf(const protocol::WorkflowEntry &entry) {
   Workflow workflow;
   workflow.Spec = entry.spec();
+  workflow.Account = entry.account();
   workflow.AcceptedAtUnixMs = entry.accepted_at_unix_ms();
   workflow.MaxAttempts = entry.max_attempts();
   workflow.CurrentPhase = static_cast<Phase>(entry.phase());
@@ -187,8 +189,10 @@
     return;
   }
   keepQueuesInUse();
+  keepAccountsInUse();
   Config = config;
   indexQueues();
+  Accounts = ClientAccounts(Config);
 }
 
 /// Keeps the queues of open workflows, which the next configuration may drop.
@@ -206,6 +210,31 @@
   DroppedQueues = std::move(kept);
 }
 
+/// Keeps the accounts of open workflows, which the next configuration may drop:
+/// their limits hold on.
+void WorkflowState::keepAccountsInUse() {
+  std::map<std::string, protocol::ClientAccount> kept;
+  for (const auto &[id, workflow] : Workflows) {
+    const std::string &name = workflow.Account;
+    if (name.empty() || workflow.Occurrences.empty() || kept.contains(name)) {
+      continue;
+    }
+    if (const protocol::ClientAccount *known = findAccount(name)) {
+      kept.emplace(name, *known).first->second.clear_keys();
+    }
+  }
+  DroppedAccounts = std::move(kept);
+}
+
+const protocol::ClientAccount *
+WorkflowState::findAccount(const std::string &name) const {
+  if (const protocol::ClientAccount *known = Accounts.find(name)) {
+    return known;
+  }
+  const auto it = DroppedAccounts.find(name);
+  return it == DroppedAccounts.end() ? nullptr : &it->second;
+}
+
 void WorkflowState::indexQueues() {
   QueuePositions.clear();
   for (int i = 0; i < Config.queues_size(); ++i) {
@@ -256,6 +285,7 @@
   }
   Workflow &workflow = it->second;
   workflow.Spec = accept.spec();
+  workflow.Account = accept.account();
   workflow.AcceptedAtUnixMs = accept.at_unix_ms();
   workflow.MaxAttempts = std::max<std::uint32_t>(accept.max_attempts(), 1);
   if (accept.has_queue() && !findQueue(accept.spec().queue())) {
@@ -459,6 +489,9 @@
     dropped->set_id(id);
     *dropped->mutable_queue() = queue;
   }
+  for (const auto &[name, account] : DroppedAccounts) {
+    *snapshot.add_dropped_accounts() = account;
+  }
   return snapshot;
 }
 
@@ -466,6 +499,11 @@
   Config = snapshot.config();
   PartialConfig = snapshot.partial_config();
   indexQueues();
+  Accounts = ClientAccounts(Config);
+  DroppedAccounts.clear();
+  for (const protocol::ClientAccount &it : snapshot.dropped_accounts()) {
+    DroppedAccounts.emplace(it.name(), it);
+  }
   DroppedQueues.clear();
   for (const protocol::DroppedQueue &it : snapshot.dropped_queues()) {
     DroppedQueues.emplace(it.id(), it.queue());
--- a/src/masticwinch/coordination/workflow/workflow_state.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "masticwinch/coordination/workflow/client_accounts.hpp"
 #include "masticwinch/coordination/workflow/task_key.hpp"
 #include "masticwinch/coordination/workflow/workflow_types.hpp"
 
@@ -27,6 +28,12 @@
   /// The queue of a workflow, by its id: as it is configured, or as it was when
   /// it was dropped. Null if no open workflow is known to need it.
   const protocol::QueueConfig *findQueue(const std::string &id) const;
+  /// The client accounts of the configuration.
+  const ClientAccounts &accounts() const { return Accounts; }
+  /// A client account by its name: as it is configured, or without keys as it
+  /// was when it was dropped. Null if no open workflow is known to belong to
+  /// it.
+  const protocol::ClientAccount *findAccount(const std::string &name) const;
   /// Unordered. References to a workflow stay valid until it is forgotten.
   const std::unordered_map<std::string, Workflow> &workflows() const {
     return Workflows;
@@ -70,6 +77,7 @@
 
   void indexQueues();
   void keepQueuesInUse();
+  void keepAccountsInUse();
 
   protocol::CellConfig Config;
   /// Positions in the configuration by queue id and, for workflows that were
@@ -78,6 +86,10 @@
   /// Dropped queues by id. Those that no open workflow needs are removed with
   /// the next configuration.
   std::map<std::string, protocol::QueueConfig> DroppedQueues;
+  ClientAccounts Accounts;
+  /// Dropped accounts by name, without keys. Those that no open workflow
+  /// belongs to are removed with the next configuration.
+  std::map<std::string, protocol::ClientAccount> DroppedAccounts;
   /// The parts so far of a configuration that isn't complete.
   protocol::ConfigurePart PartialConfig;
   std::unordered_map<std::string, Workflow> Workflows;
--- a/src/masticwinch/coordination/workflow/workflow_types.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_types.hpp
@@ -137,6 +137,8 @@
 
 struct Workflow {
   protocol::WorkflowSpec Spec;
+  /// Name of the client account that it belongs to; empty if there is none.
+  std::string Account;
   std::uint64_t AcceptedAtUnixMs = 0;
   std::uint32_t MaxAttempts = 1;
   Phase CurrentPhase = Phase::Queued;
