--- a/src/masticwinch/coordination/workflow/runner_orders.hpp
+++ b/src/masticwinch/coordination/workflow/runner_orders.hpp
@@ -100,11 +100,16 @@
   /// No answer, since the connection was refused or closed; otherwise as
   /// `Silent`.
   Disconnected,
+  /// The relay of the order gave no answer, so that nothing is known of the
+  /// runner; otherwise as `Silent`.
+  RelaySilent,
 };
 
 /// Whether it is unknown if the order was carried out.
 constexpr bool isUnanswered(OrderAnswer answer) {
-  return answer == OrderAnswer::Silent || answer == OrderAnswer::Disconnected;
+  return answer == OrderAnswer::Silent ||
+         answer == OrderAnswer::Disconnected ||
+         answer == OrderAnswer::RelaySilent;
 }
 
 /// A run that is running on a runner.
@@ -149,7 +154,8 @@
       EnumName<Answer>{Answer::OtherLife, "other_life"},
       EnumName<Answer>{Answer::Malformed, "malformed"},
       EnumName<Answer>{Answer::Silent, "silent"},
-      EnumName<Answer>{Answer::Disconnected, "disconnected"}};
+      EnumName<Answer>{Answer::Disconnected, "disconnected"},
+      EnumName<Answer>{Answer::RelaySilent, "relay_silent"}};
 };
 
 } // namespace masticwinch
--- a/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
@@ -34,9 +34,10 @@
     return;
   }
   checkFence(*runner, order, answer);
-  if (answer == OrderAnswer::Unwell || isUnanswered(answer)) {
+  if (answer == OrderAnswer::Unwell || answer == OrderAnswer::Silent ||
+      answer == OrderAnswer::Disconnected) {
     runner->UnwellUntil = now + Options.UnwellBackoff;
-  } else {
+  } else if (answer != OrderAnswer::RelaySilent) {
     runner->LastAnswer = now;
   }
   TrackedRun *it = trackedRun(order.Runner, run);
--- a/src/masticwinch/settings/settings_reader.cpp
+++ b/src/masticwinch/settings/settings_reader.cpp
@@ -1,6 +1,7 @@
 #include "masticwinch/settings/settings_reader.hpp"
 
 #include <boost/leaf/error.hpp>
+#include <fmt/format.h>
 
 #include <fstream>
 
@@ -117,6 +118,24 @@
   return Milliseconds(optionalInteger(key, range, defaultValue.count()));
 }
 
+double SettingsReader::optionalDecimal(const std::string &key, double min,
+                                       double max, double defaultValue) {
+  const nlohmann::json *value = find(key);
+  if (value == nullptr) {
+    return defaultValue;
+  }
+  if (!value->is_number()) {
+    report(key, "must be a number");
+    return defaultValue;
+  }
+  const double number = value->get<double>();
+  if (!(number >= min && number <= max)) {
+    report(key, fmt::format("must be from {} to {}", min, max));
+    return defaultValue;
+  }
+  return number;
+}
+
 void SettingsReader::object(const std::string &key,
                             const std::function<void(SettingsReader &)> &read) {
   const nlohmann::json *value = find(key);
--- a/src/masticwinch/settings/settings_reader.hpp
+++ b/src/masticwinch/settings/settings_reader.hpp
@@ -39,6 +39,9 @@
   std::int64_t optionalInteger(const std::string &key, SettingsRange range,
                                std::int64_t defaultValue);
   bool optionalBoolean(const std::string &key, bool defaultValue);
+  /// Reads a number from `min` to `max` that may have a fraction.
+  double optionalDecimal(const std::string &key, double min, double max,
+                         double defaultValue);
 
   /// Reads a duration in whole milliseconds.
   Milliseconds optionalMilliseconds(const std::string &key, SettingsRange range,
--- a/src/masticwinch/workflow/advice_agent.hpp
+++ b/src/masticwinch/workflow/advice_agent.hpp
@@ -32,10 +32,11 @@
             AdviceAnswer answer) { send(number, address, answer); });
   }
 
-  /// Offers the leader to make advice calls on this VM.
-  void sendHello(const std::string &leader) {
+  /// Offers the leader to make advice calls on this VM, whose link has this
+  /// capacity; 0 if that is not known.
+  void sendHello(const std::string &leader, std::uint32_t linkKbps) {
     protocol::Envelope envelope;
-    envelope.mutable_agent_hello();
+    envelope.mutable_agent_hello()->set_link_kbps(linkKbps);
     Outbox.send(leader, std::move(envelope));
   }
 
--- a/src/masticwinch/workflow/control_vm_daemon.hpp
+++ b/src/masticwinch/workflow/control_vm_daemon.hpp
@@ -14,6 +14,7 @@
 #include "masticwinch/workflow/control_loop.hpp"
 #include "masticwinch/workflow/daemon_metrics.hpp"
 #include "masticwinch/workflow/metrics_endpoint.hpp"
+#include "masticwinch/workflow/order_relay.hpp"
 #include "masticwinch/workflow/relayed_calls.hpp"
 #include "masticwinch/workflow/settings_reload.hpp"
 #include "masticwinch/workflow/workflow_driver.hpp"
@@ -66,6 +67,7 @@
         Log(logOptionsOf(settings), Context, Mailbox, Events, Time, handlers()),
         Calls(Context), Runners(Calls),
         RunnerOrders(Runners, Context, Mailbox, Time),
+        Relay(Runners, Context, Mailbox),
         Advice(Calls, settings.Daemon.AdviceAddress), Agent(Advice, Mailbox),
         Workflows(Context, Log, Mailbox, RunnerOrders, Time, Events, Metrics,
                   leaderOptionsOf(settings)),
@@ -114,8 +116,9 @@
   /// Interval at which the leader handles leases, resends and placement.
   static constexpr Milliseconds LeaderTickInterval{10};
   static constexpr Milliseconds FollowerTickInterval{100};
-  /// Interval between hellos that offer the leader to make advice calls.
-  static constexpr Milliseconds AgentHelloInterval{500};
+  /// Interval between hellos that offer the leader to make advice calls and to
+  /// relay start orders.
+  static constexpr Milliseconds AgentHelloInterval{350};
   /// Time for responses to be sent after leadership was transferred.
   static constexpr Milliseconds ResponseFlushTime{200};
 
@@ -181,11 +184,16 @@
     Workflows.receive(envelope);
     Agent.receive(envelope);
     RunnerOrders.receive(envelope);
-    // Other control VMs only make advice calls and relay no orders, so that
-    // they are free to lead.
-    if (envelope.agent_hello().carries_orders()) {
-      RunnerOrders.relaySeen(envelope.reply_address());
+    if (envelope.has_agent_hello()) {
+      // Other control VMs make advice calls and relay start orders at most, so
+      // that they are free to lead.
+      const protocol::AgentHello &hello = envelope.agent_hello();
+      RunnerOrders.relaySeen(envelope.reply_address(),
+                             hello.carries_orders() ? RelayRole::EntryVm
+                                                    : RelayRole::ControlVm,
+                             hello.link_kbps());
     }
+    Relay.receive(envelope);
   }
 
   void scheduleTick() {
@@ -206,7 +214,7 @@
     } else if (const std::string leader = Log.leaderAddress();
                !leader.empty() && Time.now() >= NextAgentHello) {
       NextAgentHello = Time.now() + AgentHelloInterval;
-      Agent.sendHello(leader);
+      Agent.sendHello(leader, Settings.Daemon.LinkKbps);
     }
   }
 
@@ -239,6 +247,7 @@
   HttpClient Calls;
   RunnerClient Runners;
   Orders RunnerOrders;
+  OrderRelay<RunnerClient> Relay;
   AdviceClient Advice;
   AdviceAgent<AdviceClient> Agent;
   Driver Workflows;
--- a/src/masticwinch/workflow/entry_gateway.cpp
+++ b/src/masticwinch/workflow/entry_gateway.cpp
@@ -71,6 +71,7 @@
   protocol::Envelope envelope;
   envelope.mutable_agent_hello()->set_sequence(++HelloSequence);
   envelope.mutable_agent_hello()->set_carries_orders(true);
+  envelope.mutable_agent_hello()->set_link_kbps(Options.LinkKbps);
   Delay.sent(HelloSequence, Time.now());
   if (!Leader.empty()) {
     Outbox.send(Leader, std::move(envelope));
--- a/src/masticwinch/workflow/entry_gateway.hpp
+++ b/src/masticwinch/workflow/entry_gateway.hpp
@@ -29,6 +29,8 @@
 struct EntryGatewayOptions {
   /// Addresses of the control VMs from the settings.
   std::vector<std::string> Controls;
+  /// Capacity of this VM's link, which the leader is told; 0 if it isn't known.
+  std::uint32_t LinkKbps = 0;
   /// Time between hellos to the leader.
   Milliseconds HelloInterval{350};
   /// Time between hellos to all control VMs while no leader is known.
--- a/src/masticwinch/workflow/entry_vm_daemon.hpp
+++ b/src/masticwinch/workflow/entry_vm_daemon.hpp
@@ -48,8 +48,9 @@
                          [this, it = std::move(envelope)] { receive(it); });
             },
             Events),
-        Gateway({programs::addressesOf(settings.Daemon.Seeds)}, Context,
-                Mailbox, Events, Time),
+        Gateway({programs::addressesOf(settings.Daemon.Seeds),
+                 settings.Daemon.LinkKbps},
+                Context, Mailbox, Events, Time),
         Calls(Context), Advice(Calls, settings.Daemon.AdviceAddress),
         Agent(Advice, Mailbox), Runners(Calls),
         Relay(Runners, Context, Mailbox), Api(*this),
--- a/src/masticwinch/workflow/relayed_calls.hpp
+++ b/src/masticwinch/workflow/relayed_calls.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "masticwinch/common/clock.hpp"
+#include "masticwinch/coordination/workflow/relay_selection.hpp"
 #include "masticwinch/peers/mailbox.hpp"
 #include "masticwinch/protocol/envelope.pb.h"
 #include "masticwinch/workflow/order_messages.hpp"
@@ -23,39 +24,51 @@
   /// call costs the leader about 0.2 ms; a relayed call costs a third of that,
   /// but takes one more round trip.
   std::size_t MaxDirectRunners = 96;
-  /// A relay that has sent nothing for this long gets no orders.
-  Milliseconds RelayTimeout{1500};
   /// Time for which orders are collected into one message.
   Milliseconds BatchDelay{1};
   /// An order without an answer counts as unanswered after this time plus the
   /// time for which the runner may hold the call.
   Milliseconds ResponseTimeout{800};
+  RelaySelectionOptions Selection;
 };
 
-/// Sends orders to runners through entry VMs that act as relays, because a
-/// single leader can't make all the calls that a large fleet needs. Each runner
-/// is assigned to one relay by a hash over the relays, ordered by address; when
-/// a relay stops responding, the others take over its runners. Orders for a
-/// small fleet are sent directly.
+/// Sends orders to runners through other VMs that act as relays, because a
+/// single leader can't make all the calls that a large fleet needs. When a
+/// relay stops responding, the others take over its runners. Orders for a small
+/// fleet are sent directly.
 template <RunnerCalls Direct, class Sender = peers::Mailbox>
 class RelayedCalls {
 public:
   RelayedCalls(Direct &direct, asio::io_context &context, Sender &outbox,
                const Clock &clock, RelayedCallsOptions options = {})
       : DirectCalls(direct), Outbox(outbox), Time(clock), Options(options),
-        Flusher(context), Expirer(context) {
+        Selection(options.Selection), Flusher(context), Expirer(context) {
     awaitExpiry();
   }
 
   /// Sets the number of runners, which decides whether calls are relayed.
   void setRunnerCount(std::size_t count) { RunnerCount = count; }
 
-  /// Called when an entry VM has offered to relay orders.
-  void relaySeen(const std::string &address) { Relays[address] = Time.now(); }
+  /// Called when a VM has offered to relay orders; `linkKbps` is 0 if it
+  /// doesn't state the capacity of its link.
+  void relaySeen(const std::string &address,
+                 RelayRole role = RelayRole::EntryVm,
+                 std::uint32_t linkKbps = 0) {
+    Selection.offered(address, role, linkKbps, Time.now());
+  }
 
   void start(const StartOrder &order, std::uint64_t term, OrderDone done) {
-    if (const std::string *relay = relayFor(order.Runner)) {
-      send(*relay, term, messageOf(order), Milliseconds(0), asPollDone(done));
+    const std::string *relay =
+        isRelayed() ? Selection.relayForStart(order.Runner, Time.now())
+                    : nullptr;
+    if (relay) {
+      send(*relay, term, messageOf(order), Milliseconds(0),
+           [this, relay = *relay,
+            done = std::move(done)](const PollAnswer &answer) {
+             Selection.startEnded(relay,
+                                  answer.Answer != OrderAnswer::RelaySilent);
+             done(answer.Answer);
+           });
     } else {
       DirectCalls.start(order, term, std::move(done));
     }
@@ -100,18 +113,10 @@
     };
   }
 
+  bool isRelayed() const { return RunnerCount > Options.MaxDirectRunners; }
+
   const std::string *relayFor(const std::string &runner) {
-    if (RunnerCount <= Options.MaxDirectRunners) {
-      return nullptr;
-    }
-    const SteadyTime oldest = Time.now() - Options.RelayTimeout;
-    std::erase_if(Relays, [&](const auto &it) { return it.second < oldest; });
-    if (Relays.empty()) {
-      return nullptr;
-    }
-    auto it = Relays.begin();
-    std::advance(it, std::hash<std::string>()(runner) % Relays.size());
-    return &it->first;
+    return isRelayed() ? Selection.relayFor(runner, Time.now()) : nullptr;
   }
 
   void send(const std::string &relay, std::uint64_t term,
@@ -172,8 +177,10 @@
         expired.push_back(number);
       }
     }
+    PollAnswer unanswered;
+    unanswered.Answer = OrderAnswer::RelaySilent;
     for (std::uint64_t it : expired) {
-      finish(it, PollAnswer());
+      finish(it, unanswered);
     }
   }
 
@@ -181,11 +188,11 @@
   Sender &Outbox;
   const Clock &Time;
   RelayedCallsOptions Options;
+  RelaySelection Selection;
   asio::steady_timer Flusher;
   asio::steady_timer Expirer;
   bool FlushDue = false;
   std::size_t RunnerCount = 0;
-  std::map<std::string, SteadyTime> Relays;
   std::map<std::string, protocol::RunnerOrders> Batches;
   /// Term of the latest order; the orders of each term are numbered anew.
   std::uint64_t NumberedTerm = 0;
--- a/src/masticwinch/workflow/workflow_settings.cpp
+++ b/src/masticwinch/workflow/workflow_settings.cpp
@@ -7,6 +7,8 @@
 constexpr SettingsRange PortRange{1, 65'535};
 constexpr SettingsRange LeaseRange{1'000, 60'000};
 constexpr SettingsRange SnapshotRange{10, 1'000'000};
+/// Largest capacity of a VM's network link, in Mbit/s.
+constexpr double MaxLinkMbps = 1'000'000;
 
 /// Reads the seeds. Each is listed by the address for operators, which is also
 /// its name. Its internal address has the same IP address and a port that is
@@ -38,6 +40,9 @@
   daemon.Metrics = programs::readEndpoint(reader, "metrics_address");
   daemon.Seeds = readSeeds(reader);
   daemon.AdviceAddress = reader.optionalString("advice_address", "");
+  constexpr double KbpsPerMbps = 1000;
+  daemon.LinkKbps = static_cast<std::uint32_t>(
+      reader.optionalDecimal("link_mbps", 0, MaxLinkMbps, 0) * KbpsPerMbps);
   return daemon;
 }
 
--- a/src/masticwinch/workflow/workflow_settings.hpp
+++ b/src/masticwinch/workflow/workflow_settings.hpp
@@ -4,6 +4,7 @@
 #include "masticwinch/coordination/replication/replica_options.hpp"
 #include "masticwinch/programs/endpoint_settings.hpp"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
   std::vector<programs::PeerSettings> Seeds;
   /// Address of the advice service as `IP:PORT`; empty if there is none.
   std::string AdviceAddress;
+  /// Capacity of this VM's network link in kbit/s; 0 if it isn't known.
+  std::uint32_t LinkKbps = 0;
 };
 
 /// Options with which an election takes less than a second.
--- a/tests/coordination/workflow/test_runner_registry.cpp
+++ b/tests/coordination/workflow/test_runner_registry.cpp
@@ -283,6 +283,23 @@
   CHECK(fixture.Registry.takeEffects().Stops.size() == 1);
 }
 
+// Guards against a whole fleet that counts as unresponsive because the VMs that
+// relay its orders are: callers were refused although there was room.
+TEST_CASE("A start that its relay left unanswered is retried and keeps the "
+          "runner usable",
+          "[workflow]") {
+  Fixture fixture;
+  fixture.start();
+  REQUIRE(fixture.Registry.takeEffects().Starts.size() == 1);
+  fixture.Registry.startAnswered(startOf(Run), OrderAnswer::RelaySilent,
+                                 fixture.Now);
+  CHECK(fixture.Registry.takeEffects().Starts.size() == 1);
+  CHECK(fixture.Registry.isUsable(fixture.runner(), fixture.Now));
+  fixture.Registry.startAnswered(startOf(Run), OrderAnswer::Silent,
+                                 fixture.Now);
+  CHECK_FALSE(fixture.Registry.isUsable(fixture.runner(), fixture.Now));
+}
+
 TEST_CASE("An unanswered start keeps its resources until a poll after the stop",
           "[workflow]") {
   Fixture fixture;
--- a/tests/settings/test_settings_reader.cpp
+++ b/tests/settings/test_settings_reader.cpp
@@ -37,6 +37,24 @@
                                           "/odd"});
 }
 
+// Guards against a setting of another type or range that is taken as a number.
+TEST_CASE("A number with a fraction is checked for its type and range",
+          "[settings]") {
+  const auto read = [](const char *text) {
+    const nlohmann::json json = nlohmann::json::parse(text);
+    std::vector<SettingsProblem> problems;
+    SettingsReader reader(json, "", problems);
+    const double value = reader.optionalDecimal("link", 0, 100, 7);
+    return std::pair(value, problems.empty() ? "" : problems[0].Reason);
+  };
+  CHECK(read(R"({"link":1.5})") == std::pair(1.5, std::string()));
+  CHECK(read(R"({"link":2})") == std::pair(2.0, std::string()));
+  CHECK(read("{}") == std::pair(7.0, std::string()));
+  CHECK(read(R"({"link":"2"})").second == "must be a number");
+  CHECK(read(R"({"link":-1})").second == "must be from 0 to 100");
+  CHECK(read(R"({"link":1e300})").second == "must be from 0 to 100");
+}
+
 TEST_CASE("A number beyond 64 bits is out of range", "[settings]") {
   const auto problems =
       problemsOf(R"({"name":"a","port":18446744073709551615})");
