--- a/src/masticwinch/coordination/workflow/runner_orders.hpp
+++ b/src/masticwinch/coordination/workflow/runner_orders.hpp
@@ -107,8 +107,7 @@
 
 /// Whether it is unknown if the order was carried out.
 constexpr bool isUnanswered(OrderAnswer answer) {
-  return answer == OrderAnswer::Silent ||
-         answer == OrderAnswer::Disconnected ||
+  return answer == OrderAnswer::Silent || answer == OrderAnswer::Disconnected ||
          answer == OrderAnswer::RelaySilent;
 }
 
--- a/src/masticwinch/workflow/relayed_calls.hpp
+++ b/src/masticwinch/workflow/relayed_calls.hpp
@@ -29,7 +29,7 @@
   /// An order without an answer counts as unanswered after this time plus the
   /// time for which the runner may hold the call.
   Milliseconds ResponseTimeout{800};
-  RelaySelectionOptions Selection;
+  RelaySelectionOptions Selection{};
 };
 
 /// Sends orders to runners through other VMs that act as relays, because a
