Keep what each client account runs within its cap

Cause: caps of client accounts were stored and not applied; an account could use the whole fleet. Change: the runner registry keeps the sum of what the tracked runs of each account occupy, from the reservation until the end is certain; two functions add and remove tracked runs. A scheduling pass starts no more tasks than fit below the cap, leaves out the steps that have no room below it, and gives up the claim or drain of a gang that no longer fits. Such steps are not work ahead of other accounts' submissions; an account's own submissions wait for its own waiting work on its cap. Work that can never fit is refused, and a step that is wider than the cap counts once for each wave in its critical path. A dropped account also keeps its cap for recurring work that is between two occurrences. The functions of the registry that change which runs are tracked are now in a file of their own.

--- a/src/masticwinch/coordination/workflow/critical_path.cpp
+++ b/src/masticwinch/coordination/workflow/critical_path.cpp
@@ -1,6 +1,7 @@
 #include "masticwinch/coordination/workflow/critical_path.hpp"
 
 #include "masticwinch/common/saturating.hpp"
+#include "masticwinch/coordination/workflow/account_limits.hpp"
 
 #include <algorithm>
 
@@ -23,11 +24,21 @@
   return Milliseconds(micros / 1000);
 }
 
+/// Estimated time of all tasks of a step, in as many waves as the cap requires.
+Milliseconds timeOf(const protocol::StepSpec &step,
+                    const protocol::Amounts &cap) {
+  const std::uint64_t time =
+      saturatingMultiply(step.estimate_ms(), wavesOf(step, cap));
+  return Milliseconds(
+      std::min(time, static_cast<std::uint64_t>(LongestObjective.count())));
+}
+
 } // namespace
 
 std::vector<Milliseconds>
 remainingCriticalPaths(const protocol::WorkflowSpec &spec,
-                       const protocol::QueueConfig &queue) {
+                       const protocol::QueueConfig &queue,
+                       const protocol::Amounts &cap) {
   const Milliseconds advice = adviceTime(queue);
   std::vector<Milliseconds> remaining(
       static_cast<std::size_t>(spec.steps_size()), Milliseconds(0));
@@ -35,7 +46,7 @@
   // after its dependents.
   for (int i = spec.steps_size() - 1; i >= 0; --i) {
     const protocol::StepSpec &step = spec.steps(i);
-    const Milliseconds own = Milliseconds(step.estimate_ms()) + advice;
+    const Milliseconds own = timeOf(step, cap) + advice;
     Milliseconds &path = remaining[static_cast<std::size_t>(i)];
     path += own;
     for (std::uint32_t before : step.after()) {
--- a/src/masticwinch/coordination/workflow/critical_path.hpp
+++ b/src/masticwinch/coordination/workflow/critical_path.hpp
@@ -9,10 +9,11 @@
 
 /// Returns for each step the length of the remaining critical path: the longest
 /// chain of dependent steps that begins with it. Based on the submitter's
-/// estimates and one advice call for each step.
-std::vector<Milliseconds>
-remainingCriticalPaths(const protocol::WorkflowSpec &spec,
-                       const protocol::QueueConfig &queue);
+/// estimates and one advice call for each step. A step that is wider than its
+/// account's cap takes several times its estimate.
+std::vector<Milliseconds> remainingCriticalPaths(
+    const protocol::WorkflowSpec &spec, const protocol::QueueConfig &queue,
+    const protocol::Amounts &cap = protocol::Amounts::default_instance());
 
 /// The critical path of the whole workflow: the longest of the remaining ones.
 Milliseconds longestCriticalPath(const std::vector<Milliseconds> &remaining);
--- a/src/masticwinch/coordination/workflow/gang_claims.hpp
+++ b/src/masticwinch/coordination/workflow/gang_claims.hpp
@@ -36,6 +36,8 @@
   NotTried,
   /// None of the room was left.
   Empty,
+  /// The gang no longer fits below the cap of its account.
+  AccountFull,
 };
 
 /// A claim that has ended, as it was last updated.
@@ -85,11 +87,13 @@
 
 template <> struct EnumNames<workflow::ClaimEnd> {
   using End = workflow::ClaimEnd;
-  static constexpr std::array Table{EnumName<End>{End::Started, "started"},
-                                    EnumName<End>{End::Receded, "receded"},
-                                    EnumName<End>{End::Drained, "drained"},
-                                    EnumName<End>{End::NotTried, "not_tried"},
-                                    EnumName<End>{End::Empty, "empty"}};
+  static constexpr std::array Table{
+      EnumName<End>{End::Started, "started"},
+      EnumName<End>{End::Receded, "receded"},
+      EnumName<End>{End::Drained, "drained"},
+      EnumName<End>{End::NotTried, "not_tried"},
+      EnumName<End>{End::Empty, "empty"},
+      EnumName<End>{End::AccountFull, "account_full"}};
 };
 
 } // namespace masticwinch
--- a/src/masticwinch/coordination/workflow/pool_fit.cpp
+++ b/src/masticwinch/coordination/workflow/pool_fit.cpp
@@ -1,5 +1,6 @@
 #include "masticwinch/coordination/workflow/pool_fit.hpp"
 
+#include "masticwinch/coordination/workflow/account_limits.hpp"
 #include "masticwinch/coordination/workflow/gang_forecast.hpp"
 
 #include <algorithm>
@@ -16,7 +17,11 @@
 }
 
 PoolFit fitOf(const protocol::WorkflowSpec &spec,
-              const RunnerRegistry &registry, const std::string &pool) {
+              const RunnerRegistry &registry, const std::string &pool,
+              const protocol::Amounts &cap) {
+  if (!canEverFit(spec, cap)) {
+    return PoolFit::OverAccountLimit;
+  }
   bool any = false;
   std::vector<std::size_t> places(std::size_t(spec.steps_size()), 0);
   for (const auto &[id, runner] : registry.runners()) {
--- a/src/masticwinch/coordination/workflow/runner_drain.hpp
+++ b/src/masticwinch/coordination/workflow/runner_drain.hpp
@@ -27,6 +27,8 @@
   Expired,
   /// No runners are expected to have room soon enough.
   NoRoom,
+  /// The step no longer fits below the cap of its account.
+  AccountFull,
 };
 
 } // namespace masticwinch::workflow
@@ -35,9 +37,11 @@
 
 template <> struct EnumNames<workflow::DrainEnd> {
   using End = workflow::DrainEnd;
-  static constexpr std::array Table{EnumName<End>{End::Started, "started"},
-                                    EnumName<End>{End::Expired, "expired"},
-                                    EnumName<End>{End::NoRoom, "no_room"}};
+  static constexpr std::array Table{
+      EnumName<End>{End::Started, "started"},
+      EnumName<End>{End::Expired, "expired"},
+      EnumName<End>{End::NoRoom, "no_room"},
+      EnumName<End>{End::AccountFull, "account_full"}};
 };
 
 } // namespace masticwinch
--- a/src/masticwinch/coordination/workflow/runner_registry.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.cpp
@@ -122,20 +122,6 @@
   runner = std::move(next);
 }
 
-/// Releases the runs that have not been ordered to start.
-void RunnerRegistry::releaseReserved(RunnerEntry &runner) {
-  std::vector<RunKey> reserved;
-  for (const auto &[run, it] : runner.Runs) {
-    if (it.Stage == RunStage::Reserved) {
-      reserved.push_back(run);
-    }
-  }
-  for (const RunKey &it : reserved) {
-    const std::string checkpoint = runner.Runs.at(it).Checkpoint;
-    release(runner, it, protocol::RUN_LOST, 0, checkpoint);
-  }
-}
-
 void RunnerRegistry::inheritLost(const std::string &id) {
   if (RunnerEntry *runner = findActive(id)) {
     runner->Lost = true;
@@ -189,12 +175,13 @@
 }
 
 void RunnerRegistry::inherit(const std::string &id, const RunKey &run,
-                             const ResourceAmounts &needs) {
+                             RunTerms terms) {
   if (RunnerEntry *runner = findActive(id)) {
-    TrackedRun &tracked = runner->Runs[run];
+    TrackedRun tracked;
     tracked.Stage = RunStage::Inherited;
-    tracked.Needs = needs;
-    runner->Free -= needs;
+    tracked.Needs = terms.Needs;
+    tracked.Account = std::move(terms.Account);
+    occupy(*runner, run, std::move(tracked));
   }
 }
 
@@ -271,8 +258,7 @@
   RunnerEntry *runner = findActive(id);
   tracked.Stage = RunStage::Reserved;
   tracked.OccupiedSince = now;
-  runner->Free -= tracked.Needs;
-  runner->Runs[run] = std::move(tracked);
+  occupy(*runner, run, std::move(tracked));
 }
 
 void RunnerRegistry::start(const std::string &id, const RunKey &run,
@@ -367,34 +353,6 @@
   Effects.Polls.push_back(std::move(poll));
 }
 
-void RunnerRegistry::release(RunnerEntry &runner, const RunKey &run,
-                             protocol::RunEnd how, std::uint64_t number,
-                             const std::string &checkpoint) {
-  const auto it = runner.Runs.find(run);
-  runner.Free += it->second.Needs;
-  ObservedEnd end;
-  end.Runner = runner.Info.id();
-  end.BornUnixMs = runner.Info.born_unix_ms();
-  end.Number = number;
-  *end.End.mutable_task() = refOf(run.Task);
-  end.End.set_run(run.Run);
-  end.End.set_runner(runner.Info.id());
-  end.End.set_how(how);
-  end.End.set_checkpoint(checkpoint);
-  end.Started = it->second.Started;
-  runner.Runs.erase(it);
-  Effects.Ends.push_back(std::move(end));
-}
-
-void RunnerRegistry::releaseAll(RunnerEntry &runner, protocol::RunEnd how) {
-  while (!runner.Runs.empty()) {
-    const auto first = runner.Runs.begin();
-    const RunKey run = first->first;
-    const std::string checkpoint = first->second.Checkpoint;
-    release(runner, run, how, 0, checkpoint);
-  }
-}
-
 void RunnerRegistry::endStored(const RunnerLife &life, std::uint64_t number) {
   if (RunnerEntry *runner = findLife(life)) {
     runner->EndsStored = std::max(runner->EndsStored, number);
--- a/src/masticwinch/coordination/workflow/runner_registry.hpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace masticwinch::workflow {
@@ -74,6 +75,9 @@
 struct TrackedRun {
   RunStage Stage = RunStage::Reserved;
   ResourceAmounts Needs;
+  /// Name of the client account that the run counts for; empty if there is
+  /// none.
+  std::string Account;
   std::string Payload;
   std::string Ticket;
   std::string Checkpoint;
@@ -96,6 +100,16 @@
   Milliseconds ExpectedDuration{0};
 };
 
+/// What a run of a task occupies on its runner, and the name of the client
+/// account that it counts for; empty if there is none.
+struct RunTerms {
+  ResourceAmounts Needs;
+  std::string Account;
+
+  RunTerms(const ResourceAmounts &needs = {}, std::string account = {})
+      : Needs(needs), Account(std::move(account)) {}
+};
+
 /// State of one life of a runner, as the leader knows it.
 struct RunnerEntry {
   protocol::RunnerInfo Info;
@@ -211,11 +225,11 @@
 /// machine without I/O.
 class RunnerRegistry {
 public:
-  /// Returns the resources that a task of a step occupies on its runner.
-  using NeedsLookup = std::function<ResourceAmounts(const StepKey &)>;
+  /// Returns the terms of a run of a task of a step.
+  using TermsLookup = std::function<RunTerms(const StepKey &)>;
 
-  RunnerRegistry(RunnerRegistryOptions options, NeedsLookup needsOf)
-      : Options(options), NeedsOf(std::move(needsOf)) {}
+  RunnerRegistry(RunnerRegistryOptions options, TermsLookup termsOf)
+      : Options(options), TermsOf(std::move(termsOf)) {}
 
   /// Adds a runner, updates the information that it announced, or begins its
   /// next life. Has no effect if the information is of a former life.
@@ -225,8 +239,7 @@
   void inheritLost(const std::string &id);
 
   /// Adds a run that was assigned under an earlier leader.
-  void inherit(const std::string &runner, const RunKey &run,
-               const ResourceAmounts &needs);
+  void inherit(const std::string &runner, const RunKey &run, RunTerms terms);
 
   /// Handles that a runner deregisters. It gets no further work, its runs are
   /// stopped after a short while and its lease is not renewed; it is removed
@@ -277,6 +290,10 @@
   const std::map<std::string, RunnerEntry> &runners() const { return Runners; }
   const RunnerEntry *find(const std::string &id) const;
 
+  /// Sum of what the runs of a client account occupy on all runners, from their
+  /// reservation until it is certain that they do not run.
+  ResourceAmounts usedBy(const std::string &account) const;
+
   RunnerRegistryEffects takeEffects() { return std::exchange(Effects, {}); }
 
 private:
@@ -290,6 +307,9 @@
                  SteadyTime now);
   void pollFailed(RunnerEntry &runner, OrderAnswer answer, SteadyTime now);
   TrackedRun *trackedRun(const std::string &id, const RunKey &run);
+  TrackedRun &occupy(RunnerEntry &runner, const RunKey &run,
+                     TrackedRun trackedRun);
+  void vacate(RunnerEntry &runner, const RunKey &run);
   void release(RunnerEntry &runner, const RunKey &run, protocol::RunEnd how,
                std::uint64_t number, const std::string &checkpoint);
   void releaseAll(RunnerEntry &runner, protocol::RunEnd how);
@@ -320,8 +340,10 @@
   SteadyTime::duration longestDuration(Milliseconds duration) const;
 
   RunnerRegistryOptions Options;
-  NeedsLookup NeedsOf;
+  TermsLookup TermsOf;
   std::map<std::string, RunnerEntry> Runners;
+  /// Of the accounts that have runs.
+  std::unordered_map<std::string, ResourceAmounts> UsedByAccount;
   std::uint32_t LastLifeNumber = 0;
   SteadyTime NextStopRetry{};
   RunnerRegistryEffects Effects;
--- a/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
@@ -197,10 +197,11 @@
   for (const RunningRun &it : answer.Running) {
     const auto found = runner.Runs.find(it.Run);
     if (found == runner.Runs.end()) {
-      TrackedRun &untracked = runner.Runs[it.Run];
-      untracked.Needs = NeedsOf(it.Run.Task.Step);
-      runner.Free -= untracked.Needs;
-      beginStop(untracked, now);
+      RunTerms terms = TermsOf(it.Run.Task.Step);
+      TrackedRun untracked;
+      untracked.Needs = terms.Needs;
+      untracked.Account = std::move(terms.Account);
+      beginStop(occupy(runner, it.Run, std::move(untracked)), now);
       continue;
     }
     TrackedRun &tracked = found->second;
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -44,7 +44,9 @@
       Registry(options.Runners,
                [this](const StepKey &key) {
                  const protocol::StepSpec *spec = State.findSpec(key);
-                 return spec ? needsOf(*spec) : ResourceAmounts();
+                 return spec ? RunTerms(needsOf(*spec),
+                                        State.find(key.Workflow)->Account)
+                             : RunTerms();
                }),
       Advice(options.Advice), Health(options.Health),
       Containment(options.Containment), Overdue(options.Overdue),
@@ -80,7 +82,8 @@
         for (std::uint32_t i = 0; i < tasks.size(); ++i) {
           if (!tasks[i].Runner.empty()) {
             addMissingRunner(tasks[i].Runner, at);
-            Registry.inherit(tasks[i].Runner, {{key, i}, tasks[i].Run}, needs);
+            Registry.inherit(tasks[i].Runner, {{key, i}, tasks[i].Run},
+                             {needs, workflow.Account});
           }
         }
       }
@@ -102,7 +105,8 @@
   const protocol::QueueConfig *found = State.findQueue(workflow.Spec.queue());
   const protocol::QueueConfig &queue = found ? *found : NoQueue;
   SchedulingInfo &info = Scheduling[id];
-  info.CriticalPaths = remainingCriticalPaths(workflow.Spec, queue);
+  info.CriticalPaths =
+      remainingCriticalPaths(workflow.Spec, queue, capOf(workflow.Account));
   info.Work = estimatedWork(workflow.Spec);
   info.Size = Sizes.add(workflow.Spec.queue(), info.Work);
   const std::uint64_t age = at.UnixMs > workflow.AcceptedAtUnixMs
@@ -268,13 +272,12 @@
   return known;
 }
 
-AdmissionInput
-WorkflowLeader::admissionInput(const protocol::WorkflowSpec &spec,
-                               const protocol::QueueConfig &queue,
-                               SteadyTime now) const {
+AdmissionInput WorkflowLeader::admissionInput(
+    const protocol::WorkflowSpec &spec, const protocol::QueueConfig &queue,
+    const std::string &account, SteadyTime now) const {
   AdmissionInput input;
   const Milliseconds criticalPath =
-      longestCriticalPath(remainingCriticalPaths(spec, queue));
+      longestCriticalPath(remainingCriticalPaths(spec, queue, capOf(account)));
   input.Slack = objectiveOf(criticalPath, queue) - criticalPath;
   if (const auto work = Waiting.onProbation(queueId(queue))) {
     const auto kept = ProbationProcessors.find(queue.pool());
@@ -296,14 +299,17 @@
 
 /// Returns nothing if a submission is let in: at its turn, or if there is room
 /// behind the accepted work and the turns before it.
-std::optional<WorkflowLeader::LateRefusal>
-WorkflowLeader::judge(const protocol::WorkflowSpec &spec,
-                      const protocol::QueueConfig &queue, Milliseconds timeout,
-                      Moment at) {
+std::optional<WorkflowLeader::LateRefusal> WorkflowLeader::judge(
+    const protocol::WorkflowSpec &spec, const protocol::QueueConfig &queue,
+    const std::string &account, Milliseconds timeout, Moment at) {
   if (spec.repeats() > 0) {
     return std::nullopt;
   }
-  const AdmissionInput input = admissionInput(spec, queue, at.Now);
+  const AdmissionInput input = admissionInput(spec, queue, account, at.Now);
+  if (const auto after =
+          retryBelowCap(input, spec, account, queue.priority())) {
+    return LateRefusal{*after};
+  }
   const std::uint64_t usable = usableProcessors(Options.Admission, input);
   if (usable == 0 || Waiting.onProbation(queueId(queue))) {
     const auto after = retryAfter(Options.Admission, input);
@@ -317,8 +323,8 @@
     }
     Refused.take(spec.id());
     // What it was told holds unless it would have no value by then.
-    const Milliseconds criticalPath =
-        longestCriticalPath(remainingCriticalPaths(spec, queue));
+    const Milliseconds criticalPath = longestCriticalPath(
+        remainingCriticalPaths(spec, queue, capOf(account)));
     const Milliseconds wait = processingTime(input.WorkAhead, usable);
     if (wait + criticalPath <= LateFactor * (input.Slack + criticalPath)) {
       return std::nullopt;
@@ -356,6 +362,8 @@
   protocol::QueueConfig &queue = *accepted.mutable_accept()->mutable_queue();
   queue = *route.Queue;
   queue.clear_name();
+  const std::string account = accountOf(call);
+  accepted.mutable_accept()->set_account(account);
   if (const auto problem = validationError(spec)) {
     answer(answerOf(protocol::VERDICT_INVALID, *problem));
     return;
@@ -401,7 +409,8 @@
     answer(refused);
     return;
   }
-  if (const PoolFit fit = fitOf(spec, Registry, route.Queue->pool());
+  if (const PoolFit fit =
+          fitOf(spec, Registry, route.Queue->pool(), capOf(account));
       fit != PoolFit::Fits) {
     const std::string reason(nameOf(fit));
     logEvent(WorkflowEventKind::WorkflowRefused,
@@ -412,8 +421,8 @@
     answer(answerOf(protocol::VERDICT_REFUSED, reason));
     return;
   }
-  if (const auto late =
-          judge(spec, *route.Queue, Milliseconds(call.timeout_ms()), at)) {
+  if (const auto late = judge(spec, *route.Queue, account,
+                              Milliseconds(call.timeout_ms()), at)) {
     Tally.refused(spec.queue());
     const SizeClass size = Sizes.rank(spec.queue(), estimatedWork(spec));
     countOutcome({spec.queue(), size, OutcomeKind::Refused});
@@ -436,7 +445,7 @@
   accepted.mutable_accept()->set_at_unix_ms(at.UnixMs);
   accepted.mutable_accept()->set_max_attempts(route.Queue->max_attempts());
   PendingSubmissions[spec.id()].push_back(std::move(answer));
-  Waiting.letIn(spec, route.Queue->priority());
+  Waiting.letIn(spec, route.Queue->priority(), cappedAccount(account));
   Tally.accepted(spec.queue());
   logEvent(WorkflowEventKind::WorkflowAccepted,
            {{"workflow", spec.id()},
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "masticwinch/coordination/workflow/account_limits.hpp"
 #include "masticwinch/coordination/workflow/admission.hpp"
 #include "masticwinch/coordination/workflow/advice_tracker.hpp"
 #include "masticwinch/coordination/workflow/call_delay.hpp"
@@ -208,6 +209,9 @@
     bool AnyGathers = false;
     /// Number of slow ticket renewals that this pass may still request.
     std::size_t SlowRenewals = 0;
+    /// What gangs with claims and steps that runners are drained for will use
+    /// of their accounts' caps.
+    std::unordered_map<std::string, ResourceAmounts> ClaimedOfAccounts;
   };
 
   // workflow_leader.cpp
@@ -235,11 +239,29 @@
   };
   std::optional<LateRefusal> judge(const protocol::WorkflowSpec &spec,
                                    const protocol::QueueConfig &queue,
+                                   const std::string &account,
                                    Milliseconds timeout, Moment at);
   AdmissionInput admissionInput(const protocol::WorkflowSpec &spec,
                                 const protocol::QueueConfig &queue,
+                                const std::string &account,
                                 SteadyTime now) const;
 
+  // workflow_leader_accounts.cpp
+  std::string accountOf(const protocol::WorkflowCall &call) const;
+  const protocol::Amounts &capOf(const std::string &account) const;
+  std::optional<WaitingWork::CappedAccount>
+  cappedAccount(const std::string &account) const;
+  std::size_t belowCap(const Workflow &workflow, const protocol::StepSpec &step,
+                       std::size_t tasks, const Fleet *fleet = nullptr) const;
+  std::size_t startableBelowCap(const StepKey &key, const OpenStep &open) const;
+  std::unordered_set<const StepKey *> stepsAboveCaps(Moment at);
+  void claimOfAccount(const StepKey &key, std::size_t tasks,
+                      Fleet &fleet) const;
+  std::optional<Milliseconds> retryBelowCap(const AdmissionInput &input,
+                                            const protocol::WorkflowSpec &spec,
+                                            const std::string &account,
+                                            std::uint32_t priority) const;
+
   // workflow_leader_runners.cpp
   void addMissingRunner(const std::string &id, Moment at);
   void logReborn(const RunnerEntry &known, std::uint64_t bornUnixMs,
@@ -466,6 +488,7 @@
   RefusedSubmissions Refused;
   /// Without the steps that can't complete in time.
   WaitingWork Waiting;
+  CappedSteps Capped;
   /// Mean processors of a task of the waiting gangs, in thousandths of a core;
   /// 0 before the first gang.
   std::int64_t GangTaskProcessors = 0;
--- a/src/masticwinch/coordination/workflow/workflow_leader_gangs.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_gangs.cpp
@@ -9,7 +9,7 @@
 void WorkflowLeader::restoreClaims(Fleet &fleet) {
   Claims.beginPass([&](const StepKey &key) {
     const auto open = OpenSteps.find(key);
-    return open != OpenSteps.end() && startableCount(key, open->second) > 0;
+    return open != OpenSteps.end() && startableBelowCap(key, open->second) > 0;
   });
   Claims.reduce([&](const std::string &id, const ResourceAmounts &needs,
                     std::size_t places) -> std::size_t {
--- a/src/masticwinch/coordination/workflow/workflow_leader_overdue.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_overdue.cpp
@@ -121,7 +121,8 @@
             {"runners", std::to_string(drain.mapped().Places.size())},
             {"lasted_ms", std::to_string(lasted.count())}});
   const auto open = OpenSteps.find(key);
-  if (end != DrainEnd::Started && open != OpenSteps.end()) {
+  const bool failed = end != DrainEnd::Started && end != DrainEnd::AccountFull;
+  if (failed && open != OpenSteps.end()) {
     open->second.DrainFailedAt = now;
     ++open->second.FailedDrains;
   }
@@ -129,16 +130,18 @@
 
 /// Ends the drains that have lasted too long or whose step no longer waits.
 void WorkflowLeader::forgetDrains(SteadyTime now) {
-  std::vector<std::string> ended;
+  std::vector<std::pair<std::string, DrainEnd>> ended;
   for (const auto &[pool, drain] : Drains) {
     const auto open = OpenSteps.find(drain.Step);
     if (now - drain.Since >= Options.MaxDrainTime || open == OpenSteps.end() ||
         startableCount(drain.Step, open->second) == 0) {
-      ended.push_back(pool);
+      ended.emplace_back(pool, DrainEnd::Expired);
+    } else if (startableBelowCap(drain.Step, open->second) == 0) {
+      ended.emplace_back(pool, DrainEnd::AccountFull);
     }
   }
-  for (const std::string &it : ended) {
-    endDrain(it, DrainEnd::Expired, now);
+  for (const auto &[pool, end] : ended) {
+    endDrain(pool, end, now);
   }
 }
 
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -40,7 +40,8 @@
 
 } // namespace
 
-/// Ranks the waiting steps and updates the sums of waiting work.
+/// Ranks the waiting steps, except those that their accounts' caps have no room
+/// for, and updates the sums of waiting work.
 std::vector<WorkflowLeader::RankedStep>
 WorkflowLeader::rankedSteps(const Fleet &fleet, Moment at) {
   std::vector<RankedStep> ranked;
@@ -48,12 +49,13 @@
   std::map<std::string, OverdueShare::Backlogs> overdueWork;
   std::int64_t gangTasks = 0;
   std::int64_t gangProcessors = 0;
+  const auto aboveCaps = stepsAboveCaps(at);
   for (auto &[key, open] : OpenSteps) {
     if (!open.Startable) {
       open.Startable = startableCount(key, open);
     }
     const std::size_t tasks = *open.Startable;
-    if (tasks == 0) {
+    if (tasks == 0 || aboveCaps.contains(&key)) {
       continue;
     }
     const protocol::StepSpec &spec = open.Parent->Spec.steps(int(key.Step));
@@ -64,7 +66,8 @@
     const Milliseconds remaining = open.Info->CriticalPaths[key.Step];
     const StepRank rank =
         rankOf(open.Info->Ranking, remaining, at.Now, Options.Ranking);
-    const std::uint64_t work = saturatingMultiply(tasks, taskWork(spec));
+    const std::uint64_t work =
+        saturatingMultiply(belowCap(*open.Parent, spec, tasks), taskWork(spec));
     const std::string &queue = open.Parent->Spec.queue();
     if (countsAsWaiting(rank, queue, spec.gang())) {
       Waiting.addStep(queue, rank.Priority, spec.gang(), work);
@@ -402,7 +405,16 @@
   open.Room = Gathering::NotTried;
   const std::string &queueName = workflow->Spec.queue();
   const protocol::StepSpec &spec = *State.findSpec(key);
-  const std::vector<std::uint32_t> tasks = startableTasks(key, open, at.Now);
+  std::vector<std::uint32_t> tasks = startableTasks(key, open, at.Now);
+  const std::size_t allowed = belowCap(*workflow, spec, tasks.size(), &fleet);
+  if (allowed < tasks.size()) {
+    tasks.resize(allowed);
+    if (tasks.empty()) {
+      releaseClaim(key, fleet);
+      Claims.remove(key, ClaimEnd::AccountFull);
+      return;
+    }
+  }
   const bool avoidedLongEnough =
       !tasks.empty() && at.Now - open.LastFailure >= Options.AvoidFailedFor;
   if (!open.FailedRunners.empty() &&
@@ -434,6 +446,10 @@
       countsAsWaiting(ranked.Rank, queueName, spec.gang())) {
     Waiting.removeStarted(queueName, ranked.Rank.Priority, spec.gang(),
                           saturatingMultiply(planned.size(), taskWork(spec)));
+    if (const auto &cap = capOf(workflow->Account); isLimited(cap)) {
+      Waiting.removeForAccount(workflow->Account, ranked.Rank.Priority,
+                               microsOnCap(spec, planned.size(), cap));
+    }
   }
   if (!planned.empty() && isDrainedFor(key)) {
     endDrain(pool->first, DrainEnd::Started, at.Now);
@@ -448,15 +464,23 @@
   if (overdue && planned.empty() && !tasks.empty() &&
       drainRunners(key, tasks.size(), advised, fleet, pool->first, at)) {
     Claims.remove(key, ClaimEnd::Drained);
+    claimOfAccount(key, tasks.size(), fleet);
     return;
   }
+  if (!spec.gang()) {
+    const std::size_t left = tasks.size() - planned.size();
+    tasks = startableTasks(key, open, at.Now);
+    tasks.resize(std::min(tasks.size(), left));
+  }
   const bool waitsForTickets =
       spec.gang()
           ? gatherRoom(key, tasks, held, advised, fleet, pool->second, at)
-          : advised && renewTickets(key, startableTasks(key, open, at.Now),
-                                    fleet, pool->second, at);
+          : advised && renewTickets(key, tasks, fleet, pool->second, at);
+  if (Claims.find(key)) {
+    claimOfAccount(key, tasks.size(), fleet);
+  }
   if (advised && !waitsForTickets) {
-    askMoreRunners(key, tasks.size() - planned.size(), pool->second, fleet, at);
+    askMoreRunners(key, tasks.size(), pool->second, fleet, at);
   }
 }
 
@@ -467,6 +491,7 @@
   const std::string runner = planned.Runner->Info.id();
   TrackedRun trackedRun;
   trackedRun.Needs = needsOf(*State.findSpec(key));
+  trackedRun.Account = open.Parent->Account;
   trackedRun.ExpectedDuration =
       Milliseconds(State.findSpec(key)->estimate_ms());
   trackedRun.Payload = State.find(key.Workflow)->Spec.payload();
--- a/src/masticwinch/coordination/workflow/workflow_state.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_state.cpp
@@ -216,7 +216,10 @@
   std::map<std::string, protocol::ClientAccount> kept;
   for (const auto &[id, workflow] : Workflows) {
     const std::string &name = workflow.Account;
-    if (name.empty() || workflow.Occurrences.empty() || kept.contains(name)) {
+    // A recurring workflow has no occurrences while it waits for the next one.
+    const bool over =
+        isFinal(workflow.CurrentPhase) && workflow.Occurrences.empty();
+    if (name.empty() || over || kept.contains(name)) {
       continue;
     }
     if (const protocol::ClientAccount *known = findAccount(name)) {
