--- a/fuzzing/workflow/simulated_runners.cpp
+++ b/fuzzing/workflow/simulated_runners.cpp
@@ -86,7 +86,9 @@
   checkStart(runner, run, needs, order.Number);
   countDeadlyStart(run.Task);
   extendLease(runner, order.Start.LeaseUntilMs);
-  runner.Runs[run] = {needs, clockMs()};
+  const std::string account = accountOfRun(run);
+  runner.Runs[run] = {needs, account, clockMs()};
+  checkCap(account);
   ++Starts[run.Task];
   return OrderAnswer::Done;
 }
--- a/fuzzing/workflow/workflow_simulator.cpp
+++ b/fuzzing/workflow/workflow_simulator.cpp
@@ -97,6 +97,7 @@
   terms->set_decision_us(10'000);
   terms->set_per_runner_us(1000);
   terms->set_validity_ms(TicketValidityMs);
+  addAccounts(*config);
   apply(first);
   changeLeader(0);
   for (std::size_t i = 0; i < InitialRunners; ++i) {
@@ -124,6 +125,9 @@
 
 void WorkflowSimulator::collect() {
   WorkflowEffects effects = Leader->takeEffects(at());
+  for (const ProposedBatch &it : effects.Batches) {
+    noteAssigned(it.Record);
+  }
   std::move(effects.Batches.begin(), effects.Batches.end(),
             std::back_inserter(Batches));
   for (StartOrder &it : effects.Starts) {
@@ -175,6 +179,7 @@
     protocol::WorkflowCall call;
     call.set_host("host");
     call.set_path(fmt::format("/plain/{}", chosen));
+    call.set_api_key(keyFor(chosen, 0));
     action.Kind == Kind::Cancel ? (void)call.mutable_cancel()
                                 : (void)call.mutable_state();
     Leader->call(
@@ -324,6 +329,7 @@
   call.set_host("host");
   call.set_path(
       fmt::format("/{}/{}", queue % 2 == 0 ? "plain" : "advised", id));
+  call.set_api_key(keyFor(id, queue));
   *call.mutable_submit() = specOf(kind, at().UnixMs);
   Leader->call(
       call, [](const protocol::WorkflowAnswer &) {}, at());
@@ -451,11 +457,12 @@
   changeLeader(0);
 }
 
-/// Changes the timeout of a queue.
+/// Changes the timeout of a queue, and the accounts.
 void WorkflowSimulator::configure(std::uint8_t choice) {
   protocol::CellConfig config = State.config();
   config.set_version(++ConfigVersion);
   config.mutable_queues(0)->set_timeout_ms(1000 + choice);
+  changeAccounts(config, choice);
   Leader->configure(
       config, [] {}, at());
 }
--- a/fuzzing/workflow/workflow_simulator.hpp
+++ b/fuzzing/workflow/workflow_simulator.hpp
@@ -58,8 +58,8 @@
 /// Simulates a replicated workflow state, its leader, and runners that follow
 /// the rules of fencing and leases. Orders, answers and messages of runners are
 /// lost, delayed or reordered, the leader changes while batches are in flight,
-/// and runners start again under their ids. Throws `std::logic_error` if an
-/// invariant is violated.
+/// and runners start again under their ids. Accounts have caps that change.
+/// Throws `std::logic_error` if an invariant is violated.
 class WorkflowSimulator {
 public:
   WorkflowSimulator();
@@ -91,6 +91,7 @@
   };
   struct Run {
     workflow::ResourceAmounts Needs;
+    std::string Account;
     std::int64_t StartedAtMs = 0;
   };
   struct End {
@@ -197,6 +198,23 @@
   void endLapsed(Runner &runner);
   void endLoneMembers(Runner &runner);
 
+  // simulated_accounts.cpp
+  /// An assignment of a run, and the cap that was in force when the leader
+  /// decided on it.
+  struct Assignment {
+    std::uint64_t Number = 0;
+    workflow::ResourceAmounts Cap;
+  };
+  static void addAccounts(protocol::CellConfig &config);
+  static void changeAccounts(protocol::CellConfig &config, std::uint8_t choice);
+  std::string keyFor(const std::string &id, std::uint8_t choice);
+  workflow::ResourceAmounts capOf(const std::string &account) const;
+  std::string accountOfRun(const workflow::RunKey &run) const;
+  void noteAssigned(const protocol::WorkflowRecord &record);
+  void checkCap(const std::string &account) const;
+  bool fitsBelowCap(const workflow::StepKey &key,
+                    const protocol::StepSpec &spec, std::size_t tasks) const;
+
   // simulated_crashes.cpp
   bool isDeadly(const workflow::TaskKey &task) const;
   void countCrash(const Runner &runner);
@@ -235,6 +253,11 @@
   /// Ids of runners that crashed and whose address nothing answers at.
   std::set<std::string> Silent;
   std::vector<std::string> Submitted;
+  /// The key with which each workflow was submitted.
+  std::map<std::string, std::string> Keys;
+  /// The latest assignment of each run.
+  std::map<workflow::RunKey, Assignment> Assigned;
+  std::uint64_t Assignments = 0;
   /// Runs for which start orders were sent, by term.
   std::set<std::pair<std::uint64_t, workflow::RunKey>> OrderedStarts;
   /// Number of times that each task was started.
