Require API keys and let jobs belong to their accounts

Cause: with client accounts in the configuration, calls still ran without a key, and every caller could read and cancel every job. Change: the leader identifies the caller of each call by the configuration that it has applied, and stores the account with the submission. A queue that is not public refuses a call without a known key (401). Other accounts get the answer for an unknown id, and "the id is in use" for a submission with it, also while it is being stored. Entry VMs forward the key; they turn away a call without one themselves where the queue is known to need it and a leader has confirmed the version lately. They ignore 401 and 404 by an older configuration than the newest known one, and 401 of a former leader. The account is logged with decisions on submissions; refused calls are reported once a second by queue.

--- a/src/masticwinch/coordination/workflow/entry_terms.cpp
+++ b/src/masticwinch/coordination/workflow/entry_terms.cpp
@@ -9,7 +9,7 @@
 bool EntryTerms::advance(std::uint64_t version) {
   if (version > Version) {
     Version = version;
-    Timeouts.clear();
+    Queues.clear();
     Limits.reset();
   }
   return version == Version;
@@ -29,34 +29,47 @@
 
 void EntryTerms::learn(const protocol::WorkflowAnswer &answer) {
   if (!advance(answer.config_version()) || !answer.has_route() ||
-      Timeouts.size() >= MaxTimeouts) {
+      Queues.size() >= MaxQueues) {
     return;
   }
   const protocol::RouteTerms &route = answer.route();
-  Timeouts[{canonicalHost(route.host()), route.path_prefix()}] =
-      Milliseconds(route.timeout_ms());
+  Queues[{canonicalHost(route.host()), route.path_prefix()}] = {
+      Milliseconds(route.timeout_ms()), route.key_required()};
 }
 
-std::optional<Milliseconds> EntryTerms::timeout(std::string_view host,
-                                                std::string_view path) const {
+/// Null if the queue with this address isn't known.
+const EntryTerms::QueueTerms *EntryTerms::find(std::string_view host,
+                                               std::string_view path) const {
   const std::string name = canonicalHost(withoutPort(host));
-  std::optional<Milliseconds> found;
+  const QueueTerms *found = nullptr;
   std::size_t longest = 0;
-  for (auto it = Timeouts.lower_bound({name, ""});
-       it != Timeouts.end() && it->first.first == name; ++it) {
+  for (auto it = Queues.lower_bound({name, ""});
+       it != Queues.end() && it->first.first == name; ++it) {
     const std::string &prefix = it->first.second;
     // A further segment may belong to a queue with a longer prefix that is not
     // known.
     const bool covers = path.starts_with(prefix) &&
                         path.find('/', prefix.size()) == std::string_view::npos;
     if (covers && prefix.size() >= longest) {
-      found = it->second;
+      found = &it->second;
       longest = prefix.size();
     }
   }
   return found;
 }
 
+std::optional<Milliseconds> EntryTerms::timeout(std::string_view host,
+                                                std::string_view path) const {
+  const QueueTerms *queue = find(host, path);
+  return queue ? std::optional(queue->Timeout) : std::nullopt;
+}
+
+bool EntryTerms::isKeyRequired(std::string_view host,
+                               std::string_view path) const {
+  const QueueTerms *queue = find(host, path);
+  return queue && queue->KeyRequired;
+}
+
 std::optional<ExceededLimit>
 EntryTerms::exceededLimit(std::size_t headerBytes,
                           std::size_t bodyBytes) const {
--- a/src/masticwinch/coordination/workflow/entry_terms.hpp
+++ b/src/masticwinch/coordination/workflow/entry_terms.hpp
@@ -26,15 +26,15 @@
 };
 
 /// What an entry VM knows of the configuration: the limits of requests, and the
-/// timeouts of the queues that it has forwarded calls to. It learns both from
-/// the leader's messages; those about an older version than the newest known
-/// one are ignored.
+/// terms of the queues that it has forwarded calls to. It learns both from the
+/// leader's messages; those about an older version than the newest known one
+/// are ignored.
 class EntryTerms {
 public:
   /// Learns the limits from a leader's welcome.
   void learn(const protocol::AgentWelcome &welcome);
 
-  /// Learns the timeout of the queue that handled a call.
+  /// Learns the terms of the queue that handled a call.
   void learn(const protocol::WorkflowAnswer &answer);
 
   /// Version of the configuration; 0 if none is known.
@@ -44,6 +44,10 @@
   std::optional<Milliseconds> timeout(std::string_view host,
                                       std::string_view path) const;
 
+  /// Whether the queue with this address is known to need the key of a client
+  /// account.
+  bool isKeyRequired(std::string_view host, std::string_view path) const;
+
   /// The first limit that a request exceeds; nothing while no limits are known.
   /// A limit of 0 limits nothing.
   std::optional<ExceededLimit> exceededLimit(std::size_t headerBytes,
@@ -53,15 +57,21 @@
   std::optional<CallerTimeouts> callerTimeouts() const;
 
 private:
-  /// Most queues whose timeouts are kept.
-  static constexpr std::size_t MaxTimeouts = 1024;
+  /// Most queues whose terms are kept.
+  static constexpr std::size_t MaxQueues = 1024;
+
+  struct QueueTerms {
+    Milliseconds Timeout{0};
+    bool KeyRequired = false;
+  };
 
   bool advance(std::uint64_t version);
+  const QueueTerms *find(std::string_view host, std::string_view path) const;
 
   std::uint64_t Version = 0;
   std::optional<protocol::CallerLimits> Limits;
   /// By canonical host and path prefix.
-  std::map<std::pair<std::string, std::string>, Milliseconds> Timeouts;
+  std::map<std::pair<std::string, std::string>, QueueTerms> Queues;
 };
 
 } // namespace masticwinch::workflow
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -5,6 +5,7 @@
 #include "masticwinch/coordination/workflow/pool_fit.hpp"
 #include "masticwinch/coordination/workflow/queue_routes.hpp"
 #include "masticwinch/coordination/workflow/record_limits.hpp"
+#include "masticwinch/coordination/workflow/workflow_answers.hpp"
 
 #include <algorithm>
 
@@ -12,14 +13,6 @@
 
 namespace {
 
-protocol::WorkflowAnswer answerOf(protocol::WorkflowVerdict verdict,
-                                  std::string reason = {}) {
-  protocol::WorkflowAnswer answer;
-  answer.set_verdict(verdict);
-  answer.set_reason(std::move(reason));
-  return answer;
-}
-
 std::size_t taskCount(const protocol::WorkflowSpec &spec) {
   std::size_t count = 0;
   for (const protocol::StepSpec &it : spec.steps()) {
@@ -28,11 +21,13 @@
   return count;
 }
 
-protocol::RouteTerms termsOf(const protocol::QueueConfig &queue) {
+protocol::RouteTerms termsOf(const protocol::CellConfig &config,
+                             const protocol::QueueConfig &queue) {
   protocol::RouteTerms terms;
   terms.set_host(queue.host());
   terms.set_path_prefix(queue.path_prefix());
   terms.set_timeout_ms(queue.timeout_ms());
+  terms.set_key_required(needsKey(config, queue));
   return terms;
 }
 
@@ -143,110 +138,29 @@
     answer(answerOf(protocol::VERDICT_NO_QUEUE, "no queue has this address"));
     return;
   }
-  answer = [answer = std::move(answer), terms = termsOf(*route->Queue),
+  answer = [answer = std::move(answer),
+            terms = termsOf(State.config(), *route->Queue),
             version =
                 State.config().version()](protocol::WorkflowAnswer reply) {
     reply.set_config_version(version);
     *reply.mutable_route() = terms;
     answer(std::move(reply));
   };
+  const auto account = identify(call, *route->Queue);
+  if (!account) {
+    answer(answerOf(protocol::VERDICT_UNAUTHENTICATED,
+                    call.api_key().empty() ? "the queue needs an API key"
+                                           : "the API key is not known"));
+    return;
+  }
   switch (call.request_case()) {
   case protocol::WorkflowCall::kSubmit:
-    return submit(call, *route, std::move(answer), at);
+    return submit(call, *route, *account, std::move(answer), at);
   case protocol::WorkflowCall::kCancel:
-    return cancel(route->Suffix, answer);
+    return cancel(route->Suffix, *account, answer);
   default:
-    return answerState(*route, answer, at);
-  }
-}
-
-/// Returns the cached number of queued workflows, and recounts if it is too
-/// old.
-std::uint64_t WorkflowLeader::queuedCount(const std::string &queue, Moment at) {
-  if (!QueuedCountedAt ||
-      at.Now - *QueuedCountedAt > Options.QueuedCountMaxAge) {
-    QueuedCountedAt = at.Now;
-    QueuedCounts.clear();
-    for (const auto &[id, workflow] : State.workflows()) {
-      if (!workflow.Started && !isFinal(workflow.CurrentPhase) &&
-          !ConfirmedRunning.contains(id)) {
-        QueuedCounts[workflow.Spec.queue()] += 1;
-      }
-    }
+    return answerState(*route, *account, answer, at);
   }
-  const auto it = QueuedCounts.find(queue);
-  return it == QueuedCounts.end() ? 0 : it->second;
-}
-
-void WorkflowLeader::answerState(const QueueRoute &route,
-                                 const AnswerCallback &answer, Moment at) {
-  protocol::WorkflowAnswer reply = answerOf(protocol::VERDICT_OK);
-  if (route.Suffix.empty()) {
-    reply.set_waiting(queuedCount(queueId(*route.Queue), at));
-    answer(reply);
-    return;
-  }
-  const Workflow *workflow = State.find(route.Suffix);
-  if (workflow && workflow->CurrentPhase == Phase::Running) {
-    WaitingQueries[route.Suffix].push_back({answer, at.Now});
-    return;
-  }
-  answer(stateAnswer(route.Suffix));
-}
-
-protocol::WorkflowAnswer
-WorkflowLeader::stateAnswer(const std::string &id) const {
-  const Workflow *workflow = State.find(id);
-  if (!workflow) {
-    return answerOf(protocol::VERDICT_NO_WORKFLOW, "no such workflow");
-  }
-  protocol::WorkflowAnswer reply = answerOf(protocol::VERDICT_OK);
-  reply.set_phase(static_cast<std::uint32_t>(workflow->CurrentPhase));
-  return reply;
-}
-
-void WorkflowLeader::answerQueries(const std::string &id) {
-  const auto waiting = WaitingQueries.extract(id);
-  if (waiting.empty()) {
-    return;
-  }
-  for (const WaitingQuery &it : waiting.mapped()) {
-    it.Answer(stateAnswer(id));
-  }
-}
-
-/// Answers the queries of workflows that are not completed in time.
-void WorkflowLeader::answerOverdueQueries(SteadyTime now) {
-  std::vector<std::string> overdue;
-  for (const auto &[id, waiting] : WaitingQueries) {
-    const Milliseconds limit =
-        EndsBeingStored.contains(id) ? Options.MaxQueryWait : Options.QueryWait;
-    if (now - waiting.front().Since >= limit) {
-      overdue.push_back(id);
-    }
-  }
-  for (const std::string &it : overdue) {
-    answerQueries(it);
-  }
-}
-
-void WorkflowLeader::cancel(const std::string &id,
-                            const AnswerCallback &answer) {
-  const Workflow *workflow = State.find(id);
-  const bool accepting = PendingSubmissions.contains(id);
-  if (!workflow && !accepting) {
-    answer(answerOf(protocol::VERDICT_NO_WORKFLOW, "no such workflow"));
-    return;
-  }
-  if (workflow && isFinal(workflow->CurrentPhase)) {
-    answer(answerOf(protocol::VERDICT_OK));
-    return;
-  }
-  protocol::WorkflowChange cancelled;
-  cancelled.mutable_cancel()->set_id(id);
-  logEvent(WorkflowEventKind::WorkflowCancelled, {{"workflow", id}});
-  propose(std::move(cancelled),
-          [answer] { answer(answerOf(protocol::VERDICT_OK)); });
 }
 
 /// Processors of the pool's usable runners. If there is none, as before the
@@ -346,13 +260,14 @@
 }
 
 void WorkflowLeader::submit(const protocol::WorkflowCall &call,
-                            const QueueRoute &route, AnswerCallback answer,
-                            Moment at) {
+                            const QueueRoute &route, const std::string &account,
+                            AnswerCallback answer, Moment at) {
   protocol::WorkflowChange accepted;
   protocol::WorkflowSpec &spec = *accepted.mutable_accept()->mutable_spec();
   spec = call.submit();
   spec.set_id(route.Suffix);
   spec.set_queue(queueId(*route.Queue));
+  accepted.mutable_accept()->set_account(account);
   protocol::QueueConfig &queue = *accepted.mutable_accept()->mutable_queue();
   queue = *route.Queue;
   queue.clear_name();
@@ -364,24 +279,28 @@
     answer(answerOf(protocol::VERDICT_INVALID, *problem));
     return;
   }
+  if (isForeign(spec.id(), account)) {
+    answer(answerOf(protocol::VERDICT_INVALID, "the id is in use"));
+    return;
+  }
   if (State.find(spec.id())) {
     answer(answerOf(protocol::VERDICT_OK, "accepted before"));
     return;
   }
   if (const auto waiting = PendingSubmissions.find(spec.id());
       waiting != PendingSubmissions.end()) {
-    waiting->second.push_back(std::move(answer));
+    waiting->second.Answers.push_back(std::move(answer));
     return;
   }
   if (const auto after = retryAfterDelay(Options.CallDelay, CallDelay,
                                          std::hash<std::string>()(spec.id()))) {
     Tally.refused(spec.queue());
-    logEvent(WorkflowEventKind::WorkflowRefused,
-             {{"workflow", spec.id()},
-              {"reason", "waited too long"},
-              {"queue", spec.queue()},
-              {"waited_ms", std::to_string(CallDelay.count())},
-              {"retry_after_ms", std::to_string(after->count())}});
+    logSubmission(WorkflowEventKind::WorkflowRefused, account,
+                  {{"workflow", spec.id()},
+                   {"reason", "waited too long"},
+                   {"queue", spec.queue()},
+                   {"waited_ms", std::to_string(CallDelay.count())},
+                   {"retry_after_ms", std::to_string(after->count())}});
     protocol::WorkflowAnswer refused =
         answerOf(protocol::VERDICT_REFUSED, "waited too long");
     refused.set_retry_after_ms(static_cast<std::uint32_t>(after->count()));
@@ -389,11 +308,11 @@
     return;
   }
   if (!LogRefusal.empty()) {
-    logEvent(WorkflowEventKind::WorkflowRefused,
-             {{"workflow", spec.id()},
-              {"reason", "nothing can be stored"},
-              {"queue", spec.queue()},
-              {"log", LogRefusal}});
+    logSubmission(WorkflowEventKind::WorkflowRefused, account,
+                  {{"workflow", spec.id()},
+                   {"reason", "nothing can be stored"},
+                   {"queue", spec.queue()},
+                   {"log", LogRefusal}});
     protocol::WorkflowAnswer refused =
         answerOf(protocol::VERDICT_REFUSED, "nothing can be stored");
     refused.set_retry_after_ms(
@@ -404,11 +323,11 @@
   if (const PoolFit fit = fitOf(spec, Registry, route.Queue->pool());
       fit != PoolFit::Fits) {
     const std::string reason(nameOf(fit));
-    logEvent(WorkflowEventKind::WorkflowRefused,
-             {{"workflow", spec.id()},
-              {"reason", reason},
-              {"queue", spec.queue()},
-              {"runners", std::to_string(Registry.runners().size())}});
+    logSubmission(WorkflowEventKind::WorkflowRefused, account,
+                  {{"workflow", spec.id()},
+                   {"reason", reason},
+                   {"queue", spec.queue()},
+                   {"runners", std::to_string(Registry.runners().size())}});
     answer(answerOf(protocol::VERDICT_REFUSED, reason));
     return;
   }
@@ -417,15 +336,15 @@
     Tally.refused(spec.queue());
     const SizeClass size = Sizes.rank(spec.queue(), estimatedWork(spec));
     countOutcome({spec.queue(), size, OutcomeKind::Refused});
-    logEvent(WorkflowEventKind::WorkflowRefused,
-             {{"workflow", spec.id()},
-              {"reason", "would end late"},
-              {"size", std::string(nameOf(size))},
-              {"queue", spec.queue()},
-              {"configuration", std::to_string(State.config().version())},
-              {"steps_waiting", std::to_string(OpenSteps.size())},
-              {"retry_after_ms", std::to_string(late->RetryAfter.count())},
-              {"turn", late->Turn}});
+    logSubmission(WorkflowEventKind::WorkflowRefused, account,
+                  {{"workflow", spec.id()},
+                   {"reason", "would end late"},
+                   {"size", std::string(nameOf(size))},
+                   {"queue", spec.queue()},
+                   {"configuration", std::to_string(State.config().version())},
+                   {"steps_waiting", std::to_string(OpenSteps.size())},
+                   {"retry_after_ms", std::to_string(late->RetryAfter.count())},
+                   {"turn", late->Turn}});
     protocol::WorkflowAnswer refused =
         answerOf(protocol::VERDICT_REFUSED, "would end late");
     refused.set_retry_after_ms(
@@ -435,14 +354,14 @@
   }
   accepted.mutable_accept()->set_at_unix_ms(at.UnixMs);
   accepted.mutable_accept()->set_max_attempts(route.Queue->max_attempts());
-  PendingSubmissions[spec.id()].push_back(std::move(answer));
+  PendingSubmissions[spec.id()] = {account, {std::move(answer)}};
   Waiting.letIn(spec, route.Queue->priority());
   Tally.accepted(spec.queue());
-  logEvent(WorkflowEventKind::WorkflowAccepted,
-           {{"workflow", spec.id()},
-            {"queue", spec.queue()},
-            {"tasks", std::to_string(taskCount(spec))},
-            {"core_ms", std::to_string(estimatedWork(spec))}});
+  logSubmission(WorkflowEventKind::WorkflowAccepted, account,
+                {{"workflow", spec.id()},
+                 {"queue", spec.queue()},
+                 {"tasks", std::to_string(taskCount(spec))},
+                 {"core_ms", std::to_string(estimatedWork(spec))}});
   propose(std::move(accepted));
 }
 
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -19,6 +19,7 @@
 #include "masticwinch/coordination/workflow/size_ranks.hpp"
 #include "masticwinch/coordination/workflow/step_planner.hpp"
 #include "masticwinch/coordination/workflow/step_ranking.hpp"
+#include "masticwinch/coordination/workflow/unauthenticated_calls.hpp"
 #include "masticwinch/coordination/workflow/waiting_work.hpp"
 #include "masticwinch/coordination/workflow/workflow_event.hpp"
 #include "masticwinch/coordination/workflow/workflow_leader_options.hpp"
@@ -218,14 +219,7 @@
   void logEvent(WorkflowEventKind kind,
                 std::vector<std::pair<std::string, std::string>> fields);
   void submit(const protocol::WorkflowCall &call, const QueueRoute &route,
-              AnswerCallback answer, Moment at);
-  void answerState(const QueueRoute &route, const AnswerCallback &answer,
-                   Moment at);
-  protocol::WorkflowAnswer stateAnswer(const std::string &id) const;
-  void answerQueries(const std::string &id);
-  void answerOverdueQueries(SteadyTime now);
-  std::uint64_t queuedCount(const std::string &queue, Moment at);
-  void cancel(const std::string &id, const AnswerCallback &answer);
+              const std::string &account, AnswerCallback answer, Moment at);
   std::uint64_t expectedProcessors(const std::string &pool) const;
   /// A submission that would end late, and its turn to return.
   struct LateRefusal {
@@ -240,6 +234,24 @@
                                 const protocol::QueueConfig &queue,
                                 SteadyTime now) const;
 
+  // workflow_leader_callers.cpp
+  std::optional<std::string> identify(const protocol::WorkflowCall &call,
+                                      const protocol::QueueConfig &queue);
+  const Workflow *findAccessible(const std::string &id,
+                                 const std::string &account) const;
+  bool isForeign(const std::string &id, const std::string &account) const;
+  void answerState(const QueueRoute &route, const std::string &account,
+                   const AnswerCallback &answer, Moment at);
+  protocol::WorkflowAnswer stateAnswer(const std::string &id) const;
+  void answerQueries(const std::string &id);
+  void answerOverdueQueries(SteadyTime now);
+  std::uint64_t queuedCount(const std::string &queue, Moment at);
+  void cancel(const std::string &id, const std::string &account,
+              const AnswerCallback &answer);
+  void logSubmission(WorkflowEventKind kind, const std::string &account,
+                     std::vector<std::pair<std::string, std::string>> fields);
+  void reportUnauthenticated(SteadyTime now);
+
   // workflow_leader_runners.cpp
   void addMissingRunner(const std::string &id, Moment at);
   void logReborn(const RunnerEntry &known, std::uint64_t bornUnixMs,
@@ -441,8 +453,15 @@
     SteadyTime Since;
   };
   std::map<std::string, std::vector<WaitingQuery>> WaitingQueries;
-  /// Submissions that are being stored, and the callers to answer.
-  std::map<std::string, std::vector<AnswerCallback>> PendingSubmissions;
+  /// A submission that is being stored, and the callers to answer.
+  struct PendingSubmission {
+    /// Name of the client account that it is for; empty if there is none.
+    std::string Account;
+    std::vector<AnswerCallback> Answers;
+  };
+  std::map<std::string, PendingSubmission> PendingSubmissions;
+  UnauthenticatedCalls Unauthenticated;
+  SteadyTime NextUnauthenticatedReport{};
   SteadyTime NextCleanup{};
   /// Workflows of which a runner has confirmed a run.
   std::unordered_set<std::string> ConfirmedRunning;
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -1,4 +1,6 @@
+#include "masticwinch/coordination/workflow/caller_access.hpp"
 #include "masticwinch/coordination/workflow/record_limits.hpp"
+#include "masticwinch/coordination/workflow/workflow_answers.hpp"
 #include "masticwinch/coordination/workflow/workflow_leader.hpp"
 
 #include <algorithm>
@@ -99,7 +101,8 @@
 }
 
 void WorkflowLeader::appliedAccept(const std::string &id, Moment at) {
-  if (const Workflow *workflow = State.find(id)) {
+  const Workflow *workflow = State.find(id);
+  if (workflow) {
     registerWorkflow(*workflow, at);
   }
   Waiting.stored(id);
@@ -107,9 +110,13 @@
   if (waiting.empty()) {
     return;
   }
-  protocol::WorkflowAnswer answer;
-  answer.set_verdict(protocol::VERDICT_OK);
-  for (const AnswerCallback &it : waiting.mapped()) {
+  // A submission of a former leader with this id may have been stored first.
+  const bool foreign = workflow && !mayAccess(State.config(), workflow->Account,
+                                              waiting.mapped().Account);
+  const protocol::WorkflowAnswer answer =
+      foreign ? answerOf(protocol::VERDICT_INVALID, "the id is in use")
+              : answerOf(protocol::VERDICT_OK);
+  for (const AnswerCallback &it : waiting.mapped().Answers) {
     it(answer);
   }
 }
@@ -420,6 +427,7 @@
   Registry.tick(at.Now);
   acknowledgeDepartures(at);
   answerOverdueQueries(at.Now);
+  reportUnauthenticated(at.Now);
   Advice.expire(at.Now);
   beginOccurrences(at);
   if (at.Now >= NextCleanup) {
--- a/src/masticwinch/workflow/entry_gateway.cpp
+++ b/src/masticwinch/workflow/entry_gateway.cpp
@@ -199,8 +199,10 @@
     return;
   }
   CallCopies &copies = it->second.Copies;
-  const bool refused = answer.verdict() == protocol::VERDICT_REFUSED;
-  if (handled && (!refused || copies.isLatestAt(sender))) {
+  const bool refused = answer.verdict() == protocol::VERDICT_REFUSED ||
+                       answer.verdict() == protocol::VERDICT_UNAUTHENTICATED;
+  if (handled && !isOutdated(answer) &&
+      (!refused || copies.isLatestAt(sender))) {
     finish(answer.call(), CallOutcome::Answered, answer);
     return;
   }
@@ -213,6 +215,15 @@
   }
 }
 
+/// Whether a caller is turned away by an older configuration than the newest
+/// known one, in which its key or queue may have been added.
+bool EntryGateway::isOutdated(const protocol::WorkflowAnswer &answer) const {
+  const bool turnedAway =
+      answer.verdict() == protocol::VERDICT_UNAUTHENTICATED ||
+      answer.verdict() == protocol::VERDICT_NO_QUEUE;
+  return turnedAway && answer.config_version() < Terms.version();
+}
+
 void EntryGateway::handleWelcome(const protocol::Envelope &envelope) {
   const protocol::AgentWelcome &welcome = envelope.agent_welcome();
   for (const std::string &it : welcome.controls()) {
@@ -243,9 +254,18 @@
 std::optional<ExceededLimit>
 EntryGateway::exceededLimit(std::size_t headerBytes,
                             std::size_t bodyBytes) const {
-  const bool current =
-      isConnected() && Time.now() - LastWelcome <= Options.LeaderTimeout;
-  return current ? Terms.exceededLimit(headerBytes, bodyBytes) : std::nullopt;
+  return knowsTerms() ? Terms.exceededLimit(headerBytes, bodyBytes)
+                      : std::nullopt;
+}
+
+bool EntryGateway::lacksKey(const protocol::WorkflowCall &call) const {
+  return call.api_key().empty() && knowsTerms() &&
+         Terms.isKeyRequired(call.host(), call.path());
+}
+
+/// Whether a leader has lately confirmed the version of what is known.
+bool EntryGateway::knowsTerms() const {
+  return isConnected() && Time.now() - LastWelcome <= Options.LeaderTimeout;
 }
 
 } // namespace masticwinch::workflow
--- a/src/masticwinch/workflow/entry_gateway.hpp
+++ b/src/masticwinch/workflow/entry_gateway.hpp
@@ -116,6 +116,10 @@
   std::optional<ExceededLimit> exceededLimit(std::size_t headerBytes,
                                              std::size_t bodyBytes) const;
 
+  /// Whether the call has no key and its queue is known to need one. False
+  /// while what is known may be outdated; the leader then decides.
+  bool lacksKey(const protocol::WorkflowCall &call) const;
+
 private:
   struct PendingCall {
     protocol::WorkflowCall Call;
@@ -144,6 +148,8 @@
   void handleAnswer(const std::string &sender,
                     const protocol::WorkflowAnswer &answer);
   void handleWelcome(const protocol::Envelope &envelope);
+  bool isOutdated(const protocol::WorkflowAnswer &answer) const;
+  bool knowsTerms() const;
   void dropLeader();
   bool canWait(const PendingCall &call) const;
 
--- a/tests/coordination/workflow/test_entry_terms.cpp
+++ b/tests/coordination/workflow/test_entry_terms.cpp
@@ -94,3 +94,23 @@
   CHECK(terms.callerTimeouts() ==
         CallerTimeouts{Milliseconds(2000), Milliseconds(5000)});
 }
+
+// Guards against callers that are turned away by a queue's former terms.
+TEST_CASE("A queue is known to need a key by the newest configuration only",
+          "[workflow]") {
+  EntryTerms terms;
+  CHECK_FALSE(terms.isKeyRequired("host.example", "/a/x"));
+  protocol::WorkflowAnswer closed = answerOf(3, "/a/", 700);
+  closed.mutable_route()->set_key_required(true);
+  terms.learn(closed);
+  CHECK(terms.isKeyRequired("HOST.example:80", "/a/x"));
+  CHECK_FALSE(terms.isKeyRequired("host.example", "/b/x"));
+  // A queue with a longer prefix may be public.
+  CHECK_FALSE(terms.isKeyRequired("host.example", "/a/b/x"));
+  terms.learn(welcomeOf(4, 1000));
+  CHECK_FALSE(terms.isKeyRequired("host.example", "/a/x"));
+  terms.learn(closed);
+  CHECK_FALSE(terms.isKeyRequired("host.example", "/a/x"));
+  terms.learn(answerOf(4, "/a/", 700));
+  CHECK_FALSE(terms.isKeyRequired("host.example", "/a/x"));
+}
--- a/tests/workflow/test_entry_gateway.cpp
+++ b/tests/workflow/test_entry_gateway.cpp
@@ -68,6 +68,40 @@
     Gateway.receive(envelope);
   }
 
+  /// The same with the version of the configuration that the leader has
+  /// applied, and whether the queue `host/a/` needs a key by it.
+  void answer(const std::string &control, protocol::WorkflowVerdict verdict,
+              std::uint64_t version, bool keyRequired = false) {
+    protocol::Envelope envelope;
+    envelope.set_reply_address(control);
+    protocol::WorkflowAnswer &answer = *envelope.mutable_workflow_answer();
+    answer.set_call(0);
+    answer.set_verdict(verdict);
+    answer.set_config_version(version);
+    answer.mutable_route()->set_host("host");
+    answer.mutable_route()->set_path_prefix("/a/");
+    answer.mutable_route()->set_timeout_ms(2000);
+    answer.mutable_route()->set_key_required(keyRequired);
+    Gateway.receive(envelope);
+  }
+
+  void welcomeWithVersion(const std::string &control, std::uint64_t version) {
+    protocol::Envelope envelope;
+    envelope.set_reply_address(control);
+    envelope.mutable_agent_welcome()->set_leads(true);
+    envelope.mutable_agent_welcome()->set_config_version(version);
+    Gateway.receive(envelope);
+  }
+
+  /// Whether a call of the queue `host/a/` with this key is known to lack one.
+  bool lacksKey(const std::string &key) const {
+    protocol::WorkflowCall call;
+    call.set_host("host");
+    call.set_path("/a/x");
+    call.set_api_key(key);
+    return Gateway.lacksKey(call);
+  }
+
   /// How often a large call was sent; messages stay in the mailbox, which is
   /// not started.
   std::uint64_t largeCallsSent() const {
@@ -278,3 +312,66 @@
   entry.Context.run_for(std::chrono::seconds(5));
   CHECK(outcome == CallOutcome::Unknown);
 }
+
+TEST_CASE("A call without a key is turned away where the queue is known to "
+          "need one",
+          "[workflow]") {
+  Fixture entry;
+  entry.welcomeWithVersion(entry.Control, 3);
+  CHECK_FALSE(entry.lacksKey(""));
+  entry.answer(entry.Control, protocol::VERDICT_OK, 3, true);
+  CHECK(entry.lacksKey(""));
+  // Whether a key is known, only the leader decides.
+  CHECK_FALSE(entry.lacksKey("any"));
+  entry.welcomeWithVersion(entry.Control, 4);
+  CHECK_FALSE(entry.lacksKey(""));
+}
+
+// Guards against an entry VM that decides by a configuration which may no
+// longer be in force.
+TEST_CASE("A call without a key is forwarded while no leader has confirmed the "
+          "configuration lately",
+          "[workflow]") {
+  Fixture entry;
+  entry.welcomeWithVersion(entry.Control, 3);
+  entry.answer(entry.Control, protocol::VERDICT_OK, 3, true);
+  entry.Time.advance(entry.Options.LeaderTimeout);
+  CHECK(entry.lacksKey(""));
+  entry.Time.advance(Milliseconds(1));
+  CHECK_FALSE(entry.lacksKey(""));
+  entry.welcomeWithVersion(entry.Control, 3);
+  CHECK(entry.lacksKey(""));
+  entry.welcomeFrom(entry.Control, false);
+  CHECK_FALSE(entry.lacksKey(""));
+}
+
+// Guards against a valid key that gets 401, and a new queue that gets 404, from
+// a leader that was deposed before it applied the configuration with them.
+TEST_CASE("An answer by an older configuration turns nobody away",
+          "[workflow]") {
+  const auto verdict =
+      GENERATE(protocol::VERDICT_UNAUTHENTICATED, protocol::VERDICT_NO_QUEUE);
+  Fixture entry;
+  entry.welcomeWithVersion(entry.Control, 3);
+  entry.beginLargeCall();
+  entry.welcomeWithVersion(entry.OtherControl, 4);
+  entry.answer(entry.Control, verdict, 3);
+  CHECK_FALSE(entry.Ended);
+  entry.answer(entry.OtherControl, protocol::VERDICT_OK, 4);
+  CHECK(entry.Ended == CallOutcome::Answered);
+}
+
+TEST_CASE("A call that was turned away by an older configuration is sent again",
+          "[workflow]") {
+  Fixture entry;
+  entry.welcomeWithVersion(entry.Control, 3);
+  entry.beginLargeCall();
+  REQUIRE(entry.largeCallsSent() == 1);
+  entry.welcomeWithVersion(entry.Control, 4);
+  entry.answer(entry.Control, protocol::VERDICT_UNAUTHENTICATED, 3);
+  CHECK_FALSE(entry.Ended);
+  entry.welcomeWithVersion(entry.Control, 4);
+  CHECK(entry.largeCallsSent() == 2);
+  entry.answer(entry.Control, protocol::VERDICT_UNAUTHENTICATED, 4);
+  CHECK(entry.Ended == CallOutcome::Answered);
+}
