Rank waiting steps by their account while capacity is short

Cause: of two accounts that want more than the pool, the one that submits more got more, whatever its weight; an account with few submissions waited behind another's backlog.

Change: in a pool where the last pass found no capacity for a step, the account's priority and then how far the account is above its share come after the queue's priority and before the time left. AccountTally counts what became of submissions; account_load reports five entries a second. Cells without accounts rank as before.

--- a/benchmarks/model_workload.hpp
+++ b/benchmarks/model_workload.hpp
@@ -38,6 +38,10 @@
   /// Callers that submit again when their last submission has ended or, after
   /// a while, was refused; they take the place of PerSecond.
   std::size_t Callers = 0;
+  /// Client account that submits, and its weight. The model's cell has accounts
+  /// if any queue states one.
+  std::string Account = {};
+  double Weight = 1;
 };
 
 struct ModelOptions {
@@ -92,6 +96,8 @@
   std::size_t TooLate = 0;
   std::size_t Refused = 0;
   std::vector<double> StartMs;
+  /// Work in core-milliseconds, of what completed while work arrived.
+  std::uint64_t WorkInTime = 0;
 
   ModelOutcome &operator+=(const ModelOutcome &other) {
     Arrived += other.Arrived;
@@ -99,6 +105,7 @@
     Late += other.Late;
     TooLate += other.TooLate;
     Refused += other.Refused;
+    WorkInTime += other.WorkInTime;
     StartMs.insert(StartMs.end(), other.StartMs.begin(), other.StartMs.end());
     return *this;
   }
--- a/benchmarks/workflow_model.hpp
+++ b/benchmarks/workflow_model.hpp
@@ -280,10 +280,28 @@
         queue->mutable_advice()->set_validity_ms(it.TicketMs);
       }
       Outcomes[it.Name];
+      addAccount(*config, it);
     }
     State.apply(change);
   }
 
+  static void addAccount(protocol::CellConfig &config,
+                         const ModelQueue &queue) {
+    if (queue.Account.empty()) {
+      return;
+    }
+    config.set_accounts_declared(true);
+    for (const protocol::ClientAccount &it : config.accounts()) {
+      if (it.name() == queue.Account) {
+        return;
+      }
+    }
+    protocol::ClientAccount *account = config.add_accounts();
+    account->set_name(queue.Account);
+    account->add_keys("key of " + queue.Account);
+    account->set_weight_permille(std::uint64_t(queue.Weight * 1000));
+  }
+
   void addRunners() {
     for (std::size_t i = 0; i < Options.Runners; ++i) {
       protocol::WorkflowChange change;
@@ -340,6 +358,9 @@
     protocol::WorkflowCall call;
     call.set_host("host");
     call.set_path("/" + queue.Name + "/" + id);
+    if (!queue.Account.empty()) {
+      call.set_api_key("key of " + queue.Account);
+    }
     std::uniform_real_distribution<double> share(0, 1);
     const bool gang = share(ArrivalEngine) < queue.GangShare;
     const int steps =
@@ -596,6 +617,9 @@
           std::chrono::duration<double, std::milli>(Now - submission.At)
               .count();
       ModelOutcome &outcome = Outcomes[Options.Queues[submission.Queue].Name];
+      if (Now < Start + WarmUpTime + duration(Options.Seconds)) {
+        outcome.WorkInTime += submission.Work;
+      }
       if (took <= submission.ObjectiveMs) {
         outcome.OnTime += 1;
         submission.Served = true;
--- a/src/masticwinch/coordination/workflow/step_ranking.hpp
+++ b/src/masticwinch/coordination/workflow/step_ranking.hpp
@@ -40,6 +40,11 @@
 struct StepRank {
   CompletionForecast Forecast = CompletionForecast::OnTime;
   std::uint32_t Priority = 0;
+  /// Priority of the client account; 0 while there is capacity for all.
+  std::uint32_t AccountPriority = 0;
+  /// How far the client account is above its share; 0 if it isn't, or while
+  /// there is capacity for all.
+  std::uint32_t AboveShare = 0;
   /// Time until the step has to start to be on time; negative if it is late.
   Milliseconds Slack{0};
 
@@ -69,7 +74,9 @@
   }
   rank.Slack = terms.Objective - end;
   if (policy == RankingPolicy::FirstComeFirstServed) {
-    return {CompletionForecast::OnTime, 0, -since};
+    StepRank first;
+    first.Slack = -since;
+    return first;
   }
   if (policy == RankingPolicy::Priority) {
     rank.Forecast = CompletionForecast::OnTime;
--- a/src/masticwinch/coordination/workflow/workflow_event.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_event.hpp
@@ -47,6 +47,7 @@
   PoolLoad,
   QueueLoad,
   SizeLoad,
+  AccountLoad,
   ConfigurationStored,
   ConfigurationOutdated,
   Deposed,
@@ -58,7 +59,8 @@
   return kind == WorkflowEventKind::StepWaits ||
          kind == WorkflowEventKind::PoolLoad ||
          kind == WorkflowEventKind::QueueLoad ||
-         kind == WorkflowEventKind::SizeLoad;
+         kind == WorkflowEventKind::SizeLoad ||
+         kind == WorkflowEventKind::AccountLoad;
 }
 
 /// An entry of the event log: what it concerns and what the decision was based
@@ -111,6 +113,7 @@
       EnumName<Kind>{Kind::PoolLoad, "pool_load"},
       EnumName<Kind>{Kind::QueueLoad, "queue_load"},
       EnumName<Kind>{Kind::SizeLoad, "size_load"},
+      EnumName<Kind>{Kind::AccountLoad, "account_load"},
       EnumName<Kind>{Kind::ConfigurationStored, "configuration_stored"},
       EnumName<Kind>{Kind::ConfigurationOutdated, "configuration_outdated"},
       EnumName<Kind>{Kind::Deposed, "leader_deposed"}};
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -356,6 +356,11 @@
   protocol::QueueConfig &queue = *accepted.mutable_accept()->mutable_queue();
   queue = *route.Queue;
   queue.clear_name();
+  const protocol::ClientAccount *account =
+      State.accounts().findByKey(call.api_key());
+  if (account) {
+    accepted.mutable_accept()->set_account(account->name());
+  }
   if (const auto problem = validationError(spec)) {
     answer(answerOf(protocol::VERDICT_INVALID, *problem));
     return;
@@ -382,6 +387,7 @@
               {"queue", spec.queue()},
               {"waited_ms", std::to_string(CallDelay.count())},
               {"retry_after_ms", std::to_string(after->count())}});
+    countRefused(account, AccountRefusal::WaitedTooLong);
     protocol::WorkflowAnswer refused =
         answerOf(protocol::VERDICT_REFUSED, "waited too long");
     refused.set_retry_after_ms(static_cast<std::uint32_t>(after->count()));
@@ -394,6 +400,7 @@
               {"reason", "nothing can be stored"},
               {"queue", spec.queue()},
               {"log", LogRefusal}});
+    countRefused(account, AccountRefusal::NotStorable);
     protocol::WorkflowAnswer refused =
         answerOf(protocol::VERDICT_REFUSED, "nothing can be stored");
     refused.set_retry_after_ms(
@@ -409,6 +416,7 @@
               {"reason", reason},
               {"queue", spec.queue()},
               {"runners", std::to_string(Registry.runners().size())}});
+    countRefused(account, AccountRefusal::DoesNotFit);
     answer(answerOf(protocol::VERDICT_REFUSED, reason));
     return;
   }
@@ -426,6 +434,7 @@
               {"steps_waiting", std::to_string(OpenSteps.size())},
               {"retry_after_ms", std::to_string(late->RetryAfter.count())},
               {"turn", late->Turn}});
+    countRefused(account, AccountRefusal::WouldEndLate);
     protocol::WorkflowAnswer refused =
         answerOf(protocol::VERDICT_REFUSED, "would end late");
     refused.set_retry_after_ms(
@@ -443,6 +452,7 @@
             {"queue", spec.queue()},
             {"tasks", std::to_string(taskCount(spec))},
             {"core_ms", std::to_string(estimatedWork(spec))}});
+  countAccepted(account);
   propose(std::move(accepted));
 }
 
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "masticwinch/coordination/workflow/account_shares.hpp"
+#include "masticwinch/coordination/workflow/account_tally.hpp"
 #include "masticwinch/coordination/workflow/admission.hpp"
 #include "masticwinch/coordination/workflow/advice_tracker.hpp"
 #include "masticwinch/coordination/workflow/call_delay.hpp"
@@ -62,6 +64,10 @@
   std::vector<AdviceCall> Advice;
   std::vector<WorkflowEvent> Events;
   std::vector<WorkflowOutcome> Outcomes;
+  std::vector<AccountOutcome> AccountOutcomes;
+  /// What all accounts have running and waiting, once a second; nothing in
+  /// between.
+  std::optional<std::vector<AccountLoad>> AccountLoads;
 };
 
 /// Makes the decisions of one leader: which submissions to accept, where and
@@ -123,6 +129,10 @@
   const RunnerRegistry &runners() const { return Registry; }
   std::size_t openStepCount() const { return OpenSteps.size(); }
 
+  /// The figures of all client accounts, of at most `AccountTally::MaxAccounts`
+  /// of them, and of the work without an account.
+  std::vector<AccountLoad> accountLoads(SteadyTime now) const;
+
 private:
   struct SchedulingInfo {
     RankingInput Ranking;
@@ -302,6 +312,17 @@
   void assign(const StepKey &key, OpenStep &open, const PlannedRun &planned,
               std::uint32_t run, const std::string &checkpoint, Moment at);
 
+  // workflow_leader_accounts.cpp
+  std::map<std::string, PoolUse> accountUses() const;
+  void rankByShares(std::vector<RankedStep> &ranked, SteadyTime now);
+  void countAccepted(const protocol::ClientAccount *account);
+  void countRefused(const protocol::ClientAccount *account,
+                    AccountRefusal reason);
+  void countEnded(const Workflow &workflow, OutcomeKind outcome);
+  void reportAccounts(SteadyTime now);
+  void setShares(std::vector<AccountLoad> &loads,
+                 const std::set<std::string_view> &pools) const;
+
   // workflow_leader_overdue.cpp
   std::vector<RankedStep> takeOverdue(std::vector<RankedStep> &late, Moment at);
   bool isOverdue(const StepKey &key, const OpenStep &open, Moment at) const;
@@ -397,6 +418,12 @@
   CrashContainment Containment;
   GangClaims Claims;
   OverdueShare Overdue;
+  AccountShares Shares;
+  AccountTally Accounts;
+  /// Entries of the latest report that are not logged yet, last first.
+  std::vector<AccountLoad> AccountsToLog;
+  /// Pools in which the last pass found no capacity for a step that it tried.
+  std::set<std::string> ShortPools;
   /// By pool.
   std::map<std::string, RunnerDrain> Drains;
   const SteadyTime LedSince;
--- a/src/masticwinch/coordination/workflow/workflow_leader_options.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_options.hpp
@@ -92,6 +92,9 @@
   Milliseconds MinReportedWait{3000};
   /// Maximum number of queues in a report; those with the longest waits.
   std::size_t QueuesPerReport = 8;
+  /// Number of accounts in a report of one second. The accounts to report are
+  /// logged over several seconds.
+  std::size_t AccountsPerReport = 5;
   /// Time for which a query of a running workflow's state waits for its
   /// completion: somewhat longer than an end takes from the runner to the log.
   Milliseconds QueryWait{50};
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -185,6 +185,7 @@
   const OutcomeKind outcome =
       outcomeOf(workflow.CurrentPhase, took, info.Ranking.Objective);
   countOutcome({workflow.Spec.queue(), info.Size, outcome});
+  countEnded(workflow, outcome);
   logEvent(WorkflowEventKind::WorkflowEnded,
            {{"workflow", id},
             {"phase", std::string(nameOf(workflow.CurrentPhase))},
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -87,6 +87,7 @@
   for (const auto &[name, pool] : fleet.Pools) {
     Overdue.setBacklogs(name, overdueWork[name]);
   }
+  rankByShares(ranked, at.Now);
   return tryable(std::move(ranked), at);
 }
 
@@ -130,6 +131,8 @@
     StepRank rank = it.Rank;
     if (claims(it)) {
       rank.Forecast = CompletionForecast::OnTime;
+      rank.AccountPriority = 0;
+      rank.AboveShare = 0;
       rank.Slack = Milliseconds::min();
     }
     return rank;
@@ -442,6 +445,9 @@
     Claims.remove(key, ClaimEnd::Started);
     return;
   }
+  if (!advised || Advice.ticketsOf(key)) {
+    ShortPools.insert(pool->first);
+  }
   if (advised) {
     Advice.addStep(key, queue->name(), queue->advice());
   }
--- a/src/masticwinch/coordination/workflow/workflow_leader_waits.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_waits.cpp
@@ -16,6 +16,7 @@
   reportOutcomes(at.Now);
   logPoolLoads(fleet, tried);
   logQueueLoads(at);
+  reportAccounts(at.Now);
   std::vector<std::pair<SteadyTime, StepKey>> waiting;
   for (const auto &[key, open] : OpenSteps) {
     const SteadyTime since = open.Info->Ranking.Accepted;
