Show operators what each client account gets

Cause: neither the metrics nor a command tell why an account's work waits.

Result: not built as a whole yet; tests are to be run.

--- a/src/masticwinch/ctl/cell_connection.cpp
+++ b/src/masticwinch/ctl/cell_connection.cpp
@@ -8,6 +8,11 @@
 
 constexpr std::uint16_t GatewayTimeout = 504;
 
+/// Whether another daemon than the leader answered.
+bool isOfOther(const HttpResponse &response) {
+  return response.Status == 503 || response.Status == 404;
+}
+
 } // namespace
 
 HttpCallResult CellConnection::callServer(const std::string &server,
@@ -31,15 +36,20 @@
 }
 
 HttpCallResult CellConnection::call(const CellRequest &request) {
-  HttpCallResult result;
+  HttpCallResult last;
   for (const std::string &it : Options.Servers) {
-    result = callServer(it, request);
-    if (result.Outcome == HttpOutcome::Answered &&
-        result.Response.Status != GatewayTimeout) {
+    HttpCallResult result = callServer(it, request);
+    const bool answered = result.Outcome == HttpOutcome::Answered &&
+                          result.Response.Status != GatewayTimeout;
+    if (answered && !(request.LeaderOnly && isOfOther(result.Response))) {
       return result;
     }
+    if (answered || !request.LeaderOnly ||
+        last.Outcome != HttpOutcome::Answered) {
+      last = std::move(result);
+    }
   }
-  return result;
+  return last;
 }
 
 } // namespace masticwinch::ctl
--- a/src/masticwinch/ctl/cell_connection.hpp
+++ b/src/masticwinch/ctl/cell_connection.hpp
@@ -25,6 +25,9 @@
   std::string Method = "GET";
   std::string Path;
   std::string Body;
+  /// Only the leader's answer counts: daemons that answer 503 (it doesn't lead)
+  /// or 404 (it has no such page) are passed over.
+  bool LeaderOnly = false;
 };
 
 /// Client of the operators' interface that tries the daemons in order until one
@@ -35,7 +38,8 @@
       : Options(std::move(options)) {}
 
   /// Returns the first answer, or the last failure if no daemon answered.
-  /// Status 504 counts as a failure.
+  /// Status 504 counts as a failure. For the leader only, returns the last
+  /// answer of another daemon if the leader's is missing.
   HttpCallResult call(const CellRequest &request);
 
 private:
--- a/src/masticwinch/ctl/ctl_command.cpp
+++ b/src/masticwinch/ctl/ctl_command.cpp
@@ -67,6 +67,25 @@
   return CtlExit::NotInForce;
 }
 
+CtlExit printMetricsAnswer(const CtlCommand &command,
+                           const CtlArguments &arguments, const CtlFlags &flags,
+                           const HttpResponse &response,
+                           const nlohmann::json &json) {
+  if (response.Status == 503 || response.Status == 404) {
+    std::fprintf(stderr,
+                 "none of the given metrics addresses is the leader's; the "
+                 "last answer was %d: %s\n",
+                 int(response.Status), response.Body.c_str());
+    return CtlExit::NoLeader;
+  }
+  if (response.Status != 200 || !json.is_object()) {
+    std::fprintf(stderr, "not a page of accounts, status %d\n",
+                 int(response.Status));
+    return CtlExit::Refused;
+  }
+  return command.Print(json, arguments, flags);
+}
+
 } // namespace
 
 const CtlCommand *findCommand(const std::vector<std::string> &words,
@@ -94,6 +113,9 @@
     return CtlExit::Unknown;
   }
   const nlohmann::json json = parse(result.Response.Body);
+  if (command.ReadsMetrics) {
+    return printMetricsAnswer(command, arguments, flags, result.Response, json);
+  }
   print(json, result.Response.Body);
   if (result.Response.Status == 504) {
     return CtlExit::Unknown;
@@ -109,7 +131,8 @@
 
 std::string ctlUsage() {
   std::string usage = "masticwinchctl operates a cell.\n\n"
-                      "  masticwinchctl --servers URL[,URL...] COMMAND\n\n"
+                      "  masticwinchctl --servers URL[,URL...] COMMAND\n"
+                      "  masticwinchctl --metrics URL[,URL...] account ...\n\n"
                       "Commands:\n";
   for (const CtlCommand &it : ctlCommands()) {
     std::string line = "  " + it.Words;
@@ -123,7 +146,7 @@
          "\nFILE is JSON, - reads standard input. Exit codes: 0 done, 1 "
          "refused,\n2 wrong command line, 3 unknown (send it again with the "
          "same --request_id),\n4 accepted but not in force everywhere in "
-         "time.";
+         "time, 5 none of the\ndaemons that were asked leads.";
 }
 
 } // namespace masticwinch::ctl
--- a/src/masticwinch/ctl/ctl_command.hpp
+++ b/src/masticwinch/ctl/ctl_command.hpp
@@ -3,6 +3,8 @@
 #include "masticwinch/common/clock.hpp"
 #include "masticwinch/ctl/cell_connection.hpp"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -19,6 +21,8 @@
   /// Whether to wait until the change is in force on every entry VM.
   bool Wait = false;
   Milliseconds WaitTimeout{10'000};
+  /// Whether accounts are printed as JSON.
+  bool Json = false;
 };
 
 /// Exit codes of masticwinchctl. They extend those that all programs share.
@@ -32,6 +36,8 @@
   Unknown = 3,
   /// Accepted, but not in force everywhere within the time limit.
   NotInForce = 4,
+  /// None of the daemons that were asked leads the cell.
+  NoLeader = 5,
 };
 
 /// Positional arguments that follow the words of a command.
@@ -49,6 +55,13 @@
   std::function<CellRequest(const CtlArguments &, const CtlFlags &)> Build;
   /// Whether the command changes the configuration, so that `--wait` applies.
   bool ChangesConfiguration = false;
+  /// Whether the command reads a control VM's metrics address instead of the
+  /// operators' ports. Only the leader's answer counts then.
+  bool ReadsMetrics = false;
+  /// Prints the answer of such a command.
+  std::function<CtlExit(const nlohmann::json &answer, const CtlArguments &,
+                        const CtlFlags &)>
+      Print = nullptr;
 };
 
 /// Returns all commands in the order of the help text.
--- a/src/masticwinch/ctl/ctl_commands.cpp
+++ b/src/masticwinch/ctl/ctl_commands.cpp
@@ -1,6 +1,8 @@
+#include "masticwinch/ctl/account_output.hpp"
 #include "masticwinch/ctl/ctl_command.hpp"
 #include "masticwinch/http/percent_encoding.hpp"
 
+#include <cstdio>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -101,6 +103,55 @@
   return command;
 }
 
+CtlCommand makeAccountCommand(std::string words,
+                              std::vector<std::string> arguments,
+                              std::string help) {
+  CtlCommand command;
+  command.Words = std::move(words);
+  command.Arguments = std::move(arguments);
+  command.Help = std::move(help);
+  command.ReadsMetrics = true;
+  command.Build = [](const CtlArguments &, const CtlFlags &) {
+    CellRequest request;
+    request.Path = "/accounts";
+    request.LeaderOnly = true;
+    return request;
+  };
+  return command;
+}
+
+CtlCommand makeAccountListCommand() {
+  CtlCommand command =
+      makeAccountCommand("account list", {},
+                         "lists the client accounts with use, share and waits "
+                         "(needs --metrics)");
+  command.Print = [](const nlohmann::json &page, const CtlArguments &,
+                     const CtlFlags &flags) {
+    std::printf("%s\n",
+                flags.Json ? page.dump(2).c_str() : accountTable(page).c_str());
+    return CtlExit::Success;
+  };
+  return command;
+}
+
+CtlCommand makeAccountShowCommand() {
+  CtlCommand command = makeAccountCommand(
+      "account show", {"NAME"}, "shows a client account (needs --metrics)");
+  command.Print = [](const nlohmann::json &page, const CtlArguments &arguments,
+                     const CtlFlags &flags) {
+    const auto account = findAccount(page, arguments[0]);
+    if (!account) {
+      std::fprintf(stderr, "no account %s\n", arguments[0].c_str());
+      return CtlExit::Refused;
+    }
+    std::printf("%s\n", flags.Json
+                            ? account->dump(2).c_str()
+                            : accountDetails(page, arguments[0])->c_str());
+    return CtlExit::Success;
+  };
+  return command;
+}
+
 } // namespace
 
 std::span<const CtlCommand> ctlCommands() {
@@ -153,6 +204,8 @@
                         "PUT"),
       makeMemberCommand("member remove", "takes a control VM out of the cell",
                         "DELETE"),
+      makeAccountListCommand(),
+      makeAccountShowCommand(),
       makeReadCommand("in-force", {},
                       "says which configuration each entry VM uses",
                       "/v1/in-force"),
--- a/src/masticwinch/workflow/control_vm_daemon.hpp
+++ b/src/masticwinch/workflow/control_vm_daemon.hpp
@@ -10,6 +10,7 @@
 #include "masticwinch/programs/exit_code.hpp"
 #include "masticwinch/programs/incarnation.hpp"
 #include "masticwinch/programs/stop_signals.hpp"
+#include "masticwinch/workflow/accounts_page.hpp"
 #include "masticwinch/workflow/advice_agent.hpp"
 #include "masticwinch/workflow/control_loop.hpp"
 #include "masticwinch/workflow/daemon_metrics.hpp"
@@ -73,7 +74,8 @@
                            [this](std::shared_ptr<HttpExchange> it) {
                              asio::post(Context, [this, it] { handle(it); });
                            }),
-        MetricsServer(settings.Daemon.Metrics, Context, Metrics),
+        MetricsServer(settings.Daemon.Metrics, Context, Metrics,
+                      [this] { return accounts(); }),
         Ticker(Context), StopTimer(Context), Reload(Context, Events),
         Signals(
             Context, [this] { stop(); }, [] { std::_Exit(StoppedAtOnce); }) {
@@ -170,6 +172,12 @@
         });
   }
 
+  HttpResponse accounts() const {
+    const auto loads = Workflows.accountLoads();
+    return loads ? accountsPage(name(), *loads)
+                 : accountsNotLeading(leaderName());
+  }
+
   void handle(const std::shared_ptr<HttpExchange> &exchange) {
     CurrentActivity.begin("control_request", exchange->request().Path);
     Api.handle(exchange);
--- a/src/masticwinch/workflow/metrics_endpoint.cpp
+++ b/src/masticwinch/workflow/metrics_endpoint.cpp
@@ -4,25 +4,35 @@
 
 #include <asio/post.hpp>
 
+#include <utility>
+
 namespace masticwinch::workflow {
 
 MetricsEndpoint::MetricsEndpoint(const programs::HttpSettings &settings,
                                  asio::io_context &context,
-                                 const MetricRegistry &registry)
-    : Server(programs::serverOptions(settings),
-             [&context, &registry](std::shared_ptr<HttpExchange> exchange) {
-               asio::post(context, [&registry, exchange] {
-                 if (exchange->request().Path != "/metrics") {
-                   exchange->respond(
-                       errorResponse(404, "not_found", "only /metrics"));
-                   return;
-                 }
-                 HttpResponse response;
-                 response.Headers.add("Content-Type",
-                                      "text/plain; version=0.0.4");
-                 response.Body = registry.text();
-                 exchange->respond(std::move(response));
+                                 const MetricRegistry &registry,
+                                 AccountsPage accounts)
+    : Registry(registry), Accounts(std::move(accounts)),
+      Server(programs::serverOptions(settings),
+             [this, &context](std::shared_ptr<HttpExchange> exchange) {
+               asio::post(context, [this, exchange] {
+                 exchange->respond(responseTo(exchange->request().Path));
                });
              }) {}
 
+HttpResponse MetricsEndpoint::responseTo(const std::string &path) const {
+  if (path == "/accounts" && Accounts) {
+    return Accounts();
+  }
+  if (path != "/metrics") {
+    return errorResponse(404, "not_found",
+                         Accounts ? "only /metrics and /accounts"
+                                  : "only /metrics");
+  }
+  HttpResponse response;
+  response.Headers.add("Content-Type", "text/plain; version=0.0.4");
+  response.Body = Registry.text();
+  return response;
+}
+
 } // namespace masticwinch::workflow
--- a/src/masticwinch/workflow/metrics_endpoint.hpp
+++ b/src/masticwinch/workflow/metrics_endpoint.hpp
@@ -6,19 +6,35 @@
 
 #include <asio/io_context.hpp>
 
+#include <cstdint>
+#include <functional>
+#include <string>
+
 namespace masticwinch::workflow {
 
-/// Serves a registry's metrics at `/metrics` on a separate address. The text is
-/// rendered on the control thread, because observed metrics read its state.
+/// Serves a registry's metrics at `/metrics` on a separate address and, on
+/// control VMs, the client accounts at `/accounts`. Both are rendered on the
+/// control thread, because they read its state.
 class MetricsEndpoint {
 public:
+  /// Renders the response to `/accounts`.
+  using AccountsPage = std::function<HttpResponse()>;
+
   MetricsEndpoint(const programs::HttpSettings &settings,
-                  asio::io_context &context, const MetricRegistry &registry);
+                  asio::io_context &context, const MetricRegistry &registry,
+                  AccountsPage accounts = nullptr);
 
   void start() { Server.start(); }
   void stop() { Server.stop(); }
 
+  /// The response to a request for `path`.
+  HttpResponse responseTo(const std::string &path) const;
+
+  std::uint16_t port() const { return Server.port(); }
+
 private:
+  const MetricRegistry &Registry;
+  AccountsPage Accounts;
   HttpServer Server;
 };
 
--- a/src/masticwinch/workflow/workflow_driver.hpp
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -7,6 +7,7 @@
 #include "masticwinch/metrics/histogram.hpp"
 #include "masticwinch/metrics/metric_registry.hpp"
 #include "masticwinch/protocol/envelope.pb.h"
+#include "masticwinch/workflow/account_metrics.hpp"
 #include "masticwinch/workflow/handler_load.hpp"
 #include "masticwinch/workflow/order_number.hpp"
 #include "masticwinch/workflow/outcome_counters.hpp"
@@ -24,6 +25,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace masticwinch::workflow {
 
@@ -44,11 +46,17 @@
             metrics.histogram({"masticwinch_workflow_store_seconds",
                                "From proposing decisions to their storage by "
                                "a quorum."})),
-        Outcomes(metrics) {}
+        Outcomes(metrics), Accounts(metrics, [this] { return leads(); }) {}
 
   const WorkflowState &state() const { return State; }
   const WorkflowLeader *leader() const { return Leader.get(); }
 
+  /// The figures of all client accounts; nothing on a VM that doesn't lead.
+  std::optional<std::vector<AccountLoad>> accountLoads() const {
+    return leads() ? std::optional(Leader->accountLoads(Time.now()))
+                   : std::nullopt;
+  }
+
   /// Whether this VM leads and its state is current.
   bool leads() const { return Leader && Commands.isLeader(); }
 
@@ -421,6 +429,12 @@
     for (const WorkflowOutcome &it : effects.Outcomes) {
       Outcomes.add(it);
     }
+    for (const AccountOutcome &it : effects.AccountOutcomes) {
+      Accounts.add(it);
+    }
+    if (effects.AccountLoads) {
+      Accounts.set(*effects.AccountLoads);
+    }
   }
 
   Counter &counterOf(WorkflowEventKind kind) {
@@ -451,6 +465,7 @@
   SteadyTime::duration MessageDelay{};
   std::map<WorkflowEventKind, Counter *> DecisionCounters;
   OutcomeCounters Outcomes;
+  AccountMetrics Accounts;
   bool EffectsScheduled = false;
   SteadyTime LastEffectsAt{};
   /// Batches that the log has not accepted yet, oldest first.
--- a/src/programs/ctl/main.cpp
+++ b/src/programs/ctl/main.cpp
@@ -14,6 +14,11 @@
 DEFINE_string(servers, "",
               "operators' URLs of daemons, with commas between; the first that "
               "answers counts (environment: MASTICWINCH_SERVERS)");
+DEFINE_string(metrics, "",
+              "metrics URLs of control VMs for account commands, with commas "
+              "between; the leader's answer counts (environment: "
+              "MASTICWINCH_METRICS)");
+DEFINE_bool(json, false, "print accounts as JSON");
 DEFINE_string(operator, "",
               "name that changes are recorded under (environment: USER)");
 DEFINE_string(request_id, "",
@@ -46,10 +51,12 @@
   return static_cast<int>(ctl::CtlExit::Usage);
 }
 
-ctl::CellConnectionOptions connectionOptions() {
+ctl::CellConnectionOptions connectionOptions(const ctl::CtlCommand &command) {
   ctl::CellConnectionOptions options;
-  options.Servers =
-      splitServers(flagOrEnvironment(FLAGS_servers, "MASTICWINCH_SERVERS"));
+  options.Servers = splitServers(
+      command.ReadsMetrics
+          ? flagOrEnvironment(FLAGS_metrics, "MASTICWINCH_METRICS")
+          : flagOrEnvironment(FLAGS_servers, "MASTICWINCH_SERVERS"));
   options.Operator = flagOrEnvironment(FLAGS_operator, "USER");
   options.RequestId = FLAGS_request_id.empty() ? operators::randomRequestId()
                                                : FLAGS_request_id;
@@ -61,6 +68,7 @@
   if (FLAGS_expect_version >= 0) {
     flags.ExpectVersion = static_cast<std::uint64_t>(FLAGS_expect_version);
   }
+  flags.Json = FLAGS_json;
   flags.Wait = FLAGS_wait;
   flags.WaitTimeout = Milliseconds(FLAGS_timeout_ms);
   return flags;
@@ -72,14 +80,15 @@
   if (command == nullptr) {
     return usageError("no such command, or a wrong number of arguments");
   }
-  const ctl::CellConnectionOptions options = connectionOptions();
+  const ctl::CellConnectionOptions options = connectionOptions(*command);
   if (options.Servers.empty()) {
-    return usageError("--servers is required");
+    return usageError(command->ReadsMetrics ? "--metrics is required"
+                                            : "--servers is required");
   }
   ctl::CellConnection connection(options);
   const ctl::CtlExit exit =
       ctl::runCommand(*command, arguments, ctlFlags(), connection);
-  if (exit == ctl::CtlExit::Unknown) {
+  if (exit == ctl::CtlExit::Unknown && !command->ReadsMetrics) {
     std::fprintf(stderr, "send it again with --request_id %s\n",
                  options.RequestId.c_str());
   }
--- a/tests/workflow/test_workflow_driver.cpp
+++ b/tests/workflow/test_workflow_driver.cpp
@@ -249,3 +249,12 @@
   receiveAfter(Milliseconds(0));
   CHECK(control.Log.Records.size() == stored + 1);
 }
+
+// Guards against figures of a former leader, which another VM's page of
+// accounts would contradict.
+TEST_CASE("Only a VM that leads states the figures of accounts", "[workflow]") {
+  Fixture control;
+  CHECK(control.Driver.accountLoads().has_value());
+  control.Log.Leads = false;
+  CHECK_FALSE(control.Driver.accountLoads().has_value());
+}
