Lower the cost of ranking by accounts

Cause: a pass at 2,000 accounts took 6.5 ms of processor time at the median and 13.3 at the 99th percentile: a lookup of the workflow for each step and run, an allocation for each account, and sorting all accounts for a report.

Change: the steps' workflows are found by walking the open steps, runs of one workflow on a runner are looked up once, and a report sorts only what it names.

--- a/src/masticwinch/coordination/workflow/account_tally.cpp
+++ b/src/masticwinch/coordination/workflow/account_tally.cpp
@@ -113,11 +113,12 @@
     return std::tie(b.UnservedShare, b.LongestWait, a.Name) <
            std::tie(a.UnservedShare, a.LongestWait, b.Name);
   };
-  std::sort(all.begin(), all.end(), byUse);
+  const std::size_t named = std::min(largest + worst, all.size());
   const auto first =
       all.begin() + std::ptrdiff_t(std::min(largest, all.size()));
-  std::sort(first, all.end(), byService);
-  const std::size_t named = std::min(largest + worst, all.size());
+  std::partial_sort(all.begin(), first, all.end(), byUse);
+  std::partial_sort(first, all.begin() + std::ptrdiff_t(named), all.end(),
+                    byService);
   if (named < all.size()) {
     AccountLoad others;
     others.Name = OtherAccounts;
--- a/src/masticwinch/coordination/workflow/workflow_leader_accounts.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_accounts.cpp
@@ -1,7 +1,6 @@
 #include "masticwinch/coordination/workflow/workflow_leader.hpp"
 
 #include <algorithm>
-#include <deque>
 #include <string_view>
 #include <utility>
 
@@ -11,26 +10,37 @@
 
 /// Whether an account has waiting work in a group, and how it ranks there.
 struct AccountStanding {
-  ShareGroup Group;
+  ShareGroup Group = {};
   std::uint32_t AboveShare = 0;
 };
 
 /// The groups of one account's waiting work in a pool. Few, so that a search
-/// from the front is faster than an index; their addresses stay valid.
+/// from the front is faster than an index.
 struct AccountStandings {
   std::uint64_t WeightPermille = 1000;
   std::uint32_t Priority = 0;
-  std::deque<AccountStanding> Groups;
+  std::vector<AccountStanding> Groups;
 
-  const AccountStanding *in(const ShareGroup &group) {
+  /// Position of the group, which is added if it is new.
+  std::size_t positionOf(const ShareGroup &group) {
     const auto it = std::find_if(
         Groups.begin(), Groups.end(),
         [&](const AccountStanding &known) { return known.Group == group; });
-    return it == Groups.end() ? &Groups.emplace_back(AccountStanding{group})
-                              : &*it;
+    if (it != Groups.end()) {
+      return std::size_t(it - Groups.begin());
+    }
+    Groups.push_back({group});
+    return Groups.size() - 1;
   }
 };
 
+/// A step to rank, its account, and the position of its group there.
+struct Competitor {
+  StepRank *Rank;
+  const AccountStandings *Account;
+  std::size_t Position;
+};
+
 /// By account; the names refer to the replicated state.
 using PoolDemand = std::unordered_map<std::string_view, AccountStandings>;
 
@@ -90,11 +100,16 @@
     }
     return it->second;
   };
-  std::vector<std::pair<StepRank *, const AccountStanding *>> competitors;
+  std::vector<Competitor> competitors;
+  // The ranked steps are in the order of their keys still.
+  auto open = OpenSteps.begin();
   for (std::size_t i = 0; i < ranked.size() && !shortPools.empty(); ++i) {
     StepRank &rank = ranked[i].Rank;
-    const Workflow *workflow = State.find(ranked[i].Key->Workflow);
-    PoolDemand *demand = workflow ? demandOf(workflow->Spec.queue()) : nullptr;
+    while (&open->first != ranked[i].Key) {
+      ++open;
+    }
+    const Workflow *workflow = open->second.Parent;
+    PoolDemand *demand = demandOf(workflow->Spec.queue());
     if (!demand) {
       continue;
     }
@@ -107,8 +122,9 @@
       }
     }
     rank.AccountPriority = account.Priority;
-    competitors.emplace_back(
-        &rank, account.in({rank.Forecast, rank.Priority, account.Priority}));
+    competitors.push_back(
+        {&rank, &account,
+         account.positionOf({rank.Forecast, rank.Priority, account.Priority})});
   }
   for (const auto &[pool, use] : uses) {
     std::vector<AccountDemand> listed;
@@ -125,8 +141,8 @@
       }
     }
   }
-  for (const auto &[rank, standing] : competitors) {
-    rank->AboveShare = standing->AboveShare;
+  for (const Competitor &it : competitors) {
+    it.Rank->AboveShare = it.Account->Groups[it.Position].AboveShare;
   }
 }
 
@@ -185,6 +201,8 @@
 
 std::vector<AccountLoad> WorkflowLeader::accountLoads(SteadyTime now) const {
   std::vector<AccountLoad> loads;
+  // Entries keep their addresses, which their runs refer to.
+  loads.reserve(AccountTally::MaxAccounts);
   std::unordered_map<std::string_view, std::size_t> positions;
   const auto loadOf = [&](const std::string &name) -> AccountLoad * {
     const auto known = positions.find(name);
@@ -222,9 +240,15 @@
   std::set<std::string_view> pools;
   for (const auto &[id, runner] : Registry.runners()) {
     pools.insert(runner.Info.pool());
+    const std::string *last = nullptr;
+    AccountLoad *load = nullptr;
     for (const auto &[run, trackedRun] : runner.Runs) {
-      const Workflow *workflow = State.find(run.Task.Step.Workflow);
-      if (AccountLoad *load = workflow ? loadOf(workflow->Account) : nullptr) {
+      if (!last || *last != run.Task.Step.Workflow) {
+        last = &run.Task.Step.Workflow;
+        const Workflow *workflow = State.find(*last);
+        load = workflow ? loadOf(workflow->Account) : nullptr;
+      }
+      if (load) {
         ++load->RunningTasks;
         load->Running += trackedRun.Needs;
       }
