--- a/src/masticwinch/coordination/workflow/workflow_event.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_event.hpp
@@ -48,6 +48,7 @@
   QueueLoad,
   SizeLoad,
   CallsUnauthenticated,
+  AccountLoad,
   ConfigurationStored,
   ConfigurationOutdated,
   Deposed,
@@ -60,7 +61,8 @@
          kind == WorkflowEventKind::PoolLoad ||
          kind == WorkflowEventKind::QueueLoad ||
          kind == WorkflowEventKind::SizeLoad ||
-         kind == WorkflowEventKind::CallsUnauthenticated;
+         kind == WorkflowEventKind::CallsUnauthenticated ||
+         kind == WorkflowEventKind::AccountLoad;
 }
 
 /// An entry of the event log: what it concerns and what the decision was based
@@ -114,6 +116,7 @@
       EnumName<Kind>{Kind::QueueLoad, "queue_load"},
       EnumName<Kind>{Kind::SizeLoad, "size_load"},
       EnumName<Kind>{Kind::CallsUnauthenticated, "calls_unauthenticated"},
+      EnumName<Kind>{Kind::AccountLoad, "account_load"},
       EnumName<Kind>{Kind::ConfigurationStored, "configuration_stored"},
       EnumName<Kind>{Kind::ConfigurationOutdated, "configuration_outdated"},
       EnumName<Kind>{Kind::Deposed, "leader_deposed"}};
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -307,6 +307,7 @@
                    {"queue", spec.queue()},
                    {"waited_ms", std::to_string(CallDelay.count())},
                    {"retry_after_ms", std::to_string(after->count())}});
+    countRefused(account, AccountRefusal::WaitedTooLong);
     protocol::WorkflowAnswer refused =
         answerOf(protocol::VERDICT_REFUSED, "waited too long");
     refused.set_retry_after_ms(static_cast<std::uint32_t>(after->count()));
@@ -319,6 +320,7 @@
                    {"reason", "nothing can be stored"},
                    {"queue", spec.queue()},
                    {"log", LogRefusal}});
+    countRefused(account, AccountRefusal::NotStorable);
     protocol::WorkflowAnswer refused =
         answerOf(protocol::VERDICT_REFUSED, "nothing can be stored");
     refused.set_retry_after_ms(
@@ -335,6 +337,9 @@
                    {"reason", reason},
                    {"queue", spec.queue()},
                    {"runners", std::to_string(Registry.runners().size())}});
+    countRefused(account, fit == PoolFit::OverAccountLimit
+                              ? AccountRefusal::WiderThanLimit
+                              : AccountRefusal::DoesNotFit);
     answer(answerOf(protocol::VERDICT_REFUSED, reason));
     return;
   }
@@ -352,6 +357,7 @@
                    {"steps_waiting", std::to_string(OpenSteps.size())},
                    {"retry_after_ms", std::to_string(late->RetryAfter.count())},
                    {"turn", late->Turn}});
+    countRefused(account, AccountRefusal::WouldEndLate);
     protocol::WorkflowAnswer refused =
         answerOf(protocol::VERDICT_REFUSED, "would end late");
     refused.set_retry_after_ms(
@@ -369,6 +375,7 @@
                  {"queue", spec.queue()},
                  {"tasks", std::to_string(taskCount(spec))},
                  {"core_ms", std::to_string(estimatedWork(spec))}});
+  countAccepted(account);
   propose(std::move(accepted));
 }
 
