Offer submissions without their payload while most are refused

Cause: the links of the entry VMs are saturated in a surge by the payloads of submissions that are refused (2.4 kB each, four attempts). Change: an entry VM at least half of whose answers of the last second (8 at least) refused sends a submission without its payload. The leader evaluates it like a submission, stores nothing, and asks for the whole one if it would be accepted; room is held for that for 2 s.

--- a/src/masticwinch/coordination/workflow/call_copies.hpp
+++ b/src/masticwinch/coordination/workflow/call_copies.hpp
@@ -33,10 +33,14 @@
            (answeredHello > Hello && now - SentAt >= resendAfter);
   }
 
+  /// Records that a copy was answered and has no effect. None becomes due.
+  void hadNoEffect() { Unanswered -= Unanswered > 0 ? 1 : 0; }
+
   /// Records that a copy was answered and has no effect, because its receiver
-  /// doesn't lead. If it was the latest one, another is due at once.
+  /// doesn't lead or asks for another copy. If it was the latest one, another
+  /// is due at once.
   void notHandled(const std::string &receiver) {
-    Unanswered -= Unanswered > 0 ? 1 : 0;
+    hadNoEffect();
     if (receiver == Leader) {
       Leader.clear();
     }
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -5,6 +5,7 @@
 #include "masticwinch/coordination/workflow/pool_fit.hpp"
 #include "masticwinch/coordination/workflow/queue_routes.hpp"
 #include "masticwinch/coordination/workflow/record_limits.hpp"
+#include "masticwinch/coordination/workflow/spare_processors.hpp"
 
 #include <algorithm>
 
@@ -28,6 +29,12 @@
   return count;
 }
 
+OfferedSubmission offeredOf(const protocol::WorkflowSpec &spec,
+                            const protocol::QueueConfig &queue) {
+  return {spec.id(),           queue.pool(),          queue.priority(),
+          estimatedWork(spec), firstProcessors(spec), false};
+}
+
 protocol::RouteTerms termsOf(const protocol::QueueConfig &queue) {
   protocol::RouteTerms terms;
   terms.set_host(queue.host());
@@ -287,6 +294,8 @@
     input.WorkAhead =
         saturatingAdd(Waiting.aheadOf(queue.priority()),
                       Overdue.workWithin(queue.pool(), input.Slack));
+    input.WorkAhead =
+        saturatingAdd(input.WorkAhead, Offered.workAhead(queue.priority()));
   }
   input.OverdueDrain = Overdue.drainTime(
       queue.pool(), queueId(queue), ServiceRate.perSecond(queueId(queue), now));
@@ -294,12 +303,13 @@
   return input;
 }
 
-/// Returns nothing if a submission is let in: at its turn, or if there is room
-/// behind the accepted work and the turns before it.
+/// Returns nothing if a submission is let in: at its turn, after an offer for
+/// which room was held, or if there is room behind the accepted work and the
+/// turns before it.
 std::optional<WorkflowLeader::LateRefusal>
 WorkflowLeader::judge(const protocol::WorkflowSpec &spec,
                       const protocol::QueueConfig &queue, Milliseconds timeout,
-                      Moment at) {
+                      bool offered, Moment at) {
   if (spec.repeats() > 0) {
     return std::nullopt;
   }
@@ -311,7 +321,8 @@
   }
   Refused.expire(at.Now);
   const TurnRequest request{spec.id(), queue.priority(), estimatedWork(spec)};
-  if (const auto left = Refused.untilTurn(request, at.Now)) {
+  if (const auto left = offered ? std::optional(Milliseconds(0))
+                                : Refused.untilTurn(request, at.Now)) {
     if (left->count() > 0) {
       return LateRefusal{*left, "kept"};
     }
@@ -360,7 +371,8 @@
     answer(answerOf(protocol::VERDICT_INVALID, *problem));
     return;
   }
-  if (const auto problem = changeSizeError(accepted.ByteSizeLong())) {
+  const std::size_t leftOut = call.offer() ? call.payload_bytes() : 0;
+  if (const auto problem = changeSizeError(accepted.ByteSizeLong() + leftOut)) {
     answer(answerOf(protocol::VERDICT_INVALID, *problem));
     return;
   }
@@ -412,8 +424,10 @@
     answer(answerOf(protocol::VERDICT_REFUSED, reason));
     return;
   }
-  if (const auto late =
-          judge(spec, *route.Queue, Milliseconds(call.timeout_ms()), at)) {
+  const bool offered = Offered.take(spec.id(), route.Queue->priority(),
+                                    estimatedWork(spec), at.Now);
+  if (const auto late = judge(spec, *route.Queue,
+                              Milliseconds(call.timeout_ms()), offered, at)) {
     Tally.refused(spec.queue());
     const SizeClass size = Sizes.rank(spec.queue(), estimatedWork(spec));
     countOutcome({spec.queue(), size, OutcomeKind::Refused});
@@ -433,6 +447,13 @@
     answer(refused);
     return;
   }
+  if (call.offer()) {
+    if (spec.repeats() == 0) {
+      Offered.add(offeredOf(spec, *route.Queue), at.Now);
+    }
+    answer(answerOf(protocol::VERDICT_SEND_WHOLE));
+    return;
+  }
   accepted.mutable_accept()->set_at_unix_ms(at.UnixMs);
   accepted.mutable_accept()->set_max_attempts(route.Queue->max_attempts());
   PendingSubmissions[spec.id()].push_back(std::move(answer));
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -7,6 +7,7 @@
 #include "masticwinch/coordination/workflow/gang_claims.hpp"
 #include "masticwinch/coordination/workflow/gang_forecast.hpp"
 #include "masticwinch/coordination/workflow/gathering.hpp"
+#include "masticwinch/coordination/workflow/offered_submissions.hpp"
 #include "masticwinch/coordination/workflow/outcome_totals.hpp"
 #include "masticwinch/coordination/workflow/overdue_share.hpp"
 #include "masticwinch/coordination/workflow/queue_routes.hpp"
@@ -235,7 +236,8 @@
   };
   std::optional<LateRefusal> judge(const protocol::WorkflowSpec &spec,
                                    const protocol::QueueConfig &queue,
-                                   Milliseconds timeout, Moment at);
+                                   Milliseconds timeout, bool offered,
+                                   Moment at);
   AdmissionInput admissionInput(const protocol::WorkflowSpec &spec,
                                 const protocol::QueueConfig &queue,
                                 SteadyTime now) const;
@@ -464,6 +466,7 @@
   SteadyTime NextOutcomeReport{};
   QueueServiceRate ServiceRate;
   RefusedSubmissions Refused;
+  OfferedSubmissions Offered;
   /// Without the steps that can't complete in time.
   WaitingWork Waiting;
   /// Mean processors of a task of the waiting gangs, in thousandths of a core;
--- a/src/masticwinch/workflow/entry_gateway.cpp
+++ b/src/masticwinch/workflow/entry_gateway.cpp
@@ -22,7 +22,8 @@
       // After a restart, the numbers must differ from those of earlier calls,
       // which a leader may still answer.
       NextCall(static_cast<std::uint64_t>(
-          clock.systemNow().time_since_epoch().count())) {}
+          clock.systemNow().time_since_epoch().count())),
+      Offers(Options.Offers) {}
 
 void EntryGateway::start() {
   sendHello();
@@ -118,7 +119,8 @@
           .try_emplace(number,
                        PendingCall{std::move(call), bytes, std::move(done),
                                    Time.now() + wait, Time.now() + timeout,
-                                   CallCopies(), asio::steady_timer(Context)})
+                                   CallCopies(), false, std::string(),
+                                   asio::steady_timer(Context)})
           .first->second;
   expireAfter(pending, wait);
   if (!Leader.empty()) {
@@ -144,10 +146,30 @@
   call.Call.set_timeout_ms(
       static_cast<std::uint32_t>(std::max(left, Milliseconds(1)).count()));
   *envelope.mutable_workflow_call() = call.Call;
+  call.Offered = TakesOffers && call.WantedBy != Leader &&
+                 Offers.applies(call.Call, Time.now());
+  if (call.Offered) {
+    removePayload(*envelope.mutable_workflow_call());
+  }
   call.Copies.sent(Leader, HelloSequence, Time.now());
   Outbox.send(Leader, std::move(envelope));
 }
 
+/// Sends the whole submission to the leader that has asked for it. The request
+/// is ignored if it answers an earlier copy: the whole submission is on its way
+/// already, or another leader has been found and decides anew.
+void EntryGateway::sendWhole(PendingCall &call, const std::string &sender) {
+  if (!call.Offered || !call.Copies.isLatestAt(sender)) {
+    call.Copies.hadNoEffect();
+    return;
+  }
+  call.Copies.notHandled(sender);
+  call.WantedBy = sender;
+  if (sender == Leader) {
+    send(call);
+  }
+}
+
 void EntryGateway::endOverdue() {
   std::vector<std::uint64_t> expired;
   for (const auto &[number, it] : Calls) {
@@ -176,6 +198,9 @@
   const auto call = Calls.extract(number);
   if (!call.empty()) {
     CallBytes -= call.mapped().Bytes;
+    if (outcome == CallOutcome::Answered && call.mapped().Call.has_submit()) {
+      Offers.answered(answer.verdict(), Time.now());
+    }
     call.mapped().Done(outcome, answer);
   }
 }
@@ -199,6 +224,13 @@
     return;
   }
   CallCopies &copies = it->second.Copies;
+  if (handled && it->second.Offered && copies.isLatestAt(sender)) {
+    AnsweredOffers[offerOutcomeOf(answer.verdict())] += 1;
+  }
+  if (answer.verdict() == protocol::VERDICT_SEND_WHOLE) {
+    sendWhole(it->second, sender);
+    return;
+  }
   const bool refused = answer.verdict() == protocol::VERDICT_REFUSED;
   if (handled && (!refused || copies.isLatestAt(sender))) {
     finish(answer.call(), CallOutcome::Answered, answer);
@@ -227,6 +259,7 @@
   }
   LastWelcome = Time.now();
   Terms.learn(welcome);
+  TakesOffers = welcome.takes_offers();
   // A number above the latest one answers an earlier process at this address.
   AnsweredHello = welcome.sequence() <= HelloSequence ? welcome.sequence() : 0;
   if (sender != Leader) {
--- a/src/masticwinch/workflow/entry_gateway.hpp
+++ b/src/masticwinch/workflow/entry_gateway.hpp
@@ -4,6 +4,7 @@
 #include "masticwinch/coordination/workflow/call_copies.hpp"
 #include "masticwinch/coordination/workflow/entry_terms.hpp"
 #include "masticwinch/coordination/workflow/leader_delay.hpp"
+#include "masticwinch/coordination/workflow/offer_policy.hpp"
 #include "masticwinch/protocol/envelope.pb.h"
 
 #include <asio/io_context.hpp>
@@ -53,6 +54,8 @@
   /// ones are refused at once.
   std::size_t MaxCalls = 2048;
   std::size_t MaxCallBytes = 16 * 1024 * 1024;
+  /// When submissions are sent as offers first.
+  OfferPolicyOptions Offers = {};
 };
 
 /// How a call to the leader ended.
@@ -108,6 +111,12 @@
     return Leader.empty() ? Milliseconds(0) : Delay.estimate(Time.now());
   }
 
+  /// Number of offers that the leader has answered like this.
+  std::uint64_t answeredOffers(OfferOutcome outcome) const {
+    const auto it = AnsweredOffers.find(outcome);
+    return it == AnsweredOffers.end() ? 0 : it->second;
+  }
+
   /// What is known of the leader's configuration.
   const EntryTerms &terms() const { return Terms; }
 
@@ -125,6 +134,11 @@
     /// Until when the caller waits, which may be longer.
     SteadyTime CallerDeadline;
     CallCopies Copies;
+    /// Whether the latest copy was an offer.
+    bool Offered = false;
+    /// The leader that has asked for the whole submission; it gets no further
+    /// offer of it.
+    std::string WantedBy;
     /// Ends the call at its deadline, which may be before the next tick.
     asio::steady_timer Expiry;
   };
@@ -139,6 +153,7 @@
   void sendDue();
   void expireAfter(PendingCall &call, Milliseconds wait);
   void send(PendingCall &call);
+  void sendWhole(PendingCall &call, const std::string &sender);
   void finish(std::uint64_t number, CallOutcome outcome,
               const protocol::WorkflowAnswer &answer);
   void handleAnswer(const std::string &sender,
@@ -167,6 +182,11 @@
   /// Size of all of `Calls`.
   std::size_t CallBytes = 0;
   LeaderDelay Delay;
+  OfferPolicy Offers;
+  /// Whether the leader answers offers; others would accept a submission
+  /// without its payload.
+  bool TakesOffers = false;
+  std::map<OfferOutcome, std::uint64_t> AnsweredOffers;
 };
 
 } // namespace masticwinch::workflow
--- a/src/masticwinch/workflow/entry_vm_daemon.hpp
+++ b/src/masticwinch/workflow/entry_vm_daemon.hpp
@@ -136,6 +136,15 @@
         [this] {
           return std::chrono::duration<double>(Gateway.leaderDelay()).count();
         });
+    for (const EnumName<OfferOutcome> &it : EnumNames<OfferOutcome>::Table) {
+      Metrics.observedCounter(
+          {"masticwinch_entry_offers_total",
+           "Submissions offered without their payload, by the leader's answer.",
+           {{"outcome", std::string(it.Name)}}},
+          [this, outcome = it.Value] {
+            return double(Gateway.answeredOffers(outcome));
+          });
+    }
     Metrics.observedGauge(
         {"masticwinch_entry_configuration_version",
          "Newest version of the configuration that a leader has stated."},
--- a/src/masticwinch/workflow/workflow_driver.hpp
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -218,6 +218,7 @@
     welcome->set_leader_hint(Commands.leaderAddress());
     if (leads()) {
       welcome->set_config_version(State.config().version());
+      welcome->set_takes_offers(State.accounts().areDeclared());
       if (State.config().has_limits()) {
         *welcome->mutable_limits() = State.config().limits();
       }
