Admit submissions by the rates of their accounts

Cause: a few accounts that send several times their usual rate take the capacity of all others. Change: the leader charges each submission to a token bucket of its account. One beyond the rate is accepted only if it is expected to start at once behind all waiting work, ranks behind the work within the rates that still has value, and takes no turns. The model of the leader gets accounts.

--- a/benchmarks/model_workload.hpp
+++ b/benchmarks/model_workload.hpp
@@ -2,6 +2,7 @@
 
 #include "masticwinch/coordination/workflow/workflow_leader.hpp"
 
+#include "benchmarks/account_load.hpp"
 #include <algorithm>
 #include <cstdint>
 #include <string>
@@ -42,6 +43,7 @@
 
 struct ModelOptions {
   std::vector<ModelQueue> Queues;
+  AccountLoad Accounts;
   std::size_t Runners = 48;
   std::size_t Agents = 11;
   double CoresPerRunner = 32;
@@ -66,6 +68,7 @@
 struct ModelServed {
   std::uint64_t Work = 0;
   bool Served = false;
+  std::size_t Account = 0;
 };
 
 /// Share served of the submissions between two ranks of size; 0 is the rank of
--- a/benchmarks/workflow_model.hpp
+++ b/benchmarks/workflow_model.hpp
@@ -21,7 +21,7 @@
 public:
   explicit WorkflowModel(ModelOptions options)
       : Options(std::move(options)), ArrivalEngine(Options.Seed),
-        RunTimeEngine(Options.Seed) {
+        RunTimeEngine(Options.Seed), AccountEngine(Options.Seed) {
     configure();
     addRunners();
     Leader =
@@ -67,7 +67,7 @@
     std::vector<ModelServed> found;
     for (const auto &[id, it] : Submitted) {
       if (Options.Queues[it.Queue].Name == queue) {
-        found.push_back({it.Work, it.Served});
+        found.push_back({it.Work, it.Served, it.Account});
       }
     }
     return found;
@@ -117,6 +117,7 @@
   };
   struct Submission {
     std::size_t Queue = 0;
+    std::size_t Account = 0;
     SteadyTime At{};
     double ObjectiveMs = 0;
     std::uint64_t Work = 0;
@@ -281,6 +282,7 @@
       }
       Outcomes[it.Name];
     }
+    Options.Accounts.configure(*config);
     State.apply(change);
   }
 
@@ -319,8 +321,9 @@
       return;
     }
     const bool burst = second >= queue.BurstBegin && second < queue.BurstEnd;
-    std::exponential_distribution<double> gap(queue.PerSecond *
-                                              (burst ? queue.BurstFactor : 1));
+    std::exponential_distribution<double> gap(
+        queue.PerSecond * (burst ? queue.BurstFactor : 1) *
+        Options.Accounts.factorAt(second));
     schedule(duration(gap(ArrivalEngine)), [this, i] { arrive(i); });
     submit(i);
   }
@@ -371,6 +374,10 @@
     }
     Submission &submission = Submitted[id];
     submission.Queue = i;
+    submission.Account = Options.Accounts.draw(
+        std::chrono::duration<double>(Now - Start - WarmUpTime).count(),
+        AccountEngine);
+    call.set_api_key(AccountLoad::keyOf(submission.Account));
     submission.At = Now;
     submission.Work = work;
     submission.ObjectiveMs = queue.Stretch * criticalPathMs + queue.TargetMs;
@@ -613,6 +620,7 @@
   /// the same under every policy.
   std::mt19937_64 ArrivalEngine;
   std::mt19937_64 RunTimeEngine;
+  std::mt19937_64 AccountEngine;
   SteadyTime Start{std::chrono::seconds(1000)};
   SteadyTime Now = Start;
   std::multimap<SteadyTime, std::function<void()>> Events;
--- a/src/masticwinch/coordination/workflow/step_ranking.hpp
+++ b/src/masticwinch/coordination/workflow/step_ranking.hpp
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace masticwinch::workflow {
 
@@ -32,18 +33,33 @@
   /// Stretch times the critical path, plus the latency target.
   Milliseconds Objective{0};
   std::uint32_t Priority = 0;
+  /// Whether the workflow was beyond the rate of its account when submitted.
+  bool Excess = false;
 };
 
 /// Rank of a waiting step; the smallest is scheduled first. Steps that can
 /// still be on time come before late ones, so that under overload work that has
-/// missed its objective doesn't make other work miss its objective too.
+/// missed its objective doesn't make other work miss its objective too. Those
+/// of workflows beyond the rate of their account come after all others that
+/// still have value.
 struct StepRank {
   CompletionForecast Forecast = CompletionForecast::OnTime;
   std::uint32_t Priority = 0;
   /// Time until the step has to start to be on time; negative if it is late.
   Milliseconds Slack{0};
+  bool Excess = false;
 
-  auto operator<=>(const StepRank &) const = default;
+  bool operator==(const StepRank &) const = default;
+  auto operator<=>(const StepRank &other) const {
+    return key() <=> other.key();
+  }
+
+private:
+  std::tuple<bool, CompletionForecast, std::uint32_t, Milliseconds, bool>
+  key() const {
+    return {Excess || Forecast == CompletionForecast::Missed, Forecast,
+            Priority, Slack, Excess};
+  }
 };
 
 /// A workflow that completes after more than this multiple of its objective has
@@ -60,6 +76,7 @@
   const Milliseconds end = since + remaining;
   StepRank rank;
   rank.Priority = terms.Priority;
+  rank.Excess = terms.Excess;
   if (end <= terms.Objective) {
     rank.Forecast = CompletionForecast::OnTime;
   } else if (end <= LateFactor * terms.Objective) {
@@ -69,7 +86,7 @@
   }
   rank.Slack = terms.Objective - end;
   if (policy == RankingPolicy::FirstComeFirstServed) {
-    return {CompletionForecast::OnTime, 0, -since};
+    return {CompletionForecast::OnTime, 0, -since, false};
   }
   if (policy == RankingPolicy::Priority) {
     rank.Forecast = CompletionForecast::OnTime;
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -30,9 +30,9 @@
 }
 
 OfferedSubmission offeredOf(const protocol::WorkflowSpec &spec,
-                            const protocol::QueueConfig &queue) {
+                            const protocol::QueueConfig &queue, bool excess) {
   return {spec.id(),           queue.pool(),          queue.priority(),
-          estimatedWork(spec), firstProcessors(spec), false};
+          estimatedWork(spec), firstProcessors(spec), excess};
 }
 
 protocol::RouteTerms termsOf(const protocol::QueueConfig &queue) {
@@ -117,6 +117,7 @@
                                 : 0;
   info.Ranking.Accepted = at.Now - Milliseconds(age);
   info.Ranking.Priority = queue.priority();
+  info.Ranking.Excess = ExcessWorkflows.contains(id);
   info.Ranking.Objective =
       objectiveOf(longestCriticalPath(info.CriticalPaths), queue);
   if (workflow.Spec.repeats() > 0) {
@@ -426,14 +427,20 @@
   }
   const bool offered = Offered.take(spec.id(), route.Queue->priority(),
                                     estimatedWork(spec), at.Now);
-  if (const auto late = judge(spec, *route.Queue,
-                              Milliseconds(call.timeout_ms()), offered, at)) {
+  const protocol::ClientAccount *account = accountOf(call);
+  const bool excess = isExcess(account, spec, at.Now);
+  if (const auto late =
+          excess ? judgeExcess(*account, spec, *route.Queue, at.Now)
+                 : judge(spec, *route.Queue, Milliseconds(call.timeout_ms()),
+                         offered, at)) {
+    const std::string reason =
+        excess ? "over the account's rate" : "would end late";
     Tally.refused(spec.queue());
     const SizeClass size = Sizes.rank(spec.queue(), estimatedWork(spec));
     countOutcome({spec.queue(), size, OutcomeKind::Refused});
     logEvent(WorkflowEventKind::WorkflowRefused,
              {{"workflow", spec.id()},
-              {"reason", "would end late"},
+              {"reason", reason},
               {"size", std::string(nameOf(size))},
               {"queue", spec.queue()},
               {"configuration", std::to_string(State.config().version())},
@@ -441,7 +448,7 @@
               {"retry_after_ms", std::to_string(late->RetryAfter.count())},
               {"turn", late->Turn}});
     protocol::WorkflowAnswer refused =
-        answerOf(protocol::VERDICT_REFUSED, "would end late");
+        answerOf(protocol::VERDICT_REFUSED, reason);
     refused.set_retry_after_ms(
         static_cast<std::uint32_t>(late->RetryAfter.count()));
     answer(refused);
@@ -449,7 +456,7 @@
   }
   if (call.offer()) {
     if (spec.repeats() == 0) {
-      Offered.add(offeredOf(spec, *route.Queue), at.Now);
+      Offered.add(offeredOf(spec, *route.Queue, excess), at.Now);
     }
     answer(answerOf(protocol::VERDICT_SEND_WHOLE));
     return;
@@ -457,7 +464,7 @@
   accepted.mutable_accept()->set_at_unix_ms(at.UnixMs);
   accepted.mutable_accept()->set_max_attempts(route.Queue->max_attempts());
   PendingSubmissions[spec.id()].push_back(std::move(answer));
-  Waiting.letIn(spec, route.Queue->priority());
+  letIn(spec, *route.Queue, excess);
   Tally.accepted(spec.queue());
   logEvent(WorkflowEventKind::WorkflowAccepted,
            {{"workflow", spec.id()},
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "masticwinch/coordination/workflow/account_rates.hpp"
 #include "masticwinch/coordination/workflow/admission.hpp"
 #include "masticwinch/coordination/workflow/advice_tracker.hpp"
 #include "masticwinch/coordination/workflow/call_delay.hpp"
@@ -18,6 +19,7 @@
 #include "masticwinch/coordination/workflow/runner_health.hpp"
 #include "masticwinch/coordination/workflow/runner_registry.hpp"
 #include "masticwinch/coordination/workflow/size_ranks.hpp"
+#include "masticwinch/coordination/workflow/spare_processors.hpp"
 #include "masticwinch/coordination/workflow/step_planner.hpp"
 #include "masticwinch/coordination/workflow/step_ranking.hpp"
 #include "masticwinch/coordination/workflow/waiting_work.hpp"
@@ -304,6 +306,25 @@
   void assign(const StepKey &key, OpenStep &open, const PlannedRun &planned,
               std::uint32_t run, const std::string &checkpoint, Moment at);
 
+  // workflow_leader_rates.cpp
+  const protocol::ClientAccount *
+  accountOf(const protocol::WorkflowCall &call) const;
+  bool isExcess(const protocol::ClientAccount *account,
+                const protocol::WorkflowSpec &spec, SteadyTime now);
+  bool startsAtOnce(const protocol::WorkflowSpec &spec,
+                    const protocol::QueueConfig &queue, SteadyTime now) const;
+  std::optional<LateRefusal> judgeExcess(const protocol::ClientAccount &account,
+                                         const protocol::WorkflowSpec &spec,
+                                         const protocol::QueueConfig &queue,
+                                         SteadyTime now);
+  void letIn(const protocol::WorkflowSpec &spec,
+             const protocol::QueueConfig &queue, bool excess);
+  void countDemand(const StepRank &rank, const OpenStep &open,
+                   const protocol::StepSpec &spec, std::size_t tasks);
+  void startedDemand(const StepRank &rank, const std::string &pool,
+                     const protocol::StepSpec &spec, std::size_t tasks);
+  void countSpare(const Fleet &fleet);
+
   // workflow_leader_overdue.cpp
   std::vector<RankedStep> takeOverdue(std::vector<RankedStep> &late, Moment at);
   bool isOverdue(const StepKey &key, const OpenStep &open, Moment at) const;
@@ -467,6 +488,11 @@
   QueueServiceRate ServiceRate;
   RefusedSubmissions Refused;
   OfferedSubmissions Offered;
+  AccountRates Rates;
+  /// Accepted workflows beyond the rate of their account that have not ended.
+  /// Lost with the leadership: the next leader takes them as within the rate.
+  std::unordered_set<std::string> ExcessWorkflows;
+  SpareProcessors Spare;
   /// Without the steps that can't complete in time.
   WaitingWork Waiting;
   /// Mean processors of a task of the waiting gangs, in thousandths of a core;
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -103,6 +103,7 @@
     registerWorkflow(*workflow, at);
   }
   Waiting.stored(id);
+  Spare.stored(id);
   const auto waiting = PendingSubmissions.extract(id);
   if (waiting.empty()) {
     return;
@@ -163,6 +164,7 @@
   }
   reportOutcome(*workflow, at);
   Recurring.erase(id);
+  ExcessWorkflows.erase(id);
   ConfirmedRunning.erase(id);
   closeSteps(id);
   Scheduling.erase(id);
--- a/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_schedule.cpp
@@ -45,6 +45,7 @@
 WorkflowLeader::rankedSteps(const Fleet &fleet, Moment at) {
   std::vector<RankedStep> ranked;
   Waiting.beginCount(Containment.queuesOnProbation(at.Now));
+  Spare.beginCount();
   std::map<std::string, OverdueShare::Backlogs> overdueWork;
   std::int64_t gangTasks = 0;
   std::int64_t gangProcessors = 0;
@@ -69,6 +70,7 @@
     if (countsAsWaiting(rank, queue, spec.gang())) {
       Waiting.addStep(queue, rank.Priority, spec.gang(), work);
     }
+    countDemand(rank, open, spec, tasks);
     ranked.push_back({rank, &key, std::nullopt});
     if (isOverdue(key, open, at)) {
       ranked.back().Overdue = OverdueRank();
@@ -90,12 +92,12 @@
   return tryable(std::move(ranked), at);
 }
 
-/// Whether the step counts as work ahead of a submission. Late steps rank
-/// behind one but hold some of the room that it needs.
+/// Whether the step counts as work ahead of a submission within its account's
+/// rate. Late steps rank behind one but hold some of the room that it needs.
 bool WorkflowLeader::countsAsWaiting(const StepRank &rank,
                                      const std::string &queue,
                                      bool gang) const {
-  return rank.Forecast != CompletionForecast::Missed ||
+  return (rank.Forecast != CompletionForecast::Missed && !rank.Excess) ||
          Waiting.isOnProbation(queue, gang);
 }
 
@@ -268,6 +270,7 @@
   for (const RankedStep &it : ranked) {
     scheduleStep(it, fleet, at);
   }
+  countSpare(fleet);
   logEndedClaims(at.Now);
   reportWaits(fleet, ranked, at);
   for (AdviceCall &it : Advice.takeCalls()) {
@@ -435,6 +438,7 @@
     Waiting.removeStarted(queueName, ranked.Rank.Priority, spec.gang(),
                           saturatingMultiply(planned.size(), taskWork(spec)));
   }
+  startedDemand(ranked.Rank, pool->first, spec, planned.size());
   if (!planned.empty() && isDrainedFor(key)) {
     endDrain(pool->first, DrainEnd::Started, at.Now);
   }
