--- a/src/masticwinch/coordination/workflow/account_limits.cpp
+++ b/src/masticwinch/coordination/workflow/account_limits.cpp
@@ -17,7 +17,7 @@
 /// Calls `handle` with the cap, the use and the need of each limited resource.
 template <class Handler>
 void forEachLimit(const protocol::Amounts &cap, const ResourceAmounts &used,
-                  const ResourceAmounts &needs, Handler handle) {
+                  const ResourceAmounts &needs, const Handler &handle) {
   const ResourceAmounts limits = amountsOf(cap);
   const auto check = [&](std::int64_t limit, std::int64_t use,
                          std::int64_t need) {
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -21,6 +21,11 @@
   return count;
 }
 
+OfferedSubmission offeredOf(const protocol::WorkflowSpec &spec,
+                            const protocol::QueueConfig &queue) {
+  return {spec.id(), queue.priority(), estimatedWork(spec)};
+}
+
 protocol::RouteTerms termsOf(const protocol::CellConfig &config,
                              const protocol::QueueConfig &queue) {
   protocol::RouteTerms terms;
@@ -204,6 +209,8 @@
     input.WorkAhead =
         saturatingAdd(Waiting.aheadOf(queue.priority()),
                       Overdue.workWithin(queue.pool(), input.Slack));
+    input.WorkAhead =
+        saturatingAdd(input.WorkAhead, Offered.workAhead(queue.priority()));
   }
   input.OverdueDrain = Overdue.drainTime(
       queue.pool(), queueId(queue), ServiceRate.perSecond(queueId(queue), now));
@@ -211,11 +218,12 @@
   return input;
 }
 
-/// Returns nothing if a submission is let in: at its turn, or if there is room
-/// behind the accepted work and the turns before it.
+/// Returns nothing if a submission is let in: at its turn, after an offer for
+/// which room was held, or if there is room behind the accepted work and the
+/// turns before it.
 std::optional<WorkflowLeader::LateRefusal> WorkflowLeader::judge(
     const protocol::WorkflowSpec &spec, const protocol::QueueConfig &queue,
-    const std::string &account, Milliseconds timeout, Moment at) {
+    const std::string &account, Milliseconds timeout, bool offered, Moment at) {
   if (spec.repeats() > 0) {
     return std::nullopt;
   }
@@ -231,7 +239,8 @@
   }
   Refused.expire(at.Now);
   const TurnRequest request{spec.id(), queue.priority(), estimatedWork(spec)};
-  if (const auto left = Refused.untilTurn(request, at.Now)) {
+  if (const auto left = offered ? std::optional(Milliseconds(0))
+                                : Refused.untilTurn(request, at.Now)) {
     if (left->count() > 0) {
       return LateRefusal{*left, "kept"};
     }
@@ -281,7 +290,8 @@
     answer(answerOf(protocol::VERDICT_INVALID, *problem));
     return;
   }
-  if (const auto problem = changeSizeError(accepted.ByteSizeLong())) {
+  const std::size_t leftOut = call.offer() ? call.payload_bytes() : 0;
+  if (const auto problem = changeSizeError(accepted.ByteSizeLong() + leftOut)) {
     answer(answerOf(protocol::VERDICT_INVALID, *problem));
     return;
   }
@@ -343,8 +353,10 @@
     answer(answerOf(protocol::VERDICT_REFUSED, reason));
     return;
   }
+  const bool offered = Offered.take(spec.id(), route.Queue->priority(),
+                                    estimatedWork(spec), at.Now);
   if (const auto late = judge(spec, *route.Queue, account,
-                              Milliseconds(call.timeout_ms()), at)) {
+                              Milliseconds(call.timeout_ms()), offered, at)) {
     Tally.refused(spec.queue());
     const SizeClass size = Sizes.rank(spec.queue(), estimatedWork(spec));
     countOutcome({spec.queue(), size, OutcomeKind::Refused});
@@ -365,6 +377,13 @@
     answer(refused);
     return;
   }
+  if (call.offer()) {
+    if (spec.repeats() == 0) {
+      Offered.add(offeredOf(spec, *route.Queue), at.Now);
+    }
+    answer(answerOf(protocol::VERDICT_SEND_WHOLE));
+    return;
+  }
   accepted.mutable_accept()->set_at_unix_ms(at.UnixMs);
   accepted.mutable_accept()->set_max_attempts(route.Queue->max_attempts());
   PendingSubmissions[spec.id()] = {account, {std::move(answer)}};
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -10,6 +10,7 @@
 #include "masticwinch/coordination/workflow/gang_claims.hpp"
 #include "masticwinch/coordination/workflow/gang_forecast.hpp"
 #include "masticwinch/coordination/workflow/gathering.hpp"
+#include "masticwinch/coordination/workflow/offered_submissions.hpp"
 #include "masticwinch/coordination/workflow/outcome_totals.hpp"
 #include "masticwinch/coordination/workflow/overdue_share.hpp"
 #include "masticwinch/coordination/workflow/queue_routes.hpp"
@@ -244,7 +245,8 @@
   std::optional<LateRefusal> judge(const protocol::WorkflowSpec &spec,
                                    const protocol::QueueConfig &queue,
                                    const std::string &account,
-                                   Milliseconds timeout, Moment at);
+                                   Milliseconds timeout, bool offered,
+                                   Moment at);
   AdmissionInput admissionInput(const protocol::WorkflowSpec &spec,
                                 const protocol::QueueConfig &queue,
                                 const std::string &account,
@@ -354,7 +356,6 @@
   void reportAccounts(SteadyTime now);
   void setShares(std::vector<AccountLoad> &loads,
                  const std::set<std::string_view> &pools) const;
-
   // workflow_leader_overdue.cpp
   std::vector<RankedStep> takeOverdue(std::vector<RankedStep> &late, Moment at);
   bool isOverdue(const StepKey &key, const OpenStep &open, Moment at) const;
@@ -530,6 +531,7 @@
   SteadyTime NextOutcomeReport{};
   QueueServiceRate ServiceRate;
   RefusedSubmissions Refused;
+  OfferedSubmissions Offered;
   /// Without the steps that can't complete in time.
   WaitingWork Waiting;
   CappedSteps Capped;
