--- a/tests/coordination/workflow/capped_cell.hpp
+++ b/tests/coordination/workflow/capped_cell.hpp
@@ -115,8 +115,9 @@
 
   /// Ends the first runs of a workflow as done.
   void endRunsOf(const std::string &id, std::size_t count) {
-    for (auto &[runner, runs] : Running) {
-      std::erase_if(runs, [&](const workflow::RunningRun &it) {
+    for (auto &entry : Running) {
+      const std::string &runner = entry.first;
+      std::erase_if(entry.second, [&](const workflow::RunningRun &it) {
         if (it.Run.Task.Step.Workflow != idOf(id) || count == 0) {
           return false;
         }
