Bound the runners for which a control VM relays start orders

The busiest control VM has 5,274 connections, above its 4,096 descriptors; it keeps one to each runner that it relays to.

--- a/src/masticwinch/workflow/relayed_calls.hpp
+++ b/src/masticwinch/workflow/relayed_calls.hpp
@@ -47,7 +47,10 @@
   }
 
   /// Sets the number of runners, which decides whether calls are relayed.
-  void setRunnerCount(std::size_t count) { RunnerCount = count; }
+  void setRunnerCount(std::size_t count) {
+    RunnerCount = count;
+    Selection.setRunnerCount(count);
+  }
 
   /// Called when a VM has offered to relay orders; `linkKbps` is 0 if it
   /// doesn't state the capacity of its link.
