--- a/src/masticwinch/coordination/workflow/relay_selection.cpp
+++ b/src/masticwinch/coordination/workflow/relay_selection.cpp
@@ -76,9 +76,6 @@
       usable.push_back(it);
     }
   }
-  if (RunnerCount > usable.size() * Options.MaxRunnersPerControl) {
-    usable.clear();
-  }
   if (usable.empty()) {
     return entry;
   }
--- a/src/masticwinch/coordination/workflow/relay_selection.hpp
+++ b/src/masticwinch/coordination/workflow/relay_selection.hpp
@@ -32,10 +32,6 @@
   /// Start orders that one control VM relays within a second, so that it stays
   /// able to lead: a relayed start takes about 0.2 ms of a processor.
   std::uint32_t StartsPerSecond = 400;
-  /// Runners for which one control VM relays start orders at most: it keeps a
-  /// connection to each of them, beside those of all runners' heartbeats once
-  /// it leads, and has some 4,000 descriptors.
-  std::size_t MaxRunnersPerControl = 300;
   /// A control VM that left this many start orders in a row unanswered gets no
   /// more until its next offer.
   std::uint32_t MaxUnanswered = 3;
@@ -52,9 +48,6 @@
   explicit RelaySelection(RelaySelectionOptions options = {})
       : Options(options) {}
 
-  /// States the number of runners that orders are sent to.
-  void setRunnerCount(std::size_t count) { RunnerCount = count; }
-
   /// Handles an offer of a VM. `linkKbps` is 0 if it doesn't state its link.
   void offered(const std::string &address, RelayRole role,
                std::uint32_t linkKbps, SteadyTime now);
@@ -83,7 +76,6 @@
   bool mayRelayStarts(const Relay &control, SteadyTime now) const;
 
   RelaySelectionOptions Options;
-  std::size_t RunnerCount = 0;
   Relays EntryVms;
   Relays ControlVms;
   /// Sum of the links of the entry VMs, in kbit/s; 0 if one is not known.
--- a/src/masticwinch/workflow/relayed_calls.hpp
+++ b/src/masticwinch/workflow/relayed_calls.hpp
@@ -47,10 +47,7 @@
   }
 
   /// Sets the number of runners, which decides whether calls are relayed.
-  void setRunnerCount(std::size_t count) {
-    RunnerCount = count;
-    Selection.setRunnerCount(count);
-  }
+  void setRunnerCount(std::size_t count) { RunnerCount = count; }
 
   /// Called when a VM has offered to relay orders; `linkKbps` is 0 if it
   /// doesn't state the capacity of its link.
