Show a refused job that runs after all

An entry VM sends a submission again after a cut, and takes the refusal of the second copy as final. What it wrote first may still arrive: the connection was closed without a reset. The leader then accepts it, and a job that the client was told never runs is run.

--- a/review/lib-2/cell2.py
+++ b/review/lib-2/cell2.py
@@ -28,6 +28,8 @@
 VISIBLE_MS = 3000
 DRAIN_MS = 2000
 MAX_HOLD_MS = 10000
+# After this time a runner closes a connection on which no call comes.
+IDLE_SECONDS = 60
 
 HOST = "nony24.example"
 PREFIX = "/lohu930/"
@@ -104,11 +106,31 @@
 
 
 class QuietServer(http.server.ThreadingHTTPServer):
-    """An HTTP server that reports no broken connections."""
+    """An HTTP server that reports no broken connections. It closes connections beyond
+    a number, and those that have been idle for long."""
 
     daemon_threads = True
     request_queue_size = 128
 
+    def __init__(self, address, handler, max_connections=None):
+        self.max_connections = max_connections
+        self.open = set()
+        self.refused = 0
+        super().__init__(address, handler)
+
+    def verify_request(self, request, client_address):
+        """Accepts a connection if there is room for it."""
+        if self.max_connections and len(self.open) >= self.max_connections:
+            self.refused += 1
+            return False
+        self.open.add(request)
+        return True
+
+    def shutdown_request(self, request):
+        """Closes a connection."""
+        self.open.discard(request)
+        super().shutdown_request(request)
+
     def handle_error(self, request, client_address):
         """Reports all errors but broken connections."""
         if not isinstance(sys.exc_info()[1], OSError):
@@ -130,6 +152,7 @@
             for it in command[1:]]
         self.process = None
         self.expected_to_run = True
+        self.link = None
 
     def start(self):
         """Starts the process."""
@@ -156,9 +179,11 @@
 
 
 class Cell:
-    """Five control VMs and two entry VMs, each on a loopback address of its own."""
+    """Five control VMs and two entry VMs, each on a loopback address of its own. If
+    `link` is given, other daemons reach each control VM through one: it takes the
+    address, that of the daemon, and the record."""
 
-    def __init__(self, record, controls=5, entries=2):
+    def __init__(self, record, controls=5, entries=2, link=None):
         self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="masticwinch-review-"))
         generator = random.SystemRandom()
@@ -190,7 +215,13 @@
                          "data_folder": str(data), "shared_data_folder": True,
                          "set_damaged_folder_aside": True, "first_start": True,
                          "longest_lease_ms": MAX_HOLD_MS}
-            self.controls.append(Daemon("control", self.folder, settings))
+            control = Daemon("control", self.folder, settings)
+            if link:
+                own = f"{ip}:{free_port(ip)}"
+                settings |= {"announced_address": settings["internal_address"],
+                             "internal_address": f"tcp://{own}"}
+                control.link = link(f"{ip}:{internal_port}", own, record)
+            self.controls.append(control)
         self.entries = []
         for i in range(entries):
             ip = f"{self.network}.{100 + i}"
@@ -296,7 +327,8 @@
     """A runner as PROTOCOL.md describes it. `cpu_of` tells what a task requests."""
 
     def __init__(self, record, name, address, controls, cpu=32000, labels=("a", "r1"),
-                 cpu_of=lambda task: 0, on_start=lambda runner, task, run: None):
+                 cpu_of=lambda task: 0, on_start=lambda runner, task, run: None,
+                 max_connections=None):
         self.record = record
         self.base = name
         self.name = name
@@ -327,6 +359,7 @@
             """Answers orders."""
 
             protocol_version = "HTTP/1.1"
+            timeout = IDLE_SECONDS
 
             def do_GET(self):
                 """Answers a health check."""
@@ -360,7 +393,7 @@
                 """Writes no access log."""
 
         host, port = address.split(":")
-        self.server = QuietServer((host, int(port)), Handler)
+        self.server = QuietServer((host, int(port)), Handler, max_connections)
         self.threads = [threading.Thread(target=it, daemon=True) for it in (
             lambda: self.server.serve_forever(0.05), self.work, self.report)]
         for it in self.threads:
@@ -628,7 +661,7 @@
     raise Unusable("ended by a signal")
 
 
-def run_case(folder, case):
+def run_case(folder, case, link=None):
     """Runs a case: `case` takes a cell and whether there is trouble, and returns what
     broke the rule, nothing if it held. Exits with 1 if the rule was broken, 0 if it
     held, 2 if the case could not run."""
@@ -638,7 +671,7 @@
     record = Record(pathlib.Path(folder) / "record.txt")
     cell = None
     try:
-        cell = Cell(record)
+        cell = Cell(record, link=link)
         broken = case(cell, trouble)
         for it in cell.daemons():
             if it.expected_to_run and not it.is_running():
