--- a/review/lib-2/cell2.py
+++ b/review/lib-2/cell2.py
@@ -328,7 +328,7 @@
 
     def __init__(self, record, name, address, controls, cpu=32000, labels=("a", "r1"),
                  cpu_of=lambda task: 0, on_start=lambda runner, task, run: None,
-                 max_connections=None):
+                 max_connections=None, start_seconds=0.0):
         self.record = record
         self.base = name
         self.name = name
@@ -338,6 +338,8 @@
         self.labels = list(labels)
         self.cpu_of = cpu_of
         self.on_start = on_start
+        # How long it takes to start a run, before the order is answered.
+        self.start_seconds = start_seconds
         self.lock = threading.Condition()
         self.life = 0
         self.state = "ready"
@@ -375,6 +377,8 @@
                     return
                 status, reply = outer.carry_out(
                     self.path, body, self.headers.get("X-Expected-Instance"))
+                if self.path == "/-/run-start":
+                    time.sleep(outer.start_seconds)
                 if not outer.passes(life):
                     self.close_connection = True
                     return
