Show an outage after one change of leader

A control VM keeps a connection for each order that was under way at once, without a limit for a runner, also when it no longer leads. A runner takes 64. After the leader has started 64 small tasks on each runner and has been frozen for 4 s, the next leader can't deliver a start order to any of them, and accepted jobs don't run.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,66 +1,74 @@
-"""Cuts off the runner of a job's only task three times. Each time the run lapses, and
-the runner crashes later, behind the cut, while it runs nothing."""
+"""Freezes the leader once, after it has started as many small tasks on each runner as
+the runner takes connections. The next leader reaches no runner with a start order."""
 
 import pathlib
+import signal
 import sys
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib-2"))
 
-from cell2 import (configuration, run_case, start_runners, wait_for_calls,  # noqa: E402
-                   wait_until)
+from cell2 import (Unusable, configuration, run_case, start_runners,  # noqa: E402
+                   wait_for_calls, wait_until)
 
-RUNNERS = 7
-WORK_SECONDS = 10
-CUT_SECONDS = 5.5
-CRASH_AFTER_SECONDS = 4.5
-DOWN_SECONDS = 0.7
-CUTS = 3
-MAX_ATTEMPTS = 4
+RUNNERS = 4
+MAX_CONNECTIONS = 64
+TASK_CPU = 500
+START_SECONDS = 0.05
+FREEZE_SECONDS = 4
+WATCH_SECONDS = 20
+
+
+def job_of(cell, tasks):
+    """Hands in a job of so many tasks of half a core and 2 s; returns its id."""
+    return cell.submit([{"count": tasks, "cpu": TASK_CPU, "memory_limit_mb": 100,
+                         "estimated_ms": 2000}], "2")[0]
+
+
+def is_completed(cell, job):
+    """Returns whether a job is shown as completed."""
+    return cell.request("GET", job, record=False)[1] == {"state": "completed"}
 
 
 def case(cell, trouble):
     """Returns what broke the rule."""
-    starts = []
-    cell.configure(configuration(max_attempts=MAX_ATTEMPTS))
+    begun = set()
+    cell.configure(configuration())
     runners = start_runners(
-        cell, RUNNERS, lambda runner, task, run: starts.append(runner))
+        cell, RUNNERS, lambda runner, task, run: begun.add(task.split(".")[0]),
+        cpu_of=lambda i: lambda task: TASK_CPU,
+        max_connections=lambda i: MAX_CONNECTIONS,
+        start_seconds=lambda i: START_SECONDS)
     wait_for_calls(runners)
+    time.sleep(4)
+    # Each runner of 32 cores has room for 64 tasks of half a core.
+    jobs = [job_of(cell, 52) for _ in range(5)]
+    wait_until(lambda: all(is_completed(cell, it) for it in jobs),
+               "the first jobs are completed", 40, 0.25)
+    cell.record.write("connections", of=[len(it.server.open) for it in runners])
+    leader = cell.leader()
+    if leader is None:
+        raise Unusable("there is no leader")
+    if trouble:
+        leader.send(signal.SIGSTOP)
+        cell.record.write("freeze", control=leader.name)
+        time.sleep(FREEZE_SECONDS)
+        leader.send(signal.SIGCONT)
+        cell.record.write("thaw", control=leader.name)
     time.sleep(3)
-    job, _ = cell.submit([{"count": 1, "cpu": 1000, "memory_limit_mb": 100,
-                           "estimated_ms": WORK_SECONDS * 1000}], str(WORK_SECONDS))
-    crashes_under = 0
-    for i in range(CUTS if trouble else 0):
-        wait_until(lambda i=i: len(starts) > i, f"run {i + 1} starts")
-        runner = starts[i]
-        time.sleep(3)
-        began = time.monotonic()
-        runner.is_cut = True
-        cell.record.write("cut-begins", runner=runner.name)
-        time.sleep(CRASH_AFTER_SECONDS)
-        crashes_under += len(runner.running)
-        cell.record.write("crash", runner=runner.name, running=len(runner.running))
-        runner.lose_power()
-        time.sleep(DOWN_SECONDS)
-        runner.restart()
-        time.sleep(max(0, began + CUT_SECONDS - time.monotonic()))
-        runner.is_cut = False
-        cell.record.write("cut-ends", runner=runner.name)
-    shown = []
-
-    def over():
-        status, body = cell.request("GET", job)
-        if status == 200:
-            shown.append(body["state"])
-        return shown and shown[-1] in ("completed", "failed", "cancelled")
-
-    wait_until(over, "the job is over", 40, 0.25)
-    ends = [end for runner in runners for end in runner.all_ends]
-    failed = sum(1 for end in ends if end == "failed")
-    if shown[-1] == "failed" and failed < MAX_ATTEMPTS and crashes_under < 2:
-        return [f"LOST: {job} is shown as failed; {failed} runs have ended failed, and "
-                f"{crashes_under} runners have crashed while they ran its task"]
+    later = [job_of(cell, 4) for _ in range(4)]
+    end = time.monotonic() + WATCH_SECONDS
+    while time.monotonic() < end and not all(is_completed(cell, it) for it in later):
+        time.sleep(0.5)
+    cell.record.write("connections", of=[len(it.server.open) for it in runners],
+                      refused=[it.server.refused for it in runners])
+    waiting = [it for it in later if it not in begun]
+    shown = [cell.request("GET", it)[1] for it in waiting]
+    if waiting:
+        return [f"LOST: {len(waiting)} of {len(later)} jobs of four tasks have nothing "
+                f"running {WATCH_SECONDS} s after they were accepted, on {RUNNERS} idle "
+                f"runners; they are shown as {shown}"]
     return []
 
 
