Show a task that runs twice after an unheard-of rebirth of its runner

A start order that got no answer is carried out late by the runner's next life, which is cut off, so that the leader doesn't know of it. The leader goes by the lease of the former life, whose clock was ahead, and starts the task elsewhere while it still runs.

--- a/review/lib-2/cell2.py
+++ b/review/lib-2/cell2.py
@@ -340,6 +340,9 @@
         self.on_start = on_start
         # How long it takes to start a run, before the order is answered.
         self.start_seconds = start_seconds
+        # If set, start orders get no answer and are carried out this much later.
+        self.late_seconds = None
+        self.on_late = lambda runner: None
         self.lock = threading.Condition()
         self.life = 0
         self.state = "ready"
@@ -375,6 +378,12 @@
                 if not outer.passes(life):
                     self.close_connection = True
                     return
+                if self.path == "/-/run-start" and outer.late_seconds is not None:
+                    outer.carry_out_late(body)
+                    while outer.life == life:
+                        time.sleep(0.01)
+                    self.close_connection = True
+                    return
                 status, reply = outer.carry_out(
                     self.path, body, self.headers.get("X-Expected-Instance"))
                 if self.path == "/-/run-start":
@@ -441,10 +450,12 @@
             self.lock.notify_all()
         self.record.write("power-off", runner=self.name)
 
-    def restart(self):
-        """Begins the next life, under a new name."""
+    def restart(self, same_name=False):
+        """Begins the next life, under a new name or the one that it had."""
         with self.lock:
+            name = self.name
             self.begin_life()
+            self.name = name if same_name else self.name
             self.dark = False
         self.record.write("power-on", runner=self.name)
 
@@ -551,6 +562,20 @@
                 status, reply = 400, {}
             return status, reply | {"clock_ms": self.clock_ms(), "born": self.born}
 
+    def carry_out_late(self, body):
+        """Carries out a start order later, also if another life has begun."""
+        self.record.write("order-left-unanswered", runner=self.name,
+                          task=body["task"], run=body["run"])
+        self.on_late(self)
+
+        def carry_out():
+            if not self.dark:
+                self.carry_out("/-/run-start", body, self.name)
+
+        timer = threading.Timer(self.late_seconds, carry_out)
+        timer.daemon = True
+        timer.start()
+
     def start(self, body):
         """Starts a run."""
         task, number = body["task"], body["run"]
