--- a/review/lib-2/cell2.py
+++ b/review/lib-2/cell2.py
@@ -231,7 +231,9 @@
             self.entries.append(Daemon("entry", self.folder, settings))
         for it in self.daemons():
             if not pathlib.Path(it.command[0]).exists():
-                raise Unusable(f"{it.command[0]} isn't built")
+                shutil.rmtree(self.folder, ignore_errors=True)
+                raise Unusable(f"{pathlib.Path(it.command[0]).name} isn't built")
+        for it in self.daemons():
             it.start()
 
     def daemons(self):
