Bound the connections that a VM has open to a runner

Cause: the client opened a connection for each call under way and kept it; a VM that no longer leads makes no calls, and libcurl closes idle connections only when a later call comes upon them. The next leader found all connections of the runners taken. Where one was left, polls went through and each other order failed four times within 20 ms; its task stayed assigned.

A VM now has at most a sixteenth of a runner's max_connections open (two at least), calls beyond that wait and are then certainly not sent, idle connections are closed after 15 s and when the leadership is lost. A start that was not sent frees its task at once. A runner that closes connections gets work less and less often, and its polls leave their connection to stops. A relay that comes or goes moves only its own runners.

--- a/src/masticwinch/callers/request_service.cpp
+++ b/src/masticwinch/callers/request_service.cpp
@@ -37,6 +37,7 @@
                ? DispatchResult::RefusedNotRun
                : DispatchResult::Answered;
   case HttpOutcome::NotSent:
+  case HttpOutcome::NoConnection:
     return DispatchResult::NotSent;
   case HttpOutcome::TimedOut:
     return result.MayHaveBeenSent ? DispatchResult::TimedOut
--- a/src/masticwinch/coordination/workflow/relay_selection.cpp
+++ b/src/masticwinch/coordination/workflow/relay_selection.cpp
@@ -1,8 +1,8 @@
 #include "masticwinch/coordination/workflow/relay_selection.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
-#include <functional>
-#include <iterator>
 #include <vector>
 
 namespace masticwinch::workflow {
@@ -21,6 +21,21 @@
   return sum;
 }
 
+/// The relay with the highest rendezvous hash: when one comes or goes, only the
+/// runners that it relays for change theirs. Each change leaves connections to
+/// the runner behind. `relays` are iterators; not empty.
+template <class Iterator>
+Iterator preferredFor(const std::string &runner,
+                      const std::vector<Iterator> &relays) {
+  const XXH64_hash_t seed = XXH3_64bits(runner.data(), runner.size());
+  const auto rank = [&](const Iterator &it) {
+    return XXH3_64bits_withSeed(it->first.data(), it->first.size(), seed);
+  };
+  return *std::max_element(
+      relays.begin(), relays.end(),
+      [&](const Iterator &a, const Iterator &b) { return rank(a) < rank(b); });
+}
+
 } // namespace
 
 void RelaySelection::offered(const std::string &address, RelayRole role,
@@ -50,9 +65,11 @@
   if (EntryVms.empty()) {
     return nullptr;
   }
-  auto it = EntryVms.begin();
-  std::advance(it, std::hash<std::string>()(runner) % EntryVms.size());
-  return &it->first;
+  std::vector<Relays::iterator> usable;
+  for (auto it = EntryVms.begin(); it != EntryVms.end(); ++it) {
+    usable.push_back(it);
+  }
+  return &preferredFor(runner, usable)->first;
 }
 
 bool RelaySelection::mayRelayStarts(const Relay &control,
@@ -79,7 +96,7 @@
   if (usable.empty()) {
     return entry;
   }
-  const auto chosen = usable[std::hash<std::string>()(runner) % usable.size()];
+  const auto chosen = preferredFor(runner, usable);
   Relay &relay = chosen->second;
   if (now - relay.CountedSince >= std::chrono::seconds(1)) {
     relay.CountedSince = now;
--- a/src/masticwinch/coordination/workflow/relay_selection.hpp
+++ b/src/masticwinch/coordination/workflow/relay_selection.hpp
@@ -42,7 +42,7 @@
 /// payloads of submissions, a copy for each task, and would be late there;
 /// control VMs that don't lead have large links and little to do. Polls and
 /// stops are small and stay with the entry VMs, each runner with one of them by
-/// a hash. State machine without I/O.
+/// a rendezvous hash. State machine without I/O.
 class RelaySelection {
 public:
   explicit RelaySelection(RelaySelectionOptions options = {})
--- a/src/masticwinch/coordination/workflow/runner_orders.hpp
+++ b/src/masticwinch/coordination/workflow/runner_orders.hpp
@@ -50,6 +50,9 @@
   std::uint64_t BornUnixMs = 0;
   /// Number of that life, counted by the leader over all runners.
   std::uint32_t LifeNumber = 0;
+  /// Connections that a VM may have open to the runner when it makes this call;
+  /// 0 for no limit. The same in the other orders.
+  std::uint32_t MaxConnections = 0;
 };
 
 /// Tells a runner to stop a run and to refuse any later order to start it.
@@ -59,6 +62,7 @@
   RunKey Run;
   std::uint64_t BornUnixMs = 0;
   std::uint32_t LifeNumber = 0;
+  std::uint32_t MaxConnections = 0;
 };
 
 /// Polls a runner for its running and ended runs, and renews its lease.
@@ -75,6 +79,7 @@
   std::uint32_t WaitMs = 0;
   std::uint64_t BornUnixMs = 0;
   std::uint32_t LifeNumber = 0;
+  std::uint32_t MaxConnections = 0;
 };
 
 /// Result of an order to a runner.
@@ -103,6 +108,11 @@
   /// The relay of the order gave no answer, so that nothing is known of the
   /// runner; otherwise as `Silent`.
   RelaySilent,
+  /// The order was not sent: no connection to the runner could be opened.
+  Unreachable,
+  /// The order was not sent: other calls to the runner took too long. Says
+  /// nothing of the runner.
+  NotSent,
 };
 
 /// Whether it is unknown if the order was carried out.
@@ -111,6 +121,11 @@
          answer == OrderAnswer::RelaySilent;
 }
 
+/// Whether it is certain that the runner has not got the order.
+constexpr bool wasNotSent(OrderAnswer answer) {
+  return answer == OrderAnswer::Unreachable || answer == OrderAnswer::NotSent;
+}
+
 /// A run that is running on a runner.
 struct RunningRun {
   RunKey Run;
@@ -154,7 +169,9 @@
       EnumName<Answer>{Answer::Malformed, "malformed"},
       EnumName<Answer>{Answer::Silent, "silent"},
       EnumName<Answer>{Answer::Disconnected, "disconnected"},
-      EnumName<Answer>{Answer::RelaySilent, "relay_silent"}};
+      EnumName<Answer>{Answer::RelaySilent, "relay_silent"},
+      EnumName<Answer>{Answer::Unreachable, "unreachable"},
+      EnumName<Answer>{Answer::NotSent, "not_sent"}};
 };
 
 } // namespace masticwinch
--- a/src/masticwinch/coordination/workflow/runner_registry.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.cpp
@@ -327,6 +327,14 @@
                            runner.Info.born_unix_ms(), runner.LifeNumber});
 }
 
+/// Whether polls leave their connection to the orders, as the runner takes no
+/// other one.
+bool RunnerRegistry::leavesConnection(const RunnerEntry &runner,
+                                      SteadyTime now) const {
+  return runner.ClosesConnections &&
+         now - runner.ClosedConnectionAt < Options.ShortPollTime;
+}
+
 void RunnerRegistry::sendPoll(RunnerEntry &runner, SteadyTime now) {
   PollOrder poll;
   poll.Runner = runner.Info.id();
@@ -341,7 +349,7 @@
     poll.EndsStored = runner.EndsStored;
   }
   if (runner.Adopted && runner.FailedPolls == 0) {
-    poll.WaitMs = Options.PollWaitMs;
+    poll.WaitMs = leavesConnection(runner, now) ? 0 : Options.PollWaitMs;
     // The lease of a runner that leaves or does not answer is not extended, so
     // that it has a known end.
     if (!runner.Leaving) {
@@ -438,12 +446,31 @@
       continue;
     }
     expireOrders(id, runner, now);
-    for (auto &[run, it] : runner.Runs) {
-      if (it.Stage == RunStage::Stopping && !it.CallPending &&
-          !it.ConfirmedAt && runner.Adopted && now >= it.NextStopAttempt) {
-        sendStop(runner, run, it, now);
-      }
+    retryOrders(runner, now);
+  }
+}
+
+/// Sends the starts and stops again whose time has come.
+void RunnerRegistry::retryOrders(RunnerEntry &runner, SteadyTime now) {
+  for (auto &[run, it] : runner.Runs) {
+    if (it.CallPending || !runner.Adopted) {
+      continue;
     }
+    if (it.Stage == RunStage::Stopping && !it.ConfirmedAt &&
+        now >= it.NextStopAttempt) {
+      sendStop(runner, run, it, now);
+    } else if (it.Stage == RunStage::Starting && now >= it.NextStartAttempt) {
+      retryStart(runner, run, it, now);
+    }
+  }
+}
+
+void RunnerRegistry::retryStart(RunnerEntry &runner, const RunKey &run,
+                                TrackedRun &it, SteadyTime now) {
+  if (runner.isOvercommitted() || runner.Leaving) {
+    beginStop(it, now);
+  } else {
+    sendStart(runner, run, it, now);
   }
 }
 
--- a/src/masticwinch/coordination/workflow/runner_registry.hpp
+++ b/src/masticwinch/coordination/workflow/runner_registry.hpp
@@ -48,6 +48,14 @@
   /// How long a runner gets no work after it reported to be unhealthy or did
   /// not answer a start.
   Milliseconds UnwellBackoff{1000};
+  /// The longest such time of a runner that closes the connections of orders
+  /// again and again. Each time is twice as long as the one before.
+  Milliseconds MaxUnwellBackoff{8000};
+  /// For so long after a runner closed the connection of an order, polls leave
+  /// their connection to the orders: the runner may take no other one.
+  Milliseconds ShortPollTime{2000};
+  /// Delay between these polls.
+  Milliseconds ShortPollDelay{100};
   /// How long the runs of a runner that has deregistered may still end by
   /// themselves before they are stopped.
   Milliseconds LeaveGrace{300};
@@ -89,6 +97,7 @@
   /// later life of the runner.
   bool Unanswered = false;
   SteadyTime NextStopAttempt{};
+  SteadyTime NextStartAttempt{};
   /// When the runner confirmed the stage; empty before.
   std::optional<SteadyTime> ConfirmedAt;
   /// The runner has confirmed that the run started.
@@ -134,6 +143,10 @@
   SteadyTime InheritedLeasesUntil{};
   SteadyTime LastAnswer{};
   SteadyTime UnwellUntil{};
+  Milliseconds Backoff{0};
+  /// An order's connection was closed or refused, and none was answered since.
+  bool ClosesConnections = false;
+  SteadyTime ClosedConnectionAt{};
   std::uint64_t LastEndSeen = 0;
   std::uint64_t EndsStored = 0;
   std::uint64_t PollSequence = 0;
@@ -305,6 +318,10 @@
                   OrderAnswer answer);
   void beginLife(RunnerEntry &runner, const protocol::RunnerInfo &info,
                  SteadyTime now);
+  void connectionClosed(RunnerEntry &runner, SteadyTime now);
+  void retryStart(RunnerEntry &runner, const RunKey &run, TrackedRun &it,
+                  SteadyTime now);
+  void retryOrders(RunnerEntry &runner, SteadyTime now);
   void pollFailed(RunnerEntry &runner, OrderAnswer answer, SteadyTime now);
   TrackedRun *trackedRun(const std::string &id, const RunKey &run);
   TrackedRun &occupy(RunnerEntry &runner, const RunKey &run,
@@ -327,6 +344,7 @@
                  SteadyTime now);
   void sendStop(RunnerEntry &runner, const RunKey &run, TrackedRun &trackedRun,
                 SteadyTime now);
+  bool leavesConnection(const RunnerEntry &runner, SteadyTime now) const;
   void sendPoll(RunnerEntry &runner, SteadyTime now);
   void expireOrders(const std::string &id, RunnerEntry &runner, SteadyTime now);
   void beginStop(TrackedRun &trackedRun, SteadyTime now);
--- a/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
@@ -1,5 +1,6 @@
 #include "masticwinch/coordination/workflow/runner_registry.hpp"
 
+#include <algorithm>
 #include <set>
 
 namespace masticwinch::workflow {
@@ -34,11 +35,17 @@
     return;
   }
   checkFence(*runner, order, answer);
-  if (answer == OrderAnswer::Unwell || answer == OrderAnswer::Silent ||
-      answer == OrderAnswer::Disconnected) {
-    runner->UnwellUntil = now + Options.UnwellBackoff;
-  } else if (answer != OrderAnswer::RelaySilent) {
+  if (answer == OrderAnswer::Unwell || answer == OrderAnswer::Silent) {
+    runner->UnwellUntil =
+        std::max(runner->UnwellUntil, now + Options.UnwellBackoff);
+  } else if (answer == OrderAnswer::Disconnected ||
+             answer == OrderAnswer::Unreachable) {
+    connectionClosed(*runner, now);
+  } else if (answer != OrderAnswer::RelaySilent &&
+             answer != OrderAnswer::NotSent) {
     runner->LastAnswer = now;
+    runner->ClosesConnections = false;
+    runner->Backoff = Milliseconds(0);
   }
   TrackedRun *it = trackedRun(order.Runner, run);
   if (!it || it->Stage != RunStage::Starting) {
@@ -47,28 +54,49 @@
   it->CallPending = false;
   const bool neverRan =
       answer == OrderAnswer::NoRoom || answer == OrderAnswer::TicketInvalid ||
-      answer == OrderAnswer::Unwell || answer == OrderAnswer::Late;
+      answer == OrderAnswer::Unwell || answer == OrderAnswer::Late ||
+      answer == OrderAnswer::Unreachable;
+  const bool mayRetry = it->StartAttempts < Options.MaxStartAttempts &&
+                        !runner->isOvercommitted() && !runner->Leaving;
   if (answer == OrderAnswer::Done) {
     Effects.Confirmed.push_back(run);
     it->Stage = RunStage::Running;
     it->ConfirmedAt = now;
     it->Started = true;
     it->StartedAt = now;
-  } else if (neverRan && !it->Unanswered) {
+  } else if (!it->Unanswered &&
+             (neverRan || (answer == OrderAnswer::NotSent && !mayRetry))) {
     release(*runner, run, protocol::RUN_LOST, 0, it->Checkpoint);
-  } else if (isUnanswered(answer) &&
-             it->StartAttempts < Options.MaxStartAttempts &&
-             !runner->isOvercommitted() && !runner->Leaving) {
-    it->Unanswered = true;
-    sendStart(*runner, run, *it, now);
+  } else if ((isUnanswered(answer) || wasNotSent(answer)) && mayRetry) {
+    it->Unanswered = it->Unanswered || isUnanswered(answer);
+    if (answer == OrderAnswer::Disconnected && it->StartAttempts > 1) {
+      it->NextStartAttempt = now + Options.RetryDelay;
+    } else {
+      sendStart(*runner, run, *it, now);
+    }
   } else {
     beginStop(*it, now);
   }
 }
 
+/// Handles that the runner closed or refused the connection of an order. While
+/// it does so again and again, it gets work less and less often. The first
+/// failure may only mean that the connection had been idle for too long.
+void RunnerRegistry::connectionClosed(RunnerEntry &runner, SteadyTime now) {
+  runner.ClosesConnections = true;
+  runner.ClosedConnectionAt = now;
+  if (now >= runner.UnwellUntil) {
+    runner.Backoff = std::clamp(2 * runner.Backoff, Options.UnwellBackoff,
+                                Options.MaxUnwellBackoff);
+  }
+  runner.UnwellUntil =
+      std::max(runner.UnwellUntil,
+               now + std::max(runner.Backoff, Options.UnwellBackoff));
+}
+
 void RunnerRegistry::stopAnswered(const StopOrder &order, OrderAnswer answer,
                                   SteadyTime now) {
-  const RunnerEntry *runner = findLife({order.Runner, order.BornUnixMs});
+  RunnerEntry *runner = findLife({order.Runner, order.BornUnixMs});
   if (!runner) {
     return;
   }
@@ -77,6 +105,10 @@
     return;
   }
   checkFence(*runner, order, answer);
+  if (answer == OrderAnswer::Disconnected ||
+      answer == OrderAnswer::Unreachable) {
+    connectionClosed(*runner, now);
+  }
   TrackedRun *it = trackedRun(order.Runner, order.Run);
   if (!it || it->Stage != RunStage::Stopping) {
     return;
@@ -134,15 +166,20 @@
   processRunning(*runner, answer, now);
   releaseMissing(*runner, answer, now);
   runner->Adopted = true;
-  runner->NextPoll = answer.Ended.empty() ? now : now + Options.PollDelay;
+  if (leavesConnection(*runner, now)) {
+    runner->NextPoll = now + Options.ShortPollDelay;
+  } else {
+    runner->NextPoll = answer.Ended.empty() ? now : now + Options.PollDelay;
+  }
 }
 
 void RunnerRegistry::pollFailed(RunnerEntry &runner, OrderAnswer answer,
                                 SteadyTime now) {
   runner.PollPending = false;
   runner.FailedPolls += 1;
-  if (isUnanswered(answer)) {
-    const bool disconnected = answer == OrderAnswer::Disconnected;
+  if (isUnanswered(answer) || answer == OrderAnswer::Unreachable) {
+    const bool disconnected = answer == OrderAnswer::Disconnected ||
+                              answer == OrderAnswer::Unreachable;
     reportLost(runner, disconnected ? now : runner.LastAnswer, disconnected);
   }
   runner.NextPoll = now + Options.RetryDelay;
@@ -222,8 +259,9 @@
 }
 
 /// Releases runs that the runner lists neither as running nor as ended, if no
-/// order can start them any more. A run whose start was sent to a former life
-/// and may still be carried out is stopped instead.
+/// order can start them any more. A run
+/// whose start was sent to a former life and may still be carried out is
+/// stopped instead.
 void RunnerRegistry::releaseMissing(RunnerEntry &runner,
                                     const PollAnswer &answer, SteadyTime now) {
   if (answer.Ended.size() >= MaxEndsPerAnswer) {
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -263,6 +263,9 @@
   protocol::WorkflowAnswer stateAnswer(const std::string &id) const;
   void answerQueries(const std::string &id);
   void answerOverdueQueries(SteadyTime now);
+  template <class Order>
+  void addOrders(std::vector<Order> &orders, std::vector<Order> &added);
+  std::uint32_t connectionsTo(const std::string &runner) const;
   std::uint64_t queuedCount(const std::string &queue, Moment at);
   void cancel(const std::string &id, const std::string &account,
               const AnswerCallback &answer);
--- a/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_progress.cpp
@@ -1,9 +1,12 @@
 #include "masticwinch/coordination/workflow/caller_access.hpp"
+#include "masticwinch/coordination/workflow/queue_routes.hpp"
 #include "masticwinch/coordination/workflow/record_limits.hpp"
+#include "masticwinch/coordination/workflow/runner_connections.hpp"
 #include "masticwinch/coordination/workflow/workflow_answers.hpp"
 #include "masticwinch/coordination/workflow/workflow_leader.hpp"
 
 #include <algorithm>
+#include <type_traits>
 
 namespace masticwinch::workflow {
 
@@ -304,14 +307,33 @@
   propose(std::move(ended));
 }
 
+/// Connections that a VM may have open to the runner.
+std::uint32_t WorkflowLeader::connectionsTo(const std::string &runner) const {
+  const RunnerEntry *known = Registry.find(runner);
+  const protocol::PoolConfig *pool =
+      known ? findPool(State.config(), known->Info.pool()) : nullptr;
+  return connectionsPerVm(pool ? pool->max_connections() : 0);
+}
+
+/// Adds orders with the number of connections that they may use. One is kept
+/// for the long poll.
+template <class Order>
+void WorkflowLeader::addOrders(std::vector<Order> &orders,
+                               std::vector<Order> &added) {
+  for (Order &it : added) {
+    it.MaxConnections = connectionsTo(it.Runner);
+    if constexpr (!std::is_same_v<Order, PollOrder>) {
+      it.MaxConnections -= 1;
+    }
+    orders.push_back(std::move(it));
+  }
+}
+
 void WorkflowLeader::collectRegistryEffects(Moment at) {
   RunnerRegistryEffects effects = Registry.takeEffects();
-  std::move(effects.Starts.begin(), effects.Starts.end(),
-            std::back_inserter(Effects.Starts));
-  std::move(effects.Stops.begin(), effects.Stops.end(),
-            std::back_inserter(Effects.Stops));
-  std::move(effects.Polls.begin(), effects.Polls.end(),
-            std::back_inserter(Effects.Polls));
+  addOrders(Effects.Starts, effects.Starts);
+  addOrders(Effects.Stops, effects.Stops);
+  addOrders(Effects.Polls, effects.Polls);
   for (const OverdueOrders &it : effects.Overdue) {
     logEvent(WorkflowEventKind::OrdersOverdue,
              {{"runner", it.Runner},
--- a/src/masticwinch/coordination/workflow/workflow_leader_runners.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_runners.cpp
@@ -223,6 +223,13 @@
 
 void WorkflowLeader::stopAnswered(const StopOrder &order, OrderAnswer answer,
                                   Moment at) {
+  if (answer != OrderAnswer::Done && answer != OrderAnswer::Outdated) {
+    logEvent(WorkflowEventKind::StopUnanswered,
+             {{"task", textOf(order.Run.Task)},
+              {"run", std::to_string(order.Run.Run)},
+              {"runner", order.Runner},
+              {"answer", std::string(nameOf(answer))}});
+  }
   Registry.stopAnswered(order, answer, at.Now);
 }
 
--- a/src/masticwinch/http/http_client.cpp
+++ b/src/masticwinch/http/http_client.cpp
@@ -1,6 +1,8 @@
 #include "masticwinch/http/http_client.hpp"
 
 #include "masticwinch/http/internal/curl_call.hpp"
+#include "masticwinch/http/internal/host_calls.hpp"
+#include "masticwinch/http/internal/socket_table.hpp"
 #include "masticwinch/http/internal/socket_watch.hpp"
 #include "masticwinch/metrics/process_metrics.hpp"
 
@@ -27,12 +29,26 @@
 } // namespace
 
 using internal::CurlCall;
+using internal::HostCalls;
+using internal::SocketTable;
 using internal::SocketWatch;
 
 struct HttpClient::Implementation
     : std::enable_shared_from_this<HttpClient::Implementation> {
   explicit Implementation(asio::io_context &loop)
-      : Loop(loop), Timer(loop), Multi(curl_multi_init()) {
+      : Loop(loop), Timer(loop), Multi(curl_multi_init()),
+        PerHost(
+            loop,
+            [this](HttpCallId id, HttpCall call, HttpCallDone done) {
+              begin(id, std::move(call), std::move(done));
+            },
+            [this](const HttpCallDone &done) {
+              ++WithoutConnection;
+              done({HttpOutcome::NoConnection,
+                    {},
+                    false,
+                    "too many calls to the host"});
+            }) {
     curl_multi_setopt(Multi, CURLMOPT_SOCKETFUNCTION, &onSocket);
     curl_multi_setopt(Multi, CURLMOPT_SOCKETDATA, this);
     curl_multi_setopt(Multi, CURLMOPT_TIMERFUNCTION, &onTimer);
@@ -56,6 +72,15 @@
   HttpCallId start(HttpCall call, HttpCallDone done);
   void cancel(HttpCallId id);
 
+  /// Hands a call to libcurl.
+  void begin(HttpCallId id, HttpCall call, HttpCallDone done);
+  /// Ends a call that libcurl doesn't take.
+  void reject(HttpCallId id, HttpCallDone done, const char *reason);
+
+  /// CURLOPT_OPENSOCKETFUNCTION and CURLOPT_CLOSESOCKETFUNCTION.
+  static curl_socket_t onOpen(void *self, curlsocktype, curl_sockaddr *address);
+  static int onClose(void *self, curl_socket_t socket);
+
   /// CURLMOPT_SOCKETFUNCTION: libcurl changes the events to monitor on a
   /// socket.
   static int onSocket(CURL *easy, curl_socket_t socket, int what, void *self,
@@ -75,26 +100,53 @@
   HttpCallId LastId = 0;
   std::map<HttpCallId, std::unique_ptr<CurlCall>> Calls;
   std::map<curl_socket_t, std::shared_ptr<SocketWatch>> Watches;
+  SocketTable Sockets;
+  HostCalls PerHost;
+  std::uint64_t WithoutConnection = 0;
 };
 
 HttpCallId HttpClient::Implementation::start(HttpCall call, HttpCallDone done) {
   const HttpCallId id = ++LastId;
+  PerHost.add(id, std::move(call), std::move(done));
+  return id;
+}
+
+void HttpClient::Implementation::begin(HttpCallId id, HttpCall call,
+                                       HttpCallDone done) {
   auto started = std::make_unique<CurlCall>(id, std::move(call), done);
   if (!started->prepare()) {
-    postDone(std::move(done),
-             {HttpOutcome::NotSent, {}, false, "the call is malformed"});
-    return id;
+    reject(id, std::move(done), "the call is malformed");
+    return;
   }
-  if (const CURLMcode code = curl_multi_add_handle(Multi, started->handle())) {
-    postDone(std::move(done),
-             {HttpOutcome::NotSent, {}, false, curl_multi_strerror(code)});
-    return id;
+  CURL *easy = started->handle();
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &onOpen);
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, this);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &onClose);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
+  if (const CURLMcode code = curl_multi_add_handle(Multi, easy)) {
+    reject(id, std::move(done), curl_multi_strerror(code));
+    return;
   }
   Calls.emplace(id, std::move(started));
-  return id;
+}
+
+void HttpClient::Implementation::reject(HttpCallId id, HttpCallDone done,
+                                        const char *reason) {
+  asio::post(Loop,
+             [self = weak_from_this(), id, done = std::move(done), reason] {
+               if (const auto client = self.lock()) {
+                 client->PerHost.ended(id);
+                 done({HttpOutcome::NotSent, {}, false, reason});
+               }
+             });
 }
 
 void HttpClient::Implementation::cancel(HttpCallId id) {
+  if (HttpCallDone waiting = PerHost.remove(id)) {
+    postDone(std::move(waiting),
+             {HttpOutcome::Cancelled, {}, false, "cancelled"});
+    return;
+  }
   const auto it = Calls.find(id);
   if (it == Calls.end()) {
     return;
@@ -104,10 +156,20 @@
   const bool maybeSent = call->mayHaveBeenSent();
   // Removing a running transfer closes its connection.
   curl_multi_remove_handle(Multi, call->handle());
+  PerHost.ended(id);
   postDone(call->takeDone(),
            {HttpOutcome::Cancelled, {}, maybeSent, "cancelled"});
 }
 
+curl_socket_t HttpClient::Implementation::onOpen(void *self, curlsocktype,
+                                                 curl_sockaddr *address) {
+  return static_cast<Implementation *>(self)->Sockets.open(*address);
+}
+
+int HttpClient::Implementation::onClose(void *self, curl_socket_t socket) {
+  return static_cast<Implementation *>(self)->Sockets.close(socket);
+}
+
 void HttpClient::Implementation::postDone(HttpCallDone done,
                                           HttpCallResult result) {
   asio::post(Loop, [self = weak_from_this(), done = std::move(done),
@@ -127,8 +189,10 @@
       it->second->release();
       client.Watches.erase(it);
     }
+    client.Sockets.setIdle(socket, BootClock::now());
     return 0;
   }
+  client.Sockets.setUsed(socket);
   std::shared_ptr<SocketWatch> watch;
   if (it == client.Watches.end()) {
     watch = std::make_shared<SocketWatch>(
@@ -189,6 +253,7 @@
   const std::unique_ptr<CurlCall> call = std::move(it->second);
   Calls.erase(it);
   curl_multi_remove_handle(Multi, call->handle());
+  PerHost.ended(id);
   call->takeDone()(std::move(result));
 }
 
@@ -205,4 +270,16 @@
 
 void HttpClient::cancel(HttpCallId id) { Impl->cancel(id); }
 
+void HttpClient::closeIdleConnections(Milliseconds idleFor) {
+  Impl->Sockets.shutDownIdle(BootClock::now() - idleFor);
+}
+
+std::size_t HttpClient::openConnections() const { return Impl->Sockets.size(); }
+
+std::size_t HttpClient::waitingCalls() const { return Impl->PerHost.waiting(); }
+
+std::uint64_t HttpClient::callsWithoutConnection() const {
+  return Impl->WithoutConnection;
+}
+
 } // namespace masticwinch
--- a/src/masticwinch/http/http_client.hpp
+++ b/src/masticwinch/http/http_client.hpp
@@ -33,6 +33,13 @@
   /// Fails the call instead of resending a body of which a part was sent. The
   /// connection may still be a reused one, unlike with `FreshConnection`.
   bool SendBodyOnce = false;
+  /// The call waits while this many calls with a limit run to the same host and
+  /// port, so that no more connections to it are open than the largest limit of
+  /// such calls; 0 for no limit.
+  std::uint32_t MaxCallsToHost = 0;
+  /// How long the call may wait for others, in addition to `Timeout`; then it
+  /// ends as `NoConnection`.
+  Milliseconds MaxQueueTime{300};
 };
 
 /// How a call ended.
@@ -43,6 +50,8 @@
   /// was refused or timed out.
   NotSent,
   TimedOut,
+  /// No byte of the request was sent: other calls to the host took too long.
+  NoConnection,
   /// The connection closed, or the response was truncated, malformed or had no
   /// length.
   Broken,
@@ -52,10 +61,11 @@
 };
 
 template <> struct EnumNames<HttpOutcome> {
-  static constexpr std::array<EnumName<HttpOutcome>, 6> Table{{
+  static constexpr std::array<EnumName<HttpOutcome>, 7> Table{{
       {HttpOutcome::Answered, "answered"},
       {HttpOutcome::NotSent, "not_sent"},
       {HttpOutcome::TimedOut, "timed_out"},
+      {HttpOutcome::NoConnection, "no_connection"},
       {HttpOutcome::Broken, "broken"},
       {HttpOutcome::TooLong, "too_long"},
       {HttpOutcome::Cancelled, "cancelled"},
@@ -101,6 +111,15 @@
   /// `Cancelled`, not from within `cancel`. Has no effect on a completed call.
   void cancel(HttpCallId id);
 
+  /// Closes the connections that no call has used for this long.
+  void closeIdleConnections(Milliseconds idleFor);
+
+  /// Open connections, and calls that wait for one.
+  std::size_t openConnections() const;
+  std::size_t waitingCalls() const;
+  /// Calls that ended as `NoConnection`.
+  std::uint64_t callsWithoutConnection() const;
+
 private:
   struct Implementation;
   std::shared_ptr<Implementation> Impl;
--- a/src/masticwinch/load/load_request.cpp
+++ b/src/masticwinch/load/load_request.cpp
@@ -74,6 +74,7 @@
   case HttpOutcome::Answered:
     return classifyResponse(stream, body, result.Response);
   case HttpOutcome::NotSent:
+  case HttpOutcome::NoConnection:
     return LoadOutcome::NotSent;
   case HttpOutcome::TimedOut:
     return result.MayHaveBeenSent ? LoadOutcome::TimedOut
--- a/src/masticwinch/workflow/control_vm_daemon.hpp
+++ b/src/masticwinch/workflow/control_vm_daemon.hpp
@@ -14,6 +14,7 @@
 #include "masticwinch/workflow/advice_agent.hpp"
 #include "masticwinch/workflow/control_loop.hpp"
 #include "masticwinch/workflow/daemon_metrics.hpp"
+#include "masticwinch/workflow/idle_connections.hpp"
 #include "masticwinch/workflow/metrics_endpoint.hpp"
 #include "masticwinch/workflow/order_relay.hpp"
 #include "masticwinch/workflow/relayed_calls.hpp"
@@ -66,7 +67,7 @@
             },
             Events),
         Log(logOptionsOf(settings), Context, Mailbox, Events, Time, handlers()),
-        Calls(Context), Runners(Calls),
+        Calls(Context), IdleCalls(Context, Calls), Runners(Calls),
         RunnerOrders(Runners, Context, Mailbox, Time),
         Relay(Runners, Context, Mailbox),
         Advice(Calls, settings.Daemon.AdviceAddress), Agent(Advice, Mailbox),
@@ -130,6 +131,7 @@
     MetricsServer.start();
     Log.start();
     scheduleTick();
+    IdleCalls.start();
     Reload.start();
     Events.writeNamed("control_started",
                       {{"address", Settings.Daemon.Process.InternalAddress},
@@ -158,6 +160,7 @@
   void registerMetrics() {
     registerDaemonMetrics(Metrics, Mailbox, Events);
     registerConnectionMetrics(Metrics, Server);
+    registerClientMetrics(Metrics, Calls);
     Metrics.observedGauge(
         {"masticwinch_leader", "1 while this control VM leads the cell."},
         [this] { return leads() ? 1.0 : 0.0; });
@@ -217,10 +220,18 @@
   void tick() {
     CurrentActivity.begin("tick");
     if (leads()) {
+      Led = true;
       RunnerOrders.setRunnerCount(Workflows.state().runners().size());
       Workflows.tick();
-    } else if (const std::string leader = Log.leaderAddress();
-               !leader.empty() && Time.now() >= NextAgentHello) {
+      return;
+    }
+    if (Led) {
+      // The next leader needs the runners' connections.
+      Led = false;
+      IdleCalls.closeAll();
+    }
+    if (const std::string leader = Log.leaderAddress();
+        !leader.empty() && Time.now() >= NextAgentHello) {
       NextAgentHello = Time.now() + AgentHelloInterval;
       Agent.sendHello(leader, Settings.Daemon.LinkKbps);
     }
@@ -253,6 +264,7 @@
   peers::Mailbox Mailbox;
   control::ReplicatedLog Log;
   HttpClient Calls;
+  IdleConnections IdleCalls;
   RunnerClient Runners;
   Orders RunnerOrders;
   OrderRelay<RunnerClient> Relay;
@@ -264,6 +276,8 @@
   MetricsEndpoint MetricsServer;
   asio::steady_timer Ticker;
   SteadyTime NextAgentHello{};
+  /// Whether this VM led at the latest tick.
+  bool Led = false;
   asio::steady_timer StopTimer;
   SettingsReload Reload;
   StopSignals Signals;
--- a/src/masticwinch/workflow/daemon_metrics.cpp
+++ b/src/masticwinch/workflow/daemon_metrics.cpp
@@ -1,6 +1,7 @@
 #include "masticwinch/workflow/daemon_metrics.hpp"
 
 #include "masticwinch/events/event_log.hpp"
+#include "masticwinch/http/http_client.hpp"
 #include "masticwinch/http/http_server.hpp"
 #include "masticwinch/metrics/metric_registry.hpp"
 #include "masticwinch/metrics/process_metrics.hpp"
@@ -50,4 +51,19 @@
   closed("idle_timeout", &HttpConnectionCounts::IdleTimeouts);
 }
 
+void registerClientMetrics(MetricRegistry &registry, const HttpClient &client) {
+  registry.observedGauge(
+      {"masticwinch_client_connections_open",
+       "Open connections to runners and other services."},
+      [&client] { return double(client.openConnections()); });
+  registry.observedGauge(
+      {"masticwinch_client_calls_waiting",
+       "Calls that wait until others to the same host have ended."},
+      [&client] { return double(client.waitingCalls()); });
+  registry.observedCounter(
+      {"masticwinch_client_calls_without_connection_total",
+       "Calls that weren't sent, as others to the same host took too long."},
+      [&client] { return double(client.callsWithoutConnection()); });
+}
+
 } // namespace masticwinch::workflow
--- a/src/masticwinch/workflow/daemon_metrics.hpp
+++ b/src/masticwinch/workflow/daemon_metrics.hpp
@@ -2,6 +2,7 @@
 
 namespace masticwinch {
 class EventLog;
+class HttpClient;
 class HttpServer;
 class MetricRegistry;
 } // namespace masticwinch
@@ -23,4 +24,8 @@
 void registerConnectionMetrics(MetricRegistry &registry,
                                const HttpServer &server);
 
+/// Registers the numbers of connections and waiting calls of a client, which
+/// outlives the registry's use.
+void registerClientMetrics(MetricRegistry &registry, const HttpClient &client);
+
 } // namespace masticwinch::workflow
--- a/src/masticwinch/workflow/entry_vm_daemon.hpp
+++ b/src/masticwinch/workflow/entry_vm_daemon.hpp
@@ -13,6 +13,7 @@
 #include "masticwinch/workflow/control_loop.hpp"
 #include "masticwinch/workflow/daemon_metrics.hpp"
 #include "masticwinch/workflow/entry_gateway.hpp"
+#include "masticwinch/workflow/idle_connections.hpp"
 #include "masticwinch/workflow/metrics_endpoint.hpp"
 #include "masticwinch/workflow/order_relay.hpp"
 #include "masticwinch/workflow/runner_calls.hpp"
@@ -51,9 +52,9 @@
         Gateway({programs::addressesOf(settings.Daemon.Seeds),
                  settings.Daemon.LinkKbps},
                 Context, Mailbox, Events, Time),
-        Calls(Context), Advice(Calls, settings.Daemon.AdviceAddress),
-        Agent(Advice, Mailbox), Runners(Calls),
-        Relay(Runners, Context, Mailbox), Api(*this),
+        Calls(Context), IdleCalls(Context, Calls),
+        Advice(Calls, settings.Daemon.AdviceAddress), Agent(Advice, Mailbox),
+        Runners(Calls), Relay(Runners, Context, Mailbox), Api(*this),
         Server(programs::serverOptions(settings.Callers),
                [this](std::shared_ptr<HttpExchange> it) {
                  asio::post(Context, [this, it] { handle(it); });
@@ -107,6 +108,7 @@
   void start() {
     Mailbox.start();
     Gateway.start();
+    IdleCalls.start();
     Server.start();
     ReadinessServer.start();
     MetricsServer.start();
@@ -118,6 +120,7 @@
   void registerMetrics() {
     registerDaemonMetrics(Metrics, Mailbox, Events);
     registerConnectionMetrics(Metrics, Server);
+    registerClientMetrics(Metrics, Calls);
     Metrics.observedGauge(
         {"masticwinch_entry_ready", "1 while the health check passes."},
         [this] { return isReady() ? 1.0 : 0.0; });
@@ -218,6 +221,7 @@
   peers::Mailbox Mailbox;
   EntryGateway Gateway;
   HttpClient Calls;
+  IdleConnections IdleCalls;
   AdviceClient Advice;
   AdviceAgent<AdviceClient> Agent;
   RunnerClient Runners;
--- a/src/masticwinch/workflow/order_messages.cpp
+++ b/src/masticwinch/workflow/order_messages.cpp
@@ -9,6 +9,7 @@
   message.set_runner(order.Runner);
   message.set_address(order.Address);
   message.set_life_number(order.LifeNumber);
+  message.set_max_connections(order.MaxConnections);
   return message;
 }
 
@@ -58,12 +59,12 @@
           runOf(message),         terms.payload(),
           terms.lease_until_ms(), terms.checkpoint(),
           terms.ticket(),         0,
-          message.life_number()};
+          message.life_number(),  message.max_connections()};
 }
 
 StopOrder stopOf(const protocol::RunnerOrder &message) {
-  return {message.runner(), message.address(), runOf(message), 0,
-          message.life_number()};
+  return {message.runner(),      message.address(),        runOf(message), 0,
+          message.life_number(), message.max_connections()};
 }
 
 PollOrder pollOf(const protocol::RunnerOrder &message) {
@@ -71,6 +72,7 @@
   order.Runner = message.runner();
   order.Address = message.address();
   order.LifeNumber = message.life_number();
+  order.MaxConnections = message.max_connections();
   if (message.look().has_lease_until_ms()) {
     order.LeaseUntilMs = message.look().lease_until_ms();
   }
--- a/tests/coordination/workflow/test_relay_selection.cpp
+++ b/tests/coordination/workflow/test_relay_selection.cpp
@@ -127,3 +127,22 @@
   CHECK(*selection.relayFor("i-1", now) == "entry-7");
   CHECK(selection.relayFor("i-1", now + Milliseconds(1600)) == nullptr);
 }
+
+// Guards against connections that all former relays of a runner leave open.
+TEST_CASE("A relay that comes or goes changes only its own runners' relay",
+          "[workflow]") {
+  RelaySelection selection = cellOf(LargeLink);
+  std::map<std::string, std::string> before;
+  for (int i = 0; i < RunnerCount; ++i) {
+    before[runner(i)] = *selection.relayFor(runner(i), Start);
+  }
+  selection.offered("entry-new", RelayRole::EntryVm, LargeLink, Start);
+  int moved = 0;
+  for (const auto &[id, relay] : before) {
+    const std::string &now = *selection.relayFor(id, Start);
+    CHECK((now == relay || now == "entry-new"));
+    moved += now == relay ? 0 : 1;
+  }
+  CHECK(moved > 0);
+  CHECK(moved < RunnerCount / 10);
+}
