Drop what a given-up connection delivers after the next one

Cause: an entry VM that gave up a connection sent its call again on another one and took the refusal of the second copy as final. It may if messages between two processes arrive in order or are lost; over two connections they didn't, and the first copy was accepted later.

The first message of each connection states its number; what comes on an earlier one than the latest is dropped and logged (message_outdated). Calls name the term of the leader that they are for, so that copies left behind at a VM that leads again later have no effect.

--- a/src/masticwinch/coordination/workflow/call_copies.hpp
+++ b/src/masticwinch/coordination/workflow/call_copies.hpp
@@ -4,9 +4,19 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 
 namespace masticwinch::workflow {
 
+/// A process that leads in one term.
+struct LeaderOfTerm {
+  std::string Address;
+  /// 0 if it hasn't stated its term.
+  std::uint64_t Term = 0;
+
+  bool operator==(const LeaderOfTerm &) const = default;
+};
+
 /// The copies of one call that an entry VM has sent to leaders. Decides when a
 /// copy counts as lost and is sent again, and whether one may still have an
 /// effect.
@@ -14,12 +24,14 @@
 /// Messages between two processes arrive in order or are lost. Once a leader
 /// has answered a hello that was sent after a copy, the copy has been handled
 /// or is lost. Before that it may just be waiting for a busy leader, and
-/// another copy would add to what it has to do.
+/// another copy would add to what it has to do. A leader handles only copies
+/// that were sent to it in its present term, so that those which another one or
+/// an earlier term left behind have no effect.
 class CallCopies {
 public:
   /// Records a copy sent to a leader, after the hello with this number.
-  void sent(const std::string &leader, std::uint64_t hello, SteadyTime now) {
-    Leader = leader;
+  void sent(LeaderOfTerm leader, std::uint64_t hello, SteadyTime now) {
+    Leader = std::move(leader);
     Hello = hello;
     SentAt = now;
     Unanswered += 1;
@@ -27,7 +39,7 @@
 
   /// Whether a copy is to be sent to this leader, of which `answeredHello` is
   /// the latest hello that it answered.
-  bool isDue(const std::string &leader, std::uint64_t answeredHello,
+  bool isDue(const LeaderOfTerm &leader, std::uint64_t answeredHello,
              Milliseconds resendAfter, SteadyTime now) const {
     return Leader != leader ||
            (answeredHello > Hello && now - SentAt >= resendAfter);
@@ -41,15 +53,15 @@
   /// is due at once.
   void notHandled(const std::string &receiver) {
     hadNoEffect();
-    if (receiver == Leader) {
-      Leader.clear();
+    if (receiver == Leader.Address) {
+      Leader = {};
     }
   }
 
   /// Whether the latest copy was sent to this process, so that its answer is
   /// that of the latest leader.
   bool isLatestAt(const std::string &address) const {
-    return !Leader.empty() && Leader == address;
+    return !Leader.Address.empty() && Leader.Address == address;
   }
 
   /// Whether a copy without an answer may have an effect, now or later.
@@ -57,7 +69,7 @@
 
 private:
   /// Receiver of the latest copy; empty if there is none.
-  std::string Leader;
+  LeaderOfTerm Leader;
   /// The latest hello that was sent before the latest copy.
   std::uint64_t Hello = 0;
   SteadyTime SentAt{};
--- a/src/masticwinch/coordination/workflow/workflow_leader.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.cpp
@@ -166,7 +166,7 @@
   case protocol::WorkflowCall::kSubmit:
     return submit(call, *route, *account, std::move(answer), at);
   case protocol::WorkflowCall::kCancel:
-    return cancel(route->Suffix, *account, answer);
+    return cancel(route->Suffix, *account, answer, at);
   default:
     return answerState(*route, *account, answer, at);
   }
@@ -308,6 +308,14 @@
     waiting->second.Answers.push_back(std::move(answer));
     return;
   }
+  if (EarlyCancels.contains(spec.id(), account, at.Now)) {
+    logSubmission(WorkflowEventKind::WorkflowRefused, account,
+                  {{"workflow", spec.id()},
+                   {"reason", "cancelled before"},
+                   {"queue", spec.queue()}});
+    answer(answerOf(protocol::VERDICT_REFUSED, "cancelled before"));
+    return;
+  }
   if (const auto after = retryAfterDelay(Options.CallDelay, CallDelay,
                                          std::hash<std::string>()(spec.id()))) {
     Tally.refused(spec.queue());
--- a/src/masticwinch/coordination/workflow/workflow_leader.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader.hpp
@@ -7,6 +7,7 @@
 #include "masticwinch/coordination/workflow/advice_tracker.hpp"
 #include "masticwinch/coordination/workflow/call_delay.hpp"
 #include "masticwinch/coordination/workflow/crash_containment.hpp"
+#include "masticwinch/coordination/workflow/early_cancellations.hpp"
 #include "masticwinch/coordination/workflow/gang_claims.hpp"
 #include "masticwinch/coordination/workflow/gang_forecast.hpp"
 #include "masticwinch/coordination/workflow/gathering.hpp"
@@ -268,7 +269,7 @@
   std::uint32_t connectionsTo(const std::string &runner) const;
   std::uint64_t queuedCount(const std::string &queue, Moment at);
   void cancel(const std::string &id, const std::string &account,
-              const AnswerCallback &answer);
+              const AnswerCallback &answer, Moment at);
   void logSubmission(WorkflowEventKind kind, const std::string &account,
                      std::vector<std::pair<std::string, std::string>> fields);
   void reportUnauthenticated(SteadyTime now);
@@ -511,6 +512,7 @@
     std::vector<AnswerCallback> Answers;
   };
   std::map<std::string, PendingSubmission> PendingSubmissions;
+  EarlyCancellations EarlyCancels;
   UnauthenticatedCalls Unauthenticated;
   SteadyTime NextUnauthenticatedReport{};
   SteadyTime NextCleanup{};
--- a/src/masticwinch/coordination/workflow/workflow_leader_callers.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_callers.cpp
@@ -118,10 +118,13 @@
 }
 
 void WorkflowLeader::cancel(const std::string &id, const std::string &account,
-                            const AnswerCallback &answer) {
+                            const AnswerCallback &answer, Moment at) {
   const Workflow *workflow = State.find(id);
   const bool accepting = PendingSubmissions.contains(id);
   if ((!workflow && !accepting) || isForeign(id, account)) {
+    if (!workflow && !accepting) {
+      EarlyCancels.add(id, account, at.Now);
+    }
     answer(answerOf(protocol::VERDICT_NO_WORKFLOW, "no such workflow"));
     return;
   }
--- a/src/masticwinch/peers/internal/inbound_connection.cpp
+++ b/src/masticwinch/peers/internal/inbound_connection.cpp
@@ -63,7 +63,7 @@
 }
 
 /// Passes complete messages to the handler; returns false if a message exceeds
-/// the size limit.
+/// the size limit or the handler ends the connection.
 bool InboundConnection::processFrames() {
   std::size_t offset = 0;
   while (!Closed && Buffer.size() - offset >= FrameHeaderBytes) {
@@ -75,7 +75,10 @@
     if (Buffer.size() - offset - FrameHeaderBytes < size) {
       break;
     }
-    OnMessage(std::string_view(Buffer).substr(offset + FrameHeaderBytes, size));
+    if (!OnMessage(
+            std::string_view(Buffer).substr(offset + FrameHeaderBytes, size))) {
+      return false;
+    }
     offset += FrameHeaderBytes + size;
     ++MessageCount;
     scheduleAcknowledgement();
--- a/src/masticwinch/peers/internal/inbound_connection.hpp
+++ b/src/masticwinch/peers/internal/inbound_connection.hpp
@@ -18,8 +18,8 @@
 class InboundConnection
     : public std::enable_shared_from_this<InboundConnection> {
 public:
-  /// Called with each message.
-  using MessageHandler = std::function<void(std::string_view payload)>;
+  /// Called with each message. Returns false to close the connection.
+  using MessageHandler = std::function<bool(std::string_view payload)>;
   /// Called once when the connection has ended, unless `close` was called.
   using EndHandler =
       std::function<void(const std::shared_ptr<InboundConnection> &)>;
--- a/src/masticwinch/peers/internal/outbound_connection.cpp
+++ b/src/masticwinch/peers/internal/outbound_connection.cpp
@@ -33,10 +33,12 @@
 OutboundConnection::OutboundConnection(asio::io_context &context,
                                        asio::ip::tcp::endpoint peer,
                                        std::atomic<std::uint64_t> &queuedBytes,
+                                       OpeningMessage openingMessage,
                                        StateHandler onState, DropHandler onDrop)
     : Peer(std::move(peer)), TotalQueuedBytes(queuedBytes),
-      OnState(std::move(onState)), OnDrop(std::move(onDrop)), Socket(context),
-      ConnectTimer(context), AckTimer(context) {}
+      FirstMessage(std::move(openingMessage)), OnState(std::move(onState)),
+      OnDrop(std::move(onDrop)), Socket(context), ConnectTimer(context),
+      AckTimer(context) {}
 
 void OutboundConnection::send(std::string payload) {
   dropStale();
@@ -80,6 +82,7 @@
         }
         self->Opening = false;
         self->Open = true;
+        self->Announced = false;
         self->ConnectTimer.cancel();
         std::error_code ignored;
         self->Socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -161,11 +164,12 @@
   if (Sent == Acknowledged) {
     LastProgressAt = now();
   }
+  if (!Announced) {
+    Announced = true;
+    appendFrame(FirstMessage(Attempt));
+  }
   while (!Queue.empty() && Outgoing.size() < MaxWriteBytes) {
-    const std::string payload = takeFirst();
-    appendUint32(Outgoing, static_cast<std::uint32_t>(payload.size()));
-    Outgoing += payload;
-    ++Sent;
+    appendFrame(takeFirst());
   }
   Writing = true;
   asio::async_write(Socket, asio::buffer(Outgoing),
@@ -186,6 +190,12 @@
   }
 }
 
+void OutboundConnection::appendFrame(const std::string &payload) {
+  appendUint32(Outgoing, static_cast<std::uint32_t>(payload.size()));
+  Outgoing += payload;
+  ++Sent;
+}
+
 /// Checks after the timeout whether sent messages have been acknowledged.
 void OutboundConnection::awaitAcknowledgement() {
   AckTimerRunning = true;
--- a/src/masticwinch/peers/internal/outbound_connection.hpp
+++ b/src/masticwinch/peers/internal/outbound_connection.hpp
@@ -27,13 +27,16 @@
 public:
   /// Called when the peer becomes reachable or unreachable.
   using StateHandler = std::function<void(bool reachable, std::string reason)>;
+  /// Returns the first message of a connection, which has this number.
+  using OpeningMessage = std::function<std::string(std::uint64_t number)>;
   /// Called with the number of messages that were dropped.
   using DropHandler = std::function<void(std::size_t count)>;
 
   /// `queuedBytes` counts the bytes that wait in all connections of a mailbox.
   OutboundConnection(asio::io_context &context, asio::ip::tcp::endpoint peer,
                      std::atomic<std::uint64_t> &queuedBytes,
-                     StateHandler onState, DropHandler onDrop);
+                     OpeningMessage openingMessage, StateHandler onState,
+                     DropHandler onDrop);
 
   /// Queues a message whose size `queuedBytes` already includes.
   void send(std::string payload);
@@ -49,6 +52,7 @@
   void retryLater();
   void fail(const std::string &reason);
   void write();
+  void appendFrame(const std::string &payload);
   void readAcknowledgement();
   void awaitAcknowledgement();
   void dropStale();
@@ -56,6 +60,7 @@
 
   const asio::ip::tcp::endpoint Peer;
   std::atomic<std::uint64_t> &TotalQueuedBytes;
+  OpeningMessage FirstMessage;
   StateHandler OnState;
   DropHandler OnDrop;
   asio::ip::tcp::socket Socket;
@@ -67,6 +72,8 @@
   bool Closed = false;
   bool Opening = false;
   bool Open = false;
+  /// The opening message of this connection has been written.
+  bool Announced = false;
   bool Writing = false;
   bool PeerReachable = true;
   bool AckTimerRunning = false;
--- a/src/masticwinch/peers/mailbox.cpp
+++ b/src/masticwinch/peers/mailbox.cpp
@@ -1,6 +1,7 @@
 #include "masticwinch/peers/mailbox.hpp"
 
 #include "masticwinch/events/event_log.hpp"
+#include "masticwinch/peers/internal/connection_order.hpp"
 #include "masticwinch/peers/internal/inbound_connection.hpp"
 #include "masticwinch/peers/internal/outbound_connection.hpp"
 #include "masticwinch/protocol/envelope.pb.h"
@@ -29,6 +30,7 @@
   PeerLost,
   PeerReached,
   AcceptFailed,
+  Outdated,
 };
 
 } // namespace masticwinch::peers
@@ -36,13 +38,14 @@
 namespace masticwinch {
 
 template <> struct EnumNames<peers::MailboxEvent> {
-  static constexpr std::array<EnumName<peers::MailboxEvent>, 6> Table{{
+  static constexpr std::array<EnumName<peers::MailboxEvent>, 7> Table{{
       {peers::MailboxEvent::Garbage, "message_garbage"},
       {peers::MailboxEvent::OtherCluster, "message_of_other_cluster"},
       {peers::MailboxEvent::BadAddress, "message_address_malformed"},
       {peers::MailboxEvent::PeerLost, "peer_lost"},
       {peers::MailboxEvent::PeerReached, "peer_reached"},
       {peers::MailboxEvent::AcceptFailed, "accept_failed"},
+      {peers::MailboxEvent::Outdated, "message_outdated"},
   }};
 };
 
@@ -136,7 +139,8 @@
   void addInbound(tcp::socket socket) {
     const auto connection = std::make_shared<internal::InboundConnection>(
         std::move(socket), Options.MaxMessageBytes,
-        [this](std::string_view payload) { receive(payload); },
+        [this, id = std::optional<internal::ConnectionId>()](
+            std::string_view payload) mutable { return receive(id, payload); },
         [this](const std::shared_ptr<internal::InboundConnection> &it) {
           Inbound.erase(it);
         });
@@ -144,9 +148,12 @@
     connection->start();
   }
 
-  void receive(std::string_view payload) {
+  /// Handles a message of a connection, which is identified by its first one.
+  /// Returns whether the connection is still of use.
+  bool receive(std::optional<internal::ConnectionId> &connection,
+               std::string_view payload) {
     if (Stopped) {
-      return;
+      return true;
     }
     ReceivedMessages += 1;
     ReceivedBytes += payload.size();
@@ -154,17 +161,53 @@
     if (!envelope.ParseFromArray(payload.data(),
                                  static_cast<int>(payload.size()))) {
       Events.write(MailboxEvent::Garbage, {{"bytes", payload.size()}});
-      return;
+      return true;
     }
     if (envelope.cluster() != Options.Cluster) {
       Events.write(
           MailboxEvent::OtherCluster,
           {{"sender", envelope.sender()}, {"cluster", envelope.cluster()}});
-      return;
+      return true;
+    }
+    if (envelope.has_connection_opened()) {
+      connection = idOf(envelope);
+      return isInOrder(Order.opened(*connection), *connection);
+    }
+    if (connection && !isInOrder(Order.isLatest(*connection), *connection)) {
+      return false;
     }
     Events.hybridClock().observe(
         {envelope.hlc_millis(), envelope.hlc_counter()});
     Handler(std::move(envelope));
+    return true;
+  }
+
+  static internal::ConnectionId idOf(const protocol::Envelope &envelope) {
+    const protocol::ConnectionOpened &opened = envelope.connection_opened();
+    return {envelope.sender() + ' ' + std::to_string(envelope.incarnation()) +
+                ' ' + opened.address(),
+            opened.number()};
+  }
+
+  /// Counts and logs the message if it is outdated.
+  bool isInOrder(bool isLatest, const internal::ConnectionId &connection) {
+    if (!isLatest) {
+      OutdatedMessages += 1;
+      Events.write(MailboxEvent::Outdated, {{"sender", connection.Sender},
+                                            {"connection", connection.Number}});
+    }
+    return isLatest;
+  }
+
+  std::string openingMessage(const std::string &address,
+                             std::uint64_t number) const {
+    protocol::Envelope envelope;
+    envelope.set_cluster(Options.Cluster);
+    envelope.set_sender(Options.Process);
+    envelope.set_incarnation(Options.Incarnation);
+    envelope.mutable_connection_opened()->set_address(address);
+    envelope.mutable_connection_opened()->set_number(number);
+    return envelope.SerializeAsString();
   }
 
   void enqueue(const std::string &address, std::string payload) {
@@ -190,6 +233,9 @@
     }
     return std::make_shared<internal::OutboundConnection>(
         Context, *endpoint, QueuedBytes,
+        [this, address](std::uint64_t number) {
+          return openingMessage(address, number);
+        },
         [this, address](bool reachable, const std::string &reason) {
           Events.write(reachable ? MailboxEvent::PeerReached
                                  : MailboxEvent::PeerLost,
@@ -221,6 +267,7 @@
   asio::executor_work_guard<asio::io_context::executor_type> Work;
   std::thread Thread;
   std::set<std::shared_ptr<internal::InboundConnection>> Inbound;
+  internal::ConnectionOrder Order;
   std::unordered_map<std::string, std::shared_ptr<internal::OutboundConnection>>
       Outbound;
   std::atomic<bool> Stopped = false;
@@ -229,6 +276,7 @@
   std::atomic<std::uint64_t> ReceivedMessages = 0;
   std::atomic<std::uint64_t> ReceivedBytes = 0;
   std::atomic<std::uint64_t> DroppedMessages = 0;
+  std::atomic<std::uint64_t> OutdatedMessages = 0;
   std::atomic<std::uint64_t> QueuedBytes = 0;
 };
 
@@ -271,7 +319,8 @@
 
 MailboxTraffic Mailbox::traffic() const {
   return {Impl->SentMessages,  Impl->SentBytes,       Impl->ReceivedMessages,
-          Impl->ReceivedBytes, Impl->DroppedMessages, Impl->QueuedBytes};
+          Impl->ReceivedBytes, Impl->DroppedMessages, Impl->OutdatedMessages,
+          Impl->QueuedBytes};
 }
 
 void Mailbox::stop() {
--- a/src/masticwinch/peers/mailbox.hpp
+++ b/src/masticwinch/peers/mailbox.hpp
@@ -48,6 +48,9 @@
   /// Messages dropped before sending, because the peer was slow or unreachable
   /// or its address malformed.
   std::uint64_t DroppedMessages = 0;
+  /// Messages dropped on arrival, because a later connection of their sender
+  /// had delivered some.
+  std::uint64_t OutdatedMessages = 0;
   /// Size of the messages waiting to be sent at the moment.
   std::uint64_t QueuedBytes = 0;
 };
@@ -58,8 +61,9 @@
 /// Sends and receives messages between the system's own processes. Each process
 /// listens on one address, and sending never blocks. Messages may be lost,
 /// delayed or reordered relative to those of other senders; every protocol on
-/// top allows for that. Malformed messages and those of another cluster are
-/// logged and dropped.
+/// top allows for that. Those of one process to another arrive in order or are
+/// lost, also if a connection was given up between them. Malformed messages and
+/// those of another cluster are logged and dropped.
 class Mailbox {
 public:
   Mailbox(MailboxOptions options, MailboxHandler handler, EventLog &events);
--- a/src/masticwinch/peers/mailbox_metrics.cpp
+++ b/src/masticwinch/peers/mailbox_metrics.cpp
@@ -36,6 +36,11 @@
           {"masticwinch_messages_dropped_total",
            "Messages to own processes given up before they were sent."},
           &MailboxTraffic::DroppedMessages);
+  observe(
+      registry, mailbox,
+      {"masticwinch_messages_outdated_total",
+       "Messages dropped, as a later connection of their sender was there."},
+      &MailboxTraffic::OutdatedMessages);
   registry.observedGauge(
       {"masticwinch_messages_queued_bytes",
        "Bytes of messages to own processes that wait to be sent."},
--- a/src/masticwinch/workflow/entry_gateway.cpp
+++ b/src/masticwinch/workflow/entry_gateway.cpp
@@ -146,13 +146,14 @@
       std::chrono::ceil<Milliseconds>(call.CallerDeadline - Time.now());
   call.Call.set_timeout_ms(
       static_cast<std::uint32_t>(std::max(left, Milliseconds(1)).count()));
+  call.Call.set_leader_term(LeaderTerm);
   *envelope.mutable_workflow_call() = call.Call;
   call.Offered = TakesOffers && call.WantedBy != Leader &&
                  Offers.applies(call.Call, Time.now());
   if (call.Offered) {
     removePayload(*envelope.mutable_workflow_call());
   }
-  call.Copies.sent(Leader, HelloSequence, Time.now());
+  call.Copies.sent({Leader, LeaderTerm}, HelloSequence, Time.now());
   Outbox.send(Leader, std::move(envelope));
 }
 
@@ -187,7 +188,7 @@
 /// Sends the calls that the leader has not received, as far as is known.
 void EntryGateway::sendDue() {
   for (auto &[number, it] : Calls) {
-    if (!Leader.empty() && it.Copies.isDue(Leader, AnsweredHello,
+    if (!Leader.empty() && it.Copies.isDue({Leader, LeaderTerm}, AnsweredHello,
                                            Options.ResendAfter, Time.now())) {
       send(it);
     }
@@ -269,6 +270,11 @@
     }
     return;
   }
+  if (!Leader.empty() && sender != Leader && welcome.term() != 0 &&
+      welcome.term() < LeaderTerm) {
+    // Sent before the leader that is known was elected.
+    return;
+  }
   LastWelcome = Time.now();
   Terms.learn(welcome);
   TakesOffers = welcome.takes_offers();
@@ -279,6 +285,7 @@
     Leader = sender;
     Events.writeNamed("leader_found", {{"address", Leader}});
   }
+  LeaderTerm = welcome.term();
   Delay.answered(AnsweredHello, Time.now());
   sendDue();
 }
--- a/src/masticwinch/workflow/entry_gateway.hpp
+++ b/src/masticwinch/workflow/entry_gateway.hpp
@@ -178,6 +178,8 @@
   asio::steady_timer Ticker;
   std::set<std::string> Controls;
   std::string Leader;
+  /// Term of the leader; 0 if it hasn't stated it.
+  std::uint64_t LeaderTerm = 0;
   SteadyTime LastWelcome{};
   SteadyTime LeaderlessSince{};
   SteadyTime NextHello{};
--- a/src/masticwinch/workflow/workflow_driver.hpp
+++ b/src/masticwinch/workflow/workflow_driver.hpp
@@ -202,10 +202,12 @@
       *outgoing.mutable_workflow_answer() = std::move(answer);
       Outbox.send(address, std::move(outgoing));
     };
-    if (!leads()) {
+    const bool leading = leads();
+    if (!leading || isForEarlierTerm(call)) {
       protocol::WorkflowAnswer answer;
       answer.set_verdict(protocol::VERDICT_NOT_LEADING);
-      answer.set_reason("this VM does not lead");
+      answer.set_reason(leading ? "sent to the leader of another term"
+                                : "this VM does not lead");
       answer.set_leader_hint(Commands.leaderAddress());
       reply(std::move(answer));
       return;
@@ -218,6 +220,13 @@
     });
   }
 
+  /// Whether the call was sent to another leader, or to this VM when it led
+  /// before. Its sender may have been refused by a leader in between, and must
+  /// then not have it accepted.
+  bool isForEarlierTerm(const protocol::WorkflowCall &call) const {
+    return call.leader_term() != 0 && call.leader_term() != LeaderTerm;
+  }
+
   void handleHello(const protocol::Envelope &envelope) {
     protocol::Envelope outgoing;
     protocol::AgentWelcome *welcome = outgoing.mutable_agent_welcome();
@@ -225,6 +234,7 @@
     welcome->set_leads(leads());
     welcome->set_leader_hint(Commands.leaderAddress());
     if (leads()) {
+      welcome->set_term(LeaderTerm);
       welcome->set_config_version(State.config().version());
       welcome->set_takes_offers(State.accounts().areDeclared());
       if (State.config().has_limits()) {
--- a/tests/workflow/test_entry_gateway.cpp
+++ b/tests/workflow/test_entry_gateway.cpp
@@ -40,9 +40,10 @@
   }
 
   void welcomeFrom(const std::string &control, bool leads,
-                   std::uint64_t sequence = 0) {
+                   std::uint64_t sequence = 0, std::uint64_t term = 0) {
     protocol::Envelope envelope;
     envelope.set_reply_address(control);
+    envelope.mutable_agent_welcome()->set_term(term);
     envelope.mutable_agent_welcome()->set_leads(leads);
     envelope.mutable_agent_welcome()->set_sequence(sequence);
     Gateway.receive(envelope);
@@ -228,6 +229,35 @@
   CHECK(entry.Ended == CallOutcome::Answered);
 }
 
+// Guards against a submission that the present leader refuses while a copy is
+// on its way to a VM that leads again later.
+TEST_CASE("A call is sent again when its leader leads in another term",
+          "[workflow]") {
+  Fixture entry;
+  entry.welcomeFrom(entry.Control, true, 0, 3);
+  entry.beginLargeCall();
+  REQUIRE(entry.largeCallsSent() == 1);
+  entry.welcomeFrom(entry.Control, true, 0, 3);
+  CHECK(entry.largeCallsSent() == 1);
+  entry.welcomeFrom(entry.Control, true, 0, 5);
+  CHECK(entry.largeCallsSent() == 2);
+}
+
+TEST_CASE("The welcome of an earlier term that arrives late doesn't replace "
+          "the leader",
+          "[workflow]") {
+  Fixture entry;
+  entry.welcomeFrom(entry.Control, true, 0, 5);
+  entry.welcomeFrom(entry.OtherControl, true, 0, 4);
+  CHECK(entry.Gateway.leader() == entry.Control);
+  entry.welcomeFrom(entry.OtherControl, true, 0, 6);
+  CHECK(entry.Gateway.leader() == entry.OtherControl);
+  // A cell that was started anew begins with the first term.
+  entry.welcomeFrom(entry.OtherControl, false);
+  entry.welcomeFrom(entry.Control, true, 0, 1);
+  CHECK(entry.Gateway.leader() == entry.Control);
+}
+
 TEST_CASE("A call is refused at once while too many others wait",
           "[workflow]") {
   EntryGatewayOptions options;
--- a/tests/workflow/test_workflow_driver.cpp
+++ b/tests/workflow/test_workflow_driver.cpp
@@ -258,3 +258,37 @@
   control.Log.Leads = false;
   CHECK_FALSE(control.Driver.accountLoads().has_value());
 }
+
+// Guards against a submission that was refused by one leader and accepted later
+// by another, which had got a copy when it led before.
+TEST_CASE("A call that was sent to the leader of another term isn't handled",
+          "[workflow]") {
+  Fixture control;
+  const auto verdictFor = [&](std::uint64_t term) {
+    protocol::Envelope envelope;
+    envelope.set_reply_address("tcp://entry");
+    envelope.mutable_workflow_call()->set_leader_term(term);
+    envelope.mutable_workflow_call()->set_host("host");
+    envelope.mutable_workflow_call()->mutable_length();
+    control.Sender.Sent.clear();
+    control.Driver.receive(envelope);
+    REQUIRE(control.Sender.Sent.size() == 1);
+    return control.Sender.Sent[0].workflow_answer().verdict();
+  };
+  CHECK(verdictFor(control.Log.Term + 1) == protocol::VERDICT_NOT_LEADING);
+  CHECK(verdictFor(control.Log.Term) != protocol::VERDICT_NOT_LEADING);
+  CHECK(verdictFor(0) != protocol::VERDICT_NOT_LEADING);
+  control.Log.Term = 7;
+  control.Driver.becomeLeader();
+  CHECK(verdictFor(1) == protocol::VERDICT_NOT_LEADING);
+  CHECK(verdictFor(7) != protocol::VERDICT_NOT_LEADING);
+}
+
+TEST_CASE("A leader states its term in welcomes", "[workflow]") {
+  Fixture control;
+  protocol::Envelope envelope;
+  envelope.mutable_agent_hello()->set_sequence(1);
+  control.Driver.receive(envelope);
+  REQUIRE(control.Sender.Sent.size() == 1);
+  CHECK(control.Sender.Sent[0].agent_welcome().term() == control.Log.Term);
+}
