Count jobs whose starts were never answered as waiting

Cause: each end of a run but RUN_LOST marked its workflow as begun; a run whose start was never answered ends as RUN_LAPSED. The mark is stored, so a change of leader didn't mend it. The stored end now states whether the runner had confirmed the beginning.

Fuzzed sessions check that no workflow counts as begun of which no runner has started a task, and lose orders also in a way that is known to have sent nothing.

--- a/fuzzing/workflow/workflow_simulator.cpp
+++ b/fuzzing/workflow/workflow_simulator.cpp
@@ -214,7 +214,14 @@
     break;
   case Kind::LoseOrder:
     if (!Orders.empty()) {
-      loseOrder(takeOrder(action.A));
+      const Order lost = takeOrder(action.A);
+      if (action.B % 4 == 1) {
+        answer({lost, OrderAnswer::Unreachable, {}});
+      } else if (action.B % 4 == 3) {
+        answer({lost, OrderAnswer::NotSent, {}});
+      } else {
+        loseOrder(lost);
+      }
     }
     break;
   case Kind::EndRun:
@@ -293,6 +300,20 @@
   }
   collect();
   checkFailed();
+  checkBegun();
+}
+
+/// A workflow of which no runner has begun a task is waiting.
+void WorkflowSimulator::checkBegun() const {
+  for (const auto &[id, workflow] : State.workflows()) {
+    const auto first = Starts.lower_bound({{id, 0, 0}, 0});
+    const bool begun =
+        first != Starts.end() && first->first.Step.Workflow == id;
+    if (workflow.Started && !begun) {
+      throw std::logic_error(
+          fmt::format("{} counts as begun and no task of it was started", id));
+    }
+  }
 }
 
 WorkflowSimulator::Runner *WorkflowSimulator::runnerAt(std::uint8_t choice) {
--- a/fuzzing/workflow/workflow_simulator.hpp
+++ b/fuzzing/workflow/workflow_simulator.hpp
@@ -165,6 +165,7 @@
   Runner *runnerAt(std::uint8_t choice);
   Order takeOrder(std::uint8_t choice);
   void loseOrder(const Order &lost);
+  void checkBegun() const;
 
   // simulated_runners.cpp
   std::int64_t clockMs(const Runner &runner) const;
--- a/src/masticwinch/coordination/workflow/runner_registry_runs.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry_runs.cpp
@@ -48,6 +48,7 @@
   end.End.set_how(how);
   end.End.set_checkpoint(checkpoint);
   end.Started = runner.Runs.at(run).Started;
+  end.End.set_began(end.Started);
   // Last, as the arguments may be parts of the run.
   vacate(runner, run);
   Effects.Ends.push_back(std::move(end));
--- a/src/masticwinch/coordination/workflow/workflow_state.cpp
+++ b/src/masticwinch/coordination/workflow/workflow_state.cpp
@@ -361,7 +361,7 @@
     });
   }
   Workflow &workflow = found->second;
-  workflow.Started = workflow.Started || end.how() != protocol::RUN_LOST;
+  workflow.Started = workflow.Started || end.began() || isReported(end.how());
   task->Runner.clear();
   if (!end.checkpoint().empty()) {
     task->Checkpoint = end.checkpoint();
--- a/src/masticwinch/coordination/workflow/workflow_types.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_types.hpp
@@ -142,7 +142,9 @@
   std::uint64_t AcceptedAtUnixMs = 0;
   std::uint32_t MaxAttempts = 1;
   Phase CurrentPhase = Phase::Queued;
-  /// A run has ended in another way than RUN_LOST, so a runner had started it.
+  /// A runner has begun a run: it had confirmed that, or it listed the end. Not
+  /// set by the assignment alone, nor by the end of a lease, since the order
+  /// may never have arrived.
   bool Started = false;
   std::uint32_t OccurrencesBegun = 0;
   std::uint32_t OccurrencesDone = 0;
