--- a/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
+++ b/src/masticwinch/coordination/workflow/runner_registry_answers.cpp
@@ -259,9 +259,8 @@
 }
 
 /// Releases runs that the runner lists neither as running nor as ended, if no
-/// order can start them any more. A run
-/// whose start was sent to a former life and may still be carried out is
-/// stopped instead.
+/// order can start them any more. A run whose start was sent to a former life
+/// and may still be carried out is stopped instead.
 void RunnerRegistry::releaseMissing(RunnerEntry &runner,
                                     const PollAnswer &answer, SteadyTime now) {
   if (answer.Ended.size() >= MaxEndsPerAnswer) {
