Bound what all connections of a server hold together

Callers that keep to no limit ended a process: each connection had its bound, nothing bounded all of them, and what is stored is a multiple of what is sent.

HeldBytes sums what the requests of a port's connections hold, as stored, from their first byte until their handler is done with them. Beyond max_held_bytes (24 MiB) the request that has been unfinished for longest gets 503, or 413 if it is too large by itself; without one, the request that arrives is refused before it is handled. The same bound holds for unread responses. Ports of health checks and metrics take bodies of 16 KiB and hold 4 MiB.

--- a/src/masticwinch/http/http_server.cpp
+++ b/src/masticwinch/http/http_server.cpp
@@ -77,8 +77,8 @@
 
   Implementation(HttpServerOptions options, HttpHandler handler)
       : Options(std::move(options)), Handler(std::move(handler)),
-        Admission(std::make_shared<internal::Admission>(Options.MaxConnections,
-                                                        Options.Timeouts)) {}
+        Admission(std::make_shared<internal::Admission>(
+            Options.MaxConnections, Options.MaxHeldBytes, Options.Timeouts)) {}
 
   void open();
   void close();
@@ -86,7 +86,7 @@
   void handle(const RestinioRequest &request);
   void write(const RestinioRequest &request, HttpResponse response,
              HttpAnswerFault fault);
-  std::shared_ptr<void> trackWrite(std::uint64_t connection);
+  std::shared_ptr<void> trackWrite(std::uint64_t connection, std::size_t bytes);
   std::optional<HttpResponse>
   findRequestError(const RestinioRequest &request) const;
 
@@ -114,9 +114,10 @@
       public internal::PendingRequest {
 public:
   Exchange(std::shared_ptr<Implementation> server, RestinioRequest handle,
-           HttpRequest request)
+           HttpRequest request, std::shared_ptr<void> held)
       : Server(std::move(server)), Connection(handle->connection_id()),
-        Handle(std::move(handle)), Request(std::move(request)) {}
+        Handle(std::move(handle)), Request(std::move(request)),
+        Held(std::move(held)) {}
 
   ~Exchange() override;
 
@@ -143,6 +144,8 @@
   bool CallerGone = false;
   std::function<void()> OnGone;
   const HttpRequest Request;
+  /// Counts the request's bytes as held.
+  const std::shared_ptr<void> Held;
 };
 
 struct HttpServer::Implementation::Listener {
@@ -357,6 +360,8 @@
 
 void HttpServer::Implementation::handle(const RestinioRequest &request) {
   const HandlerScope scope;
+  std::shared_ptr<void> held =
+      Admission->beginHandling(request->connection_id());
   if (std::optional<HttpResponse> error = findRequestError(request)) {
     write(request, std::move(*error), {});
     return;
@@ -375,8 +380,8 @@
   }
   header.for_each_field(
       [&](const auto &it) { received.Headers.add(it.name(), it.value()); });
-  const auto exchange = std::make_shared<Exchange>(shared_from_this(), request,
-                                                   std::move(received));
+  const auto exchange = std::make_shared<Exchange>(
+      shared_from_this(), request, std::move(received), std::move(held));
   Connections.add(request->connection_id(), exchange);
   Handler(exchange);
 }
@@ -384,11 +389,14 @@
 /// Counts a response as being written, and its request as in progress, until
 /// the returned token is destroyed.
 std::shared_ptr<void>
-HttpServer::Implementation::trackWrite(std::uint64_t connection) {
+HttpServer::Implementation::trackWrite(std::uint64_t connection,
+                                       std::size_t bytes) {
+  Admission->responseBegan(connection, bytes);
   std::shared_ptr<void> pending = Connections.trackWrite(connection);
   return std::shared_ptr<void>(this, [pending = std::move(pending),
-                                      admission = Admission,
-                                      connection](void *) mutable {
+                                      admission = Admission, connection,
+                                      bytes](void *) mutable {
+    admission->responseEnded(connection, bytes);
     admission->answered(connection);
     pending.reset();
   });
@@ -417,11 +425,13 @@
   if (fault.Truncate) {
     response.Body.resize(response.Body.size() / 2);
   }
+  const std::size_t bytes = response.Body.size();
   if (!response.Body.empty()) {
     output.set_body(std::move(response.Body));
   }
   auto finish = [output = std::move(output),
-                 pending = trackWrite(request->connection_id())]() mutable {
+                 pending =
+                     trackWrite(request->connection_id(), bytes)]() mutable {
     output.done([pending = std::move(pending)](const auto &) {});
   };
   if (InsideHandler) {
--- a/src/masticwinch/http/http_server.hpp
+++ b/src/masticwinch/http/http_server.hpp
@@ -34,6 +34,14 @@
   std::size_t Threads = 1;
   std::size_t MaxHeaderBytes = 16 * 1024;
   std::size_t MaxBodyBytes = 1024 * 1024;
+  /// Most bytes that the requests of all connections hold together, as they are
+  /// stored: two to three times their length, and records of fields and chunks.
+  /// Beyond it, the request that has been unfinished for longest gets 503, or
+  /// 413 if it exceeds the limit by itself, and its connection is closed. If
+  /// there is none, the request that has arrived is refused. The same limit
+  /// holds for unread responses: beyond it, the connection that has held some
+  /// for longest is closed.
+  std::size_t MaxHeldBytes = 24UL * 1024 * 1024;
   /// At this limit, the connection that has been without a request in progress
   /// for longest is closed to make room for a new one. If all have a request in
   /// progress, the new one gets 503 and is closed.
@@ -64,6 +72,12 @@
   std::uint64_t HeaderTimeouts = 0;
   std::uint64_t BodyTimeouts = 0;
   std::uint64_t IdleTimeouts = 0;
+  /// Closed since all connections together held too many bytes.
+  std::uint64_t ClosedForMemory = 0;
+  /// Bytes held by requests and by unread responses.
+  std::size_t RequestBytes = 0;
+  std::size_t ResponseBytes = 0;
+  std::size_t MaxHeldBytes = 0;
 };
 
 /// Fault to inject into a response, for stand-ins in tests.
--- a/src/masticwinch/http/internal/admission.cpp
+++ b/src/masticwinch/http/internal/admission.cpp
@@ -64,20 +64,109 @@
   Connections[connection] = std::move(it);
 }
 
-void Admission::received(std::uint64_t connection,
-                         const RequestProgress &progress) {
-  ConnectionPointer closing;
+/// Marks the connections that give their bytes up after bytes have arrived on
+/// `connection`, which may be one of them, and returns the others.
+std::vector<Admission::ConnectionPointer>
+Admission::makeMemory(std::uint64_t connection) {
+  std::vector<ConnectionPointer> closing;
+  while (Requests.isExceeded()) {
+    std::optional<std::uint64_t> chosen = Requests.longestHolding(
+        [&](std::uint64_t id) { return Book.isWaiting(id); });
+    if (!chosen) {
+      chosen = Requests.longestHolding([](std::uint64_t) { return true; });
+    }
+    const std::uint64_t id = chosen.value_or(connection);
+    if (!Requests.forget(id)) {
+      break;
+    }
+    Book.beginClose(id, CloseReason::Memory);
+    if (id != connection) {
+      closing.push_back(find(id));
+    }
+  }
+  return closing;
+}
+
+void Admission::close(const std::vector<ConnectionPointer> &connections) {
+  for (const ConnectionPointer &it : connections) {
+    if (it) {
+      it->requestClose(CloseReason::Memory);
+    }
+  }
+}
+
+Reception Admission::received(std::uint64_t connection,
+                              RequestProgress &progress) {
+  ConnectionPointer forRoom;
+  std::vector<ConnectionPointer> forMemory;
+  Reception reception = Reception::Accept;
   {
     const std::lock_guard<std::mutex> lock(Mutex);
+    const bool waited = Book.isWaiting(connection);
+    const auto isClosing = [&] {
+      return Book.closeReason(connection) == CloseReason::Memory;
+    };
+    if (isClosing()) {
+      return waited ? Reception::Refuse : Reception::Close;
+    }
     const bool stays = Book.received(connection, progress.wholeRequests(),
                                      progress.part(), Time.now());
     if (stays && Book.size() > Counts.Limit) {
-      closing = chooseForRoom();
+      forRoom = chooseForRoom();
+    }
+    Requests.received(connection, progress.heldBytes(),
+                      progress.takeWholeBytes(), Time.now());
+    const bool alone = Requests.exceedsAlone(connection);
+    forMemory = makeMemory(connection);
+    if (isClosing()) {
+      const Reception refusal =
+          alone ? Reception::RefuseForGood : Reception::Refuse;
+      reception = waited ? refusal : Reception::Close;
     }
   }
-  if (closing) {
-    closing->requestClose(CloseReason::Room);
+  if (forRoom) {
+    forRoom->requestClose(CloseReason::Room);
   }
+  close(forMemory);
+  return reception;
+}
+
+std::shared_ptr<void> Admission::beginHandling(std::uint64_t connection) {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  const std::size_t bytes = Requests.take(connection);
+  return {nullptr, [self = shared_from_this(), bytes](void *) {
+            const std::lock_guard<std::mutex> released(self->Mutex);
+            self->Requests.release(bytes);
+          }};
+}
+
+void Admission::responseBegan(std::uint64_t connection, std::size_t bytes) {
+  std::vector<ConnectionPointer> closing;
+  {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    Responses.responseBegan(connection, bytes, Time.now());
+    while (Responses.isExceeded()) {
+      const auto unread = Responses.longestHolding(
+          [&](std::uint64_t id) { return id != connection; });
+      if (!unread) {
+        break;
+      }
+      Responses.forget(*unread);
+      Book.beginClose(*unread, CloseReason::Memory);
+      closing.push_back(find(*unread));
+    }
+  }
+  close(closing);
+}
+
+void Admission::responseEnded(std::uint64_t connection, std::size_t bytes) {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  Responses.responseEnded(connection, bytes);
+}
+
+bool Admission::mayRefuse(std::uint64_t connection) const {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  return Book.isWaiting(connection);
 }
 
 void Admission::answered(std::uint64_t connection) {
@@ -101,6 +190,8 @@
 void Admission::closed(std::uint64_t connection) {
   const std::lock_guard<std::mutex> lock(Mutex);
   Connections.erase(connection);
+  Requests.forget(connection);
+  Responses.forget(connection);
   if (const std::optional<CloseReason> reason = Book.close(connection)) {
     switch (*reason) {
     case CloseReason::Room:
@@ -115,6 +206,9 @@
     case CloseReason::IdleTimeout:
       ++Counts.IdleTimeouts;
       break;
+    case CloseReason::Memory:
+      ++Counts.ClosedForMemory;
+      break;
     }
   }
 }
@@ -159,6 +253,9 @@
   const std::lock_guard<std::mutex> lock(Mutex);
   HttpConnectionCounts counts = Counts;
   counts.Open = Book.size();
+  counts.RequestBytes = Requests.total();
+  counts.ResponseBytes = Responses.total();
+  counts.MaxHeldBytes = Requests.limit();
   return counts;
 }
 
--- a/src/masticwinch/http/internal/admission.hpp
+++ b/src/masticwinch/http/internal/admission.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "masticwinch/common/held_bytes.hpp"
 #include "masticwinch/http/http_server.hpp"
 #include "masticwinch/http/internal/connection_book.hpp"
 
@@ -9,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <vector>
 
 namespace masticwinch::internal {
 
@@ -30,14 +32,32 @@
   virtual void requestEnd() = 0;
 };
 
+/// What becomes of bytes that have arrived on a connection.
+enum class Reception : std::uint8_t {
+  Accept,
+  /// The connection closes with a response that refuses the request.
+  Refuse,
+  /// The same, since the request can never be held.
+  RefuseForGood,
+  /// The connection closes without a response to the request, since there may
+  /// be one to an earlier one.
+  Close,
+};
+
 /// Bounds the connections of a server. At the limit, the connection that has
 /// waited longest without a request in progress makes room for a new one; if
 /// all have one in progress, the new connection is refused. Closes connections
-/// that wait longer than the timeouts. Thread-safe.
-class Admission {
+/// that wait longer than the timeouts. Bounds the bytes that all requests and
+/// that all responses hold: beyond the limit, the connection gives way that has
+/// held an unfinished request for longest, preferably one without a request in
+/// progress; if there is none, the request that has just arrived is refused.
+/// For a new response, the connection gives way that has left its responses
+/// unread for longest. Thread-safe.
+class Admission : public std::enable_shared_from_this<Admission> {
 public:
-  Admission(std::size_t limit, const HttpTimeouts &timeouts)
-      : Timeouts(timeouts) {
+  Admission(std::size_t limit, std::size_t maxHeldBytes,
+            const HttpTimeouts &timeouts)
+      : Timeouts(timeouts), Requests(maxHeldBytes), Responses(maxHeldBytes) {
     Counts.Limit = limit;
   }
 
@@ -48,7 +68,20 @@
   void join(std::uint64_t connection, std::weak_ptr<AdmittedConnection> it);
 
   /// Records what has arrived on a connection, see `ConnectionBook`.
-  void received(std::uint64_t connection, const RequestProgress &progress);
+  Reception received(std::uint64_t connection, RequestProgress &progress);
+
+  /// Counts the next whole request of a connection as handled until the
+  /// returned token is destroyed.
+  std::shared_ptr<void> beginHandling(std::uint64_t connection);
+
+  /// Counts the bytes of a response until `responseEnded`.
+  void responseBegan(std::uint64_t connection, std::size_t bytes);
+  void responseEnded(std::uint64_t connection, std::size_t bytes);
+
+  /// Whether a connection that is to be closed may be told so by a response: it
+  /// has no request in progress.
+  bool mayRefuse(std::uint64_t connection) const;
+
   void answered(std::uint64_t connection);
 
   /// Whether the end of the caller's bytes is to be held; `requestEnd` follows
@@ -71,11 +104,15 @@
 
   ConnectionPointer find(std::uint64_t connection) const;
   ConnectionPointer chooseForRoom();
+  std::vector<ConnectionPointer> makeMemory(std::uint64_t connection);
+  static void close(const std::vector<ConnectionPointer> &connections);
 
   mutable std::mutex Mutex;
   OperatingSystemClock Time;
   HttpTimeouts Timeouts;
   ConnectionBook Book;
+  HeldBytes Requests;
+  HeldBytes Responses;
   std::map<std::uint64_t, std::weak_ptr<AdmittedConnection>> Connections;
   HttpConnectionCounts Counts;
 };
--- a/src/masticwinch/http/internal/connection_book.cpp
+++ b/src/masticwinch/http/internal/connection_book.cpp
@@ -49,9 +49,9 @@
   if (!entry.isWaiting()) {
     unlist(connection, entry);
   }
-  const bool stays =
-      entry.Closing && (!entry.isWaiting() ||
-                        (partChanged && entry.Closing != CloseReason::Room));
+  const bool stays = entry.Closing && entry.Closing != CloseReason::Memory &&
+                     (!entry.isWaiting() ||
+                      (partChanged && entry.Closing != CloseReason::Room));
   if (stays) {
     entry.Closing.reset();
     --ToBeClosed;
@@ -131,8 +131,17 @@
 }
 
 bool ConnectionBook::isToBeClosed(Id connection) const {
+  return closeReason(connection).has_value();
+}
+
+std::optional<CloseReason> ConnectionBook::closeReason(Id connection) const {
+  const auto it = Entries.find(connection);
+  return it == Entries.end() ? std::nullopt : it->second.Closing;
+}
+
+bool ConnectionBook::isWaiting(Id connection) const {
   const auto it = Entries.find(connection);
-  return it != Entries.end() && it->second.Closing;
+  return it != Entries.end() && it->second.isWaiting();
 }
 
 } // namespace masticwinch::internal
--- a/src/masticwinch/http/internal/connection_book.hpp
+++ b/src/masticwinch/http/internal/connection_book.hpp
@@ -22,6 +22,8 @@
   HeaderTimeout,
   BodyTimeout,
   IdleTimeout,
+  /// Its bytes exceed what all connections together may hold.
+  Memory,
 };
 
 /// What the connections of a server are doing, and which one is closed next. A
@@ -40,7 +42,8 @@
   /// Records what has arrived on a connection: the number of whole requests
   /// since it opened, and the part of a request after them. A connection that
   /// was to be closed stays if it has a request in progress now, or if its
-  /// timeout no longer applies; returns whether that happened.
+  /// timeout no longer applies; returns whether that happened. One that is to
+  /// be closed for its bytes never stays.
   bool received(Id connection, std::uint64_t wholeRequests, RequestPart part,
                 SteadyTime now);
 
@@ -67,6 +70,12 @@
 
   bool isToBeClosed(Id connection) const;
 
+  /// Why a connection is to be closed; nothing if it isn't.
+  std::optional<CloseReason> closeReason(Id connection) const;
+
+  /// Whether the connection has no request in progress.
+  bool isWaiting(Id connection) const;
+
   /// Number of open connections that are not to be closed.
   std::size_t size() const { return Entries.size() - ToBeClosed; }
 
--- a/src/masticwinch/http/internal/refusing_socket.cpp
+++ b/src/masticwinch/http/internal/refusing_socket.cpp
@@ -39,6 +39,21 @@
   return serializeFinalResponse(response);
 }
 
+std::string memoryRefusal() {
+  HttpResponse response = errorResponse(
+      503, "memory_used_up",
+      "the server has no memory to spare for requests; try again");
+  response.Headers.add("Retry-After", "1");
+  return serializeFinalResponse(response);
+}
+
+std::string oversizeRefusal() {
+  return serializeFinalResponse(
+      errorResponse(413, "request_too_large",
+                    "the request takes more memory than the server has for "
+                    "requests"));
+}
+
 std::string timeoutResponse() {
   return serializeFinalResponse(
       errorResponse(408, "request_timeout",
@@ -182,7 +197,15 @@
 
 void RefusingSocket::endReading(CloseReason reason) {
   Closes = true;
-  if (Progress.part() != RequestPart::None) {
+  if (reason == CloseReason::Memory) {
+    if (!Link->Reader.Server->mayRefuse(Link->Reader.Connection)) {
+      // RESTinio goes on after a cancelled write.
+      asio::error_code ignored;
+      asio::ip::tcp::socket::shutdown(shutdown_both, ignored);
+      return;
+    }
+    FinalResponse = memoryRefusal();
+  } else if (Progress.part() != RequestPart::None) {
     FinalResponse = reason == CloseReason::Room ? refusal() : timeoutResponse();
   }
   asio::error_code ec;
@@ -241,12 +264,26 @@
   Lingers = true;
 }
 
-void RefusingSocket::received(std::string_view bytes) {
+bool RefusingSocket::received(std::string_view bytes) {
   static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
   Progress.receive(bytes);
   if (Link) {
     const NextReader &reader = Link->Reader;
-    reader.Server->received(reader.Connection, Progress);
+    switch (reader.Server->received(reader.Connection, Progress)) {
+    case Reception::Accept:
+      break;
+    case Reception::Refuse:
+      FinalResponse = memoryRefusal();
+      Closes = true;
+      return false;
+    case Reception::RefuseForGood:
+      FinalResponse = oversizeRefusal();
+      Closes = true;
+      return false;
+    case Reception::Close:
+      Closes = true;
+      return false;
+    }
     if (Closes && !reader.Server->isToBeClosed(reader.Connection)) {
       // The request that makes the connection stay came just in time.
       Closes = false;
@@ -260,6 +297,7 @@
     non_blocking(true, ec);
     write_some(asio::buffer(Continue), ec);
   }
+  return true;
 }
 
 void RefusingSocket::close() {
--- a/src/masticwinch/http/internal/refusing_socket.hpp
+++ b/src/masticwinch/http/internal/refusing_socket.hpp
@@ -81,8 +81,10 @@
             executor,
             [this, buffer, executor, handler = std::forward<Handler>(handler)](
                 const asio::error_code &ec, std::size_t bytes) mutable {
-              if (!ec) {
-                received({static_cast<const char *>(buffer.data()), bytes});
+              if (!ec && !received({static_cast<const char *>(buffer.data()),
+                                    bytes})) {
+                handler(asio::error::connection_aborted, 0);
+                return;
               }
               if (ec == asio::error::eof && holdsEnd()) {
                 awaitReset(executor, std::move(handler));
@@ -127,7 +129,8 @@
 
   void join(const asio::any_io_executor &executor);
   void leave();
-  void received(std::string_view bytes);
+  /// Returns whether the bytes may be passed on; if not, the connection closes.
+  bool received(std::string_view bytes);
   asio::error_code resultOfRead(const asio::error_code &ec) const;
   void endReading(CloseReason reason);
   bool holdsEnd() const;
--- a/src/masticwinch/http/internal/request_progress.cpp
+++ b/src/masticwinch/http/internal/request_progress.cpp
@@ -2,6 +2,16 @@
 
 namespace masticwinch::internal {
 
+namespace {
+
+/// RESTinio's records, in lists that may be twice as long as they are filled.
+constexpr std::size_t ChunkRecordBytes = 32;
+constexpr std::size_t FieldRecordBytes = 160;
+/// A field in `HttpHeaders`.
+constexpr std::size_t FieldCopyBytes = 80;
+
+} // namespace
+
 RequestProgress &RequestProgress::progressOf(http_parser *parser) {
   return *static_cast<RequestProgress *>(parser->data);
 }
@@ -14,13 +24,34 @@
       progressOf(parser).Part = RequestPart::Head;
       return 0;
     };
+    it.on_url = addText;
+    it.on_header_field = [](http_parser *parser, const char *text,
+                            std::size_t size) {
+      RequestProgress &progress = progressOf(parser);
+      progress.Fields += progress.InFieldName ? 0 : 1;
+      progress.InFieldName = true;
+      return addText(parser, text, size);
+    };
+    it.on_header_value = [](http_parser *parser, const char *text,
+                            std::size_t size) {
+      progressOf(parser).InFieldName = false;
+      return addText(parser, text, size);
+    };
+    it.on_body = addText;
+    it.on_chunk_header = [](http_parser *parser) {
+      ++progressOf(parser).Chunks;
+      return 0;
+    };
     it.on_headers_complete = [](http_parser *parser) {
       progressOf(parser).Part = RequestPart::Body;
       return 0;
     };
     it.on_message_complete = [](http_parser *parser) {
-      progressOf(parser).Part = RequestPart::None;
-      ++progressOf(parser).WholeRequests;
+      RequestProgress &progress = progressOf(parser);
+      progress.Part = RequestPart::None;
+      ++progress.WholeRequests;
+      progress.WholeBytes.push_back(progress.heldBytes() + progress.TextBytes +
+                                    FieldCopyBytes * progress.Fields);
       // Each request is parsed anew, whatever the former one says about the
       // connection.
       http_parser_pause(parser, 1);
@@ -31,9 +62,23 @@
   return Settings;
 }
 
+int RequestProgress::addText(http_parser *parser, const char *,
+                             std::size_t size) {
+  progressOf(parser).TextBytes += size;
+  return 0;
+}
+
+std::size_t RequestProgress::heldBytes() const {
+  return 2 * TextBytes + FieldRecordBytes * Fields + ChunkRecordBytes * Chunks;
+}
+
 void RequestProgress::reset() {
   http_parser_init(&Parser, HTTP_REQUEST);
   Parser.data = this;
+  TextBytes = 0;
+  Fields = 0;
+  Chunks = 0;
+  InFieldName = false;
 }
 
 void RequestProgress::receive(std::string_view bytes) {
--- a/src/masticwinch/http/internal/request_progress.hpp
+++ b/src/masticwinch/http/internal/request_progress.hpp
@@ -2,8 +2,11 @@
 
 #include <http_parser.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace masticwinch::internal {
 
@@ -24,15 +27,32 @@
   std::uint64_t wholeRequests() const { return WholeRequests; }
   RequestPart part() const { return Part; }
 
+  /// Bytes that the unfinished request takes where it is stored, at most: text
+  /// in buffers that may be twice as large, and a record for each field and for
+  /// each chunk of the body.
+  std::size_t heldBytes() const;
+
+  /// The same of the requests that have arrived whole since the last call, with
+  /// their copies for the handler.
+  std::vector<std::size_t> takeWholeBytes() {
+    return std::exchange(WholeBytes, {});
+  }
+
 private:
   static const http_parser_settings &settings();
   static RequestProgress &progressOf(http_parser *parser);
+  static int addText(http_parser *parser, const char *text, std::size_t size);
   void reset();
 
   http_parser Parser{};
   std::uint64_t WholeRequests = 0;
   RequestPart Part = RequestPart::None;
   bool Malformed = false;
+  std::size_t TextBytes = 0;
+  std::size_t Fields = 0;
+  std::size_t Chunks = 0;
+  bool InFieldName = false;
+  std::vector<std::size_t> WholeBytes;
 };
 
 } // namespace masticwinch::internal
--- a/src/masticwinch/programs/daemon_options.cpp
+++ b/src/masticwinch/programs/daemon_options.cpp
@@ -51,6 +51,16 @@
     options.MaxConnections = std::min<std::size_t>(
         options.MaxConnections, descriptorsForCallers(limit));
   }
+  options.MaxHeldBytes = http.MaxHeldBytes.value_or(options.MaxHeldBytes);
+  return options;
+}
+
+HttpServerOptions probeServerOptions(const HttpSettings &http) {
+  constexpr std::size_t MaxBodyBytes = 16UL * 1024;
+  constexpr std::size_t MaxHeldBytes = 4UL * 1024 * 1024;
+  HttpServerOptions options = serverOptions(http);
+  options.MaxBodyBytes = MaxBodyBytes;
+  options.MaxHeldBytes = MaxHeldBytes;
   return options;
 }
 
--- a/src/masticwinch/programs/daemon_options.hpp
+++ b/src/masticwinch/programs/daemon_options.hpp
@@ -24,4 +24,8 @@
 /// calls.
 HttpServerOptions serverOptions(const HttpSettings &http);
 
+/// Options of an HTTP server for health checks and metrics, whose requests are
+/// small.
+HttpServerOptions probeServerOptions(const HttpSettings &http);
+
 } // namespace masticwinch::programs
--- a/src/masticwinch/programs/endpoint_settings.hpp
+++ b/src/masticwinch/programs/endpoint_settings.hpp
@@ -3,6 +3,7 @@
 #include "masticwinch/settings/settings_reader.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
   std::string Address;
   std::uint16_t Port = 0;
   std::size_t Threads = 1;
+  /// See `HttpServerOptions::MaxHeldBytes`; nothing for the default.
+  std::optional<std::size_t> MaxHeldBytes = std::nullopt;
 };
 
 /// Reads `ProcessSettings` from the top level of a settings file.
--- a/src/masticwinch/workflow/control_vm_daemon.hpp
+++ b/src/masticwinch/workflow/control_vm_daemon.hpp
@@ -14,6 +14,7 @@
 #include "masticwinch/workflow/advice_agent.hpp"
 #include "masticwinch/workflow/control_loop.hpp"
 #include "masticwinch/workflow/daemon_metrics.hpp"
+#include "masticwinch/workflow/held_bytes_report.hpp"
 #include "masticwinch/workflow/idle_connections.hpp"
 #include "masticwinch/workflow/metrics_endpoint.hpp"
 #include "masticwinch/workflow/order_relay.hpp"
@@ -79,10 +80,13 @@
                            }),
         MetricsServer(settings.Daemon.Metrics, Context, Metrics,
                       [this] { return accounts(); }),
-        Ticker(Context), StopTimer(Context), Reload(Context, Events),
+        HeldReport(Context, Events), Ticker(Context), StopTimer(Context),
+        Reload(Context, Events),
         Signals(
             Context, [this] { stop(); }, [] { std::_Exit(StoppedAtOnce); }) {
     registerMetrics();
+    HeldReport.add("control", Server);
+    HeldReport.add("metrics", MetricsServer.server());
   }
 
   ExitCode run() {
@@ -132,6 +136,7 @@
     Log.start();
     scheduleTick();
     IdleCalls.start();
+    HeldReport.start();
     Reload.start();
     Events.writeNamed("control_started",
                       {{"address", Settings.Daemon.Process.InternalAddress},
@@ -274,6 +279,7 @@
   typename Platform::template ControlApi<ControlVmDaemon> Api;
   HttpServer Server;
   MetricsEndpoint MetricsServer;
+  HeldBytesReport HeldReport;
   asio::steady_timer Ticker;
   SteadyTime NextAgentHello{};
   /// Whether this VM led at the latest tick.
--- a/src/masticwinch/workflow/daemon_metrics.cpp
+++ b/src/masticwinch/workflow/daemon_metrics.cpp
@@ -49,6 +49,21 @@
   closed("header_timeout", &HttpConnectionCounts::HeaderTimeouts);
   closed("body_timeout", &HttpConnectionCounts::BodyTimeouts);
   closed("idle_timeout", &HttpConnectionCounts::IdleTimeouts);
+  closed("memory", &HttpConnectionCounts::ClosedForMemory);
+  const auto held = [&](const std::string &content,
+                        std::size_t HttpConnectionCounts::*bytes) {
+    registry.observedGauge(
+        {"masticwinch_connections_held_bytes",
+         "Bytes that requests or unread responses hold, as they are stored.",
+         {{"content", content}}},
+        [&server, bytes] { return double(server.connections().*bytes); });
+  };
+  held("requests", &HttpConnectionCounts::RequestBytes);
+  held("responses", &HttpConnectionCounts::ResponseBytes);
+  registry.observedGauge(
+      {"masticwinch_connections_held_bytes_limit",
+       "Bytes of either beyond which a connection gives way."},
+      [&server] { return double(server.connections().MaxHeldBytes); });
 }
 
 void registerClientMetrics(MetricRegistry &registry, const HttpClient &client) {
--- a/src/masticwinch/workflow/entry_vm_daemon.hpp
+++ b/src/masticwinch/workflow/entry_vm_daemon.hpp
@@ -13,6 +13,7 @@
 #include "masticwinch/workflow/control_loop.hpp"
 #include "masticwinch/workflow/daemon_metrics.hpp"
 #include "masticwinch/workflow/entry_gateway.hpp"
+#include "masticwinch/workflow/held_bytes_report.hpp"
 #include "masticwinch/workflow/idle_connections.hpp"
 #include "masticwinch/workflow/metrics_endpoint.hpp"
 #include "masticwinch/workflow/order_relay.hpp"
@@ -59,16 +60,20 @@
                [this](std::shared_ptr<HttpExchange> it) {
                  asio::post(Context, [this, it] { handle(it); });
                }),
-        ReadinessServer(programs::serverOptions(settings.Readiness),
+        ReadinessServer(programs::probeServerOptions(settings.Readiness),
                         [this](std::shared_ptr<HttpExchange> it) {
                           asio::post(Context,
                                      [this, it] { Api.handleReadiness(it); });
                         }),
         MetricsServer(settings.Daemon.Metrics, Context, Metrics),
-        StopTimer(Context), Reload(Context, Events),
+        HeldReport(Context, Events), StopTimer(Context),
+        Reload(Context, Events),
         Signals(
             Context, [this] { stop(); }, [] { std::_Exit(StoppedAtOnce); }) {
     registerMetrics();
+    HeldReport.add("callers", Server);
+    HeldReport.add("readiness", ReadinessServer);
+    HeldReport.add("metrics", MetricsServer.server());
   }
 
   ExitCode run() {
@@ -112,6 +117,7 @@
     Server.start();
     ReadinessServer.start();
     MetricsServer.start();
+    HeldReport.start();
     Reload.start();
     Events.writeNamed("entry_started",
                       {{"address", Settings.Daemon.Process.InternalAddress}});
@@ -231,6 +237,7 @@
   std::optional<CallerTimeouts> AppliedTimeouts;
   HttpServer ReadinessServer;
   MetricsEndpoint MetricsServer;
+  HeldBytesReport HeldReport;
   asio::steady_timer StopTimer;
   SettingsReload Reload;
   bool Stopping = false;
--- a/src/masticwinch/workflow/metrics_endpoint.cpp
+++ b/src/masticwinch/workflow/metrics_endpoint.cpp
@@ -13,7 +13,7 @@
                                  const MetricRegistry &registry,
                                  AccountsPage accounts)
     : Registry(registry), Accounts(std::move(accounts)),
-      Server(programs::serverOptions(settings),
+      Server(programs::probeServerOptions(settings),
              [this, &context](std::shared_ptr<HttpExchange> exchange) {
                asio::post(context, [this, exchange] {
                  exchange->respond(responseTo(exchange->request().Path));
--- a/src/masticwinch/workflow/metrics_endpoint.hpp
+++ b/src/masticwinch/workflow/metrics_endpoint.hpp
@@ -31,6 +31,7 @@
   HttpResponse responseTo(const std::string &path) const;
 
   std::uint16_t port() const { return Server.port(); }
+  const HttpServer &server() const { return Server; }
 
 private:
   const MetricRegistry &Registry;
--- a/src/masticwinch/workflow/workflow_settings.cpp
+++ b/src/masticwinch/workflow/workflow_settings.cpp
@@ -7,6 +7,7 @@
 constexpr SettingsRange PortRange{1, 65'535};
 constexpr SettingsRange LeaseRange{1'000, 60'000};
 constexpr SettingsRange SnapshotRange{10, 1'000'000};
+constexpr SettingsRange HeldBytesRange{1'048'576, 1'073'741'824};
 /// Largest capacity of a VM's network link, in Mbit/s.
 constexpr double MaxLinkMbps = 1'000'000;
 
@@ -43,6 +44,9 @@
   constexpr double KbpsPerMbps = 1000;
   daemon.LinkKbps = static_cast<std::uint32_t>(
       reader.optionalDecimal("link_mbps", 0, MaxLinkMbps, 0) * KbpsPerMbps);
+  daemon.MaxHeldBytes = static_cast<std::size_t>(
+      reader.optionalInteger("max_held_bytes", HeldBytesRange,
+                             static_cast<std::int64_t>(daemon.MaxHeldBytes)));
   return daemon;
 }
 
@@ -53,6 +57,7 @@
       file, [](SettingsReader &reader, ControlVmSettings &settings) {
         settings.Daemon = readDaemon(reader);
         settings.Control = programs::readEndpoint(reader, "control_address");
+        settings.Control.MaxHeldBytes = settings.Daemon.MaxHeldBytes;
         settings.DataFolder = reader.requiredString("data_folder");
         settings.SharedDataFolder =
             reader.optionalBoolean("shared_data_folder", false);
@@ -73,6 +78,7 @@
                                                 EntryVmSettings &settings) {
     settings.Daemon = readDaemon(reader);
     settings.Callers = programs::readEndpoint(reader, "callers_address");
+    settings.Callers.MaxHeldBytes = settings.Daemon.MaxHeldBytes;
     settings.Readiness = programs::readEndpoint(reader, "readiness_address");
   });
 }
--- a/src/masticwinch/workflow/workflow_settings.hpp
+++ b/src/masticwinch/workflow/workflow_settings.hpp
@@ -2,6 +2,7 @@
 
 #include "masticwinch/common/result.hpp"
 #include "masticwinch/coordination/replication/replica_options.hpp"
+#include "masticwinch/http/http_server.hpp"
 #include "masticwinch/programs/endpoint_settings.hpp"
 
 #include <cstdint>
@@ -20,6 +21,9 @@
   std::string AdviceAddress;
   /// Capacity of this VM's network link in kbit/s; 0 if it isn't known.
   std::uint32_t LinkKbps = 0;
+  /// Most bytes that requests, and unread responses, hold at the port of
+  /// callers or operators, see `HttpServerOptions::MaxHeldBytes`.
+  std::size_t MaxHeldBytes = HttpServerOptions().MaxHeldBytes;
 };
 
 /// Options with which an election takes less than a second.
--- a/tests/http/test_request_progress.cpp
+++ b/tests/http/test_request_progress.cpp
@@ -44,3 +44,36 @@
   progress.receive("nonsense\r\n\r\nGET / HTTP/1.1\r\n\r\n");
   CHECK(progress.wholeRequests() == 0);
 }
+
+TEST_CASE("Progress counts a request as it is stored", "[http]") {
+  const std::string head = "POST / HTTP/1.1\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n";
+  RequestProgress large;
+  large.receive(head + "8\r\n12345678\r\n");
+  RequestProgress small;
+  small.receive(head);
+  const std::size_t withoutBody = small.heldBytes();
+  for (int i = 0; i < 8; ++i) {
+    small.receive("1\r\nx\r\n");
+  }
+  CHECK(large.heldBytes() >= withoutBody + 8);
+  CHECK(small.heldBytes() >= large.heldBytes() + 7 * 16);
+  CHECK(small.takeWholeBytes().empty());
+  small.receive("0\r\n\r\n");
+  CHECK(small.heldBytes() == 0);
+  const std::vector<std::size_t> whole = small.takeWholeBytes();
+  REQUIRE(whole.size() == 1);
+  CHECK(whole[0] > large.heldBytes());
+  CHECK(small.takeWholeBytes().empty());
+}
+
+TEST_CASE("Progress counts a field once however it is cut", "[http]") {
+  const std::string head = "GET / HTTP/1.1\r\nName: value\r\nOther: value\r\n";
+  RequestProgress whole;
+  whole.receive(head);
+  RequestProgress cut;
+  for (const char it : head) {
+    cut.receive({&it, 1});
+  }
+  CHECK(cut.heldBytes() == whole.heldBytes());
+}
