Bound what unfinished messages of all peers hold together

Whoever reaches the internal port could let a process hold 4 MiB for each connection. Beyond 24 MiB the connection whose message has been unfinished for longest closes; its sender repeats what was not acknowledged. Log line and metric.

--- a/src/masticwinch/peers/internal/inbound_connection.cpp
+++ b/src/masticwinch/peers/internal/inbound_connection.cpp
@@ -17,10 +17,11 @@
 
 InboundConnection::InboundConnection(asio::ip::tcp::socket socket,
                                      std::size_t maxMessageBytes,
-                                     MessageHandler onMessage, EndHandler onEnd)
+                                     MessageHandler onMessage,
+                                     HeldHandler onHeld, EndHandler onEnd)
     : Socket(std::move(socket)), AckTimer(Socket.get_executor()),
       MaxMessageBytes(maxMessageBytes), OnMessage(std::move(onMessage)),
-      OnEnd(std::move(onEnd)) {}
+      OnHeld(std::move(onHeld)), OnEnd(std::move(onEnd)) {}
 
 void InboundConnection::start() {
   std::error_code ec;
@@ -58,10 +59,26 @@
                              self->end();
                              return;
                            }
-                           self->read();
+                           self->reportHeld();
+                           if (!self->Closed) {
+                             self->read();
+                           }
                          });
 }
 
+/// Gives the memory of a long message back once it was handled, and reports
+/// what the next one takes.
+void InboundConnection::reportHeld() {
+  if (Buffer.empty() && Buffer.capacity() > Chunk.size()) {
+    Buffer.shrink_to_fit();
+  }
+  const std::size_t held = Buffer.empty() ? 0 : Buffer.capacity();
+  if (held != HeldBytes) {
+    HeldBytes = held;
+    OnHeld(held);
+  }
+}
+
 /// Passes complete messages to the handler; returns false if a message exceeds
 /// the size limit or the handler ends the connection.
 bool InboundConnection::processFrames() {
--- a/src/masticwinch/peers/internal/inbound_connection.hpp
+++ b/src/masticwinch/peers/internal/inbound_connection.hpp
@@ -23,9 +23,12 @@
   /// Called once when the connection has ended, unless `close` was called.
   using EndHandler =
       std::function<void(const std::shared_ptr<InboundConnection> &)>;
+  /// Called with the memory that an unfinished message takes when it changes.
+  using HeldHandler = std::function<void(std::size_t bytes)>;
 
   InboundConnection(asio::ip::tcp::socket socket, std::size_t maxMessageBytes,
-                    MessageHandler onMessage, EndHandler onEnd);
+                    MessageHandler onMessage, HeldHandler onHeld,
+                    EndHandler onEnd);
 
   void start();
   void close();
@@ -36,11 +39,13 @@
   void scheduleAcknowledgement();
   void acknowledge();
   void end();
+  void reportHeld();
 
   asio::ip::tcp::socket Socket;
   asio::steady_timer AckTimer;
   const std::size_t MaxMessageBytes;
   MessageHandler OnMessage;
+  HeldHandler OnHeld;
   EndHandler OnEnd;
   bool Closed = false;
   bool AckScheduled = false;
@@ -49,6 +54,7 @@
   std::string AckBytes;
   std::array<char, 65536> Chunk{};
   std::string Buffer;
+  std::size_t HeldBytes = 0;
 };
 
 } // namespace masticwinch::peers::internal
--- a/src/masticwinch/peers/mailbox.cpp
+++ b/src/masticwinch/peers/mailbox.cpp
@@ -1,5 +1,6 @@
 #include "masticwinch/peers/mailbox.hpp"
 
+#include "masticwinch/common/held_bytes.hpp"
 #include "masticwinch/events/event_log.hpp"
 #include "masticwinch/peers/internal/connection_order.hpp"
 #include "masticwinch/peers/internal/inbound_connection.hpp"
@@ -14,9 +15,9 @@
 #include <atomic>
 #include <charconv>
 #include <future>
+#include <map>
 #include <mutex>
 #include <optional>
-#include <set>
 #include <stdexcept>
 #include <thread>
 #include <unordered_map>
@@ -31,6 +32,7 @@
   PeerReached,
   AcceptFailed,
   Outdated,
+  ClosedForMemory,
 };
 
 } // namespace masticwinch::peers
@@ -38,7 +40,7 @@
 namespace masticwinch {
 
 template <> struct EnumNames<peers::MailboxEvent> {
-  static constexpr std::array<EnumName<peers::MailboxEvent>, 7> Table{{
+  static constexpr std::array<EnumName<peers::MailboxEvent>, 8> Table{{
       {peers::MailboxEvent::Garbage, "message_garbage"},
       {peers::MailboxEvent::OtherCluster, "message_of_other_cluster"},
       {peers::MailboxEvent::BadAddress, "message_address_malformed"},
@@ -46,6 +48,7 @@
       {peers::MailboxEvent::PeerReached, "peer_reached"},
       {peers::MailboxEvent::AcceptFailed, "accept_failed"},
       {peers::MailboxEvent::Outdated, "message_outdated"},
+      {peers::MailboxEvent::ClosedForMemory, "messages_closed_for_memory"},
   }};
 };
 
@@ -86,7 +89,8 @@
                  EventLog &events)
       : Options(options), Handler(std::move(handler)), Events(events),
         Acceptor(Context), AcceptRetryTimer(Context),
-        Work(asio::make_work_guard(Context)) {}
+        Work(asio::make_work_guard(Context)),
+        Unfinished(options.MaxUnfinishedBytes) {}
 
   void listen() {
     const std::string &address =
@@ -137,17 +141,41 @@
   }
 
   void addInbound(tcp::socket socket) {
+    const std::uint64_t number = NextInbound++;
     const auto connection = std::make_shared<internal::InboundConnection>(
         std::move(socket), Options.MaxMessageBytes,
         [this, id = std::optional<internal::ConnectionId>()](
             std::string_view payload) mutable { return receive(id, payload); },
-        [this](const std::shared_ptr<internal::InboundConnection> &it) {
-          Inbound.erase(it);
+        [this, number](std::size_t bytes) { held(number, bytes); },
+        [this, number](const std::shared_ptr<internal::InboundConnection> &) {
+          Unfinished.forget(number);
+          Inbound.erase(number);
         });
-    Inbound.insert(connection);
+    Inbound.emplace(number, connection);
     connection->start();
   }
 
+  /// Records what an unfinished message of a connection takes, and closes the
+  /// connections that give way.
+  void held(std::uint64_t number, std::size_t bytes) {
+    Unfinished.received(number, bytes, {}, Time.now());
+    while (Unfinished.isExceeded()) {
+      const auto oldest =
+          Unfinished.longestHolding([](std::uint64_t) { return true; });
+      if (!oldest) {
+        return;
+      }
+      Unfinished.forget(*oldest);
+      ClosedForMemory += 1;
+      Events.write(MailboxEvent::ClosedForMemory,
+                   {{"unfinished_bytes", Unfinished.total()},
+                    {"limit_bytes", Unfinished.limit()}});
+      if (const auto it = Inbound.extract(*oldest)) {
+        it.mapped()->close();
+      }
+    }
+  }
+
   /// Handles a message of a connection, which is identified by its first one.
   /// Returns whether the connection is still of use.
   bool receive(std::optional<internal::ConnectionId> &connection,
@@ -248,8 +276,8 @@
     std::error_code ec;
     Acceptor.close(ec);
     AcceptRetryTimer.cancel();
-    for (const auto &it : std::exchange(Inbound, {})) {
-      it->close();
+    for (const auto &[number, connection] : std::exchange(Inbound, {})) {
+      connection->close();
     }
     for (const auto &[address, connection] : std::exchange(Outbound, {})) {
       if (connection) {
@@ -266,7 +294,10 @@
   asio::steady_timer AcceptRetryTimer;
   asio::executor_work_guard<asio::io_context::executor_type> Work;
   std::thread Thread;
-  std::set<std::shared_ptr<internal::InboundConnection>> Inbound;
+  OperatingSystemClock Time;
+  std::map<std::uint64_t, std::shared_ptr<internal::InboundConnection>> Inbound;
+  std::uint64_t NextInbound = 1;
+  HeldBytes Unfinished;
   internal::ConnectionOrder Order;
   std::unordered_map<std::string, std::shared_ptr<internal::OutboundConnection>>
       Outbound;
@@ -277,6 +308,7 @@
   std::atomic<std::uint64_t> ReceivedBytes = 0;
   std::atomic<std::uint64_t> DroppedMessages = 0;
   std::atomic<std::uint64_t> OutdatedMessages = 0;
+  std::atomic<std::uint64_t> ClosedForMemory = 0;
   std::atomic<std::uint64_t> QueuedBytes = 0;
 };
 
@@ -318,9 +350,9 @@
 }
 
 MailboxTraffic Mailbox::traffic() const {
-  return {Impl->SentMessages,  Impl->SentBytes,       Impl->ReceivedMessages,
-          Impl->ReceivedBytes, Impl->DroppedMessages, Impl->OutdatedMessages,
-          Impl->QueuedBytes};
+  return {Impl->SentMessages,    Impl->SentBytes,       Impl->ReceivedMessages,
+          Impl->ReceivedBytes,   Impl->DroppedMessages, Impl->OutdatedMessages,
+          Impl->ClosedForMemory, Impl->QueuedBytes};
 }
 
 void Mailbox::stop() {
--- a/src/masticwinch/peers/mailbox.hpp
+++ b/src/masticwinch/peers/mailbox.hpp
@@ -26,6 +26,10 @@
   std::string ListenAddress = {};
   /// A longer message closes the connection on which it is received.
   std::size_t MaxMessageBytes = 4 * 1024 * 1024;
+  /// Most memory that unfinished messages of all connections hold together.
+  /// Beyond it, the connection whose message has been unfinished for longest is
+  /// closed.
+  std::size_t MaxUnfinishedBytes = 24UL * 1024 * 1024;
   /// Size of the messages waiting to be sent, to all peers together, at which
   /// further ones are dropped.
   std::size_t MaxQueuedBytes = 16 * 1024 * 1024;
@@ -51,6 +55,8 @@
   /// Messages dropped on arrival, because a later connection of their sender
   /// had delivered some.
   std::uint64_t OutdatedMessages = 0;
+  /// Connections closed since unfinished messages held too many bytes.
+  std::uint64_t ClosedForMemory = 0;
   /// Size of the messages waiting to be sent at the moment.
   std::uint64_t QueuedBytes = 0;
 };
--- a/src/masticwinch/peers/mailbox_metrics.cpp
+++ b/src/masticwinch/peers/mailbox_metrics.cpp
@@ -41,6 +41,12 @@
       {"masticwinch_messages_outdated_total",
        "Messages dropped, as a later connection of their sender was there."},
       &MailboxTraffic::OutdatedMessages);
+  observe(
+      registry, mailbox,
+      {"masticwinch_messages_closed_for_memory_total",
+       "Connections of senders that were closed, as unfinished messages held "
+       "too many bytes."},
+      &MailboxTraffic::ClosedForMemory);
   registry.observedGauge(
       {"masticwinch_messages_queued_bytes",
        "Bytes of messages to own processes that wait to be sent."},
