--- a/tests/coordination/workflow/test_served_sizes.cpp
+++ b/tests/coordination/workflow/test_served_sizes.cpp
@@ -31,6 +31,26 @@
   CHECK(servedShare(sheets, 0.1, 0.3) >= 0.8 * all);
 }
 
+// Half as often as all is the least that the users accept. Two changes of
+// leader and the loss of an eighth of the runners leave wide gangs behind
+// narrow ones.
+TEST_CASE("The widest gangs are served half as often as all on a full fleet "
+          "that loses leaders and runners",
+          "[workflow][.known-red]") {
+  const std::uint64_t seed = GENERATE(6, 8);
+  ModelOptions options = largePriceModel(1.2, seed);
+  options.LeaderLostAt = {6.4, 15.4};
+  options.LeaderlessSeconds = 2;
+  options.LeavingShare = 0.13;
+  options.RunnersLeaveAt = 9.2;
+  WorkflowModel model(options);
+  model.run();
+  const std::vector<ModelServed> sheets = model.submissions("sheet");
+  const double all = servedShare(sheets, 0, 1);
+  CAPTURE(seed, all);
+  CHECK(servedShare(sheets, 0, 0.1) >= 0.5 * all);
+}
+
 TEST_CASE("Accepted workflows complete although the leader and runners are "
           "lost",
           "[workflow]") {
