--- a/src/masticwinch/coordination/workflow/gang_claims.hpp
+++ b/src/masticwinch/coordination/workflow/gang_claims.hpp
@@ -59,8 +59,7 @@
   /// The claim of a step; null if it has none.
   const GangClaim *find(const StepKey &step) const;
 
-  /// Replaces the claim of a step; removes it if it holds no places. A gang
-  /// that is expected to be ready later than before keeps the earlier time.
+  /// Replaces the claim of a step; removes it if it holds no places.
   void update(const StepKey &step, const ResourceAmounts &needs,
               std::map<std::string, std::size_t> places, SteadyTime now,
               std::optional<SteadyTime> readyAt = std::nullopt);
--- a/src/masticwinch/coordination/workflow/workflow_leader_options.hpp
+++ b/src/masticwinch/coordination/workflow/workflow_leader_options.hpp
@@ -66,9 +66,9 @@
   Milliseconds GatherHorizon{2000};
   /// When gangs that need much gather beyond this share.
   GangTurnOptions Turns;
-  /// Room that a gang holds is lent for this long to tasks that end before it
-  /// is expected to have all its room, if they take no longer than this share
-  /// of their estimates, in thousandths.
+  /// How long a gang lends room that it holds to tasks that end before it is
+  /// expected to have all its room. They are taken to last for this share of
+  /// their estimates, in thousandths.
   Milliseconds LendFor{2000};
   std::int64_t LoanTimePermille = 1250;
   /// Maximum number of runners whose tickets are renewed for a step that fits
