--- a/src/masticwinch/coordination/workflow/gang_turns.cpp
+++ b/src/masticwinch/coordination/workflow/gang_turns.cpp
@@ -25,7 +25,9 @@
                    [](const GangTurnRequest &a, const GangTurnRequest &b) {
                      return a.Slack > b.Slack;
                    });
-  const std::size_t most = runners / Options.RunnersPerTurn;
+  const std::size_t most =
+      std::min(runners / Options.RunnersPerTurn,
+               (requests.size() + Turns.size()) / Options.GangsPerTurn);
   const std::size_t given =
       std::min(requests.size(), most > Turns.size() ? most - Turns.size() : 0);
   for (std::size_t i = 0; i < given; ++i) {
--- a/src/masticwinch/coordination/workflow/gang_turns.hpp
+++ b/src/masticwinch/coordination/workflow/gang_turns.hpp
@@ -14,6 +14,9 @@
   /// One gang has a turn for every this many runners. A small fleet has none:
   /// one wide gang may hold any amount there without a turn.
   std::size_t RunnersPerTurn = 175;
+  /// There is no more than one turn for every this many wide gangs that wait: a
+  /// few find room by themselves, and a turn costs others theirs.
+  std::size_t GangsPerTurn = 2;
   /// A gang that needs more than this share of what all gangs together may
   /// hold, in thousandths, is wide: it rarely finds so much left by others.
   std::int64_t WidePermille = 500;
--- a/tests/coordination/workflow/test_late_gangs.cpp
+++ b/tests/coordination/workflow/test_late_gangs.cpp
@@ -81,6 +81,7 @@
           "[workflow]") {
   WorkflowLeaderOptions options;
   options.Turns.RunnersPerTurn = 2;
+  options.Turns.GangsPerTurn = 1;
   GatheredCell cell(options);
   const std::string wide = "000000000000000c";
   cell.submit(wide, {stepWith(3, true, 20)});
